Add the workspace, schema generator, settings reader and design

Cause: an empty repository; every later part needs one build, one schema and one set of checks. Ruled out: a hand-written message layer (fields and bounds would stand twice) and a generator needed at build time (the build must work without). Before: nothing.

--- /dev/null
+++ b/src/foxquay/settings/fwd.h
@@ -0,0 +1,16 @@
+#ifndef FOXQUAY_SETTINGS_FWD_H_
+#define FOXQUAY_SETTINGS_FWD_H_
+
+namespace foxquay::settings {
+
+struct Loaded;
+
+namespace internal {
+
+class Reader;
+class Section;
+
+}  // namespace internal
+}  // namespace foxquay::settings
+
+#endif  // FOXQUAY_SETTINGS_FWD_H_
--- /dev/null
+++ b/src/foxquay/settings/settings.cc
@@ -0,0 +1,127 @@
+#include "foxquay/settings/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <utility>
+
+#include "foxquay/settings/reader.h"
+
+namespace foxquay::settings {
+namespace internal {
+
+/// Checks the rules that concern more than one key.
+class Rules {
+ public:
+  Rules(const YAML::Node& root, std::string file, Loaded& loaded)
+      : root_(root), file_(std::move(file)), loaded_(loaded) {}
+
+  void Check() {
+    CheckDataFolder();
+    CheckPeers();
+    CheckListeners();
+    CheckLogLevel();
+  }
+
+ private:
+  void Add(const YAML::Node& node, std::string path, std::string message) {
+    const int line = node.IsDefined() ? node.Mark().line + 1 : 0;
+    loaded_.findings.push_back(
+        {file_, line, std::move(path), std::move(message)});
+  }
+
+  void CheckDataFolder() {
+    const schema::HostSettings& host = loaded_.settings.host;
+    const bool durable =
+        std::any_of(host.roles.begin(), host.roles.end(),
+                    [](schema::Role r) { return r != schema::Role::kEntry; });
+    if (durable && host.data_folder.empty()) {
+      Add(root_["host"], "host.data_folder",
+          "required for the roles control and standby");
+    }
+  }
+
+  void CheckPeers() {
+    std::set<core::HostId> ids{loaded_.settings.host.id};
+    std::set<std::string> addresses{loaded_.settings.listeners.peer};
+    std::size_t index = 0;
+    for (const schema::PeerSettings& peer : loaded_.settings.peers) {
+      const std::string path = "peers[" + std::to_string(index) + "]";
+      const YAML::Node node = root_["peers"][index++];
+      if (!ids.insert(peer.id).second) {
+        Add(node["id"], path + ".id",
+            "duplicate host id '" + peer.id.value() + "'");
+      }
+      if (!addresses.insert(peer.address).second) {
+        Add(node["address"], path + ".address",
+            "duplicate address '" + peer.address + "'");
+      }
+    }
+  }
+
+  void CheckListeners() {
+    const schema::ListenerSettings& listeners = loaded_.settings.listeners;
+    const std::array<std::pair<const char*, const std::string*>, 4> all{
+        {{"caller", &listeners.caller},
+         {"upstream", &listeners.upstream},
+         {"admin", &listeners.admin},
+         {"peer", &listeners.peer}}};
+    std::set<std::string> seen;
+    for (const auto& [name, address] : all) {
+      if (!address->empty() && !seen.insert(*address).second) {
+        Add(root_["listeners"][name], std::string("listeners.") + name,
+            "address is used by another listener");
+      }
+    }
+  }
+
+  void CheckLogLevel() {
+    static const std::set<std::string> kLevels{"debug", "info", "warn",
+                                               "error"};
+    if (!kLevels.contains(loaded_.settings.log.level)) {
+      Add(root_["log"]["level"], "log.level",
+          "expected debug, info, warn or error");
+    }
+  }
+
+  const YAML::Node& root_;
+  std::string file_;
+  Loaded& loaded_;
+};
+
+}  // namespace internal
+
+Loaded Parse(const std::string& text, const std::string& file) {
+  Loaded loaded;
+  YAML::Node root;
+  try {
+    root = YAML::Load(text);
+  } catch (const YAML::Exception& error) {
+    loaded.findings.push_back({file, error.mark.line + 1, "", error.msg});
+    return loaded;
+  }
+  internal::Reader reader(root, file, "", loaded.findings);
+  internal::Read(reader, loaded.settings);
+  if (root.IsMap()) internal::Rules(root, file, loaded).Check();
+  std::stable_sort(loaded.findings.begin(), loaded.findings.end(),
+                   [](const core::Finding& left, const core::Finding& right) {
+                     return left.line < right.line;
+                   });
+  return loaded;
+}
+
+Loaded Load(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) {
+    Loaded loaded;
+    loaded.findings.push_back({file, 0, "", "cannot be read"});
+    return loaded;
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return Parse(text.str(), file);
+}
+
+}  // namespace foxquay::settings
--- /dev/null
+++ b/src/foxquay_cli/main.cc
@@ -0,0 +1,7 @@
+#include <cstdlib>
+#include <iostream>
+
+int main() {
+  std::cerr << "foxquay: no subcommand is built yet\n";
+  return EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/foxquay/schema/codec_test.cc
@@ -0,0 +1,43 @@
+#include "foxquay/schema/codec.h"
+
+#include <catch2/catch.hpp>
+
+#include "foxquay/schema/announcement.h"
+
+namespace foxquay::schema {
+namespace {
+
+Announcement Sample() {
+  Announcement announcement;
+  announcement.id = core::UpstreamId("gpu-1");
+  announcement.address = "127.0.0.1:9000";
+  announcement.adapters = {"quotes"};
+  announcement.layers = {0, 15};
+  return announcement;
+}
+
+}  // namespace
+
+TEST_CASE("a message survives encoding and decoding") {
+  const auto decoded = Decode<Announcement>(Encode(Sample()));
+  REQUIRE(decoded);
+  CHECK(decoded.value() == Sample());
+}
+
+// Guards against decoders that accept a truncated or padded message.
+TEST_CASE("short and long input is refused") {
+  const std::string bytes = Encode(Sample());
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_FALSE(Decode<Announcement>(bytes.substr(0, size)));
+  }
+  CHECK_FALSE(Decode<Announcement>(bytes + "x"));
+}
+
+// Guards against a size field that makes the decoder allocate without bound.
+TEST_CASE("a size above its bound is refused") {
+  Announcement announcement = Sample();
+  announcement.address = std::string(65, '1');
+  CHECK_FALSE(Decode<Announcement>(Encode(announcement)));
+}
+
+}  // namespace foxquay::schema
--- /dev/null
+++ b/tests/foxquay/settings/settings_test.cc
@@ -0,0 +1,91 @@
+#include "foxquay/settings/settings.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace foxquay::settings {
+namespace {
+
+constexpr const char* kGood = R"(host:
+  id: entry-1
+  data_centre: welshpool
+  region: perth
+  roles: [entry, control]
+  data_folder: /var/lib/foxquay
+listeners:
+  caller: 127.0.0.1:8080
+  upstream: 127.0.0.1:8081
+  admin: 127.0.0.1:8082
+  peer: 127.0.0.1:8083
+security:
+  cluster: kellerup
+  peer_key_file: /etc/foxquay/peer.key
+  operator_token_file: /etc/foxquay/operator.token
+  upstream_networks: [127.0.0.0/8]
+)";
+
+bool Has(const core::Findings& findings, int line, const std::string& path) {
+  return std::any_of(findings.begin(), findings.end(),
+                     [&](const core::Finding& finding) {
+                       return finding.line == line && finding.path == path;
+                     });
+}
+
+std::string Replace(std::string text, const std::string& from,
+                    const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+TEST_CASE("a complete settings file has no findings") {
+  const Loaded loaded = Parse(kGood, "good.yaml");
+  for (const core::Finding& finding : loaded.findings) {
+    UNSCOPED_INFO(core::Format(finding));
+  }
+  REQUIRE(loaded.findings.empty());
+  CHECK(loaded.settings.host.id.value() == "entry-1");
+  CHECK(loaded.settings.limits.max_body_bytes == 1048576);
+}
+
+// Guards against a check that stops at its first finding.
+TEST_CASE("all findings are reported together with line and key path") {
+  std::string text = Replace(kGood, "127.0.0.1:8081", "localhost");
+  text = Replace(text, "  cluster: kellerup\n", "");
+  text += "limits:\n  drain_timeout: 10\n  color: red\n";
+  const Loaded loaded = Parse(text, "bad.yaml");
+  CHECK(loaded.findings.size() == 4);
+  CHECK(Has(loaded.findings, 9, "listeners.upstream"));
+  CHECK(Has(loaded.findings, 13, "security"));
+  CHECK(Has(loaded.findings, 17, "limits.drain_timeout"));
+  CHECK(Has(loaded.findings, 18, "limits.color"));
+}
+
+// Guards against two hosts under one name, which would share a vote.
+TEST_CASE("a peer may not repeat an id or an address") {
+  const std::string peers = R"(peers:
+  - {id: entry-1, address: 127.0.0.1:9083, caller: 127.0.0.1:9080, data_centre: osborne, region: perth}
+  - {id: entry-2, address: 127.0.0.1:9083, caller: 127.0.0.1:9081, data_centre: osborne, region: perth}
+)";
+  const Loaded loaded = Parse(kGood + peers, "peers.yaml");
+  REQUIRE(loaded.findings.size() == 2);
+  CHECK(loaded.findings[0].path == "peers[0].id");
+  CHECK(loaded.findings[1].path == "peers[1].address");
+}
+
+// Guards against a control host that would keep its vote in memory only.
+TEST_CASE("a control host needs a data folder") {
+  const Loaded loaded = Parse(
+      Replace(kGood, "  data_folder: /var/lib/foxquay\n", ""), "disk.yaml");
+  REQUIRE(loaded.findings.size() == 1);
+  CHECK(loaded.findings[0].path == "host.data_folder");
+}
+
+TEST_CASE("broken YAML yields one finding with its line") {
+  const Loaded loaded = Parse("host: [1,\n", "broken.yaml");
+  REQUIRE(loaded.findings.size() == 1);
+  CHECK(loaded.findings[0].line > 0);
+}
+
+}  // namespace foxquay::settings
