Add the consensus replica

Cause: the control state needs one ordered, durable history on three or five hosts (docs/design.md, section 5). Ruled out: sending entries only after the leader's own sync (adds a sync to each commit; the leader's copy is just not counted until then); confirming reads by log entries (a write per read). Before: no replicated log. After: it builds; not yet tested.

--- /dev/null
+++ b/src/foxquay/consensus/election.cc
@@ -0,0 +1,151 @@
+// Elections with pre-vote (Ongaro, "Consensus: Bridging Theory and Practice",
+// 2014, 4.2.3 and 9.6).
+#include <algorithm>
+#include <random>
+#include <tuple>
+#include <utility>
+
+#include "foxquay/consensus/error.h"
+#include "foxquay/consensus/state.h"
+
+namespace foxquay::consensus {
+
+void Replica::State::ResetElectionDeadline() {
+  const Timing& timing = options_.timing;
+  std::uniform_int_distribution<core::Duration::rep> timeout(
+      timing.min_election.count(), timing.max_election.count());
+  election_deadline_ = now_ + core::Duration(timeout(random_));
+}
+
+bool Replica::State::HeardFromLeader() const {
+  core::Instant heard = heard_;
+  if (role_ == Role::kLeader) heard = QuorumConfirmed(now_).value_or(heard_);
+  return now_ < heard + options_.timing.min_election;
+}
+
+Role Replica::State::IdleRole() const {
+  return IsVoter(options_.self) ? Role::kFollower : Role::kLearner;
+}
+
+void Replica::State::StepDown(Term term,
+                              std::optional<schema::ReplicaId> leader) {
+  if (term > term_) {
+    term_ = term;
+    vote_.reset();
+    writes_.ChangeVote();
+  }
+  if (role_ == Role::kLeader) {
+    for (const auto& [index, id] : open_proposals_) {
+      out_.emplace_back(ProposalDecided{id, 0, Error::kResultUnknown});
+    }
+    open_proposals_.clear();
+    progress_.clear();
+    ResetElectionDeadline();
+  }
+  role_ = IdleRole();
+  leader_ = std::move(leader);
+}
+
+void Replica::State::Campaign(bool pre) {
+  role_ = pre ? Role::kPreCandidate : Role::kCandidate;
+  leader_.reset();
+  votes_.clear();
+  if (!pre) {
+    ++term_;
+    vote_ = options_.self;
+    writes_.ChangeVote();
+  }
+  schema::VoteRequest request;
+  request.pre = pre;
+  request.last_index = log_.last();
+  request.last_term = log_.TermAt(log_.last()).value_or(0);
+  for (const schema::ReplicaId& voter : log_.configuration().voters) {
+    if (voter == options_.self) continue;
+    request.header = Header(voter);
+    if (pre) ++request.header.term;
+    Transmit(request, writes_.vote());
+  }
+  CountVotes();
+}
+
+void Replica::State::CountVotes() {
+  const bool own_counts =
+      role_ == Role::kPreCandidate || writes_.vote() <= writes_.finished();
+  if (own_counts) votes_.insert(options_.self);
+  const auto granted = std::count_if(
+      votes_.begin(), votes_.end(),
+      [this](const schema::ReplicaId& id) { return IsVoter(id); });
+  if (static_cast<std::size_t>(granted) < Quorum()) return;
+  if (role_ == Role::kPreCandidate) {
+    Campaign(false);
+  } else {
+    Lead();
+  }
+}
+
+void Replica::State::Lead() {
+  role_ = Role::kLeader;
+  leader_ = options_.self;
+  leading_since_ = now_;
+  members_since_ = now_;
+  heartbeat_deadline_ = now_ + options_.timing.heartbeat;
+  progress_.clear();
+  for (const schema::ReplicaId& voter : log_.configuration().voters) {
+    if (voter == options_.self) continue;
+    internal::Progress& progress = progress_[voter];
+    progress.next = log_.last() + 1;
+    progress.heard = now_;
+  }
+  AppendEntry(schema::EntryKind::kNoop, "", {});
+  term_start_ = log_.last();
+  Broadcast(true);
+}
+
+bool Replica::State::UpToDate(const schema::VoteRequest& request) const {
+  const Term last_term = log_.TermAt(log_.last()).value_or(0);
+  return std::tuple(request.last_term, request.last_index) >=
+         std::tuple(last_term, log_.last());
+}
+
+void Replica::State::On(const schema::VoteRequest& request) {
+  const Term asked = request.header.term;
+  // A voter in contact with a leader answers no election; the leader's lease
+  // depends on it.
+  const bool contact = HeardFromLeader();
+  if (!request.pre && asked >= term_ && contact) return;
+  if (!request.pre && asked > term_) StepDown(asked, std::nullopt);
+  bool granted = UpToDate(request) && !contact;
+  if (request.pre) {
+    granted = granted && asked > term_;
+  } else {
+    granted =
+        granted && asked == term_ && (!vote_ || *vote_ == request.header.from);
+  }
+  if (granted && !request.pre) {
+    if (!vote_) writes_.ChangeVote();
+    vote_ = request.header.from;
+    ResetElectionDeadline();
+  }
+  schema::VoteReply reply;
+  reply.header = Header(request.header.from);
+  if (request.pre && granted) reply.header.term = asked;
+  reply.pre = request.pre;
+  reply.granted = granted;
+  Transmit(reply, writes_.vote());
+}
+
+void Replica::State::On(const schema::VoteReply& reply) {
+  const Term term = reply.header.term;
+  const bool granted_pre = reply.pre && reply.granted;
+  if (!granted_pre && term > term_) {
+    StepDown(term, std::nullopt);
+    return;
+  }
+  const Role expected = reply.pre ? Role::kPreCandidate : Role::kCandidate;
+  const Term asked = reply.pre ? term_ + 1 : term_;
+  if (role_ != expected || !reply.granted || term != asked) return;
+  votes_.insert(reply.header.from);
+  CountVotes();
+}
+
+}  // namespace foxquay::consensus
--- /dev/null
+++ b/src/foxquay/consensus/join.cc
@@ -0,0 +1,76 @@
+// Formation of a new group and admission of learners.
+#include <algorithm>
+#include <utility>
+
+#include "foxquay/consensus/state.h"
+
+namespace foxquay::consensus {
+namespace {
+
+/// More learners than any group needs; a leader ignores further ones.
+constexpr std::size_t kMaxReplicas = 32;
+
+}  // namespace
+
+void Replica::State::RequestJoin() {
+  schema::JoinRequest request;
+  request.fresh = Fresh();
+  const auto ask = [&](const core::HostId& host) {
+    if (host == options_.self.host) return;
+    request.header = Header({host, 0});
+    Transmit(request, writes_.vote());
+  };
+  std::for_each(options_.founders.begin(), options_.founders.end(), ask);
+  std::for_each(options_.standbys.begin(), options_.standbys.end(), ask);
+  FormGroup();
+}
+
+void Replica::State::On(const schema::JoinRequest& request) {
+  const schema::ReplicaId& joiner = request.header.from;
+  schema::JoinReply reply;
+  reply.header = Header(joiner);
+  reply.fresh = Fresh();
+  Transmit(reply, writes_.everything());
+  if (role_ != Role::kLeader || progress_.contains(joiner)) return;
+  if (progress_.size() >= kMaxReplicas) return;
+  std::erase_if(progress_, [&](const auto& item) {
+    return item.first.host == joiner.host && !IsVoter(item.first);
+  });
+  internal::Progress& progress = progress_[joiner];
+  progress.next = log_.last() + 1;
+  progress.heard = now_;
+  progress.needs_snapshot = request.fresh;
+  Replicate(joiner, progress, false);
+}
+
+void Replica::State::On(const schema::JoinReply& reply) {
+  // Replies are addressed to this incarnation, so a founder that lost its disk
+  // never counts what others said before that.
+  if (!reply.fresh) group_exists_ = true;
+  welcomed_[reply.header.from.host] = reply.header.from;
+  FormGroup();
+}
+
+void Replica::State::FormGroup() {
+  if (!Fresh() || group_exists_ || leader_ || options_.founders.empty()) return;
+  const auto& founders = options_.founders;
+  const auto first = std::min_element(founders.begin(), founders.end());
+  if (*first != options_.self.host) return;
+  schema::SnapshotMeta meta;
+  for (const core::HostId& founder : founders) {
+    const auto found = welcomed_.find(founder);
+    if (founder == options_.self.host) {
+      meta.configuration.voters.push_back(options_.self);
+    } else if (found != welcomed_.end()) {
+      meta.configuration.voters.push_back(found->second);
+    } else {
+      return;
+    }
+  }
+  snapshot_ = {std::move(meta), {}};
+  log_ = internal::Log(snapshot_.meta, {});
+  role_ = IdleRole();
+  SaveCurrentSnapshot();
+}
+
+}  // namespace foxquay::consensus
--- /dev/null
+++ b/src/foxquay/consensus/log.cc
@@ -0,0 +1,73 @@
+#include "foxquay/consensus/log.h"
+
+#include <cassert>
+#include <iterator>
+
+#include "foxquay/schema/codec.h"
+
+namespace foxquay::consensus::internal {
+
+Log::Log(const schema::SnapshotMeta& base,
+         std::vector<schema::LogEntry> entries)
+    : base_(base.index), base_term_(base.term), base_wall_(base.wall) {
+  configurations_.emplace_back(base.index, base.configuration);
+  for (schema::LogEntry& entry : entries) Append(std::move(entry));
+}
+
+std::optional<Term> Log::TermAt(Index index) const {
+  if (index == base_) return base_term_;
+  if (index < base_ || index > last()) return std::nullopt;
+  return At(index).term;
+}
+
+core::WallTime Log::WallAt(Index index) const {
+  return index == base_ ? base_wall_ : At(index).wall;
+}
+
+const schema::LogEntry& Log::At(Index index) const {
+  assert(index > base_ && index <= last() && "the entry is kept");
+  return entries_[index - base_ - 1];
+}
+
+void Log::Append(schema::LogEntry entry) {
+  entries_.push_back(std::move(entry));
+  NoteConfiguration(last(), entries_.back());
+}
+
+void Log::CutFrom(Index index) {
+  assert(index > base_ && "the base is never cut");
+  if (index > last()) return;
+  entries_.resize(index - base_ - 1);
+  while (configurations_.back().first >= index) configurations_.pop_back();
+}
+
+void Log::Compact(Index index) {
+  if (index <= base_) return;
+  assert(index <= last() && "only existing entries are compacted");
+  base_term_ = At(index).term;
+  base_wall_ = At(index).wall;
+  entries_.erase(
+      entries_.begin(),
+      std::next(entries_.begin(), static_cast<std::ptrdiff_t>(index - base_)));
+  base_ = index;
+  while (configurations_.size() > 1 && configurations_[1].first <= index) {
+    configurations_.erase(configurations_.begin());
+  }
+}
+
+const schema::Configuration& Log::ConfigurationAt(Index index) const {
+  std::size_t position = configurations_.size() - 1;
+  while (position > 0 && configurations_[position].first > index) --position;
+  return configurations_[position].second;
+}
+
+void Log::NoteConfiguration(Index index, const schema::LogEntry& entry) {
+  if (entry.kind != schema::EntryKind::kConfiguration) return;
+  auto decoded = schema::Decode<schema::Configuration>(entry.payload);
+  assert(decoded && "a leader writes well-formed configurations");
+  if (decoded) {
+    configurations_.emplace_back(index, std::move(decoded.value()));
+  }
+}
+
+}  // namespace foxquay::consensus::internal
--- /dev/null
+++ b/src/foxquay/consensus/replication.cc
@@ -0,0 +1,261 @@
+// Replication of the log and confirmation of leadership.
+#include <algorithm>
+#include <cassert>
+#include <functional>
+#include <utility>
+#include <vector>
+
+#include "foxquay/consensus/state.h"
+
+namespace foxquay::consensus {
+namespace {
+
+/// Waits of this many heartbeats for a reply end in another attempt.
+constexpr int kResendHeartbeats = 2;
+
+/// Returns a span that is certainly not shorter than one which another clock
+/// measured, if each clock's rate is wrong by at most 1 %.
+core::Duration Stretch(core::Duration span) {
+  constexpr std::int64_t kPerMille = 21;
+  return span + span * kPerMille / 1000 + core::Duration(1);
+}
+
+/// Appends may be sent before the leader has written them: its own copy does
+/// not count towards the quorum until then.
+constexpr Ticket kAtOnce{0};
+
+}  // namespace
+
+void Replica::State::Broadcast(bool heartbeat) {
+  for (auto& [id, progress] : progress_) Replicate(id, progress, heartbeat);
+}
+
+void Replica::State::Replicate(const schema::ReplicaId& id,
+                               internal::Progress& progress, bool heartbeat) {
+  const auto patience = options_.timing.heartbeat * kResendHeartbeats;
+  const bool waiting =
+      progress.awaited && now_ - progress.awaited_since < patience;
+  const bool lacks =
+      progress.next <= log_.last() || progress.match + 1 < progress.next;
+  if (!waiting && (progress.needs_snapshot || progress.next <= log_.base())) {
+    SendChunk(id, progress);
+  } else if (!waiting && lacks) {
+    SendEntries(id, progress);
+    return;
+  }
+  if (heartbeat) SendHeartbeat(id, progress);
+}
+
+schema::AppendRequest Replica::State::MakeAppend(
+    const schema::ReplicaId& id, const internal::Progress& progress) {
+  schema::AppendRequest request;
+  request.header = Header(id);
+  request.commit = commit_;
+  request.sent = now_.time_since_epoch();
+  request.sequence = ++sequence_;
+  request.echo_session = progress.session;
+  request.echo = progress.stamp;
+  const auto confirmed = QuorumConfirmed(now_);
+  if (confirmed && CommittedInTerm()) request.age = now_ - *confirmed;
+  return request;
+}
+
+void Replica::State::SendEntries(const schema::ReplicaId& id,
+                                 internal::Progress& progress) {
+  schema::AppendRequest request = MakeAppend(id, progress);
+  request.previous_index = progress.next - 1;
+  request.previous_term = log_.TermAt(progress.next - 1).value_or(0);
+  std::size_t bytes = 0;
+  for (Index index = progress.next; index <= log_.last(); ++index) {
+    const schema::LogEntry& entry = log_.At(index);
+    bytes += entry.payload.size();
+    const bool full =
+        bytes > options_.limits.max_append_bytes ||
+        request.entries.size() >= options_.limits.max_append_entries;
+    if (full && !request.entries.empty()) break;
+    request.entries.push_back(entry);
+  }
+  progress.awaited = request.sequence;
+  progress.awaited_since = now_;
+  Transmit(std::move(request), kAtOnce);
+}
+
+void Replica::State::SendHeartbeat(const schema::ReplicaId& id,
+                                   const internal::Progress& progress) {
+  schema::AppendRequest request = MakeAppend(id, progress);
+  // Entry 0 precedes every log, so a heartbeat to a replica far behind is
+  // accepted too.
+  const auto term = log_.TermAt(progress.match);
+  request.previous_index = term ? progress.match : 0;
+  request.previous_term = term.value_or(0);
+  Transmit(std::move(request), kAtOnce);
+}
+
+bool Replica::State::CommittedInTerm() const {
+  return role_ == Role::kLeader && commit_ >= term_start_;
+}
+
+void Replica::State::AdvanceCommit() {
+  if (role_ != Role::kLeader) return;
+  std::vector<Index> matches;
+  for (const schema::ReplicaId& voter : log_.configuration().voters) {
+    const auto found = progress_.find(voter);
+    matches.push_back(found == progress_.end() ? writes_.durable()
+                                               : found->second.match);
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const Index index = matches[Quorum() - 1];
+  if (index <= commit_ || log_.TermAt(index) != term_) return;
+  commit_ = index;
+  if (commit_ == log_.last()) {
+    for (auto& [id, progress] : progress_) {
+      if (progress.match == commit_) SendHeartbeat(id, progress);
+    }
+  }
+}
+
+std::optional<core::Instant> Replica::State::QuorumConfirmed(
+    core::Instant now) const {
+  std::vector<core::Instant> times;
+  for (const schema::ReplicaId& voter : log_.configuration().voters) {
+    const auto found = progress_.find(voter);
+    if (found == progress_.end()) {
+      times.push_back(now);
+    } else if (found->second.confirmed) {
+      times.push_back(*found->second.confirmed);
+    }
+  }
+  if (times.size() < Quorum()) return std::nullopt;
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times[Quorum() - 1];
+}
+
+bool Replica::State::HoldsLease(core::Instant now) const {
+  if (role_ != Role::kLeader) return false;
+  const auto confirmed = QuorumConfirmed(now);
+  return confirmed && now < *confirmed + options_.timing.lease;
+}
+
+bool Replica::State::AcceptLeader(const schema::MessageHeader& header) {
+  if (header.term < term_) return false;
+  StepDown(header.term, header.from);
+  heard_ = now_;
+  ResetElectionDeadline();
+  return true;
+}
+
+void Replica::State::On(const schema::AppendRequest& request) {
+  if (!AcceptLeader(request.header)) {
+    ReplyAppend(request.header, request.sequence, request.sent, false, 0);
+    return;
+  }
+  if (!Fresh()) {
+    Accept(request);
+    return;
+  }
+  schema::AppendReply reply;
+  reply.header = Header(request.header.from);
+  reply.needs_snapshot = true;
+  reply.sent = request.sent;
+  reply.sequence = request.sequence;
+  Transmit(reply, writes_.vote());
+}
+
+void Replica::State::Accept(const schema::AppendRequest& request) {
+  const Index previous = request.previous_index;
+  const bool compacted = previous < log_.base();
+  if (!compacted && log_.TermAt(previous) != request.previous_term) {
+    ReplyAppend(request.header, request.sequence, request.sent, false,
+                RetryHint(previous));
+    return;
+  }
+  Store(request);
+  const Index match = previous + request.entries.size();
+  commit_ = std::max(commit_, std::min(request.commit, match));
+  NoteConfirmation(request);
+  ReplyAppend(request.header, request.sequence, request.sent, true, match);
+}
+
+void Replica::State::Store(const schema::AppendRequest& request) {
+  Index index = request.previous_index;
+  for (const schema::LogEntry& entry : request.entries) {
+    ++index;
+    if (index <= log_.base() || log_.TermAt(index) == entry.term) continue;
+    const bool cut = index <= log_.last();
+    assert(index > commit_ && "committed entries are never replaced");
+    if (cut) log_.CutFrom(index);
+    log_.Append(entry);
+    writes_.ChangeEntries(index, cut);
+  }
+}
+
+Index Replica::State::RetryHint(Index previous) const {
+  if (previous > log_.last()) return log_.last();
+  Index hint = previous - 1;
+  const auto term = log_.TermAt(previous);
+  while (hint > commit_ && log_.TermAt(hint) == term) --hint;
+  return hint;
+}
+
+void Replica::State::NoteConfirmation(const schema::AppendRequest& request) {
+  if (!request.age || request.echo_session != session_) return;
+  // The leader sent this after it got the echoed reply, so its age counts from
+  // an instant that is not before the stamp of that reply.
+  const core::Instant stamp(request.echo);
+  confirmations_.push_back({stamp - Stretch(*request.age), request.commit});
+}
+
+void Replica::State::ReplyAppend(const schema::MessageHeader& to,
+                                 std::uint64_t sequence, core::Duration sent,
+                                 bool accepted, Index match) {
+  schema::AppendReply reply;
+  reply.header = Header(to.from);
+  reply.accepted = accepted;
+  reply.match = match;
+  reply.sent = sent;
+  reply.sequence = sequence;
+  reply.session = session_;
+  reply.stamp = now_.time_since_epoch();
+  const bool durable = !accepted || match <= writes_.durable();
+  Transmit(reply, durable ? writes_.vote() : writes_.everything());
+}
+
+internal::Progress* Replica::State::NoteReply(
+    const schema::MessageHeader& header, core::Duration sent) {
+  if (header.term > term_) StepDown(header.term, std::nullopt);
+  if (role_ != Role::kLeader || header.term != term_) return nullptr;
+  const auto found = progress_.find(header.from);
+  if (found == progress_.end()) return nullptr;
+  internal::Progress& progress = found->second;
+  const core::Instant sent_at(sent);
+  progress.confirmed = std::max(progress.confirmed.value_or(sent_at), sent_at);
+  progress.heard = now_;
+  return &progress;
+}
+
+void Replica::State::On(const schema::AppendReply& reply) {
+  internal::Progress* progress = NoteReply(reply.header, reply.sent);
+  if (progress == nullptr) return;
+  if (reply.session != progress->session || reply.stamp > progress->stamp) {
+    progress->session = reply.session;
+    progress->stamp = reply.stamp;
+  }
+  const bool awaited = progress->awaited == reply.sequence;
+  if (awaited) progress->awaited.reset();
+  if (reply.needs_snapshot) {
+    progress->needs_snapshot = progress->match == 0;
+  } else if (reply.accepted) {
+    progress->match = std::max(progress->match, reply.match);
+    progress->next = std::max(progress->next, progress->match + 1);
+    if (awaited) {
+      progress->next = progress->match + 1;
+      progress->needs_snapshot = false;
+    }
+  } else if (awaited) {
+    const Index limit = std::max(progress->match + 1, progress->next - 1);
+    progress->next = std::clamp(reply.match + 1, progress->match + 1, limit);
+  }
+  Replicate(reply.header.from, *progress, false);
+}
+
+}  // namespace foxquay::consensus
--- /dev/null
+++ b/src/foxquay/consensus/state.h
@@ -0,0 +1,188 @@
+#ifndef FOXQUAY_CONSENSUS_STATE_H_
+#define FOXQUAY_CONSENSUS_STATE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "foxquay/consensus/action.h"
+#include "foxquay/consensus/event.h"
+#include "foxquay/consensus/log.h"
+#include "foxquay/consensus/progress.h"
+#include "foxquay/consensus/replica.h"
+#include "foxquay/consensus/writes.h"
+
+namespace foxquay::consensus {
+
+/// State and transitions of a Replica. Its functions are spread over files by
+/// concern: election.cc, replication.cc, transfer.cc, members.cc, join.cc.
+class Replica::State {
+ public:
+  State(Options options, Durable durable, core::Instant now);
+
+  std::vector<Action> Handle(const Event& event, core::Instant now);
+  [[nodiscard]] core::Instant NextDeadline() const noexcept {
+    return role_ == Role::kLeader ? heartbeat_deadline_ : election_deadline_;
+  }
+  [[nodiscard]] bool HoldsLease(core::Instant now) const;
+
+  [[nodiscard]] Role role() const noexcept { return role_; }
+  [[nodiscard]] Term term() const noexcept { return term_; }
+  [[nodiscard]] const std::optional<schema::ReplicaId>& leader() const {
+    return leader_;
+  }
+  [[nodiscard]] const internal::Log& log() const noexcept { return log_; }
+  [[nodiscard]] Index commit() const noexcept { return commit_; }
+  [[nodiscard]] Index applied() const noexcept { return applied_; }
+  [[nodiscard]] std::optional<core::Instant> confirmed() const noexcept {
+    return confirmed_;
+  }
+
+ private:
+  /// Entries up to `commit` were all that was committed at `at`.
+  struct Confirmation {
+    core::Instant at;
+    Index commit = 0;
+  };
+  struct Held {
+    Ticket ticket;
+    Send send;
+  };
+  struct Incoming {
+    schema::SnapshotMeta meta;
+    std::string data;
+  };
+
+  // replica.cc
+  void On(const Received& event);
+  void On(const Tick& event);
+  void On(const Propose& event);
+  void On(const Persisted& event);
+  void On(const SnapshotTaken& event);
+  void CheckTimers();
+  void AppendEntry(schema::EntryKind kind, std::string payload,
+                   core::WallTime wall);
+  void ApplyCommitted();
+  void ApplyEntry(const schema::LogEntry& entry);
+  void AdvanceConfirmation();
+  void Flush();
+  void ReleaseHeld();
+  void ReportChanges();
+  void Transmit(schema::ConsensusMessage message, Ticket after);
+  [[nodiscard]] schema::MessageHeader Header(const schema::ReplicaId& to) const;
+  [[nodiscard]] bool IsVoter(const schema::ReplicaId& id) const;
+  [[nodiscard]] bool Fresh() const noexcept;
+  [[nodiscard]] std::size_t Quorum() const noexcept;
+
+  // election.cc
+  void ResetElectionDeadline();
+  [[nodiscard]] bool HeardFromLeader() const;
+  void StepDown(Term term, std::optional<schema::ReplicaId> leader);
+  void Campaign(bool pre);
+  void CountVotes();
+  void Lead();
+  void On(const schema::VoteRequest& request);
+  void On(const schema::VoteReply& reply);
+  [[nodiscard]] bool UpToDate(const schema::VoteRequest& request) const;
+  [[nodiscard]] Role IdleRole() const;
+
+  // replication.cc
+  void Broadcast(bool heartbeat);
+  void Replicate(const schema::ReplicaId& id, internal::Progress& progress,
+                 bool heartbeat);
+  void SendEntries(const schema::ReplicaId& id, internal::Progress& progress);
+  void SendHeartbeat(const schema::ReplicaId& id,
+                     const internal::Progress& progress);
+  [[nodiscard]] schema::AppendRequest MakeAppend(
+      const schema::ReplicaId& id, const internal::Progress& progress);
+  void AdvanceCommit();
+  [[nodiscard]] bool CommittedInTerm() const;
+  [[nodiscard]] std::optional<core::Instant> QuorumConfirmed(
+      core::Instant now) const;
+  void On(const schema::AppendRequest& request);
+  void On(const schema::AppendReply& reply);
+  bool AcceptLeader(const schema::MessageHeader& header);
+  void NoteConfirmation(const schema::AppendRequest& request);
+  void Accept(const schema::AppendRequest& request);
+  void Store(const schema::AppendRequest& request);
+  [[nodiscard]] Index RetryHint(Index previous) const;
+  void ReplyAppend(const schema::MessageHeader& to, std::uint64_t sequence,
+                   core::Duration sent, bool accepted, Index match);
+  internal::Progress* NoteReply(const schema::MessageHeader& header,
+                                core::Duration sent);
+
+  // transfer.cc
+  void SendChunk(const schema::ReplicaId& id, internal::Progress& progress);
+  void On(const schema::SnapshotChunk& chunk);
+  void On(const schema::SnapshotReply& reply);
+  void Install();
+  void SaveCurrentSnapshot();
+  [[nodiscard]] std::vector<schema::LogRecord> LogBehind(Index index) const;
+
+  // members.cc
+  void ReviewMembers();
+  void ReviewSurplus();
+  void ReviewLost();
+  [[nodiscard]] core::Duration Silence(const schema::ReplicaId& voter) const;
+  [[nodiscard]] bool Ready(const internal::Progress& progress) const;
+  [[nodiscard]] std::optional<schema::ReplicaId> ReadyLearner(
+      const std::optional<core::HostId>& host) const;
+  void ChangeVoters(std::vector<schema::ReplicaId> voters);
+
+  // join.cc
+  void RequestJoin();
+  void FormGroup();
+  void On(const schema::JoinRequest& request);
+  void On(const schema::JoinReply& reply);
+
+  Options options_;
+  std::mt19937_64 random_;
+  std::uint64_t session_ = 0;
+  core::Instant now_;
+
+  Term term_ = 0;
+  std::optional<schema::ReplicaId> vote_;
+  Snapshot snapshot_;
+  internal::Log log_;
+  internal::Writes writes_;
+  Index commit_ = 0;
+  Index applied_ = 0;
+
+  Role role_ = Role::kLearner;
+  std::optional<schema::ReplicaId> leader_;
+  core::Instant heard_;  ///< Last contact with a leader, or the start.
+  core::Instant election_deadline_;
+  std::set<schema::ReplicaId, internal::ReplicaLess> votes_;
+
+  internal::ProgressMap progress_;
+  core::Instant heartbeat_deadline_;
+  core::Instant leading_since_;
+  core::Instant members_since_;
+  Index term_start_ = 0;  ///< First entry of the term that this replica leads.
+  std::uint64_t sequence_ = 0;
+  std::map<Index, ProposalId> open_proposals_;
+
+  std::optional<Incoming> incoming_;
+  bool snapshot_requested_ = false;
+  std::deque<Confirmation> confirmations_;
+  std::optional<core::Instant> confirmed_;
+
+  std::map<core::HostId, schema::ReplicaId> welcomed_;
+  bool group_exists_ = false;
+
+  std::optional<schema::ReplicaId> reported_leader_;
+  Term reported_term_ = 0;
+  schema::Configuration reported_members_;
+  std::deque<Held> held_;
+  std::vector<Action> out_;
+};
+
+}  // namespace foxquay::consensus
+
+#endif  // FOXQUAY_CONSENSUS_STATE_H_
--- /dev/null
+++ b/src/foxquay/consensus/transfer.cc
@@ -0,0 +1,108 @@
+// Snapshots: saving, transfer in chunks and installation.
+#include <algorithm>
+#include <utility>
+
+#include "foxquay/consensus/state.h"
+
+namespace foxquay::consensus {
+
+void Replica::State::SendChunk(const schema::ReplicaId& id,
+                               internal::Progress& progress) {
+  if (progress.transfer_index != snapshot_.meta.index) {
+    progress.transfer_index = snapshot_.meta.index;
+    progress.transfer_offset = 0;
+  }
+  schema::SnapshotChunk chunk;
+  chunk.header = Header(id);
+  chunk.meta = snapshot_.meta;
+  chunk.offset = progress.transfer_offset;
+  chunk.data = snapshot_.data.substr(progress.transfer_offset,
+                                     options_.limits.max_chunk_bytes);
+  chunk.sent = now_.time_since_epoch();
+  chunk.sequence = ++sequence_;
+  progress.awaited = chunk.sequence;
+  progress.awaited_since = now_;
+  Transmit(std::move(chunk), writes_.vote());
+}
+
+void Replica::State::On(const schema::SnapshotChunk& chunk) {
+  const schema::SnapshotMeta& meta = chunk.meta;
+  if (!AcceptLeader(chunk.header)) {
+    ReplyAppend(chunk.header, chunk.sequence, chunk.sent, false, 0);
+    return;
+  }
+  if (!Fresh() && meta.index <= commit_) {
+    ReplyAppend(chunk.header, chunk.sequence, chunk.sent, true, meta.index);
+    return;
+  }
+  if (meta.size > options_.limits.max_snapshot_bytes) return;
+  if (!incoming_ || incoming_->meta != meta) incoming_ = Incoming{meta, {}};
+  if (chunk.offset == incoming_->data.size()) incoming_->data += chunk.data;
+  if (incoming_->data.size() >= meta.size) {
+    Install();
+    ReplyAppend(chunk.header, chunk.sequence, chunk.sent, true, meta.index);
+    return;
+  }
+  schema::SnapshotReply reply;
+  reply.header = Header(chunk.header.from);
+  reply.index = meta.index;
+  reply.offset = incoming_->data.size();
+  reply.sent = chunk.sent;
+  reply.sequence = chunk.sequence;
+  Transmit(reply, writes_.vote());
+}
+
+void Replica::State::On(const schema::SnapshotReply& reply) {
+  internal::Progress* progress = NoteReply(reply.header, reply.sent);
+  if (progress == nullptr || progress->awaited != reply.sequence) return;
+  progress->awaited.reset();
+  const bool current = reply.index == progress->transfer_index &&
+                       reply.offset <= snapshot_.data.size();
+  progress->transfer_offset = current ? reply.offset : 0;
+  Replicate(reply.header.from, *progress, false);
+}
+
+void Replica::State::Install() {
+  snapshot_ = {std::move(incoming_->meta), std::move(incoming_->data)};
+  incoming_.reset();
+  snapshot_requested_ = false;
+  const schema::SnapshotMeta& meta = snapshot_.meta;
+  const bool extends = !Fresh() && log_.TermAt(meta.index) == meta.term;
+  if (extends) {
+    log_.Compact(meta.index);
+  } else {
+    log_ = internal::Log(meta, {});
+    writes_.Replace();
+  }
+  commit_ = std::max(commit_, meta.index);
+  SaveCurrentSnapshot();
+}
+
+void Replica::State::SaveCurrentSnapshot() {
+  SaveSnapshot save;
+  save.snapshot = snapshot_;
+  save.log = LogBehind(snapshot_.meta.index);
+  save.ticket = writes_.Begin(log_.last(), snapshot_.meta.index);
+  out_.emplace_back(std::move(save));
+}
+
+std::vector<schema::LogRecord> Replica::State::LogBehind(Index index) const {
+  std::vector<schema::LogRecord> records;
+  std::size_t bytes = 0;
+  records.push_back({term_, vote_, index + 1, {}});
+  while (++index <= log_.last()) {
+    const schema::LogEntry& entry = log_.At(index);
+    const bool full =
+        bytes > options_.limits.max_append_bytes ||
+        records.back().entries.size() >= options_.limits.max_append_entries;
+    if (full) {
+      records.push_back({term_, vote_, index, {}});
+      bytes = 0;
+    }
+    records.back().entries.push_back(entry);
+    bytes += entry.payload.size();
+  }
+  return records;
+}
+
+}  // namespace foxquay::consensus
--- /dev/null
+++ b/src/foxquay/consensus/writes.h
@@ -0,0 +1,105 @@
+#ifndef FOXQUAY_CONSENSUS_WRITES_H_
+#define FOXQUAY_CONSENSUS_WRITES_H_
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+
+#include "foxquay/consensus/fwd.h"
+#include "foxquay/core/id.h"
+
+namespace foxquay::consensus::internal {
+
+/// Tracks which changes are on disk: changes of one step are collected into
+/// one numbered write, and writes are acknowledged in order.
+class Writes {
+ public:
+  explicit Writes(Index durable) : durable_(durable) {}
+
+  /// Notes that term or vote changed.
+  void ChangeVote() noexcept { vote_changed_ = true; }
+
+  /// Notes that entries from `first` on were added; `cut` if others were there.
+  void ChangeEntries(Index first, bool cut) {
+    first_changed_ = std::min(first_changed_.value_or(first), first);
+    if (cut) CutFrom(first);
+  }
+
+  /// Notes that the log was replaced as a whole.
+  void Replace() {
+    first_changed_.reset();
+    CutFrom(1);
+  }
+
+  [[nodiscard]] bool changed() const noexcept {
+    return vote_changed_ || first_changed_.has_value();
+  }
+  /// Returns the first entry that the next write contains, if any.
+  [[nodiscard]] std::optional<Index> first_changed() const noexcept {
+    return first_changed_;
+  }
+
+  /// Starts a write of everything up to `last`; returns its number.
+  Ticket Begin(Index last, Index compact_to = 0) {
+    ++issued_;
+    if (vote_changed_) vote_ticket_ = issued_;
+    vote_changed_ = false;
+    first_changed_.reset();
+    pending_.push_back({issued_, last, compact_to});
+    return Ticket(issued_);
+  }
+
+  /// Notes that all writes up to `ticket` are on disk.
+  ///
+  /// Returns the index up to which a saved snapshot allows to compact; 0 if
+  /// none.
+  Index Finish(Ticket ticket) {
+    Index compact_to = 0;
+    while (!pending_.empty() && pending_.front().ticket <= ticket.value()) {
+      finished_ = pending_.front().ticket;
+      durable_ = std::max(durable_, pending_.front().last);
+      compact_to = std::max(compact_to, pending_.front().compact_to);
+      pending_.pop_front();
+    }
+    return compact_to;
+  }
+
+  /// Returns the last entry on disk.
+  [[nodiscard]] Index durable() const noexcept { return durable_; }
+  /// Returns the number of the last finished write.
+  [[nodiscard]] Ticket finished() const noexcept { return Ticket(finished_); }
+  /// Returns the number of the write that contains all changes so far.
+  [[nodiscard]] Ticket everything() const noexcept {
+    return Ticket(changed() ? issued_ + 1 : issued_);
+  }
+  /// Returns the number of the write that contains term and vote.
+  [[nodiscard]] Ticket vote() const noexcept {
+    return Ticket(vote_changed_ ? issued_ + 1 : vote_ticket_);
+  }
+
+ private:
+  struct Pending {
+    std::uint64_t ticket = 0;
+    Index last = 0;
+    Index compact_to = 0;
+  };
+
+  void CutFrom(Index first) {
+    durable_ = std::min(durable_, first - 1);
+    for (Pending& write : pending_) {
+      write.last = std::min(write.last, first - 1);
+    }
+  }
+
+  Index durable_ = 0;
+  bool vote_changed_ = false;
+  std::optional<Index> first_changed_;
+  std::uint64_t issued_ = 0;
+  std::uint64_t finished_ = 0;
+  std::uint64_t vote_ticket_ = 0;
+  std::deque<Pending> pending_;
+};
+
+}  // namespace foxquay::consensus::internal
+
+#endif  // FOXQUAY_CONSENSUS_WRITES_H_
