--- /dev/null
+++ b/src/foxquay/storage/recovery.cc
@@ -0,0 +1,219 @@
+#include "foxquay/storage/recovery.h"
+
+#include <algorithm>
+#include <iterator>
+#include <random>
+#include <string>
+#include <system_error>
+#include <utility>
+
+#include "foxquay/schema/codec.h"
+#include "foxquay/storage/file.h"
+#include "foxquay/storage/frame.h"
+
+namespace foxquay::storage::internal {
+namespace {
+
+constexpr const char* kIdentityName = "identity";
+constexpr const char* kSegmentPrefix = "log-";
+constexpr const char* kSnapshotPrefix = "snapshot-";
+constexpr std::size_t kDigits = 20;
+
+std::filesystem::path Numbered(const std::filesystem::path& folder,
+                               const std::string& prefix,
+                               std::uint64_t number) {
+  const std::string digits = std::to_string(number);
+  return folder / (prefix + std::string(kDigits - digits.size(), '0') + digits);
+}
+
+void NoteNumbered(std::map<std::uint64_t, std::filesystem::path>& files,
+                  const std::filesystem::path& path,
+                  const std::string& prefix) {
+  const std::string name = path.filename().string();
+  const bool matches =
+      name.size() == prefix.size() + kDigits && name.starts_with(prefix);
+  if (matches) files[std::stoull(name.substr(prefix.size()))] = path;
+}
+
+std::uint64_t RandomIncarnation() {
+  std::random_device device;
+  std::uniform_int_distribution<std::uint64_t> any(1);
+  return any(device);
+}
+
+}  // namespace
+
+std::filesystem::path SegmentPath(const std::filesystem::path& folder,
+                                  std::uint64_t number) {
+  return Numbered(folder, kSegmentPrefix, number);
+}
+
+std::filesystem::path SnapshotPath(const std::filesystem::path& folder,
+                                   std::uint64_t index) {
+  return Numbered(folder, kSnapshotPrefix, index);
+}
+
+Listing List(const std::filesystem::path& folder) {
+  Listing listing;
+  std::error_code error;
+  for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
+    NoteNumbered(listing.segments, entry.path(), kSegmentPrefix);
+    NoteNumbered(listing.snapshots, entry.path(), kSnapshotPrefix);
+  }
+  return listing;
+}
+
+Recovery::Recovery(std::filesystem::path folder, core::HostId host,
+                   core::Findings& findings)
+    : folder_(std::move(folder)),
+      host_(std::move(host)),
+      findings_(findings),
+      listing_(List(folder_)) {}
+
+core::Result<Recovered> Recovery::Run() {
+  const bool has_identity = std::filesystem::exists(folder_ / kIdentityName);
+  if (!has_identity && NeverStarted()) {
+    if (auto error = Create()) return error;
+    return std::move(recovered_);
+  }
+  if (auto error = ReadIdentity()) return error;
+  if (auto error = ReadSnapshot()) return error;
+  if (auto error = ReadLog()) return error;
+  DropSnapshotEntries();
+  return std::move(recovered_);
+}
+
+bool Recovery::NeverStarted() const {
+  // The identity is written last, so a first start that was interrupted leaves
+  // one log file without records.
+  if (!listing_.snapshots.empty() || listing_.segments.size() > 1) return false;
+  if (listing_.segments.empty()) return true;
+  const auto bytes = Read(listing_.segments.begin()->second);
+  return bytes && ParseFrames(bytes.value()).payloads.size() <= 1;
+}
+
+std::error_code Recovery::Create() {
+  recovered_.self = {host_, RandomIncarnation()};
+  recovered_.created = true;
+  std::string segment;
+  AppendFrame(segment,
+              schema::Encode(schema::SegmentHeader{recovered_.self, 0}), 0);
+  position_ = {1, segment.size(), false};
+  if (auto error = WriteWhole(SegmentPath(folder_, 1), segment)) return error;
+  std::string identity;
+  AppendFrame(identity, schema::Encode(recovered_.self), 0);
+  return WriteWhole(folder_ / kIdentityName, identity);
+}
+
+std::error_code Recovery::ReadIdentity() {
+  const std::filesystem::path path = folder_ / kIdentityName;
+  const auto bytes = Read(path);
+  if (!bytes) return Refuse(path, "the identity file is missing or unreadable");
+  const Frames frames = ParseFrames(bytes.value());
+  if (frames.payloads.size() != 1) {
+    return Refuse(path, "the identity file is damaged");
+  }
+  auto self = schema::Decode<schema::ReplicaId>(frames.payloads[0]);
+  if (!self) return Refuse(path, "the identity file is damaged");
+  if (self.value().host != host_) {
+    return Refuse(path, "the folder belongs to host '" +
+                            self.value().host.value() + "', not to '" +
+                            host_.value() + "'");
+  }
+  recovered_.self = std::move(self.value());
+  return {};
+}
+
+std::error_code Recovery::ReadSnapshot() {
+  if (listing_.snapshots.empty()) return {};
+  const std::filesystem::path& path = listing_.snapshots.rbegin()->second;
+  const auto bytes = Read(path);
+  if (!bytes) return Refuse(path, "the snapshot is unreadable");
+  Frames frames = ParseFrames(bytes.value());
+  if (frames.payloads.size() != 2) {
+    return Refuse(path, "the snapshot is damaged");
+  }
+  auto meta = schema::Decode<schema::SnapshotMeta>(frames.payloads[0]);
+  if (!meta) return Refuse(path, "the snapshot is damaged");
+  recovered_.durable.snapshot = {std::move(meta.value()),
+                                 std::move(frames.payloads[1])};
+  return {};
+}
+
+std::error_code Recovery::ReadLog() {
+  if (listing_.segments.empty()) {
+    return Refuse(folder_, "the log is missing");
+  }
+  const auto& [number, path] = *listing_.segments.rbegin();
+  const auto bytes = Read(path);
+  if (!bytes) return Refuse(path, "the log is unreadable");
+  const Frames frames = ParseFrames(bytes.value());
+  if (frames.damaged || frames.payloads.empty()) {
+    return Refuse(path, "the log is damaged at byte " +
+                            std::to_string(frames.end) +
+                            ", before its last write");
+  }
+  const auto header = schema::Decode<schema::SegmentHeader>(frames.payloads[0]);
+  if (!header || header.value().owner != recovered_.self) {
+    return Refuse(path, "the log was not written by this replica");
+  }
+  base_ = header.value().snapshot;
+  if (base_ > recovered_.durable.snapshot.meta.index) {
+    return Refuse(path, "the snapshot that the log continues is missing");
+  }
+  for (std::size_t i = 1; i < frames.payloads.size(); ++i) {
+    if (auto error = Replay(frames.payloads[i])) return error;
+  }
+  position_ = {number, frames.end, false};
+  recovered_.discarded_bytes = bytes.value().size() - frames.end;
+  if (recovered_.discarded_bytes == 0) return {};
+  const auto file = File::Open(path, false);
+  return file ? file.value().Truncate(frames.end) : file.error();
+}
+
+std::error_code Recovery::Replay(const std::string& payload) {
+  auto decoded = schema::Decode<schema::LogRecord>(payload);
+  auto& entries = recovered_.durable.entries;
+  const bool fits = decoded && decoded.value().first > base_ &&
+                    decoded.value().first <= base_ + entries.size() + 1;
+  if (!fits) {
+    return Refuse(listing_.segments.rbegin()->second,
+                  "the log contains a record that does not follow the others");
+  }
+  schema::LogRecord& record = decoded.value();
+  recovered_.durable.term = record.term;
+  recovered_.durable.vote = std::move(record.vote);
+  entries.resize(record.first - base_ - 1);
+  std::move(record.entries.begin(), record.entries.end(),
+            std::back_inserter(entries));
+  return {};
+}
+
+void Recovery::DropSnapshotEntries() {
+  const schema::SnapshotMeta& meta = recovered_.durable.snapshot.meta;
+  auto& entries = recovered_.durable.entries;
+  if (meta.index == base_) return;
+  // The process ended between saving a snapshot and starting its log file.
+  position_.needs_checkpoint = true;
+  const std::uint64_t covered = meta.index - base_;
+  const bool continues =
+      entries.size() >= covered && entries[covered - 1].term == meta.term;
+  const std::uint64_t dropped = continues ? covered : entries.size();
+  entries.erase(entries.begin(),
+                entries.begin() + static_cast<std::ptrdiff_t>(dropped));
+}
+
+std::error_code Recovery::Refuse(const std::filesystem::path& file,
+                                 const std::string& reason) {
+  findings_.push_back(
+      {file.string(), 0, "",
+       reason +
+           "; the data of this host cannot be trusted. To rejoin as a new "
+           "member, delete the data folder " +
+           folder_.string() +
+           " and start foxquayd again: the host joins with a new incarnation "
+           "and gets the state from the other replicas"});
+  return make_error_code(core::Error::kCorrupt);
+}
+
+}  // namespace foxquay::storage::internal
--- /dev/null
+++ b/src/foxquay/storage/recovery.h
@@ -0,0 +1,80 @@
+#ifndef FOXQUAY_STORAGE_RECOVERY_H_
+#define FOXQUAY_STORAGE_RECOVERY_H_
+
+#include <cstdint>
+#include <filesystem>
+#include <map>
+
+#include "foxquay/consensus/replica.h"
+#include "foxquay/core/error.h"
+#include "foxquay/core/finding.h"
+#include "foxquay/core/id.h"
+#include "foxquay/schema/consensus.h"
+#include "foxquay/schema/storage.h"
+
+namespace foxquay::storage {
+
+/// What a data folder held at start.
+struct Recovered {
+  schema::ReplicaId self;
+  bool created = false;               ///< The folder was empty.
+  consensus::Durable durable;         ///< Where the replica continues.
+  std::uint64_t discarded_bytes = 0;  ///< Of an interrupted last write.
+};
+
+namespace internal {
+
+/// Files of a data folder by number.
+struct Listing {
+  std::map<std::uint64_t, std::filesystem::path> segments;
+  std::map<std::uint64_t, std::filesystem::path> snapshots;
+};
+
+/// Where to write next.
+struct Position {
+  std::uint64_t segment = 0;
+  std::uint64_t offset = 0;
+  bool needs_checkpoint = false;  ///< A newer snapshot than the log's exists.
+};
+
+[[nodiscard]] std::filesystem::path SegmentPath(
+    const std::filesystem::path& folder, std::uint64_t number);
+[[nodiscard]] std::filesystem::path SnapshotPath(
+    const std::filesystem::path& folder, std::uint64_t index);
+[[nodiscard]] Listing List(const std::filesystem::path& folder);
+
+/// Reads a data folder, or fills an empty one.
+class Recovery {
+ public:
+  /// Writes what is wrong to `findings`.
+  Recovery(std::filesystem::path folder, core::HostId host,
+           core::Findings& findings);
+
+  /// Returns what the folder holds; Error::kCorrupt if it is damaged.
+  [[nodiscard]] core::Result<Recovered> Run();
+  [[nodiscard]] const Position& position() const noexcept { return position_; }
+
+ private:
+  [[nodiscard]] std::error_code Create();
+  [[nodiscard]] bool NeverStarted() const;
+  [[nodiscard]] std::error_code ReadIdentity();
+  [[nodiscard]] std::error_code ReadSnapshot();
+  [[nodiscard]] std::error_code ReadLog();
+  [[nodiscard]] std::error_code Replay(const std::string& payload);
+  void DropSnapshotEntries();
+  [[nodiscard]] std::error_code Refuse(const std::filesystem::path& file,
+                                       const std::string& reason);
+
+  std::filesystem::path folder_;
+  core::HostId host_;
+  core::Findings& findings_;
+  Listing listing_;
+  Recovered recovered_;
+  Position position_;
+  std::uint64_t base_ = 0;  ///< Index before the first entry of the log file.
+};
+
+}  // namespace internal
+}  // namespace foxquay::storage
+
+#endif  // FOXQUAY_STORAGE_RECOVERY_H_
--- /dev/null
+++ b/src/foxquay/storage/store.cc
@@ -0,0 +1,145 @@
+#include "foxquay/storage/store.h"
+
+#include <utility>
+#include <vector>
+
+#include "foxquay/schema/codec.h"
+#include "foxquay/storage/frame.h"
+
+namespace foxquay::storage {
+namespace {
+
+void RemoveTemporaryFiles(const std::filesystem::path& folder) {
+  std::vector<std::filesystem::path> found;
+  std::error_code error;
+  for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
+    if (entry.path().extension() == kTemporarySuffix) {
+      found.push_back(entry.path());
+    }
+  }
+  for (const auto& path : found) std::filesystem::remove(path, error);
+}
+
+/// Returns a log as records of bounded size.
+std::vector<schema::LogRecord> Split(const consensus::Durable& durable) {
+  constexpr std::size_t kEntriesPerRecord = 1024;
+  const std::uint64_t first = durable.snapshot.meta.index + 1;
+  std::vector<schema::LogRecord> records{
+      {durable.term, durable.vote, first, {}}};
+  for (const schema::LogEntry& entry : durable.entries) {
+    if (records.back().entries.size() == kEntriesPerRecord) {
+      const std::uint64_t next = records.back().first + kEntriesPerRecord;
+      records.push_back({durable.term, durable.vote, next, {}});
+    }
+    records.back().entries.push_back(entry);
+  }
+  return records;
+}
+
+/// Adds a record to a file that is synced as a whole. Giving each its own
+/// offset as batch makes damage to it recognizable by the record behind it.
+void AppendWhole(std::string& out, const std::string& payload) {
+  internal::AppendFrame(out, payload, out.size());
+}
+
+}  // namespace
+
+core::Result<Store> Store::Open(const std::filesystem::path& folder,
+                                const core::HostId& host,
+                                core::Findings& findings) {
+  std::error_code error;
+  std::filesystem::create_directories(folder, error);
+  auto lock = File::Open(folder / "lock", true);
+  error = lock ? lock.value().Lock() : lock.error();
+  if (error) {
+    findings.push_back({folder.string(), 0, "",
+                        "the data folder cannot be locked (" + error.message() +
+                            "); another foxquayd may be using it"});
+    return error;
+  }
+  RemoveTemporaryFiles(folder);
+  internal::Recovery recovery(folder, host, findings);
+  auto recovered = recovery.Run();
+  if (!recovered) return recovered.error();
+  const internal::Position position = recovery.position();
+  Store store(folder, std::move(lock.value()), std::move(recovered.value()));
+  store.segment_ = position.segment;
+  store.offset_ = position.offset;
+  const consensus::Durable& durable = store.recovered_.durable;
+  const std::uint64_t snapshot = durable.snapshot.meta.index;
+  if (position.needs_checkpoint) {
+    error = store.StartSegment(snapshot, Split(durable));
+    if (error) return error;
+  } else {
+    auto log =
+        File::Open(internal::SegmentPath(folder, position.segment), false);
+    if (!log) return log.error();
+    store.log_ = std::move(log.value());
+  }
+  store.RemoveOldFiles(snapshot);
+  return store;
+}
+
+void Store::Write(const consensus::Persist& persist) {
+  internal::AppendFrame(queued_, schema::Encode(persist.record), offset_);
+  last_ticket_ = persist.ticket;
+}
+
+std::error_code Store::Write(const consensus::SaveSnapshot& save) {
+  // The snapshot and the log behind it contain all that is queued.
+  queued_.clear();
+  const std::uint64_t index = save.snapshot.meta.index;
+  std::string bytes;
+  internal::AppendFrame(bytes, schema::Encode(save.snapshot.meta), 0);
+  internal::AppendFrame(bytes, save.snapshot.data, 0);
+  const auto path = internal::SnapshotPath(folder_, index);
+  if (auto error = WriteWhole(path, bytes)) return error;
+  if (auto error = StartSegment(index, save.log)) return error;
+  RemoveOldFiles(index);
+  last_ticket_ = save.ticket;
+  return {};
+}
+
+core::Result<consensus::Ticket> Store::Sync() {
+  if (queued_.empty()) return last_ticket_;
+  if (auto error = log_.Append(queued_)) return error;
+  if (auto error = log_.Sync()) return error;
+  offset_ += queued_.size();
+  queued_.clear();
+  return last_ticket_;
+}
+
+std::error_code Store::StartSegment(
+    std::uint64_t snapshot, const std::vector<schema::LogRecord>& records) {
+  std::string bytes;
+  AppendWhole(bytes, schema::Encode(schema::SegmentHeader{owner_, snapshot}));
+  for (const schema::LogRecord& record : records) {
+    AppendWhole(bytes, schema::Encode(record));
+  }
+  // Repeats the end of the log, so that damage to its last record is found.
+  schema::LogRecord end = records.back();
+  end.first += end.entries.size();
+  end.entries.clear();
+  AppendWhole(bytes, schema::Encode(end));
+  const auto path = internal::SegmentPath(folder_, segment_ + 1);
+  if (auto error = WriteWhole(path, bytes)) return error;
+  auto log = File::Open(path, false);
+  if (!log) return log.error();
+  log_ = std::move(log.value());
+  ++segment_;
+  offset_ = bytes.size();
+  return {};
+}
+
+void Store::RemoveOldFiles(std::uint64_t snapshot) const {
+  std::error_code error;
+  const internal::Listing listing = internal::List(folder_);
+  for (const auto& [number, path] : listing.segments) {
+    if (number < segment_) std::filesystem::remove(path, error);
+  }
+  for (const auto& [index, path] : listing.snapshots) {
+    if (index < snapshot) std::filesystem::remove(path, error);
+  }
+}
+
+}  // namespace foxquay::storage
--- /dev/null
+++ b/tests/foxquay/storage/store_test.cc
@@ -0,0 +1,272 @@
+#include "foxquay/storage/store.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "foxquay/storage/frame.h"
+
+namespace foxquay::storage {
+namespace {
+
+namespace fs = std::filesystem;
+
+const core::HostId kHost("h1");
+
+/// A folder that is removed at the end.
+class Folder {
+ public:
+  Folder() {
+    std::string name = (fs::temp_directory_path() / "foxquay-XXXXXX").string();
+    path_ = mkdtemp(name.data());
+  }
+  ~Folder() { fs::remove_all(path_); }
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  [[nodiscard]] const fs::path& path() const { return path_; }
+
+ private:
+  fs::path path_;
+};
+
+std::string Slurp(const fs::path& path) { return Read(path).value(); }
+
+void Spill(const fs::path& path, const std::string& bytes) {
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+
+fs::path LogFile(const fs::path& folder) {
+  return internal::List(folder).segments.rbegin()->second;
+}
+
+Store MustOpen(const fs::path& folder) {
+  core::Findings findings;
+  auto store = Store::Open(folder, kHost, findings);
+  for (const auto& finding : findings) UNSCOPED_INFO(core::Format(finding));
+  REQUIRE(store);
+  return std::move(store.value());
+}
+
+std::string Refusal(const fs::path& folder) {
+  core::Findings findings;
+  const auto store = Store::Open(folder, kHost, findings);
+  if (store || findings.empty()) return "";
+  return findings[0].message;
+}
+
+consensus::Persist Record(std::uint64_t ticket, std::uint64_t term,
+                          std::uint64_t first, std::size_t count) {
+  consensus::Persist persist{consensus::Ticket(ticket), {term, {}, first, {}}};
+  for (std::size_t i = 0; i < count; ++i) {
+    persist.record.entries.push_back({term,
+                                      schema::EntryKind::kCommand,
+                                      {},
+                                      "p" + std::to_string(ticket * 100 + i)});
+  }
+  return persist;
+}
+
+void Append(consensus::Durable& model, const schema::LogRecord& record) {
+  model.term = record.term;
+  model.vote = record.vote;
+  model.entries.resize(record.first - model.snapshot.meta.index - 1);
+  model.entries.insert(model.entries.end(), record.entries.begin(),
+                       record.entries.end());
+}
+
+bool Equal(const consensus::Durable& left, const consensus::Durable& right) {
+  return left.term == right.term && left.vote == right.vote &&
+         left.entries == right.entries &&
+         left.snapshot.meta == right.snapshot.meta &&
+         left.snapshot.data == right.snapshot.data;
+}
+
+/// Writes a snapshot of all but `behind` entries to the store and the model.
+consensus::SaveSnapshot Snapshot(const consensus::Durable& model,
+                                 std::uint64_t ticket, std::size_t behind) {
+  consensus::SaveSnapshot save;
+  save.ticket = consensus::Ticket(ticket);
+  const std::size_t covered = model.entries.size() - behind;
+  auto& meta = save.snapshot.meta;
+  meta.index = model.snapshot.meta.index + covered;
+  meta.term = model.entries[covered - 1].term;
+  save.snapshot.data = "state " + std::to_string(ticket);
+  meta.size = save.snapshot.data.size();
+  save.log.push_back({model.term, model.vote, meta.index + 1, {}});
+  save.log[0].entries.assign(
+      model.entries.begin() + static_cast<std::ptrdiff_t>(covered),
+      model.entries.end());
+  return save;
+}
+
+}  // namespace
+
+TEST_CASE("an incarnation is drawn once per data folder") {
+  Folder folder;
+  schema::ReplicaId first;
+  {
+    Store store = MustOpen(folder.path());
+    const Recovered recovered = store.TakeRecovered();
+    CHECK(recovered.created);
+    first = recovered.self;
+    CHECK(first.incarnation != 0);
+    // Guards against two processes writing to one folder.
+    CHECK(Refusal(folder.path()).find("locked") != std::string::npos);
+  }
+  CHECK(MustOpen(folder.path()).TakeRecovered().self == first);
+  fs::remove_all(folder.path());
+  CHECK(MustOpen(folder.path()).TakeRecovered().self != first);
+}
+
+// Guards against a replica that votes again after its log was deleted but its
+// identity was not, or the other way round.
+TEST_CASE("identity and log are only valid together") {
+  Folder folder;
+  {
+    Store store = MustOpen(folder.path());
+    store.Write(Record(1, 1, 1, 1));
+    REQUIRE(store.Sync());
+  }
+  const fs::path log = LogFile(folder.path());
+  fs::rename(log, folder.path() / "elsewhere");
+  CHECK(Refusal(folder.path()).find("delete the data folder") !=
+        std::string::npos);
+  fs::rename(folder.path() / "elsewhere", log);
+  fs::remove(folder.path() / "identity");
+  CHECK(Refusal(folder.path()).find("new incarnation") != std::string::npos);
+}
+
+// Guards against lost or invented records after a crash at any byte of a group
+// of records written with one sync.
+TEST_CASE("a torn last write is cut off and the rest survives") {
+  Folder folder;
+  std::vector<consensus::Durable> models(1);
+  const auto write = [&](Store& store, const consensus::Persist& persist) {
+    store.Write(persist);
+    models.push_back(models.back());
+    Append(models.back(), persist.record);
+  };
+  std::size_t synced = 0;
+  {
+    Store store = MustOpen(folder.path());
+    write(store, Record(1, 1, 1, 3));
+    CHECK(store.Sync().value() == consensus::Ticket(1));
+    synced = Slurp(LogFile(folder.path())).size();
+    write(store, Record(2, 2, 3, 2));
+    write(store, Record(3, 2, 5, 1));
+    CHECK(store.Sync().value() == consensus::Ticket(3));
+  }
+  const std::string whole = Slurp(LogFile(folder.path()));
+  std::size_t next = 1;
+  for (std::size_t size = synced; size <= whole.size(); ++size) {
+    Spill(LogFile(folder.path()), whole.substr(0, size));
+    const auto durable = MustOpen(folder.path()).TakeRecovered().durable;
+    if (next + 1 < models.size() && Equal(durable, models[next + 1])) ++next;
+    REQUIRE(Equal(durable, models[next]));
+    // The repaired file is clean.
+    REQUIRE(MustOpen(folder.path()).TakeRecovered().discarded_bytes == 0);
+  }
+  CHECK(next == models.size() - 1);
+  // Pages of one unsynced write may reach the disk in any order.
+  for (std::size_t at = synced; at < whole.size(); ++at) {
+    std::string bytes = whole;
+    bytes[at] = static_cast<char>(bytes[at] ^ 0x40);
+    Spill(LogFile(folder.path()), bytes);
+    REQUIRE(Refusal(folder.path()).empty());
+  }
+}
+
+// Guards against starting from a log whose synced part is damaged.
+TEST_CASE("damage before the last write is refused with the remedy") {
+  Folder folder;
+  std::size_t synced = 0;
+  {
+    Store store = MustOpen(folder.path());
+    store.Write(Record(1, 1, 1, 3));
+    REQUIRE(store.Sync());
+    synced = Slurp(LogFile(folder.path())).size();
+    store.Write(Record(2, 1, 4, 1));
+    REQUIRE(store.Sync());
+  }
+  const std::string whole = Slurp(LogFile(folder.path()));
+  for (std::size_t at = 0; at < synced; ++at) {
+    std::string bytes = whole;
+    bytes[at] = static_cast<char>(bytes[at] ^ 0x01);
+    Spill(LogFile(folder.path()), bytes);
+    const std::string refusal = Refusal(folder.path());
+    INFO("byte " << at);
+    REQUIRE(refusal.find("delete the data folder") != std::string::npos);
+  }
+}
+
+// Guards against a crash between the steps of saving a snapshot.
+TEST_CASE("every step of saving a snapshot leaves a valid folder", "[fuzz]") {
+  REQUIRE(rc::check([] {
+    Folder folder;
+    Folder copy;
+    consensus::Durable model;
+    std::uint64_t ticket = 0;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12));
+    for (const int step : steps) {
+      Store store = MustOpen(folder.path());
+      RC_ASSERT(Equal(store.TakeRecovered().durable, model));
+      const std::size_t size = model.entries.size();
+      const std::uint64_t last = model.snapshot.meta.index + size;
+      if (step < 8 || size < 3) {
+        const std::uint64_t cut = size > 1 ? step % 2 : 0;
+        ++ticket;
+        const auto persist = Record(ticket, ticket, last + 1 - cut, step);
+        store.Write(persist);
+        RC_ASSERT(store.Sync().value() == consensus::Ticket(ticket));
+        Append(model, persist.record);
+        continue;
+      }
+      fs::remove_all(copy.path());
+      fs::copy(folder.path(), copy.path());
+      const auto save = Snapshot(model, ++ticket, step % 3);
+      RC_ASSERT(!store.Write(save));
+      model.snapshot = save.snapshot;
+      model.entries = save.log[0].entries;
+      // The snapshot was renamed, but the new log file was not.
+      const auto name = internal::SnapshotPath("", save.snapshot.meta.index);
+      fs::copy(folder.path() / name, copy.path() / name);
+      Spill(copy.path() / "log-00000000000000000009.tmp", "partial");
+      RC_ASSERT(Equal(MustOpen(copy.path()).TakeRecovered().durable, model));
+      RC_ASSERT(Equal(MustOpen(copy.path()).TakeRecovered().durable, model));
+      RC_ASSERT(internal::List(copy.path()).segments.size() == 1U);
+    }
+    RC_ASSERT(Equal(MustOpen(folder.path()).TakeRecovered().durable, model));
+  }));
+}
+
+// Guards against a suffix of an old log that conflicts with a snapshot which
+// the leader sent.
+TEST_CASE("an installed snapshot discards a conflicting log") {
+  Folder folder;
+  {
+    Store store = MustOpen(folder.path());
+    store.Write(Record(1, 1, 1, 5));
+    REQUIRE(store.Sync());
+  }
+  std::string snapshot;
+  const schema::SnapshotMeta meta{3, 2, {}, {}, 5};
+  {
+    Folder other;
+    Store store = MustOpen(other.path());
+    REQUIRE_FALSE(store.Write(consensus::SaveSnapshot{
+        consensus::Ticket(1), {meta, "state"}, {{2, {}, 4, {}}}}));
+    snapshot = Slurp(internal::SnapshotPath(other.path(), 3));
+  }
+  Spill(internal::SnapshotPath(folder.path(), 3), snapshot);
+  const auto durable = MustOpen(folder.path()).TakeRecovered().durable;
+  CHECK(durable.entries.empty());
+  CHECK(durable.snapshot.data == "state");
+}
+
+}  // namespace foxquay::storage
