--- a/tests/foxquay/consensus/world.cc
+++ b/tests/foxquay/consensus/world.cc
@@ -164,6 +164,12 @@
     case FaultKind::kLose:
       loss_percent_ = static_cast<int>(fault.detail % 40);
       break;
+    case FaultKind::kPower:
+      for (std::size_t other = 0; other < nodes_.size(); ++other) {
+        Kill(nodes_[other], other == index ? fault.detail : 0);
+        if (other != fault.detail % nodes_.size()) Start(other);
+      }
+      break;
     case FaultKind::kStall:
       node.stalled = !node.stalled;
       break;
@@ -185,7 +191,7 @@
   for (std::size_t index = 0; index < nodes_.size(); ++index) {
     Node& node = nodes_[index];
     if (!node.replica || node.frozen) continue;
-    if (!node.stalled && Roll(60)) SyncSome(index);
+    if (!node.stalled && Roll(25)) SyncSome(index);
     if (node.wants_snapshot && Roll(20)) {
       node.wants_snapshot = false;
       Handle(index, SnapshotTaken{node.machine.index, node.machine.Save()});
--- a/tests/foxquay/consensus/world.h
+++ b/tests/foxquay/consensus/world.h
@@ -28,6 +28,7 @@
   kIsolate,  ///< Loses messages from and to a replica, silently.
   kHeal,     ///< Ends all cuts and losses.
   kLose,     ///< Loses `detail` percent of all messages.
+  kPower,    ///< Ends all replicas at once; all but one restart.
   kStall,    ///< Stops the syncs of a replica, or starts them again.
   kWipe,     ///< Ends a replica and loses its disk; it restarts empty.
 };
