--- a/src/foxquay/metrics/registry.cc
+++ b/src/foxquay/metrics/registry.cc
@@ -11,6 +11,8 @@
     "foxquay_wait_seconds", "foxquay_first_token_seconds",
     "foxquay_between_tokens_seconds", "foxquay_total_seconds"};
 
+constexpr auto kTotalIndex = static_cast<std::size_t>(Series::kTotal);
+
 const core::WorkspaceId& OtherWorkspace() {
   static const core::WorkspaceId kOther("other");
   return kOther;
@@ -110,14 +112,13 @@
 
 std::string Registry::Expose() const {
   const std::scoped_lock lock(mutex_);
-  constexpr auto kTotal = static_cast<std::size_t>(Series::kTotal);
   std::vector<decltype(distributions_)::const_iterator> busiest;
   for (auto entry = distributions_.begin(); entry != distributions_.end();
        ++entry) {
     busiest.push_back(entry);
   }
   std::stable_sort(busiest.begin(), busiest.end(), [](auto left, auto right) {
-    return left->second[kTotal].count > right->second[kTotal].count;
+    return left->second[kTotalIndex].count > right->second[kTotalIndex].count;
   });
   std::string out;
   for (const std::string_view name : kNames) {
--- a/src/foxquay/transport/links.cc
+++ b/src/foxquay/transport/links.cc
@@ -69,11 +69,16 @@
   const Udp::endpoint udp(endpoint.value().address(), endpoint.value().port());
   boost::system::error_code error;
   acceptor_.open(endpoint.value().protocol(), error);
-  if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint.value(), error);
-  if (!error) acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
-  if (!error) datagrams_.open(udp.protocol(), error);
-  if (!error) datagrams_.bind(udp, error);
+  if (error) return error;
+  acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (error) return error;
+  acceptor_.bind(endpoint.value(), error);
+  if (error) return error;
+  acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+  if (error) return error;
+  datagrams_.open(udp.protocol(), error);
+  if (error) return error;
+  datagrams_.bind(udp, error);
   if (error) return error;
   Accept();
   ReadDatagram();
@@ -160,8 +165,8 @@
 
 void Links::Send(const core::HostId& host, std::string payload) {
   const auto found = peers_.find(host);
-  std::string frame = internal::Frame(seal_.Close(
-      options_.self, options_.incarnation, std::move(payload)));
+  std::string frame = internal::Frame(
+      seal_.Close(options_.self, options_.incarnation, std::move(payload)));
   const bool known = !stopped_ && found != peers_.end();
   if (!known || found->second.queued_bytes + frame.size() > kMaxQueuedBytes) {
     ++counters_.dropped;
--- a/src/foxquay/transport/seal.cc
+++ b/src/foxquay/transport/seal.cc
@@ -27,8 +27,8 @@
 
 std::string Seal::Close(const core::HostId& sender, std::uint64_t incarnation,
                         std::string payload) const {
-  std::string sealed = schema::Encode(schema::Envelope{
-      cluster_, sender, incarnation, std::move(payload)});
+  std::string sealed = schema::Encode(
+      schema::Envelope{cluster_, sender, incarnation, std::move(payload)});
   sealed += Mac(sealed);
   return sealed;
 }
