Add the traffic engine: routing, stream and dispatch cores

The engine serves requests first in, first out on chains found by dynamic programming over layer boundaries. Claims, refusals, resume under a new epoch and outcomes follow docs/design.md. Queue order, admission, retry permission and limits are in dispatch/queue.* and dispatch/limits.*, apart from the request lifecycle.

Chain, Stage and LegEnd move to routing and stream; dispatch keeps aliases.

--- a/src/foxquay/dispatch/event.h
+++ b/src/foxquay/dispatch/event.h
@@ -10,8 +10,10 @@
 #include "foxquay/core/id.h"
 #include "foxquay/core/outcome.h"
 #include "foxquay/core/time.h"
+#include "foxquay/routing/chain.h"
 #include "foxquay/schema/announcement.h"
 #include "foxquay/schema/policy.h"
+#include "foxquay/stream/stream.h"
 
 namespace foxquay::dispatch {
 
@@ -41,17 +43,9 @@
   std::variant<Completion, ServiceCall> work;
 };
 
-/// One stage of a chain.
-struct Stage {
-  core::UpstreamId upstream;
-  std::string address;
-  schema::LayerRange layers;
-
-  friend bool operator==(const Stage&, const Stage&) = default;
-};
-
-/// Upstreams whose layers cover a model once, in order.
-using Chain = std::vector<Stage>;
+using routing::Chain;
+using routing::Stage;
+using stream::LegEnd;
 
 /// Outcome of a claim that RequestClaim asked for.
 enum class ClaimDecision : std::uint8_t {
@@ -85,16 +79,6 @@
   std::string text;
 };
 
-/// Why a leg ended.
-enum class LegEnd : std::uint8_t {
-  kStop,      ///< The model ended its answer.
-  kLength,    ///< The answer reached max_tokens.
-  kChunk,     ///< The leg produced the tokens it was asked for.
-  kRefused,   ///< The upstream refused before running anything.
-  kFailed,    ///< The connection or a stage failed.
-  kCanceled,  ///< CancelLeg took effect.
-};
-
 /// A leg ended; no LegToken of this leg follows.
 struct LegEnded {
   core::LegId leg;
--- a/src/foxquay/dispatch/fwd.h
+++ b/src/foxquay/dispatch/fwd.h
@@ -4,8 +4,11 @@
 namespace foxquay::dispatch {
 
 class Engine;
+class Policy;
+class Queue;
+class Limits;
 struct Submission;
-struct Policy;
+struct Waiting;
 
 }  // namespace foxquay::dispatch
 
--- /dev/null
+++ b/src/foxquay/dispatch/legs.cc
@@ -0,0 +1,218 @@
+#include <algorithm>
+#include <utility>
+
+#include "foxquay/dispatch/state.h"
+
+namespace foxquay::dispatch {
+namespace internal {
+
+/// HTTP status recorded for a claimed completion.
+constexpr std::uint32_t kStatusOk = 200;
+
+std::string Join(const std::vector<std::string>& tokens) {
+  std::string text;
+  for (const std::string& token : tokens) text += token;
+  return text;
+}
+
+}  // namespace internal
+
+void Engine::State::Start(Request& request, const routing::Plan& plan,
+                          core::Instant now) {
+  const Submission& submission = request.submission;
+  const Completion& completion = *request.completion();
+  const PolicyScope scope = ScopeOf(submission);
+  const core::LegId id(next_leg_++);
+  const auto leg_tokens = static_cast<std::uint32_t>(
+      policy_.Get(schema::PolicyKey::kLegMaxTokens, scope));
+  const stream::LegTerms terms = request.stream.StartLeg(
+      id, leg_tokens,
+      policy_.GetTime(schema::PolicyKey::kLegTokenTimeout, scope), now);
+  request.version = plan.version;
+  Leg leg{submission.id, {}, terms.first_token, now};
+  for (const Stage& stage : plan.chain) {
+    leg.stages.push_back(stage.upstream);
+    router_.Start(stage.upstream);
+  }
+  legs_.emplace(id, std::move(leg));
+  StartLeg action;
+  action.leg = id;
+  action.request = submission.id;
+  action.epoch = terms.epoch;
+  action.chain = plan.chain;
+  action.first_token = terms.first_token;
+  action.count = terms.count;
+  action.prompt = completion.prompt;
+  action.delivered = request.stream.delivered();
+  action.priority = submission.traffic_class;
+  action.time_left = request.stream.terms().deadline - now;
+  action.adapter = completion.adapter;
+  action.version = plan.version;
+  actions_.emplace_back(std::move(action));
+  Arm(request);
+}
+
+void Engine::State::Start(Request& request, const routing::ServicePlan& plan,
+                          core::Instant now) {
+  const core::RequestId request_id = request.submission.id;
+  const core::LegId id(next_leg_++);
+  request.stream.StartCall(id);
+  router_.Start(plan.upstream);
+  legs_.emplace(id, Leg{request_id, {plan.upstream}, 0, now});
+  actions_.emplace_back(CallService{id, request_id, plan.upstream, plan.address,
+                                    request.stream.terms().deadline - now});
+}
+
+void Engine::State::On(const LegToken& event, core::Instant now) {
+  const auto leg = legs_.find(event.leg);
+  if (leg == legs_.end()) return;
+  Request* request = FindRequest(leg->second.request);
+  if (request == nullptr) return;
+  const stream::TokenVerdict verdict = request->stream.AddToken(
+      event.leg, event.epoch, event.index, event.text, now);
+  if (verdict == stream::TokenVerdict::kDrop) return;
+  if (verdict == stream::TokenVerdict::kGap) {
+    actions_.emplace_back(CancelLeg{event.leg});
+    Blame(request, leg->second, std::nullopt, now);
+    ReportServed(*request, leg->second, false, now);
+    return Follow(*request, request->stream.EndLeg(event.leg, LegEnd::kFailed),
+                  now);
+  }
+  actions_.emplace_back(
+      DeliverToken{leg->second.request, event.index, event.text});
+  if (verdict == stream::TokenVerdict::kLast) {
+    ReportServed(*request, leg->second, true, now);
+    Follow(*request, request->stream.EndLeg(event.leg, LegEnd::kLength), now);
+  }
+}
+
+void Engine::State::On(const LegEnded& event, core::Instant now) {
+  const std::optional<Leg> leg = Release(event.leg);
+  if (!leg) return;
+  Request* request = FindRequest(leg->request);
+  const bool current = request != nullptr && request->stream.leg() == event.leg;
+  const bool ended_well = event.end == LegEnd::kStop ||
+                          event.end == LegEnd::kLength ||
+                          event.end == LegEnd::kChunk;
+  if (ended_well) {
+    for (const core::UpstreamId& id : leg->stages) {
+      routing::Upstream* upstream = router_.upstreams().Find(id);
+      if (upstream != nullptr) upstream->suspicion.Succeed(now);
+    }
+  } else if (event.culprit || (current && event.end != LegEnd::kCanceled)) {
+    Blame(current ? request : nullptr, *leg, event.culprit, now);
+  }
+  if (!current) return;
+  ReportServed(*request, *leg, ended_well, now);
+  Follow(*request, request->stream.EndLeg(event.leg, event.end), now);
+}
+
+void Engine::State::Silence(Request& request, core::Instant now) {
+  const core::LegId id = *request.stream.leg();
+  const auto leg = legs_.find(id);
+  actions_.emplace_back(CancelLeg{id});
+  Blame(&request, leg->second, std::nullopt, now);
+  ReportServed(request, leg->second, false, now);
+  Follow(request, request.stream.EndLeg(id, LegEnd::kFailed), now);
+}
+
+void Engine::State::Blame(Request* request, const Leg& leg,
+                          const std::optional<core::UpstreamId>& culprit,
+                          core::Instant now) {
+  const bool known = culprit && std::find(leg.stages.begin(), leg.stages.end(),
+                                          *culprit) != leg.stages.end();
+  if (known) {
+    routing::Upstream* upstream = router_.upstreams().Find(*culprit);
+    if (upstream != nullptr) upstream->suspicion.Fail(now);
+    if (request != nullptr) request->excluded.push_back(*culprit);
+    return;
+  }
+  for (const core::UpstreamId& id : leg.stages) {
+    routing::Upstream* upstream = router_.upstreams().Find(id);
+    if (upstream != nullptr) upstream->suspicion.Suspect(now);
+  }
+  if (request != nullptr) request->suspected = leg.stages;
+}
+
+void Engine::State::On(const ServiceAnswered& event, core::Instant now) {
+  const std::optional<Leg> leg = Release(event.leg);
+  if (!leg) return;
+  routing::Upstream* upstream = router_.upstreams().Find(leg->stages.front());
+  if (upstream != nullptr) upstream->suspicion.Succeed(now);
+  Request* request = FindRequest(leg->request);
+  if (request == nullptr ||
+      request->stream.Answer(event.leg) != stream::Next::kComplete) {
+    return;
+  }
+  ReportServed(*request, *leg, true, now);
+  Finish end;
+  end.request = leg->request;
+  end.outcome = core::Outcome::kComplete;
+  end.status = event.status;
+  end.body = event.body;
+  End(*request, std::move(end));
+}
+
+void Engine::State::On(const ServiceFailed& event, core::Instant now) {
+  const std::optional<Leg> leg = Release(event.leg);
+  if (!leg) return;
+  Request* request = FindRequest(leg->request);
+  const bool current = request != nullptr && request->stream.leg() == event.leg;
+  Blame(current ? request : nullptr, *leg, leg->stages.front(), now);
+  if (!current) return;
+  ReportServed(*request, *leg, false, now);
+  Follow(*request, request->stream.FailCall(event.leg, event.sent), now);
+}
+
+std::optional<Leg> Engine::State::Release(core::LegId leg) {
+  auto node = legs_.extract(leg);
+  if (node.empty()) return std::nullopt;
+  for (const core::UpstreamId& id : node.mapped().stages) router_.End(id);
+  pump_needed_ = true;
+  return std::move(node.mapped());
+}
+
+void Engine::State::Follow(Request& request, stream::Next next,
+                           core::Instant now) {
+  switch (next) {
+    case stream::Next::kNothing:
+      return;
+    case stream::Next::kContinue:
+      request.excluded.clear();
+      request.suspected.clear();
+      return Enqueue(request, false, now);
+    case stream::Next::kComplete:
+      return Complete(request);
+    case stream::Next::kRetry:
+      if (queue_.AllowRetry(request.submission.workspace, now)) {
+        return Enqueue(request, true, now);
+      }
+      return GiveUp(request, "retry budget is used up",
+                    queue_.RetryAfter(Describe(request).pool, now), now);
+    case stream::Next::kGiveUp:
+      return GiveUp(request, "upstream failed",
+                    queue_.RetryAfter(Describe(request).pool, now), now);
+  }
+}
+
+void Engine::State::Complete(Request& request) {
+  Finish end;
+  end.request = request.submission.id;
+  end.outcome = core::Outcome::kComplete;
+  if (request.claim == ClaimState::kHeld) {
+    end.status = internal::kStatusOk;
+    end.body = internal::Join(request.stream.delivered());
+  }
+  End(request, std::move(end));
+}
+
+void Engine::State::ReportServed(const Request& request, const Leg& leg,
+                                 bool ended_well, core::Instant now) {
+  const auto delivered =
+      static_cast<std::uint32_t>(request.stream.delivered().size());
+  queue_.Complete(
+      {leg.request, delivered - leg.first_token, now - leg.started, ended_well},
+      now);
+}
+
+}  // namespace foxquay::dispatch
--- /dev/null
+++ b/src/foxquay/dispatch/state.h
@@ -0,0 +1,123 @@
+#ifndef FOXQUAY_DISPATCH_STATE_H_
+#define FOXQUAY_DISPATCH_STATE_H_
+
+#include <deque>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "foxquay/dispatch/engine.h"
+#include "foxquay/dispatch/limits.h"
+#include "foxquay/dispatch/policy.h"
+#include "foxquay/dispatch/queue.h"
+#include "foxquay/dispatch/request.h"
+#include "foxquay/routing/router.h"
+
+namespace foxquay::dispatch {
+
+/// State and decisions of an Engine.
+class Engine::State {
+ public:
+  explicit State(EngineOptions options);
+
+  [[nodiscard]] std::vector<Action> Handle(const Event& event,
+                                           core::Instant now);
+  [[nodiscard]] std::optional<core::Instant> NextDeadline() const;
+  [[nodiscard]] std::size_t OpenRequests() const noexcept {
+    return requests_.size();
+  }
+  [[nodiscard]] double FreeCapacity() const noexcept {
+    return Limits::FreeShare(router_.upstreams());
+  }
+
+ private:
+  using Requests = std::unordered_map<core::RequestId, Request>;
+  /// What a waiting request can start on now.
+  using Found = std::variant<routing::Plan, routing::ServicePlan>;
+  using FoundOrNot =
+      std::variant<routing::Plan, routing::ServicePlan, routing::NoPlan>;
+
+  // requests.cc: arrival, claims, end.
+  void On(const Arrived& event, core::Instant now);
+  void On(const ClaimDecided& event, core::Instant now);
+  void On(const CallerGone& event, core::Instant now);
+  [[nodiscard]] std::optional<Refusal> Check(
+      const Submission& submission) const;
+  [[nodiscard]] stream::Terms TermsOf(const Submission& submission,
+                                      core::Instant now) const;
+  void Grant(Request& request, core::Instant now);
+  void Expire(Request& request, core::Instant now);
+  /// Ends a request whose answer is not whole.
+  void GiveUp(Request& request, std::string reason,
+              std::optional<core::Duration> retry_after, core::Instant now);
+  void GiveUp(Request& request, const routing::NoPlan& none, core::Instant now);
+  /// Ends a request; `end` names it.
+  void End(Request& request, Finish end);
+  void SettleClaim(Request& request, const Finish& end);
+  void RefuseArrival(const Submission& submission, const Refusal& refusal);
+
+  // legs.cc: start, tokens, end of legs and calls.
+  void On(const LegToken& event, core::Instant now);
+  void On(const LegEnded& event, core::Instant now);
+  void On(const ServiceAnswered& event, core::Instant now);
+  void On(const ServiceFailed& event, core::Instant now);
+  void Start(Request& request, const routing::Plan& plan, core::Instant now);
+  void Start(Request& request, const routing::ServicePlan& plan,
+             core::Instant now);
+  /// Ends the running leg of a request that has been silent.
+  void Silence(Request& request, core::Instant now);
+  /// Frees the upstreams of a leg and returns it, if it is known.
+  std::optional<Leg> Release(core::LegId leg);
+  void Follow(Request& request, stream::Next next, core::Instant now);
+  void Blame(Request* request, const Leg& leg,
+             const std::optional<core::UpstreamId>& culprit, core::Instant now);
+  void Complete(Request& request);
+  void ReportServed(const Request& request, const Leg& leg, bool ended_well,
+                    core::Instant now);
+
+  // plans.cc: what a waiting request can start on.
+  [[nodiscard]] FoundOrNot Find(const Request& request, core::Instant now);
+  [[nodiscard]] FoundOrNot FindChain(const Request& request,
+                                     const Completion& completion,
+                                     core::Instant now);
+  void Enqueue(Request& request, bool resumed, core::Instant now);
+  [[nodiscard]] Waiting Describe(const Request& request) const;
+  /// Starts what can start and gives up what has no chain.
+  void Pump(core::Instant now);
+
+  // engine.cc
+  void On(const UpstreamsChanged& event, core::Instant now);
+  void On(const PolicyChanged& event, core::Instant now);
+  void On(const AdmissionChanged& event, core::Instant now);
+  void On(const Tick& event, core::Instant now);
+  void Arm(Request& request);
+  void FireTimers(core::Instant now);
+  [[nodiscard]] Request* FindRequest(core::RequestId id);
+  [[nodiscard]] PolicyScope ScopeOf(const Submission& submission) const;
+
+  EngineOptions options_;
+  Policy policy_;
+  Limits limits_;
+  Queue queue_;
+  routing::Router router_;
+  Requests requests_;
+  std::unordered_map<core::LegId, Leg> legs_;
+  std::uint64_t next_leg_ = 1;
+  bool admission_open_ = true;
+  std::string closed_reason_;
+  bool pump_needed_ = false;
+  /// Keys of requests that ended before their claim was decided, by age.
+  std::deque<std::pair<core::RequestId, std::string>> undecided_claims_;
+  using Timer = std::pair<core::Instant, core::RequestId>;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::vector<Action> actions_;
+};
+
+}  // namespace foxquay::dispatch
+
+#endif  // FOXQUAY_DISPATCH_STATE_H_
--- /dev/null
+++ b/src/foxquay/routing/group.h
@@ -0,0 +1,47 @@
+#ifndef FOXQUAY_ROUTING_GROUP_H_
+#define FOXQUAY_ROUTING_GROUP_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "foxquay/core/id.h"
+#include "foxquay/routing/links.h"
+#include "foxquay/routing/upstreams.h"
+#include "foxquay/schema/announcement.h"
+
+namespace foxquay::routing {
+
+/// Upstreams that are alike for a chain: same layers, place and accelerator.
+struct StageClass {
+  schema::LayerRange layers;
+  std::string accelerator;
+  std::uint32_t place = 0;  ///< Index into Group::places.
+  std::vector<UpstreamIndex> members;
+  std::vector<std::uint32_t> ends;  ///< Boundaries at which a stage may end.
+};
+
+/// Upstreams of one model, adapter and version, which may form a chain.
+struct Group {
+  std::string version;
+  std::uint32_t layers = 0;  ///< Layers of the whole model.
+  std::vector<StageClass> classes;
+  std::vector<std::uint32_t> boundaries;   ///< Ascending, 0 to `layers`.
+  std::vector<core::DataCentreId> places;  ///< The host's own comes first.
+  /// Link seconds between places, row by row.
+  std::vector<double> links;
+};
+
+/// Builds the groups of a model for an adapter, one for each version.
+///
+/// `version` limits the result to one version; members that announce none have
+/// the empty version.
+[[nodiscard]] std::vector<Group> BuildGroups(
+    const Upstreams& upstreams, const core::ModelId& model,
+    const std::string& adapter, const std::optional<std::string>& version,
+    const core::DataCentreId& home, const LinkTable& links);
+
+}  // namespace foxquay::routing
+
+#endif  // FOXQUAY_ROUTING_GROUP_H_
--- /dev/null
+++ b/src/foxquay/routing/router.cc
@@ -0,0 +1,238 @@
+#include "foxquay/routing/router.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstddef>
+
+namespace foxquay::routing {
+namespace internal {
+
+/// Random tries before a scan of the whole class.
+constexpr int kDrawTries = 4;
+/// Groups kept per model; more adapters or versions rebuild them.
+constexpr std::size_t kMaxGroups = 64;
+/// An upstream renews every 600 ms, so a new one is known by then.
+constexpr core::Duration kMissingRetry = std::chrono::seconds(1);
+constexpr core::Duration kBusyRetry = std::chrono::milliseconds(500);
+
+bool Contains(const std::vector<core::UpstreamId>& ids,
+              const core::UpstreamId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+}  // namespace internal
+
+Router::Router(RouterOptions options)
+    : options_(std::move(options)), random_(options_.seed) {}
+
+void Router::Replace(const std::vector<schema::Announcement>& announced) {
+  for (const core::ModelId& model : upstreams_.Replace(announced)) {
+    models_.erase(model);
+  }
+}
+
+const std::vector<Group>& Router::Groups(const Query& query) {
+  ModelGroups& model = models_[query.model];
+  const auto key = std::make_pair(query.adapter, query.version);
+  const auto found = model.groups.find(key);
+  if (found != model.groups.end()) return found->second;
+  if (model.groups.size() >= internal::kMaxGroups) model.groups.clear();
+  return model.groups[key] =
+             BuildGroups(upstreams_, query.model, query.adapter, query.version,
+                         options_.data_centre, options_.links);
+}
+
+bool Router::Allowed(UpstreamIndex index,
+                     const std::vector<core::UpstreamId>& excluded,
+                     core::Instant now) const {
+  const Upstream& upstream = upstreams_[index];
+  return upstream.Usable(now) &&
+         !internal::Contains(excluded, upstream.announced.id);
+}
+
+Pick Router::Draw(const std::vector<UpstreamIndex>& members,
+                  const std::vector<core::UpstreamId>& excluded,
+                  core::Instant now) {
+  Pick best;
+  if (members.empty()) return best;
+  int found = 0;
+  const auto consider = [&](UpstreamIndex index) {
+    if (!Allowed(index, excluded, now)) return;
+    ++found;
+    const double seconds = upstreams_[index].LoadedLayerSeconds(now);
+    if (seconds < best.layer_seconds) best = {index, seconds};
+  };
+  for (int i = 0; i < internal::kDrawTries && found < 2; ++i) {
+    consider(members[random_() % members.size()]);
+  }
+  const std::size_t start = random_() % members.size();
+  for (std::size_t i = 0; i < members.size() && found == 0; ++i) {
+    consider(members[(start + i) % members.size()]);
+  }
+  return best;
+}
+
+std::variant<Plan, NoPlan> Router::Find(const Query& query, core::Instant now) {
+  const std::vector<Group>& groups = Groups(query);
+  std::optional<Plan> best;
+  for (const Group& group : groups) {
+    std::optional<Plan> plan = FindIn(group, query, now);
+    if (plan && (!best || plan->token_time < best->token_time)) {
+      best = std::move(plan);
+    }
+  }
+  if (best) return *std::move(best);
+  return Explain(groups, query, now);
+}
+
+std::optional<Plan> Router::FindIn(const Group& group, const Query& query,
+                                   core::Instant now) {
+  std::optional<std::vector<Step>> best;
+  double best_seconds = 0;
+  for (int draw = 0; draw < 2; ++draw) {
+    picks_.clear();
+    for (const StageClass& stage_class : group.classes) {
+      picks_.push_back(Draw(stage_class.members, query.excluded, now));
+    }
+    std::optional<std::vector<Step>> steps = planner_.Cheapest(group, picks_);
+    if (!steps) return std::nullopt;
+    const double seconds = Predict(group, *steps, now);
+    if (!best || seconds < best_seconds) {
+      best = std::move(steps);
+      best_seconds = seconds;
+    }
+  }
+  return MakePlan(group, *best, best_seconds);
+}
+
+double Router::Predict(const Group& group, const std::vector<Step>& steps,
+                       core::Instant now) const {
+  const auto& places = group.places;
+  double sum = 0;
+  double slowest = 0;
+  std::size_t at = 0;
+  for (const Step& step : steps) {
+    const Upstream& upstream = upstreams_[step.upstream];
+    const auto next =
+        static_cast<std::size_t>(std::find(places.begin(), places.end(),
+                                           upstream.announced.data_centre) -
+                                 places.begin());
+    const double seconds =
+        upstream.LayerSeconds(now) * (step.layers.last - step.layers.first + 1);
+    sum += group.links[at * places.size() + next] + seconds;
+    slowest = std::max(slowest, seconds * upstream.Share());
+    at = next;
+  }
+  sum += group.links[at * places.size()];
+  // A stream cycles through an idle chain in the sum of its times; in a loaded
+  // one it waits for the slowest stage to serve all streams.
+  return std::max(sum, slowest);
+}
+
+Plan Router::MakePlan(const Group& group, const std::vector<Step>& steps,
+                      double seconds) const {
+  Plan plan;
+  plan.version = group.version;
+  plan.token_time = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(seconds));
+  for (const Step& step : steps) {
+    const schema::Announcement& announced = upstreams_[step.upstream].announced;
+    plan.chain.push_back({announced.id, announced.address, step.layers});
+  }
+  JoinRepeated(plan.chain);
+  return plan;
+}
+
+NoPlan Router::Explain(const std::vector<Group>& groups, const Query& query,
+                       core::Instant now) const {
+  // Adds upstreams in steps: the first set that covers the model names what
+  // the excluded ones lack.
+  const auto covered = [&](const Group& group, auto&& counts) {
+    std::vector<bool> usable;
+    for (const StageClass& c : group.classes) {
+      usable.push_back(
+          std::any_of(c.members.begin(), c.members.end(), [&](UpstreamIndex i) {
+            const Upstream& u = upstreams_[i];
+            return u.Open() &&
+                   !internal::Contains(query.excluded, u.announced.id) &&
+                   counts(u);
+          }));
+    }
+    return Uncovered(group, usable);
+  };
+  NoPlan none;
+  none.retry_after = internal::kMissingRetry;
+  for (const Group& group : groups) {
+    const auto not_avoided = [&](const Upstream& u) {
+      return !u.suspicion.Avoided(now);
+    };
+    if (covered(group, not_avoided).empty()) {
+      return {NoPlan::Reason::kBusy, {}, internal::kBusyRetry};
+    }
+    const auto missing = covered(group, [](const Upstream&) { return true; });
+    if (missing.empty()) {
+      core::Duration wait = internal::kMissingRetry;
+      for (const StageClass& c : group.classes) {
+        for (const UpstreamIndex i : c.members) {
+          const Upstream& u = upstreams_[i];
+          if (!u.suspicion.Avoided(now)) continue;
+          wait = std::max(wait, u.suspicion.Until() - now);
+        }
+      }
+      none = {NoPlan::Reason::kAvoided, covered(group, not_avoided), wait};
+    } else if (none.reason == NoPlan::Reason::kMissing &&
+               none.missing.empty()) {
+      none.missing = missing;
+    }
+  }
+  return none;
+}
+
+std::variant<ServicePlan, NoPlan> Router::FindService(
+    const core::ServiceId& service,
+    const std::vector<core::UpstreamId>& excluded, core::Instant now) {
+  const std::vector<UpstreamIndex>& members = upstreams_.Members(service);
+  const Pick pick = Draw(members, excluded, now);
+  if (pick.Valid()) {
+    const schema::Announcement& announced = upstreams_[pick.upstream].announced;
+    return ServicePlan{announced.id, announced.address};
+  }
+  NoPlan none{NoPlan::Reason::kMissing, {}, internal::kMissingRetry};
+  for (const UpstreamIndex index : members) {
+    const Upstream& upstream = upstreams_[index];
+    if (!upstream.Open() ||
+        internal::Contains(excluded, upstream.announced.id)) {
+      continue;
+    }
+    if (!upstream.suspicion.Avoided(now)) {
+      return NoPlan{NoPlan::Reason::kBusy, {}, internal::kBusyRetry};
+    }
+    const core::Duration wait = upstream.suspicion.Until() - now;
+    none.retry_after = none.reason == NoPlan::Reason::kAvoided
+                           ? std::min(none.retry_after, wait)
+                           : wait;
+    none.reason = NoPlan::Reason::kAvoided;
+  }
+  return none;
+}
+
+void Router::Start(const core::UpstreamId& id) noexcept {
+  if (Upstream* upstream = upstreams_.Find(id)) ++upstream->in_flight;
+}
+
+void Router::End(const core::UpstreamId& id) noexcept {
+  Upstream* upstream = upstreams_.Find(id);
+  if (upstream != nullptr && upstream->in_flight > 0) --upstream->in_flight;
+}
+
+std::string Describe(const std::vector<schema::LayerRange>& missing) {
+  std::string text;
+  for (const schema::LayerRange& range : missing) {
+    if (!text.empty()) text += ", ";
+    text += std::to_string(range.first) + "-" + std::to_string(range.last);
+  }
+  return text;
+}
+
+}  // namespace foxquay::routing
--- /dev/null
+++ b/src/foxquay/routing/router.h
@@ -0,0 +1,133 @@
+#ifndef FOXQUAY_ROUTING_ROUTER_H_
+#define FOXQUAY_ROUTING_ROUTER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "foxquay/core/id.h"
+#include "foxquay/core/time.h"
+#include "foxquay/routing/chain.h"
+#include "foxquay/routing/fwd.h"
+#include "foxquay/routing/group.h"
+#include "foxquay/routing/links.h"
+#include "foxquay/routing/planner.h"
+#include "foxquay/routing/upstreams.h"
+
+namespace foxquay::routing {
+
+/// What a chain is wanted for.
+struct Query {
+  core::ModelId model;
+  std::string adapter;                     ///< Empty for none.
+  std::optional<std::string> version;      ///< Absent for any.
+  std::vector<core::UpstreamId> excluded;  ///< Must not be in the chain.
+};
+
+/// A chain that may run now.
+struct Plan {
+  Chain chain;
+  std::string version;          ///< Version that all its stages hold.
+  core::Duration token_time{};  ///< Predicted time between tokens.
+};
+
+/// Why there is no chain or upstream.
+struct NoPlan {
+  enum class Reason : std::uint8_t {
+    kMissing,  ///< Some layers are held by no open upstream.
+    kAvoided,  ///< Only upstreams that failed lately hold some layers.
+    kBusy,     ///< Upstreams that hold some layers are at their limit.
+  };
+  Reason reason = Reason::kMissing;
+  std::vector<schema::LayerRange> missing;  ///< Of a model.
+  core::Duration retry_after{};             ///< When to try again.
+};
+
+/// An upstream for a service call.
+struct ServicePlan {
+  core::UpstreamId upstream;
+  std::string address;
+};
+
+/// Place and seed of a router.
+struct RouterOptions {
+  core::DataCentreId data_centre;
+  LinkTable links;
+  std::uint64_t seed = 1;
+};
+
+/// Chooses chains and service upstreams, and counts the work of this host on
+/// them. Not thread-safe.
+class Router {
+ public:
+  explicit Router(RouterOptions options);
+
+  /// Replaces the list of upstreams.
+  void Replace(const std::vector<schema::Announcement>& announced);
+
+  /// Returns the known upstreams, e.g. to set limits.
+  [[nodiscard]] Upstreams& upstreams() noexcept { return upstreams_; }
+  [[nodiscard]] const Upstreams& upstreams() const noexcept {
+    return upstreams_;
+  }
+
+  /// Finds the better of two randomly drawn cheapest chains.
+  [[nodiscard]] std::variant<Plan, NoPlan> Find(const Query& query,
+                                                core::Instant now);
+  /// Finds the less loaded of two randomly drawn upstreams of a service.
+  [[nodiscard]] std::variant<ServicePlan, NoPlan> FindService(
+      const core::ServiceId& service,
+      const std::vector<core::UpstreamId>& excluded, core::Instant now);
+
+  /// Counts new work on an upstream.
+  void Start(const core::UpstreamId& id) noexcept;
+  /// Ends work that Start counted.
+  void End(const core::UpstreamId& id) noexcept;
+
+ private:
+  struct ModelGroups {
+    std::map<std::pair<std::string, std::optional<std::string>>,
+             std::vector<Group>>
+        groups;
+  };
+
+  const std::vector<Group>& Groups(const Query& query);
+  bool Allowed(UpstreamIndex index,
+               const std::vector<core::UpstreamId>& excluded,
+               core::Instant now) const;
+  /// Returns the less loaded of two random allowed members, if any.
+  Pick Draw(const std::vector<UpstreamIndex>& members,
+            const std::vector<core::UpstreamId>& excluded, core::Instant now);
+  std::optional<Plan> FindIn(const Group& group, const Query& query,
+                             core::Instant now);
+  /// Returns the predicted seconds between tokens of one more stream.
+  [[nodiscard]] double Predict(const Group& group,
+                               const std::vector<Step>& steps,
+                               core::Instant now) const;
+  [[nodiscard]] Plan MakePlan(const Group& group,
+                              const std::vector<Step>& steps,
+                              double seconds) const;
+  [[nodiscard]] NoPlan Explain(const std::vector<Group>& groups,
+                               const Query& query, core::Instant now) const;
+
+  RouterOptions options_;
+  Upstreams upstreams_;
+  std::unordered_map<core::ModelId, ModelGroups> models_;
+  Planner planner_;
+  std::vector<Pick> picks_;
+  std::mt19937_64 random_;
+};
+
+/// Names missing layers, e.g. "0-7, 16-23".
+[[nodiscard]] std::string Describe(
+    const std::vector<schema::LayerRange>& missing);
+
+}  // namespace foxquay::routing
+
+#endif  // FOXQUAY_ROUTING_ROUTER_H_
--- /dev/null
+++ b/src/foxquay/routing/suspicion.h
@@ -0,0 +1,44 @@
+#ifndef FOXQUAY_ROUTING_SUSPICION_H_
+#define FOXQUAY_ROUTING_SUSPICION_H_
+
+#include <cstdint>
+
+#include "foxquay/core/time.h"
+
+namespace foxquay::routing {
+
+/// Failure record of one upstream.
+///
+/// A failed upstream is avoided for a time that doubles with each failure in a
+/// row; then its predicted time is multiplied by a factor that falls to 1, so
+/// that its traffic returns gradually.
+class Suspicion {
+ public:
+  /// Records a failure that is certainly this upstream's.
+  void Fail(core::Instant now) noexcept;
+  /// Records that a chain with this upstream fell silent; the culprit may be
+  /// another stage, so it raises the factor only.
+  void Suspect(core::Instant now) noexcept;
+  /// Records a leg that ended well.
+  void Succeed(core::Instant now) noexcept;
+
+  /// Returns whether the upstream must not be used.
+  [[nodiscard]] bool Avoided(core::Instant now) const noexcept {
+    return now < until_;
+  }
+  /// Returns when avoidance ends.
+  [[nodiscard]] core::Instant Until() const noexcept { return until_; }
+  /// Returns the factor on the predicted time, at least 1.
+  [[nodiscard]] double Factor(core::Instant now) const noexcept;
+
+ private:
+  std::uint32_t failures_ = 0;
+  std::uint32_t suspicions_ = 0;
+  core::Instant until_{};
+  core::Instant ramp_end_{};
+  core::Instant suspected_until_{};
+};
+
+}  // namespace foxquay::routing
+
+#endif  // FOXQUAY_ROUTING_SUSPICION_H_
--- /dev/null
+++ b/src/foxquay/routing/upstreams.cc
@@ -0,0 +1,129 @@
+#include "foxquay/routing/upstreams.h"
+
+#include <algorithm>
+#include <chrono>
+#include <unordered_set>
+
+namespace foxquay::routing {
+namespace internal {
+
+/// Returns whether two announcements offer the same to a chain.
+bool SameOffer(const schema::Announcement& a, const schema::Announcement& b) {
+  return a.model == b.model && a.service == b.service && a.layers == b.layers &&
+         a.model_layers == b.model_layers && a.data_centre == b.data_centre &&
+         a.accelerator == b.accelerator && a.adapters == b.adapters &&
+         a.versions == b.versions;
+}
+
+template <class Map, class Key>
+const std::vector<UpstreamIndex>& Lookup(const Map& map, const Key& key) {
+  static const std::vector<UpstreamIndex> kNone;
+  const auto found = map.find(key);
+  return found == map.end() ? kNone : found->second;
+}
+
+}  // namespace internal
+
+double Upstream::Share() const noexcept {
+  // The own count is current; the announced one lags but includes other hosts.
+  const std::uint32_t streams = std::max(in_flight, announced.load) + 1;
+  return static_cast<double>(streams) /
+         std::max<std::uint32_t>(announced.slots, 1);
+}
+
+double Upstream::LayerSeconds(core::Instant now) const noexcept {
+  // A batch slows a little as it fills.
+  constexpr double kFullBatchSlowdown = 0.25;
+  return std::chrono::duration<double>(layer_time).count() *
+         (1 + kFullBatchSlowdown * std::min(Share(), 1.0)) *
+         suspicion.Factor(now);
+}
+
+double Upstream::LoadedLayerSeconds(core::Instant now) const noexcept {
+  return LayerSeconds(now) * std::max(Share(), 1.0);
+}
+
+std::vector<core::ModelId> Upstreams::Replace(
+    const std::vector<schema::Announcement>& announced) {
+  std::unordered_set<core::ModelId> changed;
+  std::vector<bool> seen(upstreams_.size(), false);
+  bool rebuild = false;
+  for (const schema::Announcement& next : announced) {
+    const UpstreamIndex slot = Slot(next.id);
+    if (slot >= seen.size()) seen.resize(slot + 1, false);
+    Upstream& upstream = upstreams_[slot];
+    seen[slot] = true;
+    if (!upstream.present || !internal::SameOffer(upstream.announced, next)) {
+      changed.insert(upstream.announced.model);
+      changed.insert(next.model);
+      rebuild = true;
+    }
+    upstream.present = true;
+    upstream.announced = next;
+  }
+  for (UpstreamIndex i = 0; i < upstreams_.size(); ++i) {
+    if (seen[i] || !upstreams_[i].present) continue;
+    upstreams_[i].present = false;
+    changed.insert(upstreams_[i].announced.model);
+    rebuild = true;
+  }
+  if (rebuild) Rebuild();
+  return {changed.begin(), changed.end()};
+}
+
+UpstreamIndex Upstreams::Slot(const core::UpstreamId& id) {
+  const auto found = index_.find(id);
+  if (found != index_.end()) return found->second;
+  UpstreamIndex slot = 0;
+  if (free_.empty()) {
+    slot = static_cast<UpstreamIndex>(upstreams_.size());
+    upstreams_.emplace_back();
+  } else {
+    slot = free_.back();
+    free_.pop_back();
+    upstreams_[slot] = Upstream{};
+  }
+  upstreams_[slot].present = false;
+  upstreams_[slot].announced.id = id;
+  index_.emplace(id, slot);
+  return slot;
+}
+
+void Upstreams::Rebuild() {
+  models_.clear();
+  services_.clear();
+  for (UpstreamIndex i = 0; i < upstreams_.size(); ++i) {
+    const Upstream& upstream = upstreams_[i];
+    const schema::Announcement& announced = upstream.announced;
+    if (!upstream.present) {
+      if (upstream.in_flight == 0 && index_.erase(announced.id) > 0) {
+        free_.push_back(i);
+      }
+      continue;
+    }
+    if (!announced.model.empty()) models_[announced.model].push_back(i);
+    if (!announced.service.empty()) services_[announced.service].push_back(i);
+  }
+}
+
+Upstream* Upstreams::Find(const core::UpstreamId& id) noexcept {
+  const auto found = index_.find(id);
+  return found == index_.end() ? nullptr : &upstreams_[found->second];
+}
+
+const Upstream* Upstreams::Find(const core::UpstreamId& id) const noexcept {
+  const auto found = index_.find(id);
+  return found == index_.end() ? nullptr : &upstreams_[found->second];
+}
+
+const std::vector<UpstreamIndex>& Upstreams::Members(
+    const core::ModelId& model) const noexcept {
+  return internal::Lookup(models_, model);
+}
+
+const std::vector<UpstreamIndex>& Upstreams::Members(
+    const core::ServiceId& service) const noexcept {
+  return internal::Lookup(services_, service);
+}
+
+}  // namespace foxquay::routing
--- /dev/null
+++ b/src/foxquay/routing/upstreams.h
@@ -0,0 +1,87 @@
+#ifndef FOXQUAY_ROUTING_UPSTREAMS_H_
+#define FOXQUAY_ROUTING_UPSTREAMS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <unordered_map>
+#include <vector>
+
+#include "foxquay/core/id.h"
+#include "foxquay/core/time.h"
+#include "foxquay/routing/suspicion.h"
+#include "foxquay/schema/announcement.h"
+
+namespace foxquay::routing {
+
+/// An upstream as announced, with what this host knows of it.
+struct Upstream {
+  schema::Announcement announced;
+  bool present = true;          ///< Whether it is in the current list.
+  bool enabled = true;          ///< Whether policy permits new work.
+  std::uint32_t in_flight = 0;  ///< Legs and calls of this host.
+  std::uint32_t limit = std::numeric_limits<std::uint32_t>::max();
+  /// Time to run one layer for one token while slots are free.
+  core::Duration layer_time = std::chrono::microseconds(500);
+  Suspicion suspicion;
+
+  /// Returns whether it may get new work at all.
+  [[nodiscard]] bool Open() const noexcept {
+    return present && enabled && !announced.leaving;
+  }
+  /// Returns whether it may get new work now.
+  [[nodiscard]] bool Usable(core::Instant now) const noexcept {
+    return Open() && in_flight < limit && !suspicion.Avoided(now);
+  }
+  /// Returns the streams for each slot, with one more stream than now.
+  [[nodiscard]] double Share() const noexcept;
+  /// Returns the time of one layer and token if no stream waits for a slot.
+  [[nodiscard]] double LayerSeconds(core::Instant now) const noexcept;
+  /// Returns the predicted time of one layer and token for one more stream.
+  [[nodiscard]] double LoadedLayerSeconds(core::Instant now) const noexcept;
+};
+
+/// Position of an upstream in Upstreams; stable while it is present.
+using UpstreamIndex = std::uint32_t;
+
+/// All upstreams that this host knows.
+///
+/// An upstream that left is kept while legs of this host still run on it.
+class Upstreams {
+ public:
+  /// Replaces the list; returns the models whose members or ranges changed.
+  [[nodiscard]] std::vector<core::ModelId> Replace(
+      const std::vector<schema::Announcement>& announced);
+
+  /// Returns the upstream with this id, or null.
+  [[nodiscard]] Upstream* Find(const core::UpstreamId& id) noexcept;
+  [[nodiscard]] const Upstream* Find(const core::UpstreamId& id) const noexcept;
+
+  [[nodiscard]] const Upstream& operator[](UpstreamIndex index) const noexcept {
+    return upstreams_[index];
+  }
+  [[nodiscard]] std::vector<Upstream>& All() noexcept { return upstreams_; }
+  [[nodiscard]] const std::vector<Upstream>& All() const noexcept {
+    return upstreams_;
+  }
+
+  /// Returns the present upstreams of a model, or of a service.
+  [[nodiscard]] const std::vector<UpstreamIndex>& Members(
+      const core::ModelId& model) const noexcept;
+  [[nodiscard]] const std::vector<UpstreamIndex>& Members(
+      const core::ServiceId& service) const noexcept;
+
+ private:
+  UpstreamIndex Slot(const core::UpstreamId& id);
+  void Rebuild();
+
+  std::vector<Upstream> upstreams_;
+  std::vector<UpstreamIndex> free_;
+  std::unordered_map<core::UpstreamId, UpstreamIndex> index_;
+  std::unordered_map<core::ModelId, std::vector<UpstreamIndex>> models_;
+  std::unordered_map<core::ServiceId, std::vector<UpstreamIndex>> services_;
+};
+
+}  // namespace foxquay::routing
+
+#endif  // FOXQUAY_ROUTING_UPSTREAMS_H_
--- /dev/null
+++ b/src/foxquay/stream/stream.cc
@@ -0,0 +1,137 @@
+#include "foxquay/stream/stream.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace foxquay::stream {
+namespace internal {
+
+/// Failed legs or calls in a row without a token, after which a request ends.
+/// The retry budget of its workspace may end it earlier.
+constexpr std::uint32_t kMaxFailures = 4;
+
+}  // namespace internal
+
+Stream::Stream(Terms terms)
+    : terms_(terms), phase_(terms.claim ? Phase::kClaiming : Phase::kWaiting) {}
+
+void Stream::Grant() {
+  assert(phase_ == Phase::kClaiming && "only an awaited claim is granted");
+  phase_ = Phase::kWaiting;
+}
+
+bool Stream::Running(core::LegId leg) const noexcept {
+  return phase_ == Phase::kRunning && leg_ == leg;
+}
+
+void Stream::Dispatch(core::LegId leg) {
+  assert(phase_ == Phase::kWaiting && "one leg or call runs at a time");
+  phase_ = Phase::kRunning;
+  leg_ = leg;
+  ++epoch_;
+  ran_before_leg_ = may_have_run_;
+  may_have_run_ = true;
+}
+
+LegTerms Stream::StartLeg(core::LegId leg, std::uint32_t max_leg_tokens,
+                          core::Duration token_timeout, core::Instant now) {
+  Dispatch(leg);
+  const auto first = static_cast<std::uint32_t>(delivered_.size());
+  const std::uint32_t count =
+      std::min(terms_.max_tokens - first, std::max(max_leg_tokens, 1U));
+  leg_end_ = first + count;
+  token_timeout_ = token_timeout;
+  silent_at_ = now + token_timeout;
+  return {epoch_, first, count};
+}
+
+void Stream::StartCall(core::LegId leg) { Dispatch(leg); }
+
+TokenVerdict Stream::AddToken(core::LegId leg, std::uint64_t epoch,
+                              std::uint32_t index, const std::string& text,
+                              core::Instant now) {
+  if (!Running(leg) || epoch != epoch_) return TokenVerdict::kDrop;
+  if (index < delivered_.size()) return TokenVerdict::kDrop;
+  if (index > delivered_.size() || index >= leg_end_) return TokenVerdict::kGap;
+  delivered_.push_back(text);
+  ran_before_leg_ = true;
+  failures_ = 0;
+  silent_at_ = now + token_timeout_;
+  return delivered_.size() == terms_.max_tokens ? TokenVerdict::kLast
+                                                : TokenVerdict::kDeliver;
+}
+
+Next Stream::EndLeg(core::LegId leg, LegEnd end) {
+  if (!Running(leg)) return Next::kNothing;
+  if (delivered_.size() == terms_.max_tokens) return Complete();
+  switch (end) {
+    case LegEnd::kStop:
+    case LegEnd::kLength:
+    case LegEnd::kChunk:
+      return EndWell(end);
+    case LegEnd::kRefused:
+      return EndUnsent();
+    case LegEnd::kFailed:
+    case LegEnd::kCanceled:
+      break;
+  }
+  return EndFailed();
+}
+
+Next Stream::EndWell(LegEnd end) {
+  if (end == LegEnd::kStop) return Complete();
+  // A leg that ends early or claims a length that was not reached has lost
+  // tokens; they run again under a new epoch.
+  if (end != LegEnd::kChunk || delivered_.size() != leg_end_) {
+    return EndFailed();
+  }
+  phase_ = Phase::kWaiting;
+  leg_.reset();
+  silent_at_.reset();
+  return Next::kContinue;
+}
+
+Next Stream::EndUnsent() {
+  may_have_run_ = ran_before_leg_;
+  phase_ = Phase::kWaiting;
+  leg_.reset();
+  silent_at_.reset();
+  ++failures_;
+  return failures_ >= internal::kMaxFailures ? Next::kGiveUp : Next::kRetry;
+}
+
+Next Stream::EndFailed() {
+  phase_ = Phase::kWaiting;
+  leg_.reset();
+  silent_at_.reset();
+  ++failures_;
+  if (terms_.no_repeat) return Next::kGiveUp;
+  return failures_ >= internal::kMaxFailures ? Next::kGiveUp : Next::kRetry;
+}
+
+Next Stream::Complete() {
+  phase_ = Phase::kFinished;
+  leg_.reset();
+  silent_at_.reset();
+  return Next::kComplete;
+}
+
+Next Stream::Answer(core::LegId leg) {
+  return Running(leg) ? Complete() : Next::kNothing;
+}
+
+Next Stream::FailCall(core::LegId leg, bool sent) {
+  if (!Running(leg)) return Next::kNothing;
+  return sent ? EndFailed() : EndUnsent();
+}
+
+core::Outcome Stream::GiveUp() {
+  assert(phase_ != Phase::kFinished && "a request ends once");
+  phase_ = Phase::kFinished;
+  leg_.reset();
+  silent_at_.reset();
+  if (!may_have_run_) return core::Outcome::kNotRun;
+  return terms_.no_repeat ? core::Outcome::kUnknown : core::Outcome::kFailed;
+}
+
+}  // namespace foxquay::stream
--- /dev/null
+++ b/tests/foxquay/dispatch/engine_test.cc
@@ -0,0 +1,115 @@
+#include "foxquay/dispatch/engine.h"
+
+#include <catch2/catch.hpp>
+
+#include "sample.h"
+
+namespace foxquay::dispatch {
+
+TEST_CASE("a completion runs in legs and is delivered whole") {
+  Engine engine = SampleEngine();
+  CHECK(engine
+            .Handle(UpstreamsChanged{{ModelUpstream("a", 0, 1),
+                                      ModelUpstream("b", 2, 3)}},
+                    kStart)
+            .empty());
+  auto legs =
+      Only<StartLeg>(engine.Handle(Arrived{SampleCompletion(1, 65)}, kStart));
+  REQUIRE(legs.size() == 1);
+  CHECK(legs[0].count == 64);
+  CHECK(routing::Covers(legs[0].chain, 4));
+  for (std::uint32_t i = 0; i < 64; ++i) {
+    const auto actions =
+        engine.Handle(LegToken{legs[0].leg, legs[0].epoch, i, "x"}, kStart);
+    REQUIRE(Only<DeliverToken>(actions).size() == 1);
+  }
+  const auto next = Only<StartLeg>(
+      engine.Handle(LegEnded{legs[0].leg, LegEnd::kChunk, {}}, kStart));
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].epoch > legs[0].epoch);
+  CHECK(next[0].first_token == 64);
+  CHECK(next[0].count == 1);
+  const auto end = Only<Finish>(
+      engine.Handle(LegToken{next[0].leg, next[0].epoch, 64, "x"}, kStart));
+  REQUIRE(end.size() == 1);
+  CHECK(end[0].outcome == core::Outcome::kComplete);
+  CHECK(engine.OpenRequests() == 0);
+}
+
+// Guards against refusals that hide which upstreams are needed.
+TEST_CASE("a model with missing layers is refused by name of the layers") {
+  Engine engine = SampleEngine();
+  CHECK(engine.Handle(UpstreamsChanged{{ModelUpstream("a", 0, 1)}}, kStart)
+            .empty());
+  const auto end =
+      Only<Finish>(engine.Handle(Arrived{SampleCompletion(1, 5)}, kStart));
+  REQUIRE(end.size() == 1);
+  CHECK(end[0].outcome == core::Outcome::kNotRun);
+  CHECK(end[0].reason.find("2-3") != std::string::npos);
+  CHECK(end[0].retry_after);
+}
+
+// Guards against dispatch before the claim and against a lost record.
+TEST_CASE("a protected call is claimed, sent once and recorded once") {
+  Engine engine = SampleEngine();
+  CHECK(
+      engine.Handle(UpstreamsChanged{{ServiceUpstream("s")}}, kStart).empty());
+  auto actions = engine.Handle(Arrived{SampleCall(1, true)}, kStart);
+  CHECK(Only<CallService>(actions).empty());
+  CHECK(Only<RequestClaim>(actions).size() == 1);
+  actions = engine.Handle(
+      ClaimDecided{core::RequestId(1), ClaimDecision::kGranted, 0, ""}, kStart);
+  const auto calls = Only<CallService>(actions);
+  REQUIRE(calls.size() == 1);
+  SECTION("answered") {
+    actions = engine.Handle(ServiceAnswered{calls[0].leg, 201, "ok"}, kStart);
+    const auto records = Only<RecordOutcome>(actions);
+    REQUIRE(records.size() == 1);
+    CHECK(records[0].outcome == core::Outcome::kComplete);
+    CHECK(records[0].status == 201);
+  }
+  SECTION("lost after dispatch") {
+    actions = engine.Handle(ServiceFailed{calls[0].leg, true}, kStart);
+    CHECK(Only<CallService>(actions).empty());
+    const auto records = Only<RecordOutcome>(actions);
+    REQUIRE(records.size() == 1);
+    CHECK(records[0].outcome == core::Outcome::kUnknown);
+  }
+  SECTION("lost before dispatch") {
+    actions = engine.Handle(ServiceFailed{calls[0].leg, false}, kStart);
+    CHECK(Only<RecordOutcome>(actions).empty());
+    CHECK(Only<ReleaseClaim>(actions).size() == 1);
+    CHECK(Only<Finish>(actions).at(0).outcome == core::Outcome::kNotRun);
+  }
+  CHECK(engine.OpenRequests() == 0);
+}
+
+// Guards against a request that hangs with its silent stage.
+TEST_CASE("a silent leg is resumed at the next token on another chain") {
+  Engine engine = SampleEngine();
+  CHECK(engine
+            .Handle(UpstreamsChanged{{ModelUpstream("a", 0, 3),
+                                      ModelUpstream("b", 0, 3)}},
+                    kStart)
+            .empty());
+  const auto first =
+      Only<StartLeg>(engine.Handle(Arrived{SampleCompletion(1, 5)}, kStart));
+  REQUIRE(first.size() == 1);
+  CHECK(
+      Only<DeliverToken>(
+          engine.Handle(LegToken{first[0].leg, first[0].epoch, 0, "x"}, kStart))
+          .size() == 1);
+  const auto actions = engine.Handle(Tick{}, kStart + seconds(2));
+  CHECK(Only<CancelLeg>(actions).size() == 1);
+  const auto second = Only<StartLeg>(actions);
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].first_token == 1);
+  CHECK(second[0].epoch > first[0].epoch);
+  CHECK(second[0].chain != first[0].chain);
+  CHECK(engine
+            .Handle(LegToken{first[0].leg, first[0].epoch, 1, "late"},
+                    kStart + seconds(2))
+            .empty());
+}
+
+}  // namespace foxquay::dispatch
