Add the scheduling module: fair queue, estimates, admission, limits, retry budgets

Start-time fair queueing runs twice, over workspaces and over the classes of one, on the same order template. A completed leg moves its flow's tag by the error of the estimate, also below the virtual time, since clamping it there keeps the overcharge.

The retry budget holds 500 requests' share, 50 retries at 10 %, so that the streams of one failing upstream can resume at once.

--- /dev/null
+++ b/src/foxquay/scheduling/admission.cc
@@ -0,0 +1,53 @@
+#include "foxquay/scheduling/admission.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace foxquay::scheduling {
+namespace {
+
+// A caller that comes back sooner finds the same queue.
+constexpr core::Duration kMinRetry = std::chrono::milliseconds(100);
+// Part of the retry time over which repeats are spread.
+constexpr double kSpread = 0.5;
+
+core::Duration Scale(core::Duration duration, double factor) noexcept {
+  return std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(duration) * factor);
+}
+
+}  // namespace
+
+core::Duration EstimateWait(const QueueState& queue) noexcept {
+  if (queue.waiting == 0) return core::Duration::zero();
+  // While legs wait, all capacity is in use, so the legs in service count it.
+  const auto parallel =
+      static_cast<core::Duration::rep>(std::max<std::size_t>(1, queue.running));
+  return queue.work_before / parallel;
+}
+
+core::Duration Admission::RetryAfter(const QueueState& queue) {
+  const core::Duration base = std::max(kMinRetry, EstimateWait(queue));
+  std::uniform_real_distribution<double> spread(0, kSpread);
+  return base + Scale(base, spread(random_));
+}
+
+std::optional<Refusal> Admission::Check(const Demand& demand,
+                                        const QueueState& queue) {
+  if (queue.waiting >= queue.capacity) {
+    return Refusal{RefusalReason::kQueueFull, RetryAfter(queue)};
+  }
+  // An idle pool takes any request: an estimate that is too high would
+  // otherwise refuse all work and never be corrected.
+  if (queue.waiting == 0 && queue.running == 0) return std::nullopt;
+  if (demand.service > demand.time_left) {
+    return Refusal{RefusalReason::kServiceTime, std::nullopt};
+  }
+  const core::Duration wait = EstimateWait(queue) * demand.legs;
+  if (wait + demand.service > demand.time_left) {
+    return Refusal{RefusalReason::kDeadline, RetryAfter(queue)};
+  }
+  return std::nullopt;
+}
+
+}  // namespace foxquay::scheduling
--- /dev/null
+++ b/src/foxquay/scheduling/fair_order.h
@@ -0,0 +1,172 @@
+#ifndef FOXQUAY_SCHEDULING_FAIR_ORDER_H_
+#define FOXQUAY_SCHEDULING_FAIR_ORDER_H_
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <utility>
+
+#include "foxquay/core/time.h"
+
+namespace foxquay::scheduling::internal {
+
+/// Orders backlogged flows by start-time fair queueing (Goyal, Vin and Cheng
+/// 1996), with costs corrected after service.
+///
+/// Each flow has a virtual start tag. The flow with the smallest tag is next;
+/// service moves its tag by cost / weight. A correction moves the tag by the
+/// error of the estimate, also below the virtual time: a flow that was charged
+/// too much is owed that service. Not thread-safe.
+template <class Key>
+class FairOrder {
+ public:
+  /// Position of a backlogged flow; `number` breaks ties by arrival.
+  struct Rank {
+    double tag = 0;
+    std::uint64_t number = 0;
+    friend auto operator<=>(const Rank&, const Rank&) = default;
+  };
+  using Ranks = std::map<Rank, Key>;
+
+  /// Keeps at most `capacity` idle and backlogged flows before idle ones are
+  /// dropped, whatever they owe.
+  explicit FairOrder(std::size_t capacity) : capacity_(capacity) {}
+
+  /// Adds queued work to a flow and sets its weight.
+  ///
+  /// Precondition: `weight` is positive.
+  void Add(const Key& key, double weight, core::Duration cost) {
+    assert(weight > 0 && "a weight is positive");
+    Flow& flow = FindOrCreate(key);
+    flow.weight = weight;
+    flow.queued += cost;
+    if (flow.waiting++ > 0) return;
+    flow.rank.tag = std::max(flow.rank.tag, virtual_time_);
+    flow.rank.number = next_number_++;
+    ranks_.emplace(flow.rank, key);
+  }
+
+  /// Takes queued work away without service.
+  void Remove(const Key& key, core::Duration cost) {
+    Flow& flow = flows_.at(key);
+    flow.queued -= cost;
+    if (--flow.waiting == 0) ranks_.erase(flow.rank);
+  }
+
+  /// Moves queued work into service and charges its estimated cost.
+  void Serve(const Key& key, core::Duration cost) {
+    Flow& flow = flows_.at(key);
+    virtual_time_ = std::max(virtual_time_, flow.rank.tag);
+    Remove(key, cost);
+    ++flow.running;
+    Move(key, flow, cost);
+  }
+
+  /// Ends a service and corrects its charge by `error` = actual - estimate.
+  void Complete(const Key& key, core::Duration error) {
+    const auto found = flows_.find(key);
+    if (found == flows_.end()) return;
+    Flow& flow = found->second;
+    if (flow.running > 0) --flow.running;
+    Move(key, flow, error);
+  }
+
+  /// Returns the queued work served before work that would join a flow now
+  /// behind `own` work of the same flow; includes `own`.
+  [[nodiscard]] core::Duration WorkBefore(const Key& key, double weight,
+                                          core::Duration own) const {
+    const auto found = flows_.find(key);
+    double tag = virtual_time_;
+    if (found != flows_.end()) {
+      const Flow& flow = found->second;
+      tag = flow.waiting > 0 ? flow.rank.tag
+                             : std::max(flow.rank.tag, virtual_time_);
+    }
+    tag += Seconds(own) / weight;
+    double work = Seconds(own);
+    for (const auto& [rank, other] : ranks_) {
+      if (rank.tag >= tag) break;
+      if (other == key) continue;
+      const Flow& flow = flows_.at(other);
+      work += std::min(Seconds(flow.queued), (tag - rank.tag) * flow.weight);
+    }
+    return std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double>(work));
+  }
+
+  /// Returns the queued work of a flow.
+  [[nodiscard]] core::Duration Queued(const Key& key) const {
+    const auto found = flows_.find(key);
+    return found == flows_.end() ? core::Duration::zero()
+                                 : found->second.queued;
+  }
+
+  /// Returns the backlogged flows, next first.
+  [[nodiscard]] const Ranks& ranks() const noexcept { return ranks_; }
+  /// Returns the number of flows whose state is kept.
+  [[nodiscard]] std::size_t size() const noexcept { return flows_.size(); }
+  /// Returns whether the state of a flow is kept.
+  [[nodiscard]] bool Contains(const Key& key) const {
+    return flows_.contains(key);
+  }
+
+ private:
+  struct Flow {
+    Rank rank;
+    double weight = 1;
+    core::Duration queued = core::Duration::zero();
+    std::size_t waiting = 0;
+    std::size_t running = 0;
+  };
+
+  static double Seconds(core::Duration duration) noexcept {
+    return std::chrono::duration<double>(duration).count();
+  }
+
+  Flow& FindOrCreate(const Key& key) {
+    const auto found = flows_.find(key);
+    if (found != flows_.end()) return found->second;
+    if (flows_.size() >= sweep_at_) Sweep();
+    return flows_[key];
+  }
+
+  void Move(const Key& key, Flow& flow, core::Duration cost) {
+    if (flow.waiting > 0) ranks_.erase(flow.rank);
+    flow.rank.tag += Seconds(cost) / flow.weight;
+    if (flow.waiting > 0) ranks_.emplace(flow.rank, key);
+  }
+
+  // Drops idle flows that owe nothing; their state equals that of a new flow.
+  void Sweep() {
+    DropIdle(virtual_time_);
+    if (flows_.size() >= capacity_) {
+      DropIdle(std::numeric_limits<double>::infinity());
+    }
+    sweep_at_ = std::min(capacity_, std::max(kFirstSweep, 2 * flows_.size()));
+    sweep_at_ = std::max(sweep_at_, flows_.size() + 1);
+  }
+
+  void DropIdle(double tag) {
+    std::erase_if(flows_, [tag](const auto& entry) {
+      const Flow& flow = entry.second;
+      return flow.waiting == 0 && flow.running == 0 && flow.rank.tag <= tag;
+    });
+  }
+
+  static constexpr std::size_t kFirstSweep = 64;
+
+  std::size_t capacity_;
+  std::size_t sweep_at_ = kFirstSweep;
+  double virtual_time_ = 0;
+  std::uint64_t next_number_ = 0;
+  std::map<Key, Flow> flows_;
+  Ranks ranks_;
+};
+
+}  // namespace foxquay::scheduling::internal
+
+#endif  // FOXQUAY_SCHEDULING_FAIR_ORDER_H_
--- /dev/null
+++ b/src/foxquay/scheduling/fair_queue.cc
@@ -0,0 +1,102 @@
+#include "foxquay/scheduling/fair_queue.h"
+
+#include <cassert>
+
+namespace foxquay::scheduling {
+
+FairQueue::FairQueue() : order_(kMaxWorkspaces) {}
+
+void FairQueue::Push(const Ticket& ticket, const Share& share, Place place) {
+  assert(!Contains(ticket.request) && "a request has one waiting leg");
+  assert(ticket.cost >= core::Duration::zero() && "a cost is not negative");
+  order_.Add(ticket.workspace, static_cast<double>(share.workspace),
+             ticket.cost);
+  if (workspaces_.size() > order_.size()) Sweep();
+  Workspace& workspace = workspaces_[ticket.workspace];
+  workspace.classes.Add(ticket.traffic_class,
+                        static_cast<double>(share.traffic_class), ticket.cost);
+  const std::int64_t number =
+      place == Place::kBack ? ++last_back_ : --last_front_;
+  workspace.flows[ticket.traffic_class].emplace(number, ticket);
+  places_.emplace(ticket.request,
+                  Position{ticket.workspace, ticket.traffic_class, number});
+  backlog_ += ticket.cost;
+}
+
+Ticket FairQueue::Extract(Workspace& workspace,
+                          core::TrafficClass traffic_class,
+                          std::int64_t number) {
+  Flow& flow = workspace.flows.at(traffic_class);
+  const auto found = flow.find(number);
+  Ticket ticket = found->second;
+  flow.erase(found);
+  places_.erase(ticket.request);
+  backlog_ -= ticket.cost;
+  return ticket;
+}
+
+bool FairQueue::Remove(core::RequestId request) {
+  const auto found = places_.find(request);
+  if (found == places_.end()) return false;
+  const Position position = found->second;
+  Workspace& workspace = workspaces_.at(position.workspace);
+  const Ticket ticket =
+      Extract(workspace, position.traffic_class, position.number);
+  workspace.classes.Remove(position.traffic_class, ticket.cost);
+  order_.Remove(position.workspace, ticket.cost);
+  return true;
+}
+
+std::optional<Ticket> FairQueue::Take(
+    const std::function<bool(const Ticket&)>& runnable) {
+  for (const auto& [rank, id] : order_.ranks()) {
+    Workspace& workspace = workspaces_.at(id);
+    for (const auto& [class_rank, traffic_class] : workspace.classes.ranks()) {
+      const auto& [number, first] = *workspace.flows.at(traffic_class).begin();
+      if (!runnable(first)) continue;
+      const Ticket ticket = Extract(workspace, traffic_class, number);
+      workspace.classes.Serve(ticket.traffic_class, ticket.cost);
+      order_.Serve(ticket.workspace, ticket.cost);
+      ++running_;
+      return ticket;
+    }
+  }
+  return std::nullopt;
+}
+
+void FairQueue::Complete(const Ticket& ticket, core::Duration actual) {
+  assert(running_ > 0 && "only a taken leg completes");
+  --running_;
+  const auto found = workspaces_.find(ticket.workspace);
+  if (found == workspaces_.end()) return;
+  const core::Duration error = actual - ticket.cost;
+  found->second.classes.Complete(ticket.traffic_class, error);
+  order_.Complete(ticket.workspace, error);
+}
+
+core::Duration FairQueue::WorkBefore(const core::WorkspaceId& workspace,
+                                     core::TrafficClass traffic_class,
+                                     const Share& share) const {
+  core::Duration own = core::Duration::zero();
+  const auto found = workspaces_.find(workspace);
+  if (found != workspaces_.end()) {
+    const auto& classes = found->second.classes;
+    own = classes.WorkBefore(traffic_class,
+                             static_cast<double>(share.traffic_class),
+                             classes.Queued(traffic_class));
+  }
+  return order_.WorkBefore(workspace, static_cast<double>(share.workspace),
+                           own);
+}
+
+bool FairQueue::Contains(core::RequestId request) const {
+  return places_.contains(request);
+}
+
+void FairQueue::Sweep() {
+  std::erase_if(workspaces_, [this](const auto& entry) {
+    return !order_.Contains(entry.first);
+  });
+}
+
+}  // namespace foxquay::scheduling
--- /dev/null
+++ b/src/foxquay/scheduling/fair_queue.h
@@ -0,0 +1,115 @@
+#ifndef FOXQUAY_SCHEDULING_FAIR_QUEUE_H_
+#define FOXQUAY_SCHEDULING_FAIR_QUEUE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+#include "foxquay/core/id.h"
+#include "foxquay/core/outcome.h"
+#include "foxquay/core/time.h"
+#include "foxquay/scheduling/fair_order.h"
+#include "foxquay/scheduling/fwd.h"
+
+namespace foxquay::scheduling {
+
+/// Weights of a workspace among workspaces and of a class within it.
+struct Share {
+  std::int64_t workspace = 100;
+  std::int64_t traffic_class = 100;
+};
+
+/// A leg that waits for service.
+struct Ticket {
+  core::RequestId request;
+  core::WorkspaceId workspace;
+  core::TrafficClass traffic_class = core::TrafficClass::kInteractive;
+  core::Duration cost = core::Duration::zero();  ///< Estimated service time.
+};
+
+/// End of its flow at which a ticket joins.
+enum class Place : std::uint8_t {
+  kBack,   ///< New and continued requests.
+  kFront,  ///< Legs that lost their upstream and resume.
+};
+
+/// Shares one pool among workspaces, then among the classes of a workspace.
+///
+/// Workspaces and classes are ordered by start-time fair queueing on the
+/// estimated service time of legs; the order within one class is first in,
+/// first out. Complete corrects estimates. Not thread-safe.
+class FairQueue {
+ public:
+  FairQueue();
+
+  /// Queues a leg.
+  ///
+  /// Precondition: its request has no waiting leg and its cost is not negative.
+  void Push(const Ticket& ticket, const Share& share,
+            Place place = Place::kBack);
+
+  /// Removes the waiting leg of a request; returns false if it has none.
+  bool Remove(core::RequestId request);
+
+  /// Takes the next leg that `runnable` accepts and charges its cost.
+  ///
+  /// `runnable` sees the first leg of each flow at most once, in fair order.
+  /// The taker must call Complete when the leg ends.
+  [[nodiscard]] std::optional<Ticket> Take(
+      const std::function<bool(const Ticket&)>& runnable);
+
+  /// Ends the service of a taken leg and replaces its estimated cost with the
+  /// actual one.
+  void Complete(const Ticket& ticket, core::Duration actual);
+
+  /// Returns the queued work that a leg joining now would wait for.
+  [[nodiscard]] core::Duration WorkBefore(const core::WorkspaceId& workspace,
+                                          core::TrafficClass traffic_class,
+                                          const Share& share) const;
+
+  /// Returns whether a request has a waiting leg.
+  [[nodiscard]] bool Contains(core::RequestId request) const;
+  /// Returns the number of waiting legs.
+  [[nodiscard]] std::size_t size() const noexcept { return places_.size(); }
+  /// Returns the number of legs taken and not complete.
+  [[nodiscard]] std::size_t running() const noexcept { return running_; }
+  /// Returns the estimated service time of all waiting legs.
+  [[nodiscard]] core::Duration Backlog() const noexcept { return backlog_; }
+  /// Returns the number of workspaces whose state is kept.
+  [[nodiscard]] std::size_t Workspaces() const noexcept {
+    return workspaces_.size();
+  }
+
+ private:
+  using Flow = std::map<std::int64_t, Ticket>;
+
+  struct Workspace {
+    internal::FairOrder<core::TrafficClass> classes{2};
+    std::map<core::TrafficClass, Flow> flows;
+  };
+
+  struct Position {
+    core::WorkspaceId workspace;
+    core::TrafficClass traffic_class = core::TrafficClass::kInteractive;
+    std::int64_t number = 0;
+  };
+
+  void Sweep();
+  Ticket Extract(Workspace& workspace, core::TrafficClass traffic_class,
+                 std::int64_t number);
+
+  internal::FairOrder<core::WorkspaceId> order_;
+  std::map<core::WorkspaceId, Workspace> workspaces_;
+  std::unordered_map<core::RequestId, Position> places_;
+  core::Duration backlog_ = core::Duration::zero();
+  std::size_t running_ = 0;
+  std::int64_t last_back_ = 0;
+  std::int64_t last_front_ = 0;
+};
+
+}  // namespace foxquay::scheduling
+
+#endif  // FOXQUAY_SCHEDULING_FAIR_QUEUE_H_
--- /dev/null
+++ b/src/foxquay/scheduling/fwd.h
@@ -0,0 +1,35 @@
+#ifndef FOXQUAY_SCHEDULING_FWD_H_
+#define FOXQUAY_SCHEDULING_FWD_H_
+
+#include <cstddef>
+
+#include "foxquay/core/fwd.h"
+
+namespace foxquay::scheduling {
+
+struct PoolTag;
+
+/// Names a model or a service, whose work shares a set of upstreams.
+using PoolId = core::StringId<PoolTag>;
+
+struct Share;
+struct Ticket;
+class FairQueue;
+struct LegShape;
+struct LegTiming;
+class ServiceEstimator;
+struct Demand;
+struct QueueState;
+struct Refusal;
+class Admission;
+class InFlightLimit;
+class RetryBudget;
+class RetryBudgets;
+
+/// Workspaces whose state is kept at once: the 6,600 of the design size and a
+/// quarter more.
+inline constexpr std::size_t kMaxWorkspaces = 8250;
+
+}  // namespace foxquay::scheduling
+
+#endif  // FOXQUAY_SCHEDULING_FWD_H_
--- /dev/null
+++ b/src/foxquay/scheduling/in_flight_limit.cc
@@ -0,0 +1,78 @@
+#include "foxquay/scheduling/in_flight_limit.h"
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+
+namespace foxquay::scheduling {
+namespace {
+
+constexpr core::Duration kFirstTokenSlack = std::chrono::milliseconds(50);
+constexpr core::Duration kTokenSlack = std::chrono::milliseconds(5);
+constexpr core::Duration kIncreaseInterval = std::chrono::seconds(1);
+// Four decreases bring a limit of 16 to 1 within 2 s.
+constexpr core::Duration kDecreaseInterval = std::chrono::milliseconds(500);
+constexpr double kDecreaseFactor = 0.5;
+
+}  // namespace
+
+InFlightLimit::InFlightLimit(std::uint32_t maximum)
+    : limit_(std::max(1U, maximum)),
+      maximum_(std::max(1U, maximum)),
+      first_token_(kFirstTokenSlack),
+      token_(kTokenSlack) {}
+
+void InFlightLimit::SetMaximum(std::uint32_t maximum) noexcept {
+  const bool full = limit_ >= maximum_;
+  maximum_ = std::max(1U, maximum);
+  limit_ = full ? maximum_ : std::min<double>(limit_, maximum_);
+}
+
+void InFlightLimit::Start() noexcept { ++in_flight_; }
+
+void InFlightLimit::End() noexcept {
+  assert(in_flight_ > 0 && "only a started leg ends");
+  --in_flight_;
+}
+
+std::uint32_t InFlightLimit::limit() const noexcept {
+  return static_cast<std::uint32_t>(limit_);
+}
+
+void InFlightLimit::ObserveFirstToken(core::Duration per_unit,
+                                      core::Instant now) noexcept {
+  first_token_.Add(per_unit, now);
+  Adapt(now);
+}
+
+void InFlightLimit::ObserveToken(core::Duration gap,
+                                 core::Instant now) noexcept {
+  token_.Add(gap, now);
+  Adapt(now);
+}
+
+void InFlightLimit::ObserveFailure(core::Instant now) noexcept {
+  Decrease(now);
+}
+
+void InFlightLimit::Adapt(core::Instant now) noexcept {
+  if (first_token_.Slow() || token_.Slow()) return Decrease(now);
+  if (now - std::max(last_increase_, last_decrease_) < kIncreaseInterval) {
+    return;
+  }
+  // An unused limit proves nothing about a higher one.
+  if (in_flight_ * 2 < limit()) return;
+  limit_ = std::min<double>(limit_ + 1, maximum_);
+  last_increase_ = now;
+}
+
+void InFlightLimit::Decrease(core::Instant now) noexcept {
+  // Legs that started before a decrease still show the old latency.
+  const core::Duration interval =
+      std::max(kDecreaseInterval, first_token_.smoothed());
+  if (now - last_decrease_ < interval) return;
+  limit_ = std::max(1.0, limit_ * kDecreaseFactor);
+  last_decrease_ = now;
+}
+
+}  // namespace foxquay::scheduling
--- /dev/null
+++ b/src/foxquay/scheduling/latency_signal.h
@@ -0,0 +1,36 @@
+#ifndef FOXQUAY_SCHEDULING_LATENCY_SIGNAL_H_
+#define FOXQUAY_SCHEDULING_LATENCY_SIGNAL_H_
+
+#include <cstdint>
+
+#include "foxquay/core/time.h"
+
+namespace foxquay::scheduling::internal {
+
+/// Compares a smoothed latency with its own minimum.
+class LatencySignal {
+ public:
+  /// `slack` is the excess over the minimum that never counts as slow.
+  explicit LatencySignal(core::Duration slack) : slack_(slack) {}
+
+  /// Adds a sample.
+  void Add(core::Duration sample, core::Instant now) noexcept;
+
+  /// Returns the smoothed latency; zero without samples.
+  [[nodiscard]] core::Duration smoothed() const noexcept;
+  /// Returns the minimum, which rises slowly; zero without enough samples.
+  [[nodiscard]] core::Duration floor() const noexcept;
+  /// Returns whether the latency is well above its minimum.
+  [[nodiscard]] bool Slow() const noexcept;
+
+ private:
+  core::Duration slack_;
+  double smoothed_ = 0;  ///< Nanoseconds.
+  double floor_ = 0;     ///< Nanoseconds.
+  core::Instant last_;
+  std::uint32_t samples_ = 0;
+};
+
+}  // namespace foxquay::scheduling::internal
+
+#endif  // FOXQUAY_SCHEDULING_LATENCY_SIGNAL_H_
--- /dev/null
+++ b/src/foxquay/scheduling/recent_map.h
@@ -0,0 +1,54 @@
+#ifndef FOXQUAY_SCHEDULING_RECENT_MAP_H_
+#define FOXQUAY_SCHEDULING_RECENT_MAP_H_
+
+#include <cstddef>
+#include <list>
+#include <map>
+#include <utility>
+
+namespace foxquay::scheduling::internal {
+
+/// Map that drops its least recently used entry when it is full.
+template <class Key, class Value>
+class RecentMap {
+ public:
+  /// Precondition: `capacity` is positive.
+  explicit RecentMap(std::size_t capacity) : capacity_(capacity) {}
+
+  /// Returns the entry, made from `initial` if absent, and marks it used.
+  ///
+  /// The reference is valid until the next call.
+  Value& Use(const Key& key, const Value& initial) {
+    const auto found = index_.find(key);
+    if (found != index_.end()) {
+      entries_.splice(entries_.begin(), entries_, found->second);
+      return found->second->second;
+    }
+    if (entries_.size() >= capacity_) {
+      index_.erase(entries_.back().first);
+      entries_.pop_back();
+    }
+    entries_.emplace_front(key, initial);
+    index_.emplace(key, entries_.begin());
+    return entries_.front().second;
+  }
+
+  /// Returns the entry or null, without marking it used.
+  [[nodiscard]] const Value* Find(const Key& key) const {
+    const auto found = index_.find(key);
+    return found == index_.end() ? nullptr : &found->second->second;
+  }
+
+  [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
+
+ private:
+  using Entries = std::list<std::pair<Key, Value>>;
+
+  std::size_t capacity_;
+  Entries entries_;
+  std::map<Key, typename Entries::iterator> index_;
+};
+
+}  // namespace foxquay::scheduling::internal
+
+#endif  // FOXQUAY_SCHEDULING_RECENT_MAP_H_
--- /dev/null
+++ b/src/foxquay/scheduling/retry_budget.h
@@ -0,0 +1,64 @@
+#ifndef FOXQUAY_SCHEDULING_RETRY_BUDGET_H_
+#define FOXQUAY_SCHEDULING_RETRY_BUDGET_H_
+
+#include <cstddef>
+
+#include "foxquay/core/id.h"
+#include "foxquay/scheduling/fwd.h"
+#include "foxquay/scheduling/recent_map.h"
+
+namespace foxquay::scheduling {
+
+/// Token bucket that allows retries as a share of requests.
+///
+/// Holds at most kDepth x percent retries, so the retries of any span are
+/// bounded by kDepth x percent + percent of its requests.
+class RetryBudget {
+ public:
+  /// Requests whose share the bucket holds when it is full. At the usual 10 %
+  /// a full bucket resumes the 50 streams of a failing upstream at once.
+  static constexpr double kDepth = 500;
+
+  /// Returns a full bucket.
+  [[nodiscard]] static RetryBudget Full(int percent) noexcept;
+
+  /// Counts a first attempt.
+  void Deposit(int percent) noexcept;
+  /// Returns whether a retry is allowed.
+  [[nodiscard]] bool HasRetry() const noexcept { return retries_ >= 1; }
+  /// Takes a retry. Precondition: HasRetry().
+  void Withdraw() noexcept;
+
+ private:
+  double retries_ = 0;
+};
+
+/// Retry budgets of workspaces and upstreams; a retry needs both. Bounded. Not
+/// thread-safe.
+class RetryBudgets {
+ public:
+  RetryBudgets();
+
+  /// Counts a new request of a workspace.
+  void CountRequest(const core::WorkspaceId& workspace, int percent);
+  /// Counts a leg sent to an upstream.
+  void CountLeg(const core::UpstreamId& upstream, int percent);
+
+  /// Takes a retry from the budget of a workspace and of the upstream whose
+  /// failure causes it; returns false, taking nothing, if either is used up.
+  [[nodiscard]] bool Take(const core::WorkspaceId& workspace,
+                          const core::UpstreamId& failed, int percent);
+
+  /// Returns the number of budgets kept.
+  [[nodiscard]] std::size_t size() const noexcept {
+    return workspaces_.size() + upstreams_.size();
+  }
+
+ private:
+  internal::RecentMap<core::WorkspaceId, RetryBudget> workspaces_;
+  internal::RecentMap<core::UpstreamId, RetryBudget> upstreams_;
+};
+
+}  // namespace foxquay::scheduling
+
+#endif  // FOXQUAY_SCHEDULING_RETRY_BUDGET_H_
--- /dev/null
+++ b/tests/foxquay/scheduling/retry_budget_test.cc
@@ -0,0 +1,67 @@
+#include "foxquay/scheduling/retry_budget.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace foxquay::scheduling {
+namespace {
+
+const core::WorkspaceId kWorkspace("w");
+const core::UpstreamId kUpstream("u");
+
+}  // namespace
+
+// Guards against retry storms: retries beyond the budget.
+TEST_CASE("retries stay within their share of requests", "[fuzz]") {
+  REQUIRE(rc::check([](const std::vector<bool>& retries) {
+    constexpr int kPercent = 10;
+    RetryBudgets budgets;
+    double taken = 0;
+    double requests = 0;
+    // Uses up the full bucket first, so that only the share is left.
+    while (budgets.Take(kWorkspace, kUpstream, kPercent)) ++taken;
+    RC_ASSERT(taken <= RetryBudget::kDepth * kPercent / 100);
+    taken = 0;
+    for (const bool retry : retries) {
+      if (retry) {
+        if (budgets.Take(kWorkspace, kUpstream, kPercent)) ++taken;
+      } else {
+        budgets.CountRequest(kWorkspace, kPercent);
+        budgets.CountLeg(kUpstream, kPercent);
+        ++requests;
+      }
+      RC_ASSERT(taken <= requests * kPercent / 100 + 1e-6);
+    }
+  }));
+}
+
+// Guards against one failing upstream that uses up every workspace's retries.
+TEST_CASE("an upstream's budget bounds the retries it causes") {
+  RetryBudgets budgets;
+  int taken = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const core::WorkspaceId workspace("w" + std::to_string(i));
+    if (budgets.Take(workspace, kUpstream, 10)) ++taken;
+  }
+  CHECK(taken == 50);
+  CHECK(budgets.Take(core::WorkspaceId("w0"), core::UpstreamId("other"), 10));
+}
+
+TEST_CASE("a budget of zero allows no retry") {
+  RetryBudgets budgets;
+  CHECK_FALSE(budgets.Take(kWorkspace, kUpstream, 0));
+}
+
+// Guards against state that grows with every workspace ever seen.
+TEST_CASE("retry budgets are bounded") {
+  RetryBudgets budgets;
+  for (int i = 0; i < 20000; ++i) {
+    budgets.CountRequest(core::WorkspaceId(std::to_string(i)), 10);
+  }
+  CHECK(budgets.size() <= kMaxWorkspaces);
+}
+
+}  // namespace foxquay::scheduling
