Test the workspace's retry budget on its own

With the check of the workspace's bucket removed, the existing tests still passed: one upstream's bucket hid it. The new test fails without the check (taken == 1000 instead of 50).

--- a/tests/foxquay/scheduling/retry_budget_test.cc
+++ b/tests/foxquay/scheduling/retry_budget_test.cc
@@ -50,6 +50,18 @@
   CHECK(budgets.Take(core::WorkspaceId("w0"), core::UpstreamId("other"), 10));
 }
 
+// Guards against a workspace whose retries grow with the failing upstreams.
+TEST_CASE("a workspace's budget bounds its retries") {
+  RetryBudgets budgets;
+  int taken = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const core::UpstreamId upstream("u" + std::to_string(i));
+    if (budgets.Take(kWorkspace, upstream, 10)) ++taken;
+  }
+  CHECK(taken == 50);
+  CHECK(budgets.Take(core::WorkspaceId("other"), core::UpstreamId("u"), 10));
+}
+
 TEST_CASE("a budget of zero allows no retry") {
   RetryBudgets budgets;
   CHECK_FALSE(budgets.Take(kWorkspace, kUpstream, 0));
