--- /dev/null
+++ b/src/foxquay/control/observer.cc
@@ -0,0 +1,91 @@
+#include "foxquay/control/observer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "foxquay/control/state.h"
+
+namespace foxquay::control {
+namespace internal {
+
+// At a poll each 250 ms, replies older than 8 s could not extend the lease.
+constexpr std::size_t kMaxOpenPolls = 32;
+
+}  // namespace internal
+
+Observer::Observer(core::HostId host, std::uint64_t incarnation)
+    : host_(std::move(host)), incarnation_(incarnation) {}
+
+void Observer::SetIncarnation(std::uint64_t incarnation) {
+  incarnation_ = incarnation;
+  polls_.clear();
+}
+
+schema::ConfigPoll Observer::StartPoll(core::Instant now) {
+  polls_.emplace_back(next_poll_, now);
+  if (polls_.size() > internal::kMaxOpenPolls) polls_.pop_front();
+  return {host_, incarnation_, next_poll_++, config_.sequence()};
+}
+
+bool Observer::HandleReply(const schema::ConfigReply& reply) {
+  if (reply.incarnation != incarnation_) return false;
+  const auto poll =
+      std::find_if(polls_.begin(), polls_.end(),
+                   [&](const auto& open) { return open.first == reply.poll; });
+  if (poll == polls_.end()) return false;
+  const core::Instant sent = poll->second;
+  polls_.erase(poll);
+  const bool changed = Take(reply);
+  if (config_.sequence() >= reply.sequence &&
+      reply.age >= core::Duration::zero()) {
+    Confirm(sent - WithClockError(reply.age));
+  }
+  return changed;
+}
+
+bool Observer::Take(const schema::ConfigReply& reply) {
+  const std::uint64_t before = config_.sequence();
+  if (reply.snapshot && reply.snapshot->sequence > before) {
+    config_ = Config(*reply.snapshot);
+  }
+  for (const schema::ConfigEntry& entry : reply.entries) {
+    if (config_.Apply(entry)) feed_.Append(entry);
+  }
+  return config_.sequence() != before;
+}
+
+void Observer::Confirm(core::Instant at) {
+  confirmed_ = confirmed_ ? std::max(*confirmed_, at) : at;
+}
+
+bool Observer::Sync(const State& state, std::optional<core::Duration> age,
+                    core::Instant now) {
+  schema::ConfigPoll poll;
+  poll.sequence = config_.sequence();
+  const bool changed =
+      Take(state.Answer(poll, age.value_or(core::Duration::zero())));
+  if (age) Confirm(now - WithClockError(*age));
+  return changed;
+}
+
+std::optional<schema::ConfigReply> Observer::Answer(
+    const schema::ConfigPoll& poll, core::Instant now) const {
+  if (!confirmed_) return std::nullopt;
+  return feed_.Answer(config_, poll, now - *confirmed_);
+}
+
+Admission Observer::Admit(core::Instant now) const {
+  const std::optional<core::Instant> end = LeaseEnd();
+  if (!end || now >= *end) return {AdmissionState::kNoLease, {}};
+  if (!config_.Live(host_, incarnation_)) {
+    return {AdmissionState::kNotRegistered, {}};
+  }
+  return {AdmissionState::kOpen, *end};
+}
+
+std::optional<core::Instant> Observer::LeaseEnd() const noexcept {
+  if (!confirmed_) return std::nullopt;
+  return *confirmed_ + kConfigLease;
+}
+
+}  // namespace foxquay::control
