Join scheduling to the traffic engine

The queue orders by weighted fair queueing, refuses by deadline, learns service times and enforces workspace.max_in_flight and retry.budget; limits adapt to the latency of tokens. A leg notes when its first and last token came. When the failing stage is unknown, a retry takes an equal part of each stage's budget.

The latency of a chain is shared by its stages, so samples weigh 1/32: at 1/8 a single token of a chain with one slow stage lifts its neighbours above the threshold (calculated, to be measured).

--- a/src/foxquay/dispatch/engine.cc
+++ b/src/foxquay/dispatch/engine.cc
@@ -73,8 +73,8 @@
   std::sort(not_started.begin(), not_started.end());
   for (const core::RequestId id : not_started) {
     Request& request = requests_.at(id);
-    GiveUp(request, closed_reason_,
-           queue_.RetryAfter(Describe(request).pool, now), now);
+    GiveUp(request, closed_reason_, queue_.RetryAfter(Describe(request).pool),
+           now);
   }
 }
 
--- a/src/foxquay/dispatch/legs.cc
+++ b/src/foxquay/dispatch/legs.cc
@@ -15,6 +15,11 @@
   return text;
 }
 
+bool EndedWell(LegEnd end) noexcept {
+  return end == LegEnd::kStop || end == LegEnd::kLength ||
+         end == LegEnd::kChunk;
+}
+
 }  // namespace internal
 
 void Engine::State::Start(Request& request, const routing::Plan& plan,
@@ -29,9 +34,10 @@
       id, leg_tokens,
       policy_.GetTime(schema::PolicyKey::kLegTokenTimeout, scope), now);
   request.version = plan.version;
-  Leg leg{submission.id, {}, terms.first_token, now};
+  Leg leg{submission.id, {}, terms.first_token, now, {}, {}};
   for (const Stage& stage : plan.chain) {
     leg.stages.push_back(stage.upstream);
+    queue_.CountLeg(stage.upstream);
     router_.Start(stage.upstream);
   }
   legs_.emplace(id, std::move(leg));
@@ -58,7 +64,8 @@
   const core::LegId id(next_leg_++);
   request.stream.StartCall(id);
   router_.Start(plan.upstream);
-  legs_.emplace(id, Leg{request_id, {plan.upstream}, 0, now});
+  queue_.CountLeg(plan.upstream);
+  legs_.emplace(id, Leg{request_id, {plan.upstream}, 0, now, {}, {}});
   actions_.emplace_back(CallService{id, request_id, plan.upstream, plan.address,
                                     request.stream.terms().deadline - now});
 }
@@ -74,26 +81,40 @@
   if (verdict == stream::TokenVerdict::kGap) {
     actions_.emplace_back(CancelLeg{event.leg});
     Blame(request, leg->second, std::nullopt, now);
-    ReportServed(*request, leg->second, false, now);
+    ReportServed(*request, leg->second, LegEnd::kFailed, now);
     return Follow(*request, request->stream.EndLeg(event.leg, LegEnd::kFailed),
                   now);
   }
+  ObserveToken(leg->second, *request, now);
   actions_.emplace_back(
       DeliverToken{leg->second.request, event.index, event.text});
   if (verdict == stream::TokenVerdict::kLast) {
-    ReportServed(*request, leg->second, true, now);
+    ReportServed(*request, leg->second, LegEnd::kLength, now);
     Follow(*request, request->stream.EndLeg(event.leg, LegEnd::kLength), now);
   }
 }
 
+void Engine::State::ObserveToken(Leg& leg, const Request& request,
+                                 core::Instant now) {
+  if (leg.first_token_at) {
+    limits_.ObserveToken(leg.stages, now - leg.last_token_at, now,
+                         router_.upstreams());
+  } else {
+    leg.first_token_at = now;
+    const auto prompt_bytes =
+        static_cast<std::uint32_t>(request.completion()->prompt.size());
+    limits_.ObserveFirstToken(leg.stages, now - leg.started, prompt_bytes, now,
+                              router_.upstreams());
+  }
+  leg.last_token_at = now;
+}
+
 void Engine::State::On(const LegEnded& event, core::Instant now) {
   const std::optional<Leg> leg = Release(event.leg);
   if (!leg) return;
   Request* request = FindRequest(leg->request);
   const bool current = request != nullptr && request->stream.leg() == event.leg;
-  const bool ended_well = event.end == LegEnd::kStop ||
-                          event.end == LegEnd::kLength ||
-                          event.end == LegEnd::kChunk;
+  const bool ended_well = internal::EndedWell(event.end);
   if (ended_well) {
     for (const core::UpstreamId& id : leg->stages) {
       routing::Upstream* upstream = router_.upstreams().Find(id);
@@ -103,7 +124,7 @@
     Blame(current ? request : nullptr, *leg, event.culprit, now);
   }
   if (!current) return;
-  ReportServed(*request, *leg, ended_well, now);
+  ReportServed(*request, *leg, event.end, now);
   Follow(*request, request->stream.EndLeg(event.leg, event.end), now);
 }
 
@@ -112,7 +133,7 @@
   const auto leg = legs_.find(id);
   actions_.emplace_back(CancelLeg{id});
   Blame(&request, leg->second, std::nullopt, now);
-  ReportServed(request, leg->second, false, now);
+  ReportServed(request, leg->second, LegEnd::kFailed, now);
   Follow(request, request.stream.EndLeg(id, LegEnd::kFailed), now);
 }
 
@@ -124,14 +145,20 @@
   if (known) {
     routing::Upstream* upstream = router_.upstreams().Find(*culprit);
     if (upstream != nullptr) upstream->suspicion.Fail(now);
-    if (request != nullptr) request->excluded.push_back(*culprit);
+    limits_.ObserveFailure(*culprit, now, router_.upstreams());
+    if (request != nullptr) {
+      request->excluded.push_back(*culprit);
+      request->failed = {*culprit};
+    }
     return;
   }
   for (const core::UpstreamId& id : leg.stages) {
     routing::Upstream* upstream = router_.upstreams().Find(id);
     if (upstream != nullptr) upstream->suspicion.Suspect(now);
   }
-  if (request != nullptr) request->suspected = leg.stages;
+  if (request == nullptr) return;
+  request->suspected = leg.stages;
+  request->failed = leg.stages;
 }
 
 void Engine::State::On(const ServiceAnswered& event, core::Instant now) {
@@ -144,7 +171,7 @@
       request->stream.Answer(event.leg) != stream::Next::kComplete) {
     return;
   }
-  ReportServed(*request, *leg, true, now);
+  ReportServed(*request, *leg, LegEnd::kLength, now);
   Finish end;
   end.request = leg->request;
   end.outcome = core::Outcome::kComplete;
@@ -160,7 +187,7 @@
   const bool current = request != nullptr && request->stream.leg() == event.leg;
   Blame(current ? request : nullptr, *leg, leg->stages.front(), now);
   if (!current) return;
-  ReportServed(*request, *leg, false, now);
+  ReportServed(*request, *leg, LegEnd::kFailed, now);
   Follow(*request, request->stream.FailCall(event.leg, event.sent), now);
 }
 
@@ -180,18 +207,18 @@
     case stream::Next::kContinue:
       request.excluded.clear();
       request.suspected.clear();
-      return Enqueue(request, false, now);
+      return Enqueue(request, false);
     case stream::Next::kComplete:
       return Complete(request);
     case stream::Next::kRetry:
-      if (queue_.AllowRetry(request.submission.workspace, now)) {
-        return Enqueue(request, true, now);
+      if (queue_.AllowRetry(request.submission.workspace, request.failed)) {
+        return Enqueue(request, true);
       }
       return GiveUp(request, "retry budget is used up",
-                    queue_.RetryAfter(Describe(request).pool, now), now);
+                    queue_.RetryAfter(Describe(request).pool), now);
     case stream::Next::kGiveUp:
       return GiveUp(request, "upstream failed",
-                    queue_.RetryAfter(Describe(request).pool, now), now);
+                    queue_.RetryAfter(Describe(request).pool), now);
   }
 }
 
@@ -207,12 +234,22 @@
 }
 
 void Engine::State::ReportServed(const Request& request, const Leg& leg,
-                                 bool ended_well, core::Instant now) {
+                                 LegEnd end, core::Instant now) {
   const auto delivered =
       static_cast<std::uint32_t>(request.stream.delivered().size());
-  queue_.Complete(
-      {leg.request, delivered - leg.first_token, now - leg.started, ended_well},
-      now);
+  Served served;
+  served.request = leg.request;
+  served.tokens = delivered - leg.first_token;
+  if (leg.first_token_at) {
+    served.first_token = *leg.first_token_at - leg.started;
+  }
+  served.time = now - leg.started;
+  served.ended_well = internal::EndedWell(end);
+  const bool whole = delivered >= request.stream.terms().max_tokens;
+  if (end == LegEnd::kStop || (served.ended_well && whole)) {
+    served.answer = delivered;
+  }
+  queue_.Complete(served);
 }
 
 }  // namespace foxquay::dispatch
--- a/src/foxquay/dispatch/limits.cc
+++ b/src/foxquay/dispatch/limits.cc
@@ -1,12 +1,18 @@
 #include "foxquay/dispatch/limits.h"
 
 #include <algorithm>
-#include <cstdint>
+#include <chrono>
+
+#include "foxquay/scheduling/service_estimator.h"
 
 namespace foxquay::dispatch {
 
 void Limits::Configure(const Policy& policy, const std::string& host,
-                       routing::Upstreams& upstreams) const {
+                       routing::Upstreams& upstreams) {
+  std::erase_if(limits_, [&](const auto& entry) {
+    const routing::Upstream* upstream = upstreams.Find(entry.first);
+    return upstream == nullptr || !upstream->present;
+  });
   for (routing::Upstream& upstream : upstreams.All()) {
     const schema::Announcement& announced = upstream.announced;
     PolicyScope scope;
@@ -16,13 +22,55 @@
     scope.host = host;
     upstream.enabled =
         policy.Get(schema::PolicyKey::kUpstreamEnabled, scope) != 0;
-    const auto limit = static_cast<std::uint32_t>(
+    if (!upstream.present) continue;
+    const auto most = static_cast<std::uint32_t>(
         policy.Get(schema::PolicyKey::kUpstreamMaxInFlight, scope));
-    upstream.limit =
-        announced.slots == 0 ? limit : std::min(limit, announced.slots);
+    const std::uint32_t maximum =
+        announced.slots == 0 ? most : std::min(most, announced.slots);
+    scheduling::InFlightLimit& limit =
+        limits_.try_emplace(announced.id, maximum).first->second;
+    limit.SetMaximum(maximum);
+    upstream.limit = limit.limit();
   }
 }
 
+void Limits::ObserveFirstToken(const std::vector<core::UpstreamId>& stages,
+                               core::Duration latency,
+                               std::uint32_t prompt_bytes, core::Instant now,
+                               routing::Upstreams& upstreams) {
+  const auto per_unit = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(latency) /
+      scheduling::PromptUnits(prompt_bytes));
+  for (const core::UpstreamId& id : stages) {
+    routing::Upstream* upstream = upstreams.Find(id);
+    const auto limit = limits_.find(id);
+    if (upstream == nullptr || limit == limits_.end()) continue;
+    limit->second.ObserveFirstToken(per_unit, upstream->in_flight, now);
+    upstream->limit = limit->second.limit();
+  }
+}
+
+void Limits::ObserveToken(const std::vector<core::UpstreamId>& stages,
+                          core::Duration gap, core::Instant now,
+                          routing::Upstreams& upstreams) {
+  for (const core::UpstreamId& id : stages) {
+    routing::Upstream* upstream = upstreams.Find(id);
+    const auto limit = limits_.find(id);
+    if (upstream == nullptr || limit == limits_.end()) continue;
+    limit->second.ObserveToken(gap, upstream->in_flight, now);
+    upstream->limit = limit->second.limit();
+  }
+}
+
+void Limits::ObserveFailure(const core::UpstreamId& id, core::Instant now,
+                            routing::Upstreams& upstreams) {
+  routing::Upstream* upstream = upstreams.Find(id);
+  const auto limit = limits_.find(id);
+  if (upstream == nullptr || limit == limits_.end()) return;
+  limit->second.ObserveFailure(now);
+  upstream->limit = limit->second.limit();
+}
+
 double Limits::FreeShare(const routing::Upstreams& upstreams) noexcept {
   double limit = 0;
   double used = 0;
--- a/src/foxquay/dispatch/plans.cc
+++ b/src/foxquay/dispatch/plans.cc
@@ -13,8 +13,10 @@
   waiting.traffic_class = submission.traffic_class;
   waiting.deadline = request.stream.terms().deadline;
   if (const Completion* completion = request.completion()) {
-    waiting.pool = completion->model.value() + '\n' + completion->adapter +
-                   '\n' + request.version.value_or("*");
+    waiting.pool = scheduling::PoolId(completion->model.value());
+    waiting.offer = completion->model.value() + '\n' + completion->adapter +
+                    '\n' + request.version.value_or("*");
+    waiting.max_tokens = request.stream.terms().max_tokens;
     waiting.tokens_left =
         request.stream.terms().max_tokens -
         static_cast<std::uint32_t>(request.stream.delivered().size());
@@ -22,13 +24,14 @@
         static_cast<std::uint32_t>(completion->prompt.size());
   } else {
     const auto& call = std::get<ServiceCall>(submission.work);
-    waiting.pool = "service\n" + call.service.value();
+    waiting.pool = scheduling::PoolId("service\n" + call.service.value());
+    waiting.offer = waiting.pool.value();
     waiting.prompt_bytes = call.body_bytes;
   }
   return waiting;
 }
 
-void Engine::State::Enqueue(Request& request, bool resumed, core::Instant now) {
+void Engine::State::Enqueue(Request& request, bool resumed) {
   // Until a token is delivered, any version that the caller permits may serve.
   const Completion* completion = request.completion();
   if (completion != nullptr && request.stream.delivered().empty()) {
@@ -37,7 +40,7 @@
   }
   Waiting waiting = Describe(request);
   waiting.resumed = resumed;
-  queue_.Push(waiting, now);
+  queue_.Push(waiting);
   pump_needed_ = true;
 }
 
@@ -89,7 +92,7 @@
   std::optional<FoundOrNot> found;
   std::vector<std::pair<core::RequestId, routing::NoPlan>> hopeless;
   const auto runnable = [&](const Waiting& waiting) {
-    if (busy.contains(waiting.pool)) return false;
+    if (busy.contains(waiting.offer)) return false;
     const Request& request = requests_.at(waiting.request);
     found = Find(request, now);
     const auto* none = std::get_if<routing::NoPlan>(&*found);
@@ -97,13 +100,13 @@
     if (none->reason != routing::NoPlan::Reason::kBusy) {
       hopeless.emplace_back(waiting.request, *none);
     } else if (request.excluded.empty() && request.suspected.empty()) {
-      busy.insert(waiting.pool);
+      busy.insert(waiting.offer);
     }
     return false;
   };
   while (queue_.size() > 0) {
     hopeless.clear();
-    const std::optional<Waiting> taken = queue_.Take(runnable, now);
+    const std::optional<Waiting> taken = queue_.Take(runnable);
     if (taken) {
       Request& request = requests_.at(taken->request);
       std::visit(
--- a/src/foxquay/dispatch/queue.h
+++ b/src/foxquay/dispatch/queue.h
@@ -4,15 +4,20 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <list>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "foxquay/core/id.h"
 #include "foxquay/core/outcome.h"
 #include "foxquay/core/time.h"
 #include "foxquay/dispatch/policy.h"
+#include "foxquay/scheduling/admission.h"
+#include "foxquay/scheduling/fair_queue.h"
+#include "foxquay/scheduling/retry_budget.h"
+#include "foxquay/scheduling/service_estimator.h"
 
 namespace foxquay::dispatch {
 
@@ -21,8 +26,10 @@
   core::RequestId request;
   core::WorkspaceId workspace;
   core::TrafficClass traffic_class = core::TrafficClass::kInteractive;
-  std::string pool;               ///< Model, adapter and version, or service.
-  std::uint32_t tokens_left = 0;  ///< Largest rest of the answer; 0 for a call.
+  scheduling::PoolId pool;        ///< Its model or service.
+  std::string offer;              ///< Its pool with adapter and version.
+  std::uint32_t max_tokens = 0;   ///< Largest answer; 0 for a call.
+  std::uint32_t tokens_left = 0;  ///< Largest rest of the answer.
   std::uint32_t prompt_bytes = 0;
   core::Instant deadline;
   bool resumed = false;  ///< Whether it lost its leg or call.
@@ -31,9 +38,12 @@
 /// A leg or call that ended.
 struct Served {
   core::RequestId request;
-  std::uint32_t tokens = 0;
+  std::uint32_t tokens = 0;      ///< Produced by this leg.
+  core::Duration first_token{};  ///< Zero if none was produced.
   core::Duration time{};
   bool ended_well = false;
+  /// Length of the answer, if this leg ended it.
+  std::optional<std::uint32_t> answer;
 };
 
 /// Why a request is not admitted.
@@ -54,29 +64,58 @@
   [[nodiscard]] std::optional<Refusal> Admit(const Waiting& waiting,
                                              core::Instant now);
   /// Queues a request. Precondition: it is not in the queue.
-  void Push(const Waiting& waiting, core::Instant now);
+  void Push(const Waiting& waiting);
   /// Takes a request out, if it waits.
   void Remove(core::RequestId request);
-  /// Takes the first request that `runnable` accepts; it must be ended by
-  /// Complete. `runnable` does not call this object.
+  /// Takes the first request, in fair order, that `runnable` accepts; it must
+  /// be ended by Complete. `runnable` does not call this object.
   [[nodiscard]] std::optional<Waiting> Take(
-      const std::function<bool(const Waiting&)>& runnable, core::Instant now);
+      const std::function<bool(const Waiting&)>& runnable);
   /// Ends the leg or call of a request that Take returned.
-  void Complete(const Served& served, core::Instant now);
+  void Complete(const Served& served);
 
-  /// Returns whether a failed leg or call may be sent again, and counts it.
+  /// Counts a leg or call sent to an upstream.
+  void CountLeg(const core::UpstreamId& upstream);
+  /// Returns whether a failed leg or call may be sent again, and counts it;
+  /// one of `failed` failed.
   [[nodiscard]] bool AllowRetry(const core::WorkspaceId& workspace,
-                                core::Instant now);
+                                const std::vector<core::UpstreamId>& failed);
   /// Returns when a refused request may come again.
-  [[nodiscard]] core::Duration RetryAfter(const std::string& pool,
-                                          core::Instant now);
+  [[nodiscard]] core::Duration RetryAfter(const scheduling::PoolId& pool);
 
   [[nodiscard]] std::size_t size() const noexcept { return waiting_.size(); }
 
  private:
-  std::list<Waiting> waiting_;
-  std::unordered_map<core::RequestId, std::list<Waiting>::iterator> places_;
-  std::size_t max_requests_;
+  struct Taken {
+    Waiting waiting;
+    scheduling::Ticket ticket;
+  };
+
+  [[nodiscard]] PolicyScope ScopeOf(const Waiting& waiting) const;
+  [[nodiscard]] scheduling::Share ShareOf(const Waiting& waiting) const;
+  [[nodiscard]] int RetryPercent(const core::WorkspaceId& workspace) const;
+  /// Returns the tokens that the rest of an answer is expected to have.
+  [[nodiscard]] std::uint32_t ExpectedTokens(const Waiting& waiting) const;
+  [[nodiscard]] std::uint32_t LegTokens(const Waiting& waiting) const;
+  [[nodiscard]] scheduling::LegShape ShapeOf(const Waiting& waiting) const;
+  [[nodiscard]] scheduling::Demand DemandOf(const Waiting& waiting,
+                                            core::Instant now) const;
+  [[nodiscard]] scheduling::QueueState StateOf(
+      const scheduling::PoolId& pool, core::Duration work_before) const;
+  [[nodiscard]] bool MayRun(const Waiting& waiting) const;
+  [[nodiscard]] Waiting Taking(const scheduling::Ticket& ticket);
+  void Learn(const Taken& taken, const Served& served);
+
+  Policy policy_;
+  std::string host_;
+  std::size_t max_requests_ = 0;
+  scheduling::Admission admission_;
+  scheduling::ServiceEstimator estimator_;
+  scheduling::RetryBudgets budgets_;
+  std::map<scheduling::PoolId, scheduling::FairQueue> pools_;
+  std::unordered_map<core::RequestId, Waiting> waiting_;
+  std::unordered_map<core::RequestId, Taken> taken_;
+  std::unordered_map<core::WorkspaceId, std::uint32_t> in_flight_;
 };
 
 }  // namespace foxquay::dispatch
--- a/src/foxquay/dispatch/request.h
+++ b/src/foxquay/dispatch/request.h
@@ -34,6 +34,8 @@
   std::vector<core::UpstreamId> excluded;  ///< Failed this request.
   /// Stages of its last leg that ended without a known culprit.
   std::vector<core::UpstreamId> suspected;
+  /// Upstreams one of which failed its last leg or call.
+  std::vector<core::UpstreamId> failed;
   bool caller_gone = false;
   core::Instant armed = core::Instant::max();  ///< Time of its timer.
 
@@ -49,6 +51,8 @@
   std::vector<core::UpstreamId> stages;
   std::uint32_t first_token = 0;
   core::Instant started;
+  std::optional<core::Instant> first_token_at;
+  core::Instant last_token_at;
 };
 
 }  // namespace foxquay::dispatch
--- a/src/foxquay/dispatch/requests.cc
+++ b/src/foxquay/dispatch/requests.cc
@@ -68,7 +68,7 @@
   if (requests_.contains(submission.id)) return;
   std::optional<Refusal> refusal;
   if (!admission_open_) {
-    refusal = Refusal{closed_reason_, queue_.RetryAfter("", now)};
+    refusal = Refusal{closed_reason_, queue_.RetryAfter({})};
   } else {
     refusal = Check(submission);
   }
@@ -95,7 +95,7 @@
     actions_.emplace_back(
         RequestClaim{submission.id, submission.idempotency_key});
   } else {
-    Enqueue(request, false, now);
+    Enqueue(request, false);
   }
   Arm(request);
 }
@@ -110,7 +110,8 @@
   actions_.emplace_back(std::move(end));
 }
 
-void Engine::State::On(const ClaimDecided& event, core::Instant now) {
+void Engine::State::On(const ClaimDecided& event,
+                       [[maybe_unused]] core::Instant now) {
   Request* request = FindRequest(event.request);
   if (request == nullptr) {
     const auto found = std::find_if(
@@ -124,7 +125,7 @@
     return;
   }
   if (request->claim != ClaimState::kAsked) return;
-  if (event.decision == ClaimDecision::kGranted) return Grant(*request, now);
+  if (event.decision == ClaimDecision::kGranted) return Grant(*request);
   if (event.decision != ClaimDecision::kUnavailable) {
     request->claim = ClaimState::kNone;
   }
@@ -146,7 +147,7 @@
       end.retry_after = internal::kRunningRetry;
       break;
     case ClaimDecision::kUnavailable:
-      end.retry_after = queue_.RetryAfter(Describe(*request).pool, now);
+      end.retry_after = queue_.RetryAfter(Describe(*request).pool);
       break;
     case ClaimDecision::kGranted:
     case ClaimDecision::kExpired:
@@ -156,10 +157,10 @@
   End(*request, std::move(end));
 }
 
-void Engine::State::Grant(Request& request, core::Instant now) {
+void Engine::State::Grant(Request& request) {
   request.claim = ClaimState::kHeld;
   request.stream.Grant();
-  Enqueue(request, false, now);
+  Enqueue(request, false);
 }
 
 void Engine::State::On(const CallerGone& event, core::Instant now) {
@@ -176,8 +177,7 @@
 }
 
 void Engine::State::Expire(Request& request, core::Instant now) {
-  const core::Duration retry_after =
-      queue_.RetryAfter(Describe(request).pool, now);
+  const core::Duration retry_after = queue_.RetryAfter(Describe(request).pool);
   if (request.stream.terms().deadline <= now) {
     return GiveUp(request, "deadline passed", retry_after, now);
   }
@@ -196,7 +196,7 @@
     actions_.emplace_back(CancelLeg{*leg});
     const auto found = legs_.find(*leg);
     if (found != legs_.end()) {
-      ReportServed(request, found->second, false, now);
+      ReportServed(request, found->second, LegEnd::kCanceled, now);
     }
   }
   Finish end;
--- a/src/foxquay/dispatch/state.h
+++ b/src/foxquay/dispatch/state.h
@@ -50,7 +50,7 @@
       const Submission& submission) const;
   [[nodiscard]] stream::Terms TermsOf(const Submission& submission,
                                       core::Instant now) const;
-  void Grant(Request& request, core::Instant now);
+  void Grant(Request& request);
   void Expire(Request& request, core::Instant now);
   /// Ends a request whose answer is not whole.
   void GiveUp(Request& request, std::string reason,
@@ -77,15 +77,17 @@
   void Blame(Request* request, const Leg& leg,
              const std::optional<core::UpstreamId>& culprit, core::Instant now);
   void Complete(Request& request);
-  void ReportServed(const Request& request, const Leg& leg, bool ended_well,
+  void ReportServed(const Request& request, const Leg& leg, LegEnd end,
                     core::Instant now);
+  /// Passes the time of a token of a leg to the limits.
+  void ObserveToken(Leg& leg, const Request& request, core::Instant now);
 
   // plans.cc: what a waiting request can start on.
   [[nodiscard]] FoundOrNot Find(const Request& request, core::Instant now);
   [[nodiscard]] FoundOrNot FindChain(const Request& request,
                                      const Completion& completion,
                                      core::Instant now);
-  void Enqueue(Request& request, bool resumed, core::Instant now);
+  void Enqueue(Request& request, bool resumed);
   [[nodiscard]] Waiting Describe(const Request& request) const;
   /// Starts what can start and gives up what has no chain.
   void Pump(core::Instant now);
--- a/src/foxquay/scheduling/in_flight_limit.h
+++ b/src/foxquay/scheduling/in_flight_limit.h
@@ -13,7 +13,8 @@
 ///
 /// Additive increase while the limit is used and latency is near its own
 /// minimum; multiplicative decrease when latency is well above it or a leg
-/// fails. Counts only this host's own legs. Not thread-safe.
+/// fails. `in_flight` in all members is the current count of this host's own
+/// legs on the upstream. Not thread-safe.
 class InFlightLimit {
  public:
   /// Starts at, and never exceeds, `maximum`.
@@ -22,21 +23,15 @@
   /// Sets the upper bound, at least 1.
   void SetMaximum(std::uint32_t maximum) noexcept;
 
-  /// Counts a leg that starts.
-  void Start() noexcept;
-  /// Counts a leg that ended, for whatever reason.
-  void End() noexcept;
-
   /// Learns the time to first token per prompt unit.
-  void ObserveFirstToken(core::Duration per_unit, core::Instant now) noexcept;
+  void ObserveFirstToken(core::Duration per_unit, std::uint32_t in_flight,
+                         core::Instant now) noexcept;
   /// Learns the time between two tokens of a leg.
-  void ObserveToken(core::Duration gap, core::Instant now) noexcept;
+  void ObserveToken(core::Duration gap, std::uint32_t in_flight,
+                    core::Instant now) noexcept;
   /// Learns that the upstream failed or refused a leg.
   void ObserveFailure(core::Instant now) noexcept;
 
-  /// Returns whether another leg may start.
-  [[nodiscard]] bool HasRoom() const noexcept { return in_flight_ < limit(); }
-  [[nodiscard]] std::uint32_t in_flight() const noexcept { return in_flight_; }
   /// Returns the limit, at least 1 so that a slow upstream is still tried.
   [[nodiscard]] std::uint32_t limit() const noexcept;
   /// Returns the smoothed time between tokens; zero if unknown.
@@ -45,12 +40,11 @@
   }
 
  private:
-  void Adapt(core::Instant now) noexcept;
+  void Adapt(std::uint32_t in_flight, core::Instant now) noexcept;
   void Decrease(core::Instant now) noexcept;
 
   double limit_;
   std::uint32_t maximum_;
-  std::uint32_t in_flight_ = 0;
   internal::LatencySignal first_token_;
   internal::LatencySignal token_;
   core::Instant last_increase_;
--- a/src/foxquay/scheduling/latency_signal.cc
+++ b/src/foxquay/scheduling/latency_signal.cc
@@ -7,7 +7,9 @@
 namespace foxquay::scheduling::internal {
 namespace {
 
-constexpr double kWeight = 1.0 / 8;
+// A stage of a chain also sees the latency of the others; at this weight one
+// slow stage among four does not make its neighbours look slow.
+constexpr double kWeight = 1.0 / 32;
 // Samples before the minimum is meaningful.
 constexpr std::uint32_t kMinSamples = 8;
 constexpr double kSlowFactor = 2;
--- a/src/foxquay/scheduling/retry_budget.h
+++ b/src/foxquay/scheduling/retry_budget.h
@@ -2,6 +2,7 @@
 #define FOXQUAY_SCHEDULING_RETRY_BUDGET_H_
 
 #include <cstddef>
+#include <span>
 
 #include "foxquay/core/id.h"
 #include "foxquay/scheduling/fwd.h"
@@ -24,10 +25,12 @@
 
   /// Counts a first attempt.
   void Deposit(int percent) noexcept;
-  /// Returns whether a retry is allowed.
-  [[nodiscard]] bool HasRetry() const noexcept { return retries_ >= 1; }
-  /// Takes a retry. Precondition: HasRetry().
-  void Withdraw() noexcept;
+  /// Returns whether `part` of a retry is left.
+  [[nodiscard]] bool Has(double part) const noexcept {
+    return retries_ >= part;
+  }
+  /// Takes `part` of a retry. Precondition: Has(part).
+  void Withdraw(double part) noexcept;
 
  private:
   double retries_ = 0;
@@ -44,10 +47,12 @@
   /// Counts a leg sent to an upstream.
   void CountLeg(const core::UpstreamId& upstream, int percent);
 
-  /// Takes a retry from the budget of a workspace and of the upstream whose
-  /// failure causes it; returns false, taking nothing, if either is used up.
+  /// Takes a retry from the budget of a workspace and, in equal parts, of the
+  /// upstreams one of which failed; returns false, taking nothing, if any of
+  /// them is used up.
   [[nodiscard]] bool Take(const core::WorkspaceId& workspace,
-                          const core::UpstreamId& failed, int percent);
+                          std::span<const core::UpstreamId> failed,
+                          int percent);
 
   /// Returns the number of budgets kept.
   [[nodiscard]] std::size_t size() const noexcept {
--- /dev/null
+++ b/tests/foxquay/dispatch/queue_test.cc
@@ -0,0 +1,82 @@
+#include "foxquay/dispatch/queue.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "sample.h"
+
+namespace foxquay::dispatch {
+namespace {
+
+bool Any(const Waiting& waiting) { return !waiting.workspace.empty(); }
+
+Waiting Make(std::uint64_t request, const std::string& workspace,
+             core::Duration timeout = seconds(60)) {
+  Waiting waiting;
+  waiting.request = core::RequestId(request);
+  waiting.workspace = core::WorkspaceId(workspace);
+  waiting.pool = scheduling::PoolId("drafter");
+  waiting.offer = "drafter";
+  waiting.max_tokens = 64;
+  waiting.tokens_left = 64;
+  waiting.deadline = kStart + timeout;
+  return waiting;
+}
+
+/// Teaches a queue that legs take 1 s.
+void Warm(Queue& queue) {
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    queue.Push(Make(i, "warm"));
+    REQUIRE(queue.Take(Any));
+    queue.Complete(
+        {core::RequestId(i), 64, milliseconds(100), seconds(1), true, 64});
+  }
+}
+
+}  // namespace
+
+// Guards against a flood that costs another workspace its admission.
+TEST_CASE("a flood is refused where a quiet workspace is admitted") {
+  Queue queue(1);
+  Warm(queue);
+  for (std::uint64_t i = 100; i < 300; ++i) queue.Push(Make(i, "flood"));
+  for (int i = 0; i < 10; ++i) REQUIRE(queue.Take(Any));
+  const auto refusal = queue.Admit(Make(500, "flood", seconds(10)), kStart);
+  REQUIRE(refusal);
+  // 190 waiting legs of 1 s on 10 slots.
+  REQUIRE(refusal->retry_after);
+  CHECK(*refusal->retry_after >= milliseconds(18900));
+  CHECK_FALSE(queue.Admit(Make(501, "quiet", seconds(10)), kStart));
+}
+
+// Guards against a workspace that runs more at once than policy permits.
+TEST_CASE("a workspace runs at most its limit at once") {
+  Policy policy;
+  PolicyChanged changed;
+  for (const auto& spec : schema::kPolicySpecs) {
+    changed.defaults.push_back(spec.initial);
+  }
+  changed.overrides.push_back({schema::PolicyKey::kWorkspaceMaxInFlight,
+                               Scope::kWorkspace, "limited", 2});
+  policy.Replace(changed);
+  Queue queue(1);
+  queue.Configure(policy, "host-1");
+  for (std::uint64_t i = 1; i <= 3; ++i) queue.Push(Make(i, "limited"));
+  queue.Push(Make(4, "other"));
+  int taken = 0;
+  while (queue.Take(Any)) ++taken;
+  CHECK(taken == 3);
+  queue.Complete({core::RequestId(1), 0, {}, seconds(1), false, {}});
+  CHECK(queue.Take(Any));
+}
+
+// Guards against retries that do not count against the budgets.
+TEST_CASE("retries end with the budget") {
+  Queue queue(1);
+  const std::vector<core::UpstreamId> failed{core::UpstreamId("a")};
+  int retries = 0;
+  while (queue.AllowRetry(core::WorkspaceId("w"), failed)) ++retries;
+  CHECK(retries == 50);
+}
+
+}  // namespace foxquay::dispatch
