Serve requests end to end over HTTP

Adds the http module (ulfius server and client, checks of form), the traffic side of the daemon around dispatch::Engine, and fake model and service upstreams. Claims are answered as unavailable until the control side is wired.

--- /dev/null
+++ b/src/foxquay/daemon/announcements.cc
@@ -0,0 +1,60 @@
+#include "foxquay/daemon/announcements.h"
+
+#include <chrono>
+#include <utility>
+
+namespace foxquay::daemon {
+namespace internal {
+
+constexpr std::chrono::milliseconds kUpstreamExpiry{1800};
+
+}  // namespace internal
+
+bool Announcements::Put(schema::Announcement announcement, core::Instant now) {
+  const core::UpstreamId id = announcement.id;
+  const auto found = heard_.find(id);
+  if (found == heard_.end()) {
+    const bool active = !announcement.leaving;
+    heard_[id] = {std::move(announcement), now};
+    return active;
+  }
+  Heard& known = found->second;
+  if (announcement.sequence <= known.announcement.sequence) return false;
+  known.announcement.sequence = announcement.sequence;
+  known.at = now;
+  if (known.announcement == announcement) return false;
+  known.announcement = std::move(announcement);
+  return true;
+}
+
+bool Announcements::Remove(const core::UpstreamId& id) {
+  const auto found = heard_.find(id);
+  if (found == heard_.end() || found->second.announcement.leaving) return false;
+  // The entry stays until it expires, so that a delayed announcement with a
+  // lower sequence does not bring the upstream back.
+  found->second.announcement.leaving = true;
+  return true;
+}
+
+bool Announcements::Expire(core::Instant now) {
+  bool changed = false;
+  for (auto entry = heard_.begin(); entry != heard_.end();) {
+    if (now - entry->second.at < internal::kUpstreamExpiry) {
+      ++entry;
+      continue;
+    }
+    changed = changed || !entry->second.announcement.leaving;
+    entry = heard_.erase(entry);
+  }
+  return changed;
+}
+
+std::vector<schema::Announcement> Announcements::Active() const {
+  std::vector<schema::Announcement> active;
+  for (const auto& [id, heard] : heard_) {
+    if (!heard.announcement.leaving) active.push_back(heard.announcement);
+  }
+  return active;
+}
+
+}  // namespace foxquay::daemon
--- /dev/null
+++ b/src/foxquay/daemon/caller_api.h
@@ -0,0 +1,46 @@
+#ifndef FOXQUAY_DAEMON_CALLER_API_H_
+#define FOXQUAY_DAEMON_CALLER_API_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "foxquay/core/time.h"
+#include "foxquay/daemon/traffic.h"
+#include "foxquay/http/caller.h"
+#include "foxquay/http/server.h"
+
+namespace foxquay::daemon {
+
+/// Serves the routes of the caller listener. Thread-safe.
+class CallerApi {
+ public:
+  /// Answers `GET /v1/entry` for callers in a data centre.
+  using Entry = std::function<http::EntryAnswer(const core::DataCentreId&)>;
+
+  /// @param self This host's caller address, left out where a refusal names
+  /// other addresses.
+  CallerApi(Traffic& traffic, std::string self, Entry entry);
+
+  [[nodiscard]] std::vector<http::Route> Routes();
+
+ private:
+  http::Outgoing AnswerEntry(const http::Incoming& incoming);
+  http::Outgoing Complete(const http::Incoming& incoming);
+  http::Outgoing CallService(http::Incoming&& incoming);
+
+  http::Outgoing Collect(const Ticket& ticket);
+  http::Outgoing Stream(const Ticket& ticket);
+  http::Outgoing CollectAnswer(const Ticket& ticket);
+  http::Outgoing Refuse(const Progress& last);
+  bool IsYoung() const;
+
+  Traffic& traffic_;
+  std::string self_;
+  Entry entry_;
+  core::Instant started_;
+};
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_DAEMON_CALLER_API_H_
--- /dev/null
+++ b/src/foxquay/daemon/digest.h
@@ -0,0 +1,15 @@
+#ifndef FOXQUAY_DAEMON_DIGEST_H_
+#define FOXQUAY_DAEMON_DIGEST_H_
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace foxquay::daemon {
+
+/// Returns the SHA-256 of the parts, each preceded by its length, as hex.
+[[nodiscard]] std::string Digest(std::initializer_list<std::string_view> parts);
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_DAEMON_DIGEST_H_
--- /dev/null
+++ b/src/foxquay/daemon/exchange.h
@@ -0,0 +1,53 @@
+#ifndef FOXQUAY_DAEMON_EXCHANGE_H_
+#define FOXQUAY_DAEMON_EXCHANGE_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "foxquay/core/time.h"
+#include "foxquay/dispatch/action.h"
+#include "foxquay/http/client.h"
+
+namespace foxquay::daemon {
+
+/// Everything that a caller has to be told since it last asked.
+struct Progress {
+  std::vector<dispatch::DeliverToken> tokens;
+  std::optional<dispatch::Finish> finish;
+  std::optional<http::ServiceReply> reply;  ///< Live answer of a service.
+  bool abandoned = false;  ///< The caller is gone; nothing follows.
+};
+
+/// Hands the results of one request to the thread of its caller. Thread-safe.
+class Exchange {
+ public:
+  /// Adds a token; returns false if the caller reads too slowly.
+  [[nodiscard]] bool Deliver(dispatch::DeliverToken&& token, core::Instant now);
+  /// Keeps the answer of a service until Finish.
+  void Keep(http::ServiceReply&& reply);
+  /// Ends the request.
+  void Finish(dispatch::Finish&& finish);
+  /// Wakes the caller's thread without an answer.
+  void Abandon();
+
+  /// Blocks until there is something new and returns it.
+  [[nodiscard]] Progress Await();
+
+  /// Returns whether tokens have waited for the caller since before `since`.
+  [[nodiscard]] bool WaitingSince(core::Instant since) const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::condition_variable news_;
+  Progress progress_;
+  std::size_t waiting_bytes_ = 0;
+  core::Instant oldest_{};
+};
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_DAEMON_EXCHANGE_H_
--- /dev/null
+++ b/src/foxquay/daemon/host.h
@@ -0,0 +1,77 @@
+#ifndef FOXQUAY_DAEMON_HOST_H_
+#define FOXQUAY_DAEMON_HOST_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <system_error>
+#include <thread>
+#include <vector>
+
+#include "foxquay/daemon/announcements.h"
+#include "foxquay/daemon/caller_api.h"
+#include "foxquay/daemon/hooks.h"
+#include "foxquay/daemon/traffic.h"
+#include "foxquay/http/endpoint.h"
+#include "foxquay/http/server.h"
+#include "foxquay/schema/settings.h"
+
+namespace foxquay::daemon {
+
+/// One host's traffic side: its caller and upstream listeners and its engine.
+class Host {
+ public:
+  /// `hooks` must not change after Start and outlive the host.
+  Host(const schema::Settings& settings, const ControlHooks& hooks);
+  /// Stops serving at once.
+  ~Host();
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+
+  /// Starts both listeners; on failure names the address that could not be
+  /// bound in the log.
+  [[nodiscard]] std::error_code Start();
+
+  /// Leaves the entry answer, admits until its time to live has passed, and
+  /// finishes every stream. Blocks; called once.
+  void Drain();
+
+  /// Returns whether Drain has begun. Thread-safe.
+  [[nodiscard]] bool draining() const noexcept { return draining_.load(); }
+  /// Returns the names of the requests that are open. Thread-safe.
+  [[nodiscard]] std::vector<std::string> OpenRequests() const;
+  /// Where the control side feeds claims, upstreams, policy and admission.
+  [[nodiscard]] Traffic& traffic() noexcept { return traffic_; }
+  /// Writes one key=value line to the log. Thread-safe.
+  void Log(const std::string& line) const;
+
+ private:
+  std::vector<http::Route> UpstreamRoutes();
+  http::Outgoing Announce(const http::Incoming& incoming);
+  http::Outgoing Withdraw(const http::Incoming& incoming);
+  [[nodiscard]] bool Allowed(const http::Incoming& incoming) const;
+  void Publish();
+  void Maintain();
+  [[nodiscard]] http::EntryAnswer Entry(const core::DataCentreId& nearest);
+  [[nodiscard]] http::EntryAnswer LocalEntry(
+      const core::DataCentreId& nearest) const;
+
+  const schema::Settings settings_;
+  const ControlHooks& hooks_;
+  std::vector<http::Network> networks_;
+  Traffic traffic_;
+  CallerApi callers_;
+  std::mutex mutex_;
+  Announcements announcements_;
+  std::atomic<bool> draining_{false};
+  bool stopping_ = false;
+  std::condition_variable stop_;
+  std::thread maintenance_;
+  http::Server caller_server_;
+  http::Server upstream_server_;
+};
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_DAEMON_HOST_H_
--- /dev/null
+++ b/src/foxquay/daemon/traffic.cc
@@ -0,0 +1,445 @@
+#include "foxquay/daemon/traffic.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <utility>
+#include <variant>
+
+namespace foxquay::daemon {
+namespace internal {
+
+constexpr std::chrono::milliseconds kTimerInterval{250};
+constexpr std::chrono::seconds kReaderPatience{10};
+
+core::Instant Now() { return std::chrono::steady_clock::now(); }
+
+/// Returns which of the connections were closed by their peers.
+std::vector<bool> ClosedByPeer(std::vector<pollfd>& descriptors) {
+  std::vector<bool> closed(descriptors.size(), false);
+  if (poll(descriptors.data(), descriptors.size(), 0) <= 0) return closed;
+  for (std::size_t index = 0; index < descriptors.size(); ++index) {
+    constexpr int kClosed = POLLRDHUP | POLLHUP | POLLERR;
+    closed[index] = (descriptors[index].revents & kClosed) != 0;
+  }
+  return closed;
+}
+
+}  // namespace internal
+
+struct Traffic::Entry {
+  std::unique_ptr<Exchange> exchange;
+  core::WorkspaceId workspace;
+  std::string digest;
+  http::ServiceSend service;
+  http::Connection connection;
+  bool claimed = false;   ///< Whether its outcome may be recorded.
+  bool finished = false;  ///< Whether the engine has ended it.
+};
+
+struct Traffic::Leg {
+  core::RequestId request;
+  std::string address;
+  std::uint64_t epoch = 0;
+  bool call = false;  ///< A service call rather than a leg of a completion.
+};
+
+/// I/O to start once the engine's mutex is released.
+struct Traffic::Pending {
+  std::vector<std::function<void()>> jobs;   ///< Blocking, on workers.
+  std::vector<std::function<void()>> hooks;  ///< Short, on this thread.
+  std::vector<http::Connection> aborts;
+};
+
+/// Carries out the actions of one decision under the engine's mutex.
+class Traffic::Performer {
+ public:
+  Performer(Traffic& traffic, std::deque<dispatch::Event>& events,
+            Pending& pending)
+      : traffic_(traffic), events_(events), pending_(pending) {}
+
+  void operator()(dispatch::StartLeg& leg) {
+    traffic_.legs_[leg.leg] = {leg.request, leg.chain.front().address,
+                               leg.epoch, false};
+    pending_.jobs.emplace_back(
+        [&traffic = traffic_, name = traffic_.NameOf(leg.request),
+         order = std::move(leg)] { traffic.RunLeg(order, name); });
+  }
+
+  void operator()(dispatch::CancelLeg& cancel) {
+    const auto found = traffic_.legs_.find(cancel.leg);
+    if (found == traffic_.legs_.end()) return;
+    const Leg leg = found->second;
+    traffic_.legs_.erase(found);
+    events_.emplace_back(dispatch::LegEnded{
+        cancel.leg, dispatch::LegEnd::kCanceled, std::nullopt});
+    if (leg.call) return;
+    pending_.jobs.emplace_back([leg, name = traffic_.NameOf(leg.request)] {
+      http::CancelLeg(leg.address, name, leg.epoch);
+    });
+  }
+
+  void operator()(dispatch::CallService& call) {
+    const auto found = traffic_.entries_.find(call.request);
+    if (found == traffic_.entries_.end()) {
+      events_.emplace_back(dispatch::ServiceFailed{call.leg, false});
+      return;
+    }
+    traffic_.legs_[call.leg] = {call.request, call.address, 0, true};
+    http::ServiceSend send = found->second.service;
+    send.address = call.address;
+    send.time_left = call.time_left;
+    pending_.jobs.emplace_back([&traffic = traffic_, leg = call.leg,
+                                request = call.request, send = std::move(send),
+                                claimed = found->second.claimed] {
+      traffic.RunCall(leg, request, send, claimed);
+    });
+  }
+
+  void operator()(dispatch::RequestClaim& claim) {
+    const auto found = traffic_.entries_.find(claim.request);
+    if (found == traffic_.entries_.end() || !traffic_.hooks_.request_claim) {
+      events_.emplace_back(dispatch::ClaimDecided{
+          claim.request, dispatch::ClaimDecision::kUnavailable, 0, ""});
+      return;
+    }
+    pending_.hooks.emplace_back(
+        [&hooks = traffic_.hooks_,
+         request = ClaimRequest{claim.request, found->second.workspace,
+                                std::move(claim.key),
+                                found->second.digest}]() mutable {
+          hooks.request_claim(std::move(request));
+        });
+  }
+
+  void operator()(dispatch::ReleaseClaim& release) {
+    if (!traffic_.hooks_.release_claim) return;
+    pending_.hooks.emplace_back(
+        [&hooks = traffic_.hooks_,
+         message =
+             ClaimRelease{release.request, std::move(release.key)}]() mutable {
+          hooks.release_claim(std::move(message));
+        });
+  }
+
+  void operator()(dispatch::RecordOutcome& record) {
+    if (!traffic_.hooks_.record_outcome) return;
+    pending_.hooks.emplace_back(
+        [&hooks = traffic_.hooks_,
+         message =
+             ClaimRecord{record.request, std::move(record.key), record.outcome,
+                         record.status, std::move(record.body)}]() mutable {
+          hooks.record_outcome(std::move(message));
+        });
+  }
+
+  void operator()(dispatch::DeliverToken& token) {
+    const auto found = traffic_.entries_.find(token.request);
+    if (found == traffic_.entries_.end()) return;
+    const core::RequestId request = token.request;
+    if (found->second.exchange->Deliver(std::move(token), internal::Now())) {
+      return;
+    }
+    found->second.exchange->Abandon();
+    pending_.aborts.push_back(found->second.connection);
+    events_.emplace_back(dispatch::CallerGone{request});
+  }
+
+  void operator()(dispatch::Finish& finish) {
+    const auto found = traffic_.entries_.find(finish.request);
+    if (found == traffic_.entries_.end()) return;
+    found->second.finished = true;
+    found->second.exchange->Finish(std::move(finish));
+  }
+
+ private:
+  Traffic& traffic_;
+  std::deque<dispatch::Event>& events_;
+  Pending& pending_;
+};
+
+Traffic::Traffic(const dispatch::EngineOptions& options, std::string name,
+                 const ControlHooks& hooks)
+    : name_(std::move(name)),
+      host_(options.host),
+      hooks_(hooks),
+      engine_(options),
+      workers_(std::make_unique<Workers>()) {
+  dispatch::PolicyChanged policy;
+  for (const schema::PolicySpec& spec : schema::kPolicySpecs) {
+    policy.defaults.push_back(spec.initial);
+  }
+  SetPolicy(std::move(policy));
+  SetAdmission({true, ""});
+  timer_ = std::thread([this] { KeepTime(); });
+}
+
+Traffic::~Traffic() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+    legs_.clear();  // ends running legs at their next token
+  }
+  timer_wake_.notify_all();
+  timer_.join();
+  workers_.reset();
+}
+
+Ticket Traffic::Submit(Order&& order) {
+  Pending pending;
+  Ticket ticket;
+  {
+    const std::lock_guard lock(mutex_);
+    ticket.id = core::RequestId(next_request_++);
+    order.submission.id = ticket.id;
+    Entry& entry = entries_[ticket.id];
+    entry.exchange = std::make_unique<Exchange>();
+    entry.workspace = order.submission.workspace;
+    entry.digest = std::move(order.digest);
+    entry.service = std::move(order.service);
+    entry.connection = order.connection;
+    entry.claimed =
+        order.submission.no_repeat && !order.submission.idempotency_key.empty();
+    ticket.exchange = entry.exchange.get();
+    Apply(dispatch::Arrived{std::move(order.submission)}, pending);
+  }
+  Execute(std::move(pending));
+  return ticket;
+}
+
+void Traffic::Close(core::RequestId id) {
+  Pending pending;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) return;
+    if (!found->second.finished) Apply(dispatch::CallerGone{id}, pending);
+    entries_.erase(id);
+  }
+  Execute(std::move(pending));
+}
+
+void Traffic::DropDeadCallers() {
+  std::vector<pollfd> descriptors;
+  std::vector<core::RequestId> ids;
+  std::vector<core::RequestId> gone;
+  const core::Instant oldest = internal::Now() - internal::kReaderPatience;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [id, entry] : entries_) {
+      if (entry.exchange->WaitingSince(oldest)) gone.push_back(id);
+      if (entry.connection.descriptor() < 0) continue;
+      descriptors.push_back({entry.connection.descriptor(), POLLRDHUP, 0});
+      ids.push_back(id);
+    }
+  }
+  const std::vector<bool> closed = internal::ClosedByPeer(descriptors);
+  for (std::size_t index = 0; index < ids.size(); ++index) {
+    if (closed[index]) gone.push_back(ids[index]);
+  }
+  Pending pending;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const core::RequestId id : gone) {
+      const auto found = entries_.find(id);
+      if (found == entries_.end()) continue;
+      found->second.exchange->Abandon();
+      pending.aborts.push_back(found->second.connection);
+      if (!found->second.finished) Apply(dispatch::CallerGone{id}, pending);
+    }
+  }
+  Execute(std::move(pending));
+}
+
+void Traffic::SetUpstreams(std::vector<schema::Announcement> upstreams) {
+  Pending pending;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const schema::Announcement& upstream : upstreams) {
+      if (!upstream.model.empty()) models_.insert(upstream.model);
+      if (!upstream.service.empty()) services_.insert(upstream.service);
+    }
+    Apply(dispatch::UpstreamsChanged{std::move(upstreams)}, pending);
+  }
+  Execute(std::move(pending));
+}
+
+void Traffic::SetPolicy(dispatch::PolicyChanged policy) {
+  Pending pending;
+  {
+    const std::lock_guard lock(mutex_);
+    policy_ = policy;
+    Apply(std::move(policy), pending);
+  }
+  Execute(std::move(pending));
+}
+
+void Traffic::SetAdmission(dispatch::AdmissionChanged admission) {
+  Pending pending;
+  {
+    const std::lock_guard lock(mutex_);
+    if (closed_) return;
+    Apply(std::move(admission), pending);
+  }
+  Execute(std::move(pending));
+}
+
+void Traffic::DecideClaim(dispatch::ClaimDecided decision) {
+  Handle(std::move(decision));
+}
+
+void Traffic::CloseAdmission(const std::string& reason) {
+  Pending pending;
+  {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+    Apply(dispatch::AdmissionChanged{false, reason}, pending);
+  }
+  Execute(std::move(pending));
+}
+
+std::int64_t Traffic::Policy(schema::PolicyKey key) const {
+  const std::lock_guard lock(mutex_);
+  for (const dispatch::Override& item : policy_.overrides) {
+    if (item.key == key && item.scope == dispatch::Scope::kHost &&
+        item.object == host_.value()) {
+      return item.value;
+    }
+  }
+  return policy_.defaults.at(static_cast<std::size_t>(key));
+}
+
+bool Traffic::Knows(const core::ModelId& model) const {
+  const std::lock_guard lock(mutex_);
+  return models_.contains(model);
+}
+
+bool Traffic::Knows(const core::ServiceId& service) const {
+  const std::lock_guard lock(mutex_);
+  return services_.contains(service);
+}
+
+double Traffic::FreeCapacity() const {
+  const std::lock_guard lock(mutex_);
+  return engine_.FreeCapacity();
+}
+
+std::vector<std::string> Traffic::OpenRequests() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::string> names;
+  names.reserve(entries_.size());
+  for (const auto& [id, entry] : entries_) names.push_back(NameOf(id));
+  return names;
+}
+
+void Traffic::Handle(dispatch::Event event) {
+  Pending pending;
+  {
+    const std::lock_guard lock(mutex_);
+    Apply(std::move(event), pending);
+  }
+  Execute(std::move(pending));
+}
+
+/// Precondition: the engine's mutex is held.
+void Traffic::Apply(dispatch::Event event, Pending& pending) {
+  std::deque<dispatch::Event> events;
+  events.push_back(std::move(event));
+  Performer perform(*this, events, pending);
+  while (!events.empty()) {
+    const dispatch::Event next = std::move(events.front());
+    events.pop_front();
+    for (dispatch::Action& action : engine_.Handle(next, internal::Now())) {
+      std::visit(perform, action);
+    }
+  }
+  const auto deadline = engine_.NextDeadline();
+  if (deadline && *deadline < timer_wakes_) timer_wake_.notify_one();
+}
+
+void Traffic::Execute(Pending&& pending) {
+  for (std::function<void()>& hook : pending.hooks) hook();
+  for (std::function<void()>& job : pending.jobs) workers_->Run(std::move(job));
+  for (const http::Connection& connection : pending.aborts) connection.Abort();
+}
+
+void Traffic::RunLeg(const dispatch::StartLeg& leg, const std::string& name) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (!legs_.contains(leg.leg)) return;
+  }
+  const http::LegResult result =
+      http::RunLeg(leg, name, [this, &leg](http::TokenLine&& line) {
+        return AcceptToken(leg.leg, std::move(line));
+      });
+  Pending pending;
+  {
+    const std::lock_guard lock(mutex_);
+    if (legs_.erase(leg.leg) == 0) return;
+    Apply(dispatch::LegEnded{leg.leg, result.end, result.culprit}, pending);
+  }
+  Execute(std::move(pending));
+}
+
+bool Traffic::AcceptToken(core::LegId leg, http::TokenLine&& line) {
+  Pending pending;
+  bool wanted = false;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!legs_.contains(leg)) return false;
+    Apply(dispatch::LegToken{leg, line.epoch, line.index, std::move(line.text)},
+          pending);
+    wanted = legs_.contains(leg);
+  }
+  Execute(std::move(pending));
+  return wanted;
+}
+
+void Traffic::RunCall(core::LegId leg, core::RequestId request,
+                      const http::ServiceSend& call, bool claimed) {
+  http::ServiceResult result = http::CallService(call);
+  Pending pending;
+  {
+    const std::lock_guard lock(mutex_);
+    if (legs_.erase(leg) == 0) return;
+    if (result.reply) {
+      const std::uint32_t status = result.reply->status;
+      std::string body = claimed ? result.reply->body : std::string();
+      const auto found = entries_.find(request);
+      if (found != entries_.end()) {
+        found->second.exchange->Keep(std::move(*result.reply));
+      }
+      Apply(dispatch::ServiceAnswered{leg, status, std::move(body)}, pending);
+    } else {
+      Apply(dispatch::ServiceFailed{leg, result.sent}, pending);
+    }
+  }
+  Execute(std::move(pending));
+}
+
+void Traffic::KeepTime() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    const core::Instant now = internal::Now();
+    timer_wakes_ = now + internal::kTimerInterval;
+    const auto deadline = engine_.NextDeadline();
+    if (deadline) timer_wakes_ = std::min(timer_wakes_, *deadline);
+    if (timer_wakes_ > now) timer_wake_.wait_until(lock, timer_wakes_);
+    if (stopping_) return;
+    const auto due = engine_.NextDeadline();
+    if (!due || *due > internal::Now()) continue;
+    Pending pending;
+    Apply(dispatch::Tick{}, pending);
+    lock.unlock();
+    Execute(std::move(pending));
+    lock.lock();
+  }
+}
+
+std::string Traffic::NameOf(core::RequestId id) const {
+  return name_ + "-" + std::to_string(id.value());
+}
+
+}  // namespace foxquay::daemon
--- /dev/null
+++ b/src/foxquay/daemon/traffic.h
@@ -0,0 +1,121 @@
+#ifndef FOXQUAY_DAEMON_TRAFFIC_H_
+#define FOXQUAY_DAEMON_TRAFFIC_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include "foxquay/core/time.h"
+#include "foxquay/daemon/exchange.h"
+#include "foxquay/daemon/hooks.h"
+#include "foxquay/daemon/workers.h"
+#include "foxquay/dispatch/engine.h"
+#include "foxquay/http/client.h"
+#include "foxquay/http/server.h"
+#include "foxquay/schema/policy.h"
+
+namespace foxquay::daemon {
+
+/// A request handed to Traffic.
+struct Order {
+  dispatch::Submission submission;  ///< Its id is assigned by Traffic.
+  http::ServiceSend service;        ///< Set for service calls.
+  std::string digest;               ///< SHA-256 of the request, as hex.
+  http::Connection connection;      ///< Of the caller.
+};
+
+/// A request that Traffic carries out, as its caller's thread holds it.
+struct Ticket {
+  core::RequestId id;
+  Exchange* exchange = nullptr;  ///< Valid until Traffic::Close(id).
+};
+
+/// Carries out the decisions of one engine. Thread-safe.
+///
+/// The engine's mutex is held for a decision and for handing its results to
+/// waiting threads, never during I/O.
+class Traffic {
+ public:
+  /// @param name Prefix of request names towards upstreams; differs between
+  /// hosts and between restarts of one host.
+  Traffic(const dispatch::EngineOptions& options, std::string name,
+          const ControlHooks& hooks);
+  /// Waits for running calls.
+  ~Traffic();
+  Traffic(const Traffic&) = delete;
+  Traffic& operator=(const Traffic&) = delete;
+
+  /// Submits a request. The caller's thread ends it with Close.
+  [[nodiscard]] Ticket Submit(Order&& order);
+  /// Forgets a request; cancels it if it has not finished.
+  void Close(core::RequestId id);
+  /// Cancels requests whose callers are gone or read too slowly.
+  void DropDeadCallers();
+
+  /// Replaces the usable upstreams.
+  void SetUpstreams(std::vector<schema::Announcement> upstreams);
+  /// Replaces the policy in force.
+  void SetPolicy(dispatch::PolicyChanged policy);
+  /// Opens or closes admission, e.g. by the configuration lease.
+  void SetAdmission(dispatch::AdmissionChanged admission);
+  /// Answers ControlHooks::request_claim.
+  void DecideClaim(dispatch::ClaimDecided decision);
+  /// Closes admission for good.
+  void CloseAdmission(const std::string& reason);
+
+  /// Returns the value of a key in force on this host.
+  [[nodiscard]] std::int64_t Policy(schema::PolicyKey key) const;
+  /// Returns whether any upstream has announced the model or service.
+  [[nodiscard]] bool Knows(const core::ModelId& model) const;
+  [[nodiscard]] bool Knows(const core::ServiceId& service) const;
+  /// Returns the share of capacity that is free, 0 to 1.
+  [[nodiscard]] double FreeCapacity() const;
+  /// Returns the names of the requests that have not been closed.
+  [[nodiscard]] std::vector<std::string> OpenRequests() const;
+
+ private:
+  struct Entry;
+  struct Leg;
+  struct Pending;
+  class Performer;
+
+  void Handle(dispatch::Event event);
+  void Apply(dispatch::Event event, Pending& pending);
+  void Execute(Pending&& pending);
+  void RunLeg(const dispatch::StartLeg& leg, const std::string& name);
+  void RunCall(core::LegId leg, core::RequestId request,
+               const http::ServiceSend& call, bool claimed);
+  bool AcceptToken(core::LegId leg, http::TokenLine&& line);
+  void KeepTime();
+
+  [[nodiscard]] std::string NameOf(core::RequestId id) const;
+
+  const std::string name_;
+  const core::HostId host_;
+  const ControlHooks& hooks_;
+  mutable std::mutex mutex_;
+  dispatch::Engine engine_;
+  std::uint64_t next_request_ = 1;
+  std::unordered_map<core::RequestId, Entry> entries_;
+  std::unordered_map<core::LegId, Leg> legs_;
+  dispatch::PolicyChanged policy_;
+  std::set<core::ModelId> models_;
+  std::set<core::ServiceId> services_;
+  bool closed_ = false;
+  bool stopping_ = false;
+  core::Instant timer_wakes_{};
+  std::condition_variable timer_wake_;
+  std::thread timer_;
+  std::unique_ptr<Workers> workers_;
+};
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_DAEMON_TRAFFIC_H_
--- /dev/null
+++ b/src/foxquay/daemon/workers.cc
@@ -0,0 +1,52 @@
+#include "foxquay/daemon/workers.h"
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace foxquay::daemon {
+namespace internal {
+
+constexpr std::chrono::seconds kIdleLife{5};
+
+}  // namespace internal
+
+Workers::~Workers() {
+  std::unique_lock lock(mutex_);
+  stopping_ = true;
+  work_.notify_all();
+  ended_.wait(lock, [this] { return threads_ == 0; });
+}
+
+void Workers::Run(std::function<void()> job) {
+  const std::lock_guard lock(mutex_);
+  jobs_.push_back(std::move(job));
+  if (jobs_.size() <= idle_) {
+    work_.notify_one();
+    return;
+  }
+  ++threads_;
+  std::thread([this] { Serve(); }).detach();
+}
+
+void Workers::Serve() {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    if (jobs_.empty()) {
+      ++idle_;
+      const bool woken = work_.wait_for(lock, internal::kIdleLife, [this] {
+        return stopping_ || !jobs_.empty();
+      });
+      --idle_;
+      if (!woken || jobs_.empty()) break;
+    }
+    const std::function<void()> job = std::move(jobs_.front());
+    jobs_.pop_front();
+    lock.unlock();
+    job();
+    lock.lock();
+  }
+  if (--threads_ == 0) ended_.notify_all();
+}
+
+}  // namespace foxquay::daemon
--- a/src/foxquayd/main.cc
+++ b/src/foxquayd/main.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "foxquay/daemon/serve.h"
 #include "foxquay/settings/settings.h"
 
 namespace {
@@ -65,6 +66,5 @@
   }
   if (!loaded.findings.empty()) return kExitConfig;
   if (options.check) return EXIT_SUCCESS;
-  std::cerr << "foxquayd: serving is not built yet; use --check\n";
-  return EXIT_FAILURE;
+  return foxquay::daemon::Serve(loaded.settings);
 }
--- /dev/null
+++ b/tests/fakes/announcer.cc
@@ -0,0 +1,144 @@
+#include "fakes/announcer.h"
+
+#include <pthread.h>
+#include <signal.h>  // NOLINT: sigwait is not in <csignal>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+#include "foxquay/http/client.h"
+
+namespace foxquay::fakes {
+namespace internal {
+
+constexpr std::chrono::milliseconds kRenewal{600};
+constexpr std::chrono::seconds kSendTimeout{1};
+constexpr std::chrono::hours kForever{24};
+
+std::uint64_t FirstSequence() {
+  // A restarted upstream continues above the sequences it used before.
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+sigset_t EndSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  return signals;
+}
+
+}  // namespace internal
+
+Announcer::Announcer(const Options& options)
+    : options_(options), sequence_(internal::FirstSequence()) {
+  thread_ = std::thread([this] { Run(); });
+}
+
+Announcer::~Announcer() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_all();
+  thread_.join();
+}
+
+void Announcer::Leave() {
+  leaving_.store(true);
+  {
+    const std::lock_guard lock(mutex_);
+    changed_ = true;
+  }
+  wake_.notify_all();
+}
+
+void Announcer::Run() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    changed_ = false;
+    lock.unlock();
+    Send();
+    lock.lock();
+    wake_.wait_for(lock, internal::kRenewal,
+                   [this] { return stopping_ || changed_; });
+  }
+}
+
+void Announcer::Send() {
+  const std::string body = Body();
+  for (const std::string& listener : options_.announce) {
+    http::ServiceSend call;
+    call.method = "PUT";
+    call.address = listener;
+    call.path = "/v1/upstreams/" + options_.id;
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = body;
+    call.time_left = internal::kSendTimeout;
+    (void)http::CallService(call);  // the next renewal repeats it
+  }
+}
+
+std::string Announcer::Body() {
+  nlohmann::json body = {{"sequence", sequence_++},
+                         {"address", options_.listen},
+                         {"data_centre", options_.data_centre},
+                         {"accelerator", "fake"},
+                         {"slots", options_.slots},
+                         {"load", std::max(load_.load(), 0)},
+                         {"checks_fencing", true},
+                         {"leaving", leaving()}};
+  if (options_.model.empty()) {
+    body["kind"] = "service";
+    body["service"] = options_.service;
+  } else {
+    body["kind"] = "model";
+    body["model"] = options_.model;
+    body["model_layers"] = options_.model_layers;
+    body["layers"] = {{"first", options_.first_layer},
+                      {"last", options_.last_layer}};
+  }
+  return body.dump();
+}
+
+ExecutionLog::ExecutionLog(const std::string& file) {
+  if (!file.empty()) out_.open(file, std::ios::app);
+}
+
+void ExecutionLog::Write(const std::string& lines) {
+  if (!out_.is_open()) return;
+  const std::lock_guard lock(mutex_);
+  out_ << lines << std::flush;
+}
+
+void Faults::BeforeWork() {
+  const std::uint32_t done = done_.fetch_add(1);
+  if (options_.leave_after != 0 && done == options_.leave_after) {
+    announcer_.Leave();
+  }
+  if (options_.die_after != 0 && done >= options_.die_after) {
+    _exit(EXIT_FAILURE);
+  }
+  if (options_.hang_after != 0 && done >= options_.hang_after) {
+    std::this_thread::sleep_for(internal::kForever);
+  }
+}
+
+void BlockEnd() {
+  const sigset_t signals = internal::EndSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);  // NOLINT: the result is of no use
+}
+
+void AwaitEnd(Announcer& announcer) {
+  const sigset_t signals = internal::EndSignals();
+  int received = 0;
+  while (sigwait(&signals, &received) != 0) {
+  }
+  announcer.Leave();
+}
+
+}  // namespace foxquay::fakes
--- /dev/null
+++ b/tests/fakes/options.cc
@@ -0,0 +1,110 @@
+#include "fakes/options.h"
+
+#include <popt.h>
+
+#include <array>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <utility>
+
+namespace foxquay::fakes {
+namespace internal {
+
+/// Destination of popt, which stores C types.
+struct Raw {
+  std::array<char*, 7> texts{};
+  std::array<int, 9> numbers{0, 0, 1, 64, 10, 0, 0, 0, 0};
+  int refuse = 0;
+};
+
+std::string Text(const char* text, const char* otherwise = "") {
+  return text == nullptr ? otherwise : text;
+}
+
+std::vector<std::string> Split(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream in(text);
+  for (std::string part; std::getline(in, part, ',');) parts.push_back(part);
+  return parts;
+}
+
+std::uint32_t Number(int number) {
+  return static_cast<std::uint32_t>(number < 0 ? 0 : number);
+}
+
+Options Convert(const Raw& raw) {
+  Options options;
+  options.id = Text(raw.texts[0], "fake");
+  options.listen = Text(raw.texts[1]);
+  options.announce = Split(Text(raw.texts[2]));
+  options.data_centre = Text(raw.texts[3], "local");
+  options.log = Text(raw.texts[4]);
+  options.model = Text(raw.texts[5]);
+  options.service = Text(raw.texts[6]);
+  options.first_layer = Number(raw.numbers[0]);
+  options.last_layer = Number(raw.numbers[1]);
+  options.model_layers = Number(raw.numbers[2]);
+  options.slots = Number(raw.numbers[3]);
+  options.token_time = std::chrono::milliseconds(raw.numbers[4]);
+  options.stop_at = Number(raw.numbers[5]);
+  options.die_after = Number(raw.numbers[6]);
+  options.hang_after = Number(raw.numbers[7]);
+  options.leave_after = Number(raw.numbers[8]);
+  options.refuse = raw.refuse != 0;
+  return options;
+}
+
+poptOption TextOption(const char* name, char*& value, const char* help) {
+  return {name, 0, POPT_ARG_STRING, &value, 0, help, "TEXT"};
+}
+
+poptOption NumberOption(const char* name, int& value, const char* help) {
+  return {name, 0, POPT_ARG_INT, &value, 0, help, "N"};
+}
+
+}  // namespace internal
+
+Options ReadOptions(int argc, const char** argv) {
+  internal::Raw raw;
+  auto& texts = raw.texts;
+  auto& numbers = raw.numbers;
+  const std::array<poptOption, 19> table{{
+      internal::TextOption("id", texts[0], "Upstream id"),
+      internal::TextOption("listen", texts[1], "IP:PORT to serve"),
+      internal::TextOption("announce", texts[2], "Listeners, by commas"),
+      internal::TextOption("data-centre", texts[3], "Data centre"),
+      internal::TextOption("log", texts[4], "File of executions"),
+      internal::TextOption("model", texts[5], "Model"),
+      internal::TextOption("service", texts[6], "Service"),
+      internal::NumberOption("first-layer", numbers[0], "First layer held"),
+      internal::NumberOption("last-layer", numbers[1], "Last layer held"),
+      internal::NumberOption("model-layers", numbers[2], "Layers in all"),
+      internal::NumberOption("slots", numbers[3], "Streams at once"),
+      internal::NumberOption("token-time", numbers[4], "Milliseconds a token"),
+      internal::NumberOption("stop-at", numbers[5], "Tokens of an answer"),
+      internal::NumberOption("die-after", numbers[6], "Work before a crash"),
+      internal::NumberOption("hang-after", numbers[7], "Work before silence"),
+      internal::NumberOption("leave-after", numbers[8], "Work before leaving"),
+      {"refuse", 0, POPT_ARG_NONE, &raw.refuse, 0, "Refuse all work", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND,
+  }};
+  const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
+      poptGetContext("fake", argc, argv, table.data(), 0), poptFreeContext);
+  const int result = poptGetNextOpt(context.get());
+  if (result < -1) {
+    std::cerr << poptBadOption(context.get(), 0) << ": " << poptStrerror(result)
+              << "\n";
+    std::exit(EXIT_FAILURE);  // NOLINT(concurrency-mt-unsafe)
+  }
+  Options options = internal::Convert(raw);
+  for (char* text : raw.texts) std::free(text);  // NOLINT: popt uses malloc
+  if (options.listen.empty()) {
+    std::cerr << "--listen is required\n";
+    std::exit(EXIT_FAILURE);  // NOLINT(concurrency-mt-unsafe)
+  }
+  return options;
+}
+
+}  // namespace foxquay::fakes
