Close admission in the engine at the end of the configuration lease

Cause: admission was closed by an event of the control thread; after a freeze of the process a traffic thread could run first and admit under settings that are no longer confirmed. Ruled out: asking the control thread for each request (traffic must not wait for it). Before: no test; the engine had no end of admission. Conclusion: the lease holds on the traffic side whatever the control thread does.

--- a/src/foxquay/daemon/traffic.cc
+++ b/src/foxquay/daemon/traffic.cc
@@ -172,7 +172,7 @@
     policy.defaults.push_back(spec.initial);
   }
   SetPolicy(std::move(policy));
-  SetAdmission({true, ""});
+  SetAdmission({});
   timer_ = std::thread([this] { KeepTime(); });
 }
 
@@ -295,7 +295,7 @@
   {
     const std::lock_guard lock(mutex_);
     closed_ = true;
-    Apply(dispatch::AdmissionChanged{false, reason}, pending);
+    Apply(dispatch::AdmissionChanged{false, reason, std::nullopt}, pending);
   }
   Execute(std::move(pending));
 }
--- a/src/foxquay/dispatch/engine.cc
+++ b/src/foxquay/dispatch/engine.cc
@@ -35,6 +35,7 @@
 std::vector<Action> Engine::State::Handle(const Event& event,
                                           core::Instant now) {
   actions_.clear();
+  CloseLapsedAdmission(now);
   std::visit([&](const auto& e) { On(e, now); }, event);
   FireTimers(now);
   Pump(now);
@@ -43,7 +44,15 @@
 
 std::optional<core::Instant> Engine::State::NextDeadline() const {
   if (timers_.empty()) return std::nullopt;
-  return timers_.top().first;
+  const core::Instant due = timers_.top().first;
+  return std::min(due, admission_until_.value_or(due));
+}
+
+void Engine::State::CloseLapsedAdmission(core::Instant now) {
+  if (!admission_until_ || now < *admission_until_) return;
+  On(AdmissionChanged{false, "the configuration of this host is not confirmed",
+                      std::nullopt},
+     now);
 }
 
 void Engine::State::On(const UpstreamsChanged& event,
@@ -64,6 +73,7 @@
 void Engine::State::On(const AdmissionChanged& event, core::Instant now) {
   admission_open_ = event.open;
   closed_reason_ = event.reason;
+  admission_until_ = event.open ? event.until : std::nullopt;
   if (admission_open_) return;
   // What has not started would start under settings that may be outdated.
   std::vector<core::RequestId> not_started;
--- a/src/foxquay/dispatch/event.h
+++ b/src/foxquay/dispatch/event.h
@@ -137,6 +137,9 @@
 struct AdmissionChanged {
   bool open = true;
   std::string reason;  ///< Told to refused callers.
+  /// When an open admission closes by itself, e.g. the end of a lease: a
+  /// process that was frozen must not admit before its control thread runs.
+  std::optional<core::Instant> until;
 };
 
 /// Time passed; also implied by every other event.
--- a/src/foxquay/dispatch/state.h
+++ b/src/foxquay/dispatch/state.h
@@ -99,6 +99,7 @@
   void On(const Tick& event, core::Instant now);
   void Arm(Request& request);
   void FireTimers(core::Instant now);
+  void CloseLapsedAdmission(core::Instant now);
   [[nodiscard]] Request* FindRequest(core::RequestId id);
   [[nodiscard]] PolicyScope ScopeOf(const Submission& submission) const;
 
@@ -111,6 +112,7 @@
   std::unordered_map<core::LegId, Leg> legs_;
   std::uint64_t next_leg_ = 1;
   bool admission_open_ = true;
+  std::optional<core::Instant> admission_until_;
   std::string closed_reason_;
   bool pump_needed_ = false;
   /// Keys of requests that ended before their claim was decided, by age.
--- a/tests/foxquay/dispatch/engine_test.cc
+++ b/tests/foxquay/dispatch/engine_test.cc
@@ -112,4 +112,22 @@
             .empty());
 }
 
+// Guards against a process that admits after its lease while the thread that
+// would close admission has not run, e.g. after a freeze.
+TEST_CASE("admission closes by itself at its end") {
+  Engine engine = SampleEngine();
+  (void)engine.Handle(UpstreamsChanged{{ModelUpstream("a", 0, 3)}}, kStart);
+  (void)engine.Handle(AdmissionChanged{true, "", kStart + seconds(2)}, kStart);
+  auto actions = engine.Handle(Arrived{SampleCompletion(1, 2)},
+                               kStart + milliseconds(1999));
+  CHECK(Only<StartLeg>(actions).size() == 1);
+  actions = engine.Handle(Arrived{SampleCompletion(2, 2)}, kStart + seconds(2));
+  CHECK(Only<StartLeg>(actions).empty());
+  const auto ends = Only<Finish>(actions);
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].request == core::RequestId(2));
+  CHECK(ends[0].outcome == core::Outcome::kNotRun);
+  CHECK(ends[0].retry_after.has_value());
+}
+
 }  // namespace foxquay::dispatch
