Prove changes and claims of the control state with stateful tests

Claims run in a world of three hosts whose proposals are late, repeated or lost; the oracle counts dispatches under each key.

--- /dev/null
+++ b/tests/foxquay/control/claims_property_test.cc
@@ -0,0 +1,225 @@
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "foxquay/control/state.h"
+#include "foxquay/schema/codec.h"
+
+namespace foxquay::control {
+namespace {
+
+using schema::ClaimStatus;
+
+enum class Op {
+  kClaim,
+  kGiveUp,
+  kFinish,
+  kLose,
+  kRestart,
+  kDeclareDead,
+  kRejoin,
+  kDeliver,
+  kSnapshot,
+  kWait
+};
+
+struct Step {
+  Op op = Op::kDeliver;
+  unsigned host = 0;
+  unsigned pick = 0;  ///< Key, attempt or message, by operation.
+  bool heard = true;  ///< Whether the result of a delivered command arrives.
+};
+
+void showValue(const Step& step, std::ostream& out) {  // NOLINT: RapidCheck's
+  out << static_cast<int>(step.op) << "/" << step.host << "/" << step.pick
+      << (step.heard ? "" : " lost");
+}
+
+enum class Phase { kWaiting, kDispatched, kOver };
+
+struct Attempt {
+  schema::ClaimOwner owner;
+  std::string key;
+  Phase phase = Phase::kWaiting;
+};
+
+/// Three hosts that claim, dispatch, give up and restart, one replicated state,
+/// and a network that delivers each proposal late, repeatedly or never. The
+/// oracle counts what was dispatched under each key.
+class World {
+ public:
+  World() {
+    for (unsigned host = 0; host < 3; ++host) Restart(host);
+    for (std::size_t sent = 0; sent < 3; ++sent) Deliver(sent, true);
+  }
+
+  /// Checks that no key is held by an incarnation that can no longer end.
+  void Check() const {
+    for (const schema::StoredClaim& claim : state_.claims().Save()) {
+      RC_ASSERT(
+          claim.state != schema::ClaimState::kClaimed ||
+          state_.config().Live(claim.owner.host, claim.owner.incarnation));
+    }
+  }
+
+  void Run(const Step& step) {
+    const unsigned host = step.host % 3;
+    switch (step.op) {
+      case Op::kClaim:
+        return Claim(host, step.pick % 3);
+      case Op::kGiveUp:
+        return GiveUp(host, step.pick);
+      case Op::kFinish:
+      case Op::kLose:
+        return Record(host, step.pick, step.op == Op::kFinish);
+      case Op::kRestart:
+        std::erase_if(attempts_, [&](const Attempt& attempt) {
+          return attempt.owner.host == Host(host);
+        });
+        return Restart(host);
+      case Op::kRejoin:
+        return Restart(host);
+      case Op::kDeclareDead:
+        sent_.emplace_back(
+            schema::EndIncarnation{Host(host), incarnations_[host]});
+        return;
+      case Op::kDeliver:
+        // Half of the deliveries concern the latest proposals.
+        return Deliver(
+            step.pick % 2 == 0
+                ? sent_.size() - 1 -
+                      step.pick / 2 % std::min<std::size_t>(sent_.size(), 4)
+                : step.pick / 2 % sent_.size(),
+            step.heard);
+      case Op::kSnapshot:
+        state_ = State::FromSnapshot(state_.Snapshot()).value();
+        return;
+      case Op::kWait:
+        time_ += std::chrono::seconds(step.pick % 40);
+    }
+  }
+
+ private:
+  static core::HostId Host(unsigned host) {
+    return core::HostId("h" + std::to_string(host));
+  }
+  static std::string Body(const schema::ClaimOwner& owner) {
+    return owner.host.value() + "/" + std::to_string(owner.incarnation) + "/" +
+           std::to_string(owner.attempt);
+  }
+
+  void Restart(unsigned host) {
+    ++incarnations_[host];
+    sent_.emplace_back(
+        schema::RegisterHost{Host(host), incarnations_[host], {}});
+  }
+
+  void Claim(unsigned host, unsigned key) {
+    const schema::ClaimOwner owner{Host(host), incarnations_[host],
+                                   ++last_attempt_};
+    const std::string name = std::to_string(1100 + 20 * key) + ".k";
+    attempts_.push_back({owner, name, Phase::kWaiting});
+    sent_.emplace_back(schema::Claim{owner, workspace_, name, "digest"});
+  }
+
+  Attempt* Pick(unsigned host, unsigned pick, Phase phase) {
+    std::vector<Attempt*> found;
+    for (Attempt& attempt : attempts_) {
+      if (attempt.owner.host == Host(host) && attempt.phase == phase) {
+        found.push_back(&attempt);
+      }
+    }
+    return found.empty() ? nullptr : found[pick % found.size()];
+  }
+
+  void GiveUp(unsigned host, unsigned pick) {
+    Attempt* attempt = Pick(host, pick, Phase::kWaiting);
+    if (attempt == nullptr) return;
+    attempt->phase = Phase::kOver;
+    sent_.emplace_back(
+        schema::ReleaseClaim{attempt->owner, workspace_, attempt->key});
+  }
+
+  void Record(unsigned host, unsigned pick, bool complete) {
+    Attempt* attempt = Pick(host, pick, Phase::kDispatched);
+    if (attempt == nullptr) return;
+    attempt->phase = Phase::kOver;
+    sent_.emplace_back(schema::RecordClaim{
+        attempt->owner, workspace_, attempt->key, complete, 200,
+        complete ? Body(attempt->owner) : "", "digest"});
+  }
+
+  void Deliver(std::size_t position, bool heard) {
+    const schema::ControlCommand command = sent_[position];
+    const auto result = state_.Apply(++index_, time_, schema::Encode(command));
+    const auto* claim = std::get_if<schema::Claim>(&command);
+    if (claim == nullptr || !heard) return;
+    for (Attempt& attempt : attempts_) {
+      if (attempt.owner == claim->owner && attempt.phase == Phase::kWaiting) {
+        Answer(attempt, std::get<schema::ClaimResult>(result));
+      }
+    }
+  }
+
+  void Answer(Attempt& attempt, const schema::ClaimResult& result) {
+    attempt.phase = Phase::kOver;
+    if (result.status == ClaimStatus::kComplete) {
+      RC_ASSERT(result.body == dispatched_[attempt.key]);
+    }
+    if (result.status != ClaimStatus::kGranted) return;
+    RC_ASSERT(!dispatched_.contains(attempt.key));
+    dispatched_[attempt.key] = Body(attempt.owner);
+    attempt.phase = Phase::kDispatched;
+  }
+
+  core::WorkspaceId workspace_{"w"};
+  core::WallTime time_{std::chrono::seconds(1000)};
+  State state_;
+  std::uint64_t index_ = 0;
+  std::uint64_t last_attempt_ = 0;
+  std::map<unsigned, std::uint64_t> incarnations_;
+  std::vector<Attempt> attempts_;
+  std::vector<schema::ControlCommand> sent_;
+  std::map<std::string, std::string> dispatched_;
+};
+
+rc::Gen<Step> GenStep() {
+  using rc::gen::set;
+  return rc::gen::build<Step>(
+      set(&Step::op, rc::gen::weightedElement<Op>({{6, Op::kClaim},
+                                                   {3, Op::kGiveUp},
+                                                   {2, Op::kFinish},
+                                                   {1, Op::kLose},
+                                                   {1, Op::kRestart},
+                                                   {1, Op::kDeclareDead},
+                                                   {1, Op::kRejoin},
+                                                   {16, Op::kDeliver},
+                                                   {1, Op::kSnapshot},
+                                                   {1, Op::kWait}})),
+      set(&Step::host, rc::gen::inRange(0U, 3U)),
+      set(&Step::pick, rc::gen::inRange(0U, 100U)),
+      set(&Step::heard,
+          rc::gen::weightedElement<bool>({{4, true}, {1, false}})));
+}
+
+// Guards against a protected request that is dispatched twice or answered with
+// another attempt's result, whatever is lost, late, repeated or restarted.
+TEST_CASE("a claimed key is dispatched at most once", "[fuzz]") {
+  REQUIRE(rc::check([] {
+    const auto steps =
+        *rc::gen::scale(3.0, rc::gen::container<std::vector<Step>>(GenStep()));
+    World world;
+    for (const Step& step : steps) {
+      world.Run(step);
+      world.Check();
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace foxquay::control
