--- a/src/foxquay/dispatch/requests.cc
+++ b/src/foxquay/dispatch/requests.cc
@@ -117,7 +117,9 @@
         undecided_claims_.begin(), undecided_claims_.end(),
         [&](const auto& entry) { return entry.first == event.request; });
     if (found == undecided_claims_.end()) return;
-    if (event.decision == ClaimDecision::kGranted) {
+    // The claim may have committed after the release that End asked for.
+    if (event.decision == ClaimDecision::kGranted ||
+        event.decision == ClaimDecision::kUnavailable) {
       actions_.emplace_back(ReleaseClaim{event.request, found->second});
     }
     undecided_claims_.erase(found);
