Measure the traffic policies beside their baselines

bench/policy drives engines on a virtual clock with one seeded load and one fake upstream. Fair queue, admission and resume are switched by policy values and by what the load tells the engine; round robin and fixed limits are programs that link their own definition in place of the library's, for which Router::Draw moves to a file of its own.

--- /dev/null
+++ b/bench/policy/arrivals.h
@@ -0,0 +1,61 @@
+#ifndef FOXQUAY_BENCH_POLICY_ARRIVALS_H_
+#define FOXQUAY_BENCH_POLICY_ARRIVALS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "foxquay/core/outcome.h"
+#include "foxquay/core/time.h"
+
+namespace foxquay::bench {
+
+/// Service time of the fake upstreams.
+struct ServiceTime {
+  core::Duration prefill{};  ///< For each unit of a prompt.
+  core::Duration token{};    ///< For each token.
+};
+
+/// A request of the generated load.
+struct Arrival {
+  core::Duration at{};  ///< Since the start.
+  std::string workspace;
+  core::TrafficClass traffic_class = core::TrafficClass::kInteractive;
+  std::uint32_t prompt_bytes = 0;
+  std::uint32_t tokens = 0;      ///< Length of the answer.
+  std::uint32_t max_tokens = 0;  ///< As the caller asks.
+  core::Duration timeout{};
+  bool is_short = true;
+};
+
+/// Describes a load.
+struct Load {
+  std::uint64_t seed = 1;
+  core::Duration span{};
+  double slots = 0;         ///< Of all upstreams.
+  double share = 0.8;       ///< Mean load as a share of the slots.
+  double swing = 0.5;       ///< Largest relative change of the rate.
+  double long_part = 0.05;  ///< Requests with a long answer.
+  /// Factor on the rate from `crest_at` for `crest_span`.
+  double crest = 1;
+  core::Duration crest_at{};
+  core::Duration crest_span{};
+};
+
+/// Returns the slot time that a request needs on an idle upstream.
+[[nodiscard]] core::Duration Work(const Arrival& arrival,
+                                  const ServiceTime& service) noexcept;
+
+/// Generates a load: ten workspaces of which three send three quarters of all
+/// requests, a rate that changes every 2 to 6 s, and a heavy tail of long
+/// answers.
+[[nodiscard]] std::vector<Arrival> Generate(const Load& load,
+                                            const ServiceTime& service);
+
+/// Adds short requests of one workspace that need `share` of all slots.
+void AddFlood(const Load& load, const std::string& workspace, double share,
+              const ServiceTime& service, std::vector<Arrival>& arrivals);
+
+}  // namespace foxquay::bench
+
+#endif  // FOXQUAY_BENCH_POLICY_ARRIVALS_H_
--- /dev/null
+++ b/bench/policy/round_robin/draw.cc
@@ -0,0 +1,26 @@
+#include <cstddef>
+#include <map>
+
+#include "foxquay/routing/router.h"
+
+namespace foxquay::routing {
+
+/// Baseline: takes the members of a class in turn.
+///
+/// The router draws twice for each decision, so the turn changes every second
+/// time.
+Pick Router::Draw(const std::vector<UpstreamIndex>& members,
+                  const std::vector<core::UpstreamId>& excluded,
+                  core::Instant now) {
+  static std::map<const Router*, std::size_t> turns;
+  if (members.empty()) return {};
+  const std::size_t turn = turns[this]++ / 2;
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    const UpstreamIndex index = members[(turn + i) % members.size()];
+    if (!Allowed(index, excluded, now)) continue;
+    return {index, upstreams_[index].LoadedLayerSeconds(now)};
+  }
+  return {};
+}
+
+}  // namespace foxquay::routing
