--- a/src/foxquay/daemon/traffic.cc
+++ b/src/foxquay/daemon/traffic.cc
@@ -63,8 +63,9 @@
   void operator()(dispatch::StartLeg& leg) {
     traffic_.legs_[leg.leg] = {leg.request, leg.chain.front().address,
                                leg.epoch, false};
+    std::string name = traffic_.NameOf(leg.request);
     pending_.jobs.emplace_back(
-        [&traffic = traffic_, name = traffic_.NameOf(leg.request),
+        [&traffic = traffic_, name = std::move(name),
          order = std::move(leg)] { traffic.RunLeg(order, name); });
   }
 
--- a/src/foxquay/http/client.cc
+++ b/src/foxquay/http/client.cc
@@ -145,20 +145,13 @@
   std::optional<LegResult> result_;
 };
 
-/// Collects a bounded response body.
-class BodyCollector {
- public:
-  static std::size_t Write(void* data, std::size_t size, std::size_t count,
-                           void* self) {
-    auto* collector = static_cast<BodyCollector*>(self);
-    const std::size_t bytes = size * count;
-    if (collector->body.size() + bytes > kMaxReplyBytes) return 0;
-    collector->body.append(static_cast<const char*>(data), bytes);
-    return bytes;
-  }
-
-  std::string body;
-};
+std::size_t WriteBytes(void* data, std::size_t size, std::size_t count,
+                       void* on_bytes) {
+  const std::string_view bytes(static_cast<const char*>(data), size * count);
+  const auto& sink =
+      *static_cast<const std::function<bool(std::string_view)>*>(on_bytes);
+  return sink(bytes) ? bytes.size() : 0;
+}
 
 std::string LegBody(const dispatch::StartLeg& leg, const std::string& name) {
   Json chain = Json::array();
@@ -222,6 +215,19 @@
 }
 
 ServiceResult CallService(const ServiceSend& call) {
+  std::string body;
+  ServiceResult result = CallStreaming(call, [&body](std::string_view bytes) {
+    if (body.size() + bytes.size() > internal::kMaxReplyBytes) return false;
+    body.append(bytes);
+    return true;
+  });
+  if (result.reply) result.reply->body = std::move(body);
+  return result;
+}
+
+ServiceResult CallStreaming(
+    const ServiceSend& call,
+    const std::function<bool(std::string_view)>& on_bytes) {
   ServiceResult result;
   // ulfius reports a refused connection and a lost answer alike, so the
   // connection is tried first: only a failure here proves nothing was sent.
@@ -234,10 +240,9 @@
   }
   if (!call.body.empty()) request.SetBody(call.body);
   internal::Response response;
-  internal::BodyCollector collector;
+  std::function<bool(std::string_view)> sink = on_bytes;
   const int code = ulfius_send_http_streaming_request(
-      request.get(), response.get(), internal::BodyCollector::Write,
-      &collector);
+      request.get(), response.get(), internal::WriteBytes, &sink);
   if (code != U_OK) return result;
   ServiceReply reply;
   reply.status = static_cast<std::uint32_t>(response.get()->status);
@@ -245,7 +250,6 @@
   for (int index = 0; index < map.nb_values; ++index) {
     reply.headers.emplace_back(map.keys[index], map.values[index]);
   }
-  reply.body = std::move(collector.body);
   result.reply = std::move(reply);
   return result;
 }
--- a/src/foxquay/http/client.h
+++ b/src/foxquay/http/client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -65,6 +66,12 @@
 /// Sends a service call and blocks until it is answered or has failed.
 [[nodiscard]] ServiceResult CallService(const ServiceSend& call);
 
+/// Like CallService, but hands on the body as it arrives; false from
+/// `on_bytes` ends the connection. The reply's body stays empty.
+[[nodiscard]] ServiceResult CallStreaming(
+    const ServiceSend& call,
+    const std::function<bool(std::string_view)>& on_bytes);
+
 }  // namespace foxquay::http
 
 #endif  // FOXQUAY_HTTP_CLIENT_H_
--- a/src/foxquay/http/server.cc
+++ b/src/foxquay/http/server.cc
@@ -113,8 +113,9 @@
     }
     initialized_ = true;
     Configure();
-    if (StartDaemon() != U_OK)
+    if (StartDaemon() != U_OK) {
       return make_error_code(core::Error::kUnavailable);
+    }
     started_ = true;
     return {};
   }
--- /dev/null
+++ b/src/foxquay_cli/send.cc
@@ -0,0 +1,354 @@
+#include "foxquay_cli/send.h"
+
+#include <popt.h>
+
+#include <array>
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "foxquay/http/client.h"
+#include "foxquay/http/server.h"
+
+namespace foxquay::cli {
+namespace internal {
+
+using Json = nlohmann::json;
+
+constexpr int kExitUsage = 64;        // EX_USAGE of sysexits.h
+constexpr int kExitUnavailable = 69;  // EX_UNAVAILABLE of sysexits.h
+constexpr int kExitNoOutcome = 70;    // EX_SOFTWARE of sysexits.h
+constexpr std::chrono::seconds kEntryTimeout{3};
+constexpr std::chrono::seconds kTransferMargin{5};
+
+struct Options {
+  std::vector<std::string> entry;
+  std::string data_centre;
+  std::string workspace;
+  std::string traffic_class;
+  std::string key;
+  std::string model;
+  std::string prompt;
+  std::string service;
+  std::string path;
+  std::string method;
+  std::string body;
+  std::string output;
+  int max_tokens = 0;
+  int timeout_ms = 60000;
+  bool stream = false;
+  bool no_repeat = false;
+};
+
+/// Outcome and answer of a request.
+struct Answer {
+  std::uint32_t status = 0;
+  std::string outcome;
+  std::string text;
+  std::string error;
+};
+
+std::vector<std::string> Split(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream in(text);
+  for (std::string part; std::getline(in, part, ',');) parts.push_back(part);
+  return parts;
+}
+
+/// Reads the command line into C values, as popt stores them.
+class Parser {
+ public:
+  std::optional<Options> Parse(int argc, const char** argv) {
+    int number = 0;
+    int timeout = 60000;
+    int stream = 0;
+    int no_repeat = 0;
+    const std::array<poptOption, 18> table{{
+        Text("entry", 0, "Caller addresses to ask, by commas"),
+        Text("data-centre", 1, "Data centre of the caller"),
+        Text("workspace", 2, "Workspace"),
+        Text("class", 3, "interactive or batch"),
+        Text("key", 4, "Idempotency key: <expiry, unix seconds>.<unique>"),
+        Text("model", 5, "Model of a completion"),
+        Text("prompt", 6, "Prompt of a completion"),
+        Text("service", 7, "Service of a call"),
+        Text("path", 8, "Path of a call"),
+        Text("method", 9, "Method of a call"),
+        Text("body", 10, "Body of a call"),
+        Text("output", 11, "text or json"),
+        {"max-tokens", 0, POPT_ARG_INT, &number, 0, "Largest answer", "N"},
+        {"timeout", 0, POPT_ARG_INT, &timeout, 0, "Deadline", "MS"},
+        {"stream", 0, POPT_ARG_NONE, &stream, 0, "Print tokens as they come",
+         nullptr},
+        {"no-repeat", 0, POPT_ARG_NONE, &no_repeat, 0, "Run at most once",
+         nullptr},
+        POPT_AUTOHELP POPT_TABLEEND,
+    }};
+    const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
+        poptGetContext("foxquay send", argc, argv, table.data(), 0),
+        poptFreeContext);
+    const int result = poptGetNextOpt(context.get());
+    Options options = Convert();
+    if (result < -1) {
+      std::cerr << poptBadOption(context.get(), 0) << ": "
+                << poptStrerror(result) << "\n";
+      return std::nullopt;
+    }
+    options.max_tokens = number;
+    options.timeout_ms = timeout;
+    options.stream = stream != 0;
+    options.no_repeat = no_repeat != 0;
+    return options;
+  }
+
+ private:
+  poptOption Text(const char* name, std::size_t index, const char* help) {
+    return {name, 0, POPT_ARG_STRING, &texts_.at(index), 0, help, "TEXT"};
+  }
+
+  std::string Take(std::size_t index, const char* otherwise = "") {
+    std::string text =
+        texts_.at(index) == nullptr ? otherwise : texts_.at(index);
+    std::free(texts_.at(index));  // NOLINT: popt allocates with malloc
+    texts_.at(index) = nullptr;
+    return text;
+  }
+
+  Options Convert() {
+    Options options;
+    options.entry = Split(Take(0));
+    options.data_centre = Take(1);
+    options.workspace = Take(2);
+    options.traffic_class = Take(3);
+    options.key = Take(4);
+    options.model = Take(5);
+    options.prompt = Take(6);
+    options.service = Take(7);
+    options.path = Take(8, "/");
+    options.method = Take(9, "POST");
+    options.body = Take(10);
+    options.output = Take(11, "text");
+    return options;
+  }
+
+  std::array<char*, 12> texts_{};
+};
+
+/// Returns what is missing or contradictory, or an empty text.
+std::string Check(const Options& options) {
+  if (options.entry.empty()) return "--entry IP:PORT is required";
+  if (options.workspace.empty()) return "--workspace is required";
+  if (options.model.empty() == options.service.empty()) {
+    return "give either --model or --service";
+  }
+  if (options.output != "text" && options.output != "json") {
+    return "--output is text or json";
+  }
+  return "";
+}
+
+/// Asks the entry addresses in turn where to connect.
+std::vector<std::string> AskEntry(const Options& options) {
+  std::vector<std::string> addresses;
+  for (const std::string& entry : options.entry) {
+    http::ServiceSend call;
+    call.method = "GET";
+    call.address = entry;
+    call.path = "/v1/entry";
+    if (!options.data_centre.empty()) {
+      call.path += "?data_centre=" + options.data_centre;
+    }
+    call.time_left = kEntryTimeout;
+    const http::ServiceResult result = http::CallService(call);
+    if (!result.reply || result.reply->status != 200) continue;
+    const Json body = Json::parse(result.reply->body, nullptr, false);
+    if (!body.is_object() || !body.contains("addresses")) continue;
+    for (const Json& item : body["addresses"]) {
+      addresses.push_back(item.value("address", ""));
+    }
+    if (!addresses.empty()) return addresses;
+  }
+  return addresses;
+}
+
+http::ServiceSend Describe(const Options& options) {
+  http::ServiceSend call;
+  call.headers = {{"X-Foxquay-Workspace", options.workspace},
+                  {"X-Foxquay-Timeout", std::to_string(options.timeout_ms)}};
+  if (!options.traffic_class.empty()) {
+    call.headers.emplace_back("X-Foxquay-Class", options.traffic_class);
+  }
+  if (!options.key.empty()) {
+    call.headers.emplace_back("Idempotency-Key", options.key);
+  }
+  if (options.no_repeat) {
+    call.headers.emplace_back("X-Foxquay-No-Repeat", "true");
+  }
+  call.time_left =
+      std::chrono::milliseconds(options.timeout_ms) + kTransferMargin;
+  if (!options.service.empty()) {
+    call.method = options.method;
+    call.path = "/v1/services/" + options.service + options.path;
+    call.body = options.body;
+    return call;
+  }
+  Json body = {{"model", options.model},
+               {"prompt", options.prompt},
+               {"stream", options.stream}};
+  if (options.max_tokens != 0) body["max_tokens"] = options.max_tokens;
+  call.method = "POST";
+  call.path = "/v1/completions";
+  call.headers.emplace_back("Content-Type", "application/json");
+  call.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return call;
+}
+
+/// Reads server-sent events and prints tokens as they come.
+class EventReader {
+ public:
+  EventReader(Answer& answer, bool print) : answer_(answer), print_(print) {}
+
+  bool Append(std::string_view bytes) {
+    buffer_.append(bytes);
+    for (std::size_t end = buffer_.find("\n\n"); end != std::string::npos;
+         end = buffer_.find("\n\n")) {
+      Read(buffer_.substr(0, end));
+      buffer_.erase(0, end + 2);
+    }
+    return true;
+  }
+
+  [[nodiscard]] const std::string& rest() const noexcept { return buffer_; }
+
+ private:
+  void Read(const std::string& event) {
+    constexpr std::string_view kPrefix = "data: ";
+    if (!event.starts_with(kPrefix)) return;
+    const Json json = Json::parse(event.substr(kPrefix.size()), nullptr, false);
+    if (!json.is_object()) return;
+    if (json.contains("outcome")) {
+      answer_.outcome = json.value("outcome", "");
+      answer_.error = json.value("error", "");
+      return;
+    }
+    const std::string text = json.value("text", "");
+    answer_.text += text;
+    if (print_) std::cout << text << std::flush;
+  }
+
+  Answer& answer_;
+  bool print_;
+  std::string buffer_;
+};
+
+std::string Header(const http::ServiceReply& reply, std::string_view name) {
+  for (const auto& [key, value] : reply.headers) {
+    if (key == name) return value;
+  }
+  return "";
+}
+
+/// Completes an answer that was not a stream of events.
+void ReadBody(const http::ServiceReply& reply, const std::string& body,
+              bool completion, Answer& answer) {
+  if (answer.outcome.empty()) {
+    answer.outcome = Header(reply, "X-Foxquay-Outcome");
+  }
+  const Json json = Json::parse(body, nullptr, false);
+  if (json.is_object() && json.contains("error") && json["error"].is_object()) {
+    const Json& error = json["error"];
+    answer.error =
+        error.contains("field") ? error.value("field", "") + ": " : "";
+    answer.error += error.value("message", "");
+    return;
+  }
+  if (!completion) {
+    answer.text = body;
+  } else if (json.is_object()) {
+    answer.text = json.value("text", answer.text);
+  }
+}
+
+/// Sends the request to the first address that can be reached. A request that
+/// may have been sent is never sent again here.
+std::optional<Answer> Transfer(const Options& options,
+                               const std::vector<std::string>& addresses) {
+  http::ServiceSend call = Describe(options);
+  for (const std::string& address : addresses) {
+    call.address = address;
+    Answer answer;
+    EventReader reader(answer, options.stream && options.output == "text");
+    const http::ServiceResult result = http::CallStreaming(
+        call,
+        [&reader](std::string_view bytes) { return reader.Append(bytes); });
+    if (!result.sent) continue;
+    if (!result.reply) {
+      answer.error = "connection lost; ask the entry address again";
+      return answer;
+    }
+    answer.status = result.reply->status;
+    ReadBody(*result.reply, reader.rest(), options.service.empty(), answer);
+    return answer;
+  }
+  return std::nullopt;
+}
+
+int ExitStatus(const std::string& outcome) {
+  constexpr std::array<std::pair<std::string_view, int>, 4> kStatuses{
+      {{"complete", 0}, {"not-run", 3}, {"unknown", 4}, {"failed", 5}}};
+  for (const auto& [name, status] : kStatuses) {
+    if (name == outcome) return status;
+  }
+  return kExitNoOutcome;
+}
+
+void Print(const Options& options, const Answer& answer) {
+  if (options.output == "json") {
+    std::cout << Json({{"status", answer.status},
+                       {"outcome", answer.outcome},
+                       {"text", answer.text},
+                       {"error", answer.error}})
+                     .dump(-1, ' ', false, Json::error_handler_t::replace)
+              << "\n";
+    return;
+  }
+  if (options.stream && !answer.text.empty()) {
+    std::cout << "\n";
+  } else if (!answer.text.empty()) {
+    std::cout << answer.text << "\n";
+  }
+  std::cout << "outcome: " << answer.outcome << "\n";
+  if (!answer.error.empty()) std::cout << "error: " << answer.error << "\n";
+}
+
+}  // namespace internal
+
+int Send(int argc, const char** argv) {
+  const auto options = internal::Parser().Parse(argc, argv);
+  if (!options) return internal::kExitUsage;
+  const std::string fault = internal::Check(*options);
+  if (!fault.empty()) {
+    std::cerr << "foxquay send: " << fault << "; see foxquay send --help\n";
+    return internal::kExitUsage;
+  }
+  const http::Library library;
+  const std::vector<std::string> addresses = internal::AskEntry(*options);
+  const auto answer = internal::Transfer(*options, addresses);
+  if (!answer) {
+    std::cerr << "foxquay send: no host reachable; give --entry the caller "
+                 "address of a running host\n";
+    return internal::kExitUnavailable;
+  }
+  internal::Print(*options, *answer);
+  return internal::ExitStatus(answer->outcome);
+}
+
+}  // namespace foxquay::cli
--- /dev/null
+++ b/src/foxquay_cli/send.h
@@ -0,0 +1,15 @@
+#ifndef FOXQUAY_CLI_SEND_H_
+#define FOXQUAY_CLI_SEND_H_
+
+namespace foxquay::cli {
+
+/// Sends one request: asks an entry address where to connect, connects there,
+/// and prints the answer and its outcome.
+///
+/// Exit status: 0 complete, 3 not-run, 4 unknown, 5 failed, 64 wrong usage,
+/// 69 no host reachable, 70 no outcome in the answer.
+int Send(int argc, const char** argv);
+
+}  // namespace foxquay::cli
+
+#endif  // FOXQUAY_CLI_SEND_H_
