Give a retry time with every refusal

A deadline shorter than the estimated service was refused without one. Ruled out: relaxing the oracle; a refused caller must always learn when to return. The reason for leaving it out was that the request could never succeed, but an idle pool takes any request and estimates can be wrong, so the drain time of the queue is an honest answer. Conclusion: one rule for all refusals.

--- a/src/foxquay/dispatch/event.h
+++ b/src/foxquay/dispatch/event.h
@@ -139,7 +139,7 @@
   std::string reason;  ///< Told to refused callers.
   /// When an open admission closes by itself, e.g. the end of a lease: a
   /// process that was frozen must not admit before its control thread runs.
-  std::optional<core::Instant> until;
+  std::optional<core::Instant> until = std::nullopt;
 };
 
 /// Time passed; also implied by every other event.
--- a/src/foxquay/scheduling/admission.cc
+++ b/src/foxquay/scheduling/admission.cc
@@ -41,7 +41,7 @@
   // otherwise refuse all work and never be corrected.
   if (queue.waiting == 0 && queue.running == 0) return std::nullopt;
   if (demand.service > demand.time_left) {
-    return Refusal{RefusalReason::kServiceTime, std::nullopt};
+    return Refusal{RefusalReason::kServiceTime, RetryAfter(queue)};
   }
   const core::Duration wait = EstimateWait(queue) * demand.legs;
   if (wait + demand.service > demand.time_left) {
