--- a/src/foxquay/dispatch/requests.cc
+++ b/src/foxquay/dispatch/requests.cc
@@ -87,7 +87,12 @@
   }
   refusal = queue_.Admit(Describe(request), now);
   if (refusal) {
-    return GiveUp(request, refusal->reason, refusal->retry_after, now);
+    // Estimates are learnt, so even a deadline that looks too short may be met
+    // later: every refusal here names a retry time.
+    return GiveUp(request, refusal->reason,
+                  refusal->retry_after.value_or(
+                      queue_.RetryAfter(Describe(request).pool)),
+                  now);
   }
   if (request.stream.phase() == stream::Phase::kClaiming) {
     request.claim = ClaimState::kAsked;
--- a/tests/foxquay/dispatch/world.cc
+++ b/tests/foxquay/dispatch/world.cc
@@ -1,6 +1,7 @@
 #include "world.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <stdexcept>
 #include <variant>
 
@@ -65,8 +66,9 @@
   }
   request.submission.timeout = milliseconds(timeout_ms);
   request.deadline = now_ + milliseconds(timeout_ms);
-  if (!service)
+  if (!service) {
     request.answer = 1 + core::Hash(Text(core::RequestId(id), 0)) % tokens;
+  }
   const Submission submission = request.submission;
   requests_.emplace(id, std::move(request));
   Handle(Arrived{submission});
@@ -143,7 +145,8 @@
 
 FakeCall* World::PickCall(std::size_t pick) {
   if (calls_.empty()) return nullptr;
-  return &std::next(calls_.begin(), static_cast<long>(pick % calls_.size()))
+  return &std::next(calls_.begin(),
+                    static_cast<std::ptrdiff_t>(pick % calls_.size()))
               ->second;
 }
 
@@ -247,8 +250,8 @@
 void World::ReceiveOutOfOrder(std::size_t pick, std::size_t position) {
   FakeLeg* leg = PickLeg(pick, true);
   if (leg == nullptr || leg->outbox.empty()) return;
-  const auto at =
-      leg->outbox.begin() + static_cast<long>(position % leg->outbox.size());
+  const auto at = leg->outbox.begin() +
+                  static_cast<std::ptrdiff_t>(position % leg->outbox.size());
   const LegToken token = *at;
   leg->outbox.erase(at);
   Handle(token);
@@ -307,8 +310,8 @@
 
 void World::CloseCaller(std::size_t pick) {
   if (requests_.empty()) return;
-  auto& [id, request] =
-      *std::next(requests_.begin(), static_cast<long>(pick % requests_.size()));
+  auto& [id, request] = *std::next(
+      requests_.begin(), static_cast<std::ptrdiff_t>(pick % requests_.size()));
   request.caller_gone = true;
   Handle(CallerGone{core::RequestId(id)});
 }
@@ -332,8 +335,8 @@
 
 void World::DecideClaim(std::size_t pick, bool unavailable) {
   if (proposals_.empty()) return;
-  const auto at =
-      proposals_.begin() + static_cast<long>(pick % proposals_.size());
+  const auto at = proposals_.begin() +
+                  static_cast<std::ptrdiff_t>(pick % proposals_.size());
   // An answer may be lost after the proposal was committed.
   if (!at->decision && !unavailable) return;
   const ClaimDecided decided{
@@ -346,7 +349,7 @@
 }
 
 void World::SetAdmission(bool open) {
-  Handle(AdmissionChanged{open, "no lease"});
+  Handle(AdmissionChanged{open, "no lease", std::nullopt});
 }
 
 void World::Advance(std::uint32_t ms) {
