Add the operator's subcommands to the command line

Cause: defaults, exceptions, history, rollback, hosts, upstreams, status and drain had no command; send had its own copy of the option parsing. Ruled out: a second option table for each command; one Arguments class wraps popt for all. Before: 1 subcommand.

--- /dev/null
+++ b/src/foxquay_cli/config_command.cc
@@ -0,0 +1,24 @@
+#include <iostream>
+
+#include "foxquay/settings/settings.h"
+#include "foxquay_cli/arguments.h"
+#include "foxquay_cli/commands.h"
+
+namespace foxquay::cli {
+
+int Config(int argc, const char** argv) {
+  Arguments arguments("check FILE");
+  const auto words = arguments.Parse(argc, argv);
+  if (!words) return kExitUsage;
+  if (words->size() != 2 || words->front() != "check") {
+    std::cerr << "usage: foxquay config check FILE\n";
+    return kExitUsage;
+  }
+  const settings::Loaded loaded = settings::Load(words->back());
+  for (const core::Finding& finding : loaded.findings) {
+    std::cerr << core::Format(finding) << "\n";
+  }
+  return loaded.findings.empty() ? kExitOk : kExitConfig;
+}
+
+}  // namespace foxquay::cli
--- /dev/null
+++ b/src/foxquay_cli/fleet_commands.cc
@@ -0,0 +1,91 @@
+#include <iostream>
+
+#include "foxquay_cli/admin.h"
+#include "foxquay_cli/commands.h"
+#include "foxquay_cli/table.h"
+
+namespace foxquay::cli {
+namespace internal {
+
+/// Parses the admin options, reads one object and prints its list as a table.
+int Show(int argc, const char** argv, const std::string& path,
+         const std::string& list, const std::vector<std::string>& columns) {
+  AdminOptions admin;
+  Arguments arguments("");
+  admin.AddTo(arguments);
+  if (!arguments.Parse(argc, argv)) return kExitUsage;
+  const auto client = AdminClient::Open(admin);
+  if (!client) return kExitConfig;
+  const auto body = client->Get(path);
+  if (!body) return kExitUnavailable;
+  Print(admin.output, *body, list, columns);
+  return kExitOk;
+}
+
+void PrintStatus(const nlohmann::json& body) {
+  std::cout << "host:      " << body.value("host", "") << "\n"
+            << "leader:    " << body.value("leader", "") << "\n"
+            << "term:      " << body.value("term", std::uint64_t{0}) << "\n"
+            << "commit:    " << body.value("commit", std::uint64_t{0}) << "\n"
+            << "voters:    " << body["voters"].dump() << "\n"
+            << "revision:  " << body.value("revision", std::uint64_t{0}) << "\n"
+            << "admitting: " << (body.value("admitting", false) ? "yes" : "no")
+            << "\n"
+            << "upstreams: " << body.value("upstreams", std::uint64_t{0})
+            << "\n\n"
+            << FormatTable(
+                   body["hosts"],
+                   {"host", "data_centre", "control", "alive", "admitting",
+                    "draining", "revision", "free_percent", "open_requests"});
+}
+
+}  // namespace internal
+
+int Upstreams(int argc, const char** argv) {
+  return internal::Show(
+      argc, argv, "/admin/v1/upstreams", "upstreams",
+      {"upstream", "kind", "model", "service", "first_layer", "last_layer",
+       "data_centre", "accelerator", "slots", "load", "address"});
+}
+
+int Hosts(int argc, const char** argv) {
+  return internal::Show(argc, argv, "/admin/v1/hosts", "hosts",
+                        {"host", "data_centre", "region", "control", "alive",
+                         "admitting", "draining", "revision", "caller"});
+}
+
+int Status(int argc, const char** argv) {
+  AdminOptions admin;
+  Arguments arguments("");
+  admin.AddTo(arguments);
+  if (!arguments.Parse(argc, argv)) return kExitUsage;
+  const auto client = AdminClient::Open(admin);
+  if (!client) return kExitConfig;
+  const auto body = client->Get("/admin/v1/status");
+  if (!body) return kExitUnavailable;
+  if (admin.output == "json") {
+    std::cout << body->dump(2) << "\n";
+  } else {
+    internal::PrintStatus(*body);
+  }
+  return kExitOk;
+}
+
+int Drain(int argc, const char** argv) {
+  AdminOptions admin;
+  Arguments arguments("");
+  admin.AddTo(arguments);
+  if (!arguments.Parse(argc, argv)) return kExitUsage;
+  const auto client = AdminClient::Open(admin);
+  if (!client) return kExitConfig;
+  const auto reply = client->Call("POST", "/admin/v1/drain", nullptr);
+  if (!reply) {
+    std::cerr << "foxquay: no answer; check with foxquay status\n";
+    return kExitUnavailable;
+  }
+  if (reply->status != 202) return Explain(*reply);
+  std::cout << "draining; the process ends when its last request has\n";
+  return kExitOk;
+}
+
+}  // namespace foxquay::cli
--- a/src/foxquay_cli/main.cc
+++ b/src/foxquay_cli/main.cc
@@ -2,6 +2,9 @@
 #include <iostream>
 #include <string_view>
 
+#include "foxquay/http/server.h"
+#include "foxquay_cli/arguments.h"
+#include "foxquay_cli/commands.h"
 #include "foxquay_cli/send.h"
 
 namespace {
@@ -13,9 +16,18 @@
   int (*run)(int argc, const char** argv);
 };
 
-constexpr int kExitUsage = 64;  // EX_USAGE of sysexits.h
-
-constexpr std::array<Command, 1> kCommands{{
+constexpr std::array<Command, 10> kCommands{{
+    {"config", "Check a settings file", foxquay::cli::Config},
+    {"defaults", "Show or set the defaults of the fleet",
+     foxquay::cli::Defaults},
+    {"exceptions", "List, add or remove exceptions", foxquay::cli::Exceptions},
+    {"history", "List the accepted changes", foxquay::cli::History},
+    {"rollback", "Restore the defaults and exceptions of a revision",
+     foxquay::cli::Rollback},
+    {"upstreams", "List the upstreams in use", foxquay::cli::Upstreams},
+    {"hosts", "List the hosts", foxquay::cli::Hosts},
+    {"status", "Show the state of the cluster", foxquay::cli::Status},
+    {"drain", "Drain a host", foxquay::cli::Drain},
     {"send", "Send a completion or a service call", foxquay::cli::Send},
 }};
 
@@ -24,13 +36,14 @@
   for (const Command& command : kCommands) {
     std::cerr << "  " << command.name << "  " << command.doc << "\n";
   }
-  return kExitUsage;
+  return foxquay::cli::kExitUsage;
 }
 
 }  // namespace
 
 int main(int argc, const char** argv) {
   if (argc < 2) return Usage();
+  const foxquay::http::Library library;
   for (const Command& command : kCommands) {
     if (command.name == argv[1]) return command.run(argc - 1, argv + 1);
   }
--- a/src/foxquay_cli/send.cc
+++ b/src/foxquay_cli/send.cc
@@ -1,12 +1,8 @@
 #include "foxquay_cli/send.h"
 
-#include <popt.h>
-
 #include <array>
 #include <chrono>
-#include <cstdlib>
 #include <iostream>
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <sstream>
@@ -16,16 +12,14 @@
 #include <vector>
 
 #include "foxquay/http/client.h"
-#include "foxquay/http/server.h"
+#include "foxquay_cli/arguments.h"
 
 namespace foxquay::cli {
 namespace internal {
 
 using Json = nlohmann::json;
 
-constexpr int kExitUsage = 64;        // EX_USAGE of sysexits.h
-constexpr int kExitUnavailable = 69;  // EX_UNAVAILABLE of sysexits.h
-constexpr int kExitNoOutcome = 70;    // EX_SOFTWARE of sysexits.h
+constexpr int kExitNoOutcome = 70;  // EX_SOFTWARE of sysexits.h
 constexpr std::chrono::seconds kEntryTimeout{3};
 constexpr std::chrono::seconds kTransferMargin{5};
 
@@ -38,10 +32,10 @@
   std::string model;
   std::string prompt;
   std::string service;
-  std::string path;
-  std::string method;
+  std::string path = "/";
+  std::string method = "POST";
   std::string body;
-  std::string output;
+  std::string output = "text";
   int max_tokens = 0;
   int timeout_ms = 60000;
   bool stream = false;
@@ -63,84 +57,32 @@
   return parts;
 }
 
-/// Reads the command line into C values, as popt stores them.
-class Parser {
- public:
-  std::optional<Options> Parse(int argc, const char** argv) {
-    int number = 0;
-    int timeout = 60000;
-    int stream = 0;
-    int no_repeat = 0;
-    const std::array<poptOption, 18> table{{
-        Text("entry", 0, "Caller addresses to ask, by commas"),
-        Text("data-centre", 1, "Data centre of the caller"),
-        Text("workspace", 2, "Workspace"),
-        Text("class", 3, "interactive or batch"),
-        Text("key", 4, "Idempotency key: <expiry, unix seconds>.<unique>"),
-        Text("model", 5, "Model of a completion"),
-        Text("prompt", 6, "Prompt of a completion"),
-        Text("service", 7, "Service of a call"),
-        Text("path", 8, "Path of a call"),
-        Text("method", 9, "Method of a call"),
-        Text("body", 10, "Body of a call"),
-        Text("output", 11, "text or json"),
-        {"max-tokens", 0, POPT_ARG_INT, &number, 0, "Largest answer", "N"},
-        {"timeout", 0, POPT_ARG_INT, &timeout, 0, "Deadline", "MS"},
-        {"stream", 0, POPT_ARG_NONE, &stream, 0, "Print tokens as they come",
-         nullptr},
-        {"no-repeat", 0, POPT_ARG_NONE, &no_repeat, 0, "Run at most once",
-         nullptr},
-        POPT_AUTOHELP POPT_TABLEEND,
-    }};
-    const std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> context(
-        poptGetContext("foxquay send", argc, argv, table.data(), 0),
-        poptFreeContext);
-    const int result = poptGetNextOpt(context.get());
-    Options options = Convert();
-    if (result < -1) {
-      std::cerr << poptBadOption(context.get(), 0) << ": "
-                << poptStrerror(result) << "\n";
-      return std::nullopt;
-    }
-    options.max_tokens = number;
-    options.timeout_ms = timeout;
-    options.stream = stream != 0;
-    options.no_repeat = no_repeat != 0;
-    return options;
-  }
-
- private:
-  poptOption Text(const char* name, std::size_t index, const char* help) {
-    return {name, 0, POPT_ARG_STRING, &texts_.at(index), 0, help, "TEXT"};
-  }
-
-  std::string Take(std::size_t index, const char* otherwise = "") {
-    std::string text =
-        texts_.at(index) == nullptr ? otherwise : texts_.at(index);
-    std::free(texts_.at(index));  // NOLINT: popt allocates with malloc
-    texts_.at(index) = nullptr;
-    return text;
-  }
-
-  Options Convert() {
-    Options options;
-    options.entry = Split(Take(0));
-    options.data_centre = Take(1);
-    options.workspace = Take(2);
-    options.traffic_class = Take(3);
-    options.key = Take(4);
-    options.model = Take(5);
-    options.prompt = Take(6);
-    options.service = Take(7);
-    options.path = Take(8, "/");
-    options.method = Take(9, "POST");
-    options.body = Take(10);
-    options.output = Take(11, "text");
-    return options;
-  }
-
-  std::array<char*, 12> texts_{};
-};
+std::optional<Options> Parse(int argc, const char** argv) {
+  Options options;
+  std::string entry;
+  Arguments arguments("");
+  arguments.AddText("entry", entry, "Caller addresses to ask, by commas");
+  arguments.AddText("data-centre", options.data_centre,
+                    "Data centre of the caller");
+  arguments.AddText("workspace", options.workspace, "Workspace");
+  arguments.AddText("class", options.traffic_class, "interactive or batch");
+  arguments.AddText("key", options.key,
+                    "Idempotency key: <expiry, unix seconds>.<unique>");
+  arguments.AddText("model", options.model, "Model of a completion");
+  arguments.AddText("prompt", options.prompt, "Prompt of a completion");
+  arguments.AddText("service", options.service, "Service of a call");
+  arguments.AddText("path", options.path, "Path of a call");
+  arguments.AddText("method", options.method, "Method of a call");
+  arguments.AddText("body", options.body, "Body of a call");
+  arguments.AddText("output", options.output, "text or json");
+  arguments.AddNumber("max-tokens", options.max_tokens, "Largest answer");
+  arguments.AddNumber("timeout", options.timeout_ms, "Deadline in ms");
+  arguments.AddFlag("stream", options.stream, "Print tokens as they come");
+  arguments.AddFlag("no-repeat", options.no_repeat, "Run at most once");
+  if (!arguments.Parse(argc, argv)) return std::nullopt;
+  options.entry = Split(entry);
+  return options;
+}
 
 /// Returns what is missing or contradictory, or an empty text.
 std::string Check(const Options& options) {
@@ -301,7 +243,7 @@
   return std::nullopt;
 }
 
-int ExitStatus(const std::string& outcome) {
+int StatusOf(const std::string& outcome) {
   constexpr std::array<std::pair<std::string_view, int>, 4> kStatuses{
       {{"complete", 0}, {"not-run", 3}, {"unknown", 4}, {"failed", 5}}};
   for (const auto& [name, status] : kStatuses) {
@@ -332,23 +274,22 @@
 }  // namespace internal
 
 int Send(int argc, const char** argv) {
-  const auto options = internal::Parser().Parse(argc, argv);
-  if (!options) return internal::kExitUsage;
+  const auto options = internal::Parse(argc, argv);
+  if (!options) return kExitUsage;
   const std::string fault = internal::Check(*options);
   if (!fault.empty()) {
     std::cerr << "foxquay send: " << fault << "; see foxquay send --help\n";
-    return internal::kExitUsage;
+    return kExitUsage;
   }
-  const http::Library library;
   const std::vector<std::string> addresses = internal::AskEntry(*options);
   const auto answer = internal::Transfer(*options, addresses);
   if (!answer) {
     std::cerr << "foxquay send: no host reachable; give --entry the caller "
                  "address of a running host\n";
-    return internal::kExitUnavailable;
+    return kExitUnavailable;
   }
   internal::Print(*options, *answer);
-  return internal::ExitStatus(answer->outcome);
+  return internal::StatusOf(answer->outcome);
 }
 
 }  // namespace foxquay::cli
