Wire the control side into the daemon

Cause: hosts served on their own announcements, refused every claim and had no operator interface. Change: a control thread per host owns links, observer, roster, host reports and, on control hosts, a replica; proposals reach the leader from any host; admission follows the configuration lease; the admin listener serves status, changes and metrics. Ruled out: redirecting operators to the leader's admin listener (any host commits for them), and a pull of claims by observers (claims stay on replicas). Before: the demo's protected calls ended not-run. Conclusion: the path from the command line to every host stands.

--- /dev/null
+++ b/src/foxquay/daemon/admin_api.cc
@@ -0,0 +1,239 @@
+#include "foxquay/daemon/admin_api.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <variant>
+
+#include "foxquay/daemon/admin_json.h"
+#include "foxquay/daemon/secret.h"
+
+namespace foxquay::daemon {
+namespace internal {
+
+using Json = nlohmann::json;
+
+/// Time within which a change must be committed.
+constexpr core::Duration kCommitTimeout = std::chrono::seconds(5);
+
+/// Time within which a change must be in force; a lease lasts 2.5 s.
+constexpr core::Duration kInForceTimeout = std::chrono::seconds(10);
+
+http::Outgoing Answer(std::uint32_t status, const Json& body) {
+  http::Outgoing outgoing;
+  outgoing.status = status;
+  outgoing.headers.emplace_back("Content-Type", "application/json");
+  outgoing.body =
+      body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+  return outgoing;
+}
+
+http::Outgoing Fault(std::uint32_t status, const std::string& message) {
+  return Answer(status, {{"error", message}});
+}
+
+http::Outgoing Invalid(const core::Findings& findings) {
+  Json list = Json::array();
+  for (const core::Finding& finding : findings) {
+    list.push_back({{"field", finding.path}, {"message", finding.message}});
+  }
+  return Answer(400, {{"status", "invalid"}, {"findings", list}});
+}
+
+std::uint32_t StatusOf(schema::ChangeStatus status) {
+  switch (status) {
+    case schema::ChangeStatus::kAccepted:
+      return 200;
+    case schema::ChangeStatus::kConflict:
+    case schema::ChangeStatus::kReused:
+      return 409;
+    case schema::ChangeStatus::kInvalid:
+      return 422;
+  }
+  return 422;
+}
+
+Json Names(const std::vector<core::HostId>& hosts) {
+  Json list = Json::array();
+  for (const core::HostId& host : hosts) list.push_back(host.value());
+  return list;
+}
+
+}  // namespace internal
+
+AdminApi::AdminApi(ControlNode& control, metrics::Registry& metrics,
+                   std::string token, std::function<void()> drain)
+    : control_(control),
+      metrics_(metrics),
+      token_(std::move(token)),
+      drain_(std::move(drain)) {}
+
+http::Route AdminApi::Guarded(std::string method, std::string pattern,
+                              Handler handler) {
+  return {std::move(method), std::move(pattern),
+          [this, handler](http::Incoming&& incoming) {
+            const std::string given =
+                incoming.Header("Authorization").value_or("");
+            if (!SecretsEqual(given, "Bearer " + token_)) {
+              return internal::Fault(
+                  401, "send the operator token as Authorization: Bearer");
+            }
+            return (this->*handler)(incoming);
+          }};
+}
+
+std::vector<http::Route> AdminApi::Routes() {
+  return {
+      {"GET", "/healthz",
+       [](http::Incoming&&) {
+         return internal::Answer(200, {{"ok", true}});
+       }},
+      {"GET", "/readyz", [this](http::Incoming&&) { return Ready(); }},
+      {"GET", "/metrics",
+       [this](http::Incoming&& incoming) { return Metrics(incoming); }},
+      Guarded("GET", "/admin/v1/status", &AdminApi::Status),
+      Guarded("GET", "/admin/v1/hosts", &AdminApi::HostList),
+      Guarded("GET", "/admin/v1/upstreams", &AdminApi::Upstreams),
+      Guarded("GET", "/admin/v1/defaults", &AdminApi::Defaults),
+      Guarded("GET", "/admin/v1/exceptions", &AdminApi::Exceptions),
+      Guarded("GET", "/admin/v1/history", &AdminApi::History),
+      Guarded("PUT", "/admin/v1/defaults/:key", &AdminApi::SetDefault),
+      Guarded("POST", "/admin/v1/exceptions", &AdminApi::AddException),
+      Guarded("DELETE", "/admin/v1/exceptions/:id", &AdminApi::RemoveException),
+      Guarded("POST", "/admin/v1/rollback", &AdminApi::Rollback),
+      Guarded("POST", "/admin/v1/drain", &AdminApi::Drain),
+  };
+}
+
+http::Outgoing AdminApi::Metrics(const http::Incoming& incoming) {
+  http::Outgoing outgoing;
+  outgoing.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+  const auto workspace = incoming.Parameter("workspace");
+  outgoing.body = workspace ? metrics_.Expose(core::WorkspaceId(*workspace))
+                            : metrics_.Expose();
+  return outgoing;
+}
+
+http::Outgoing AdminApi::Ready() {
+  const ControlStatus status = control_.Status();
+  const bool draining =
+      !status.hosts.empty() && status.hosts.front().report.draining;
+  const bool ready = status.admitting && !draining;
+  return internal::Answer(ready ? 200 : 503, {{"ready", ready}});
+}
+
+http::Outgoing AdminApi::Status(const http::Incoming&) {
+  return internal::Answer(200, ToJson(control_.Status()));
+}
+
+http::Outgoing AdminApi::HostList(const http::Incoming&) {
+  internal::Json list = internal::Json::array();
+  for (const HostView& host : control_.Status().hosts) {
+    list.push_back(ToJson(host));
+  }
+  return internal::Answer(200, {{"hosts", list}});
+}
+
+http::Outgoing AdminApi::Upstreams(const http::Incoming&) {
+  internal::Json list = internal::Json::array();
+  for (const schema::Announcement& upstream : control_.Status().upstreams) {
+    list.push_back(ToJson(upstream));
+  }
+  return internal::Answer(200, {{"upstreams", list}});
+}
+
+http::Outgoing AdminApi::Defaults(const http::Incoming&) {
+  return internal::Answer(200, DefaultsToJson(control_.Configuration()));
+}
+
+http::Outgoing AdminApi::Exceptions(const http::Incoming&) {
+  return internal::Answer(200, ExceptionsToJson(control_.Configuration()));
+}
+
+http::Outgoing AdminApi::History(const http::Incoming&) {
+  internal::Json list = internal::Json::array();
+  for (const schema::ConfigEntry& entry : control_.History()) {
+    list.push_back(ToJson(entry));
+  }
+  return internal::Answer(200, {{"history", list}});
+}
+
+http::Outgoing AdminApi::SetDefault(const http::Incoming& incoming) {
+  FieldReader fields(incoming.body);
+  schema::SetDefault change;
+  change.header = fields.Header();
+  change.key = incoming.Parameter("key").value_or("");
+  change.value = fields.Number("value");
+  if (!fields.findings().empty()) return internal::Invalid(fields.findings());
+  return Change(incoming, change);
+}
+
+http::Outgoing AdminApi::AddException(const http::Incoming& incoming) {
+  FieldReader fields(incoming.body);
+  schema::AddException change;
+  change.header = fields.Header();
+  change.key = fields.Text("key");
+  change.scope = fields.Scope("scope");
+  change.object = fields.Text("object");
+  change.value = fields.Number("value");
+  change.reason = fields.Text("reason");
+  if (!fields.findings().empty()) return internal::Invalid(fields.findings());
+  return Change(incoming, change);
+}
+
+http::Outgoing AdminApi::RemoveException(const http::Incoming& incoming) {
+  FieldReader fields(incoming.body);
+  schema::RemoveException change;
+  change.header = fields.Header();
+  change.reason = fields.Text("reason");
+  const std::string id = incoming.Parameter("id").value_or("");
+  const auto parsed =
+      std::from_chars(id.data(), id.data() + id.size(), change.exception);
+  if (parsed.ec != std::errc() || parsed.ptr != id.data() + id.size()) {
+    return internal::Fault(400, "the id of an exception is a whole number");
+  }
+  if (!fields.findings().empty()) return internal::Invalid(fields.findings());
+  return Change(incoming, change);
+}
+
+http::Outgoing AdminApi::Rollback(const http::Incoming& incoming) {
+  FieldReader fields(incoming.body);
+  schema::Rollback change;
+  change.header = fields.Header();
+  change.revision = fields.Unsigned("revision");
+  if (!fields.findings().empty()) return internal::Invalid(fields.findings());
+  return Change(incoming, change);
+}
+
+http::Outgoing AdminApi::Drain(const http::Incoming&) {
+  drain_();
+  return internal::Answer(202, {{"draining", true}});
+}
+
+http::Outgoing AdminApi::Change(const http::Incoming& incoming,
+                                const schema::ControlCommand& command) {
+  const auto committed = control_.Commit(command, internal::kCommitTimeout);
+  if (!committed) {
+    return internal::Fault(503,
+                           "no quorum answered in time; the change may still "
+                           "be accepted: send it again with the same change_id "
+                           "to learn its result");
+  }
+  const auto* result = std::get_if<schema::ChangeResult>(&committed.value());
+  if (result == nullptr) return internal::Fault(500, "unexpected result");
+  internal::Json body = ToJson(*result);
+  const bool wait = incoming.Parameter("wait").value_or("") == "in-force" &&
+                    result->status == schema::ChangeStatus::kAccepted;
+  if (wait) {
+    const auto in_force =
+        control_.AwaitInForce(result->sequence, internal::kInForceTimeout);
+    body["in_force"] = in_force && in_force.value().in_force;
+    if (in_force) {
+      body["waiting_for"] = internal::Names(in_force.value().waiting);
+      body["lease_expired"] = internal::Names(in_force.value().expired);
+    }
+  }
+  return internal::Answer(internal::StatusOf(result->status), body);
+}
+
+}  // namespace foxquay::daemon
--- /dev/null
+++ b/src/foxquay/daemon/clock.h
@@ -0,0 +1,23 @@
+#ifndef FOXQUAY_DAEMON_CLOCK_H_
+#define FOXQUAY_DAEMON_CLOCK_H_
+
+#include <chrono>
+
+#include "foxquay/core/time.h"
+
+namespace foxquay::daemon {
+
+/// Returns the monotonic clock. Thread-safe.
+[[nodiscard]] inline core::Instant Now() noexcept {
+  return std::chrono::steady_clock::now();
+}
+
+/// Returns the wall clock. Thread-safe.
+[[nodiscard]] inline core::WallTime WallNow() noexcept {
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_DAEMON_CLOCK_H_
--- /dev/null
+++ b/src/foxquay/daemon/control_node.h
@@ -0,0 +1,219 @@
+#ifndef FOXQUAY_DAEMON_CONTROL_NODE_H_
+#define FOXQUAY_DAEMON_CONTROL_NODE_H_
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+#include <thread>
+#include <vector>
+
+#include "foxquay/control/in_force_tracker.h"
+#include "foxquay/control/observer.h"
+#include "foxquay/core/error.h"
+#include "foxquay/core/time.h"
+#include "foxquay/daemon/control_disk.h"
+#include "foxquay/daemon/control_hosts.h"
+#include "foxquay/daemon/control_proposer.h"
+#include "foxquay/daemon/control_replica.h"
+#include "foxquay/daemon/hooks.h"
+#include "foxquay/dispatch/event.h"
+#include "foxquay/roster/roster.h"
+#include "foxquay/schema/peer.h"
+#include "foxquay/schema/settings.h"
+#include "foxquay/transport/links.h"
+
+namespace foxquay::daemon {
+
+/// Interval of the control thread's periodic work.
+inline constexpr core::Duration kControlTick = std::chrono::milliseconds(25);
+
+/// Interval between two polls of the configuration.
+inline constexpr core::Duration kConfigPollInterval =
+    std::chrono::milliseconds(250);
+
+/// Time after which a protected request is refused if its claim is undecided.
+inline constexpr core::Duration kClaimTimeout = std::chrono::milliseconds(2000);
+
+/// Silence towards the leader after which an incarnation ends. Longer than a
+/// configuration lease, so that a host whose claims become unknown admits
+/// nothing by then.
+inline constexpr core::Duration kIncarnationSilence = std::chrono::seconds(10);
+
+/// What the control side tells the traffic side. Called on the control thread.
+struct ControlSink {
+  std::function<void(std::vector<schema::Announcement>)> set_upstreams;
+  std::function<void(dispatch::PolicyChanged)> set_policy;
+  std::function<void(dispatch::AdmissionChanged)> set_admission;
+  std::function<void(dispatch::ClaimDecided)> decide_claim;
+  std::function<double()> free_capacity;
+  std::function<std::size_t()> open_requests;
+};
+
+/// What an operator sees of a host and of its view of the cluster.
+struct ControlStatus {
+  core::HostId host;
+  core::HostId leader;
+  std::uint64_t term = 0;    ///< 0 on a host without a replica.
+  std::uint64_t commit = 0;  ///< 0 on a host without a replica.
+  std::vector<core::HostId> voters;
+  std::uint64_t revision = 0;
+  bool admitting = false;
+  std::vector<HostView> hosts;
+  std::vector<schema::Announcement> upstreams;
+  transport::LinkCounters links;
+};
+
+/// The control side of a host: configuration, claims, roster, host reports and,
+/// on control hosts, a replica of the log.
+///
+/// One thread owns all state. The functions of the public interface are
+/// thread-safe unless they say otherwise; those that return a value block until
+/// the control thread has answered and must not be called on it.
+class ControlNode {
+ public:
+  /// `incarnation` is larger than any before of this host.
+  ControlNode(const schema::Settings& settings, std::string peer_key,
+              std::uint64_t incarnation, ControlSink sink);
+  ~ControlNode();
+  ControlNode(const ControlNode&) = delete;
+  ControlNode& operator=(const ControlNode&) = delete;
+
+  /// Recovers durable state, binds the peer listener and starts the thread.
+  /// Not thread-safe.
+  [[nodiscard]] std::error_code Start();
+  /// Stops the thread. Not thread-safe.
+  void Stop();
+
+  void RequestClaim(ClaimRequest request);
+  void ReleaseClaim(ClaimRelease release);
+  void RecordOutcome(ClaimRecord record);
+  void Announce(const schema::Announcement& announcement);
+  void Withdraw(const core::UpstreamId& upstream);
+  void StartDrain();
+
+  /// Returns the addresses for callers in a data centre without waiting.
+  [[nodiscard]] http::EntryAnswer Entry(
+      const core::DataCentreId& data_centre) const;
+
+  /// Commits a command and returns its result; kUnavailable if it is not known
+  /// to be committed within `timeout`.
+  [[nodiscard]] core::Result<schema::ControlResult> Commit(
+      const schema::ControlCommand& command, core::Duration timeout);
+
+  /// Waits until a step of the configuration is in force or `timeout` is over;
+  /// kUnavailable if no leader could tell.
+  [[nodiscard]] core::Result<control::InForce> AwaitInForce(
+      std::uint64_t sequence, core::Duration timeout);
+
+  [[nodiscard]] ControlStatus Status();
+  /// Returns the configuration that this host has applied.
+  [[nodiscard]] control::Config Configuration();
+  /// Returns the kept changes, newest last; empty without a replica.
+  [[nodiscard]] std::vector<schema::ConfigEntry> History();
+
+ private:
+  /// Immutable data that traffic threads read.
+  struct Shared {
+    std::vector<HostView> hosts;
+    core::Duration entry_ttl{};
+  };
+  struct OpenClaim {
+    schema::ClaimOwner owner;
+    core::WorkspaceId workspace;
+    std::string key;
+  };
+  using InForceDone = std::function<void(core::Result<control::InForce>)>;
+  struct InForceCheck {
+    core::Instant deadline;
+    InForceDone done;
+  };
+
+  template <class Function>
+  auto Call(Function function);
+
+  void Run();
+  void Tick();
+  void Receive(schema::Envelope envelope);
+  void On(const schema::Envelope& from, schema::ConsensusMessage message);
+  void On(const schema::Envelope& from, const schema::ConfigPoll& poll);
+  void On(const schema::Envelope& from, const schema::ConfigReply& reply);
+  void On(const schema::Envelope& from, const schema::RosterPoll& poll);
+  void On(const schema::Envelope& from, const schema::RosterReply& reply);
+  void On(const schema::Envelope& from, const schema::ProposeRequest& request);
+  void On(const schema::Envelope& from, const schema::ProposeReply& reply);
+  void On(const schema::Envelope& from, const schema::InForceRequest& request);
+  void On(const schema::Envelope& from, const schema::InForceReply& reply);
+  void On(const schema::Envelope& from, const schema::HostReport& report);
+
+  void Send(const core::HostId& to, const schema::PeerMessage& message);
+  void SendPropose(const core::HostId& to, schema::ProposeRequest request);
+  void AnswerPropose(const core::HostId& to,
+                     const schema::ProposeRequest& request);
+  void StartReplica(consensus::Durable durable);
+  void SyncObserver();
+  void PollConfig(core::Instant now);
+  void PollRoster(core::Instant now);
+  void Register(core::Instant now);
+  void EndSilentIncarnations(core::Instant now);
+  void PublishPolicy();
+  void PublishAdmission(core::Instant now);
+  void PublishRoster(core::Instant now);
+  void PublishHosts(core::Instant now);
+  void Settle(const schema::ControlCommand& command);
+  void Decide(core::RequestId request,
+              const core::Result<schema::ControlResult>& result);
+  void CheckInForce(std::uint64_t sequence, core::Instant now,
+                    InForceDone done);
+  void ExpireChecks(core::Instant now);
+  [[nodiscard]] core::HostId KnownLeader() const;
+
+  const schema::Settings settings_;
+  const std::string peer_key_;
+  const core::HostId self_;
+  const ControlSink sink_;
+  std::uint64_t incarnation_;
+
+  boost::asio::io_context context_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
+  boost::asio::steady_timer timer_;
+  transport::Links links_;
+  control::Observer observer_;
+  roster::Roster roster_;
+  Hosts hosts_;
+  Proposer proposer_;
+  std::unique_ptr<ControlDisk> disk_;
+  std::optional<ControlReplica> replica_;
+
+  std::vector<core::HostId> peers_;
+  std::size_t next_peer_ = 0;
+  core::Instant next_config_poll_{};
+  core::Instant next_roster_poll_{};
+  core::Instant next_registration_{};
+  bool registering_ = false;
+  bool draining_ = false;
+  std::uint64_t published_sequence_ = UINT64_MAX;
+  std::optional<dispatch::AdmissionChanged> published_admission_;
+  std::vector<schema::Announcement> published_upstreams_;
+  std::map<core::RequestId, OpenClaim> claims_;
+  std::map<core::HostId, core::Instant> last_poll_;
+  core::Instant led_since_{};
+  bool led_ = false;
+  std::map<std::uint64_t, InForceCheck> checks_;
+  std::uint64_t next_check_ = 1;
+  std::atomic<std::shared_ptr<const Shared>> shared_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_DAEMON_CONTROL_NODE_H_
--- /dev/null
+++ b/src/foxquay/daemon/control_proposer.h
@@ -0,0 +1,82 @@
+#ifndef FOXQUAY_DAEMON_CONTROL_PROPOSER_H_
+#define FOXQUAY_DAEMON_CONTROL_PROPOSER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "foxquay/core/error.h"
+#include "foxquay/core/id.h"
+#include "foxquay/core/time.h"
+#include "foxquay/schema/peer.h"
+
+namespace foxquay::daemon {
+
+/// Time after which an unanswered attempt goes to another control host.
+inline constexpr core::Duration kAttemptTimeout =
+    std::chrono::milliseconds(400);
+
+/// Pause before the next attempt after a refusal.
+inline constexpr core::Duration kAttemptPause = std::chrono::milliseconds(50);
+
+/// Proposals that wait at once on one host; more are refused at once.
+inline constexpr std::size_t kMaxOpenProposals = 4096;
+
+/// Brings commands to the leader of the log, wherever it is, until they are
+/// committed or their time is over.
+///
+/// A command may be committed more than once, so commands must be idempotent.
+/// Not thread-safe: all calls and callbacks run on the control thread.
+class Proposer {
+ public:
+  /// Receives the result, or kUnavailable when the time is over, in which case
+  /// the command may still be committed later.
+  using Done = std::function<void(core::Result<schema::ControlResult>)>;
+  using Send = std::function<void(const core::HostId&, schema::ProposeRequest)>;
+
+  /// Precondition: `control_hosts` is not empty.
+  Proposer(std::uint64_t incarnation, std::vector<core::HostId> control_hosts,
+           Send send);
+
+  /// Proposes a command; `done` is called once, maybe at once.
+  void Propose(const schema::ControlCommand& command, core::Instant deadline,
+               core::Instant now, Done done);
+
+  /// Takes the answer of a control host.
+  void HandleReply(const schema::ProposeReply& reply, core::Instant now);
+
+  /// Sends due attempts and ends proposals whose time is over.
+  void Tick(core::Instant now);
+
+  /// Notes the leader; empty if unknown.
+  void SetLeader(const core::HostId& leader);
+  [[nodiscard]] const core::HostId& leader() const noexcept { return leader_; }
+
+ private:
+  struct Open {
+    std::string command;
+    core::Instant deadline;
+    core::Instant next_attempt;
+    Done done;
+  };
+
+  [[nodiscard]] const core::HostId& Target();
+  void Attempt(std::uint64_t number, Open& open, core::Instant now);
+  void End(std::uint64_t number, core::Result<schema::ControlResult> result);
+
+  std::uint64_t incarnation_;
+  std::vector<core::HostId> control_hosts_;
+  Send send_;
+  core::HostId leader_;
+  std::size_t next_host_ = 0;
+  std::uint64_t next_number_ = 1;
+  std::map<std::uint64_t, Open> open_;
+};
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_DAEMON_CONTROL_PROPOSER_H_
--- /dev/null
+++ b/src/foxquay/daemon/control_replica.cc
@@ -0,0 +1,140 @@
+#include "foxquay/daemon/control_replica.h"
+
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "foxquay/consensus/error.h"
+
+namespace foxquay::daemon {
+
+core::Result<control::State> RestoreState(const consensus::Durable& durable) {
+  if (durable.snapshot.meta.index == 0) return control::State();
+  return control::State::FromSnapshot(durable.snapshot.data);
+}
+
+ControlReplica::ControlReplica(consensus::Options options,
+                               consensus::Durable durable, Output output,
+                               core::Instant now)
+    : output_(std::move(output)),
+      state_(RestoreState(durable).value()),
+      replica_(std::move(options), std::move(durable), now) {}
+
+void ControlReplica::Handle(const consensus::Event& event, core::Instant now) {
+  events_.push_back(event);
+  if (handling_) return;
+  handling_ = true;
+  while (!events_.empty()) {
+    const consensus::Event next = std::move(events_.front());
+    events_.pop_front();
+    for (consensus::Action& action : replica_.Handle(next, now)) {
+      std::visit([&](auto& todo) { Do(std::move(todo), now); }, action);
+    }
+  }
+  handling_ = false;
+  output_.changed();
+}
+
+void ControlReplica::Propose(std::string command, core::WallTime wall,
+                             core::Instant now, Done done) {
+  const consensus::ProposalId id(next_proposal_++);
+  proposals_.emplace(id, std::move(done));
+  Handle(consensus::Propose{id, std::move(command), wall}, now);
+}
+
+void ControlReplica::Do(consensus::Persist&& action, core::Instant) {
+  output_.persist(std::move(action));
+}
+
+void ControlReplica::Do(consensus::SaveSnapshot&& action, core::Instant) {
+  output_.save_snapshot(std::move(action));
+}
+
+void ControlReplica::Do(consensus::Send&& action, core::Instant) {
+  output_.send(action.to, action.message);
+}
+
+void ControlReplica::Do(consensus::Apply&& action, core::Instant now) {
+  const std::uint64_t before = state_.config().sequence();
+  last_result_ = state_.Apply(action.index, action.wall, action.payload);
+  last_index_ = action.index;
+  NoteCommits(before, now);
+}
+
+void ControlReplica::NoteCommits(std::uint64_t before, core::Instant now) {
+  if (!tracker_ || state_.config().sequence() == before) return;
+  schema::ConfigPoll poll;
+  poll.sequence = before;
+  const schema::ConfigReply reply = state_.Answer(poll, {});
+  if (reply.snapshot) {
+    tracker_.emplace(state_.config(), now);
+    return;
+  }
+  for (const schema::ConfigEntry& entry : reply.entries) {
+    tracker_->HandleCommit(entry, now);
+  }
+}
+
+void ControlReplica::Do(consensus::Restore&& action, core::Instant) {
+  auto restored = control::State::FromSnapshot(action.data);
+  if (!restored) {
+    output_.failed(restored.error());
+    return;
+  }
+  state_ = std::move(restored).value();
+}
+
+void ControlReplica::Do(consensus::ProposalDecided&& action, core::Instant) {
+  const auto found = proposals_.find(action.id);
+  if (found == proposals_.end()) return;
+  const Done done = std::move(found->second);
+  proposals_.erase(found);
+  if (!action.error && action.index == last_index_) {
+    done(last_result_);
+  } else if (action.error == consensus::Error::kNotLeader) {
+    done(make_error_code(core::Error::kNotLeader));
+  } else {
+    done(make_error_code(core::Error::kUnavailable));
+  }
+}
+
+void ControlReplica::Do(consensus::LeaderChanged&&, core::Instant now) {
+  tracker_.reset();
+  if (leads()) tracker_.emplace(state_.config(), now);
+}
+
+void ControlReplica::Do(consensus::MembersChanged&&, core::Instant) {}
+
+void ControlReplica::Do(consensus::TakeSnapshot&&, core::Instant now) {
+  Handle(consensus::SnapshotTaken{state_.index(), state_.Snapshot()}, now);
+}
+
+std::optional<schema::ConfigReply> ControlReplica::Answer(
+    const schema::ConfigPoll& poll, core::Instant now) {
+  if (!leads()) return std::nullopt;
+  const std::optional<core::Duration> age = Age(now);
+  if (!age) return std::nullopt;
+  if (tracker_) {
+    tracker_->HandleApplied(poll.host, poll.incarnation, poll.sequence);
+  }
+  return state_.Answer(poll, *age);
+}
+
+std::optional<control::InForce> ControlReplica::CheckInForce(
+    std::uint64_t sequence, core::Instant now) const {
+  if (!tracker_ || !replica_.HoldsLease(now)) return std::nullopt;
+  return tracker_->Check(sequence, now);
+}
+
+std::optional<core::Duration> ControlReplica::Age(core::Instant now) const {
+  const std::optional<core::Instant> confirmed = replica_.Confirmed();
+  if (!confirmed) return std::nullopt;
+  return now - *confirmed;
+}
+
+core::HostId ControlReplica::leader() const {
+  const auto leader = replica_.leader();
+  return leader ? leader->host : core::HostId();
+}
+
+}  // namespace foxquay::daemon
--- /dev/null
+++ b/src/foxquay/daemon/control_replica.h
@@ -0,0 +1,105 @@
+#ifndef FOXQUAY_DAEMON_CONTROL_REPLICA_H_
+#define FOXQUAY_DAEMON_CONTROL_REPLICA_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "foxquay/consensus/replica.h"
+#include "foxquay/control/in_force_tracker.h"
+#include "foxquay/control/state.h"
+#include "foxquay/core/error.h"
+#include "foxquay/core/id.h"
+#include "foxquay/core/time.h"
+#include "foxquay/schema/consensus.h"
+#include "foxquay/schema/control.h"
+
+namespace foxquay::daemon {
+
+/// A replica of the log and the control state that it feeds.
+///
+/// Not thread-safe: runs on the control thread. Performs no I/O of its own.
+class ControlReplica {
+ public:
+  /// What the replica needs from its surroundings.
+  struct Output {
+    std::function<void(const core::HostId&, const schema::ConsensusMessage&)>
+        send;
+    std::function<void(consensus::Persist&&)> persist;
+    std::function<void(consensus::SaveSnapshot&&)> save_snapshot;
+    /// Called after the state, the leader or the age of the state changed.
+    std::function<void()> changed;
+    /// Called if a snapshot does not decode; the replica must not go on.
+    std::function<void(std::error_code)> failed;
+  };
+  using Done = std::function<void(core::Result<schema::ControlResult>)>;
+
+  ControlReplica(consensus::Options options, consensus::Durable durable,
+                 Output output, core::Instant now);
+
+  /// Feeds an event and carries out what follows from it. An event that arises
+  /// on the way is handled after the actions of the current one.
+  void Handle(const consensus::Event& event, core::Instant now);
+
+  /// Proposes an encoded command; `done` gets kNotLeader if another replica
+  /// leads, kUnavailable if the result is unknown.
+  void Propose(std::string command, core::WallTime wall, core::Instant now,
+               Done done);
+
+  /// Answers an observer's poll if this replica leads and its age is known.
+  [[nodiscard]] std::optional<schema::ConfigReply> Answer(
+      const schema::ConfigPoll& poll, core::Instant now);
+
+  /// Returns whether a step of the configuration is in force; only the leader
+  /// knows.
+  [[nodiscard]] std::optional<control::InForce> CheckInForce(
+      std::uint64_t sequence, core::Instant now) const;
+
+  /// Returns the time since the applied state was known to be current, if
+  /// known.
+  [[nodiscard]] std::optional<core::Duration> Age(core::Instant now) const;
+
+  [[nodiscard]] bool leads() const noexcept {
+    return replica_.role() == consensus::Role::kLeader;
+  }
+  /// Returns the host of the leader; empty if unknown.
+  [[nodiscard]] core::HostId leader() const;
+  [[nodiscard]] const control::State& state() const noexcept { return state_; }
+  [[nodiscard]] const consensus::Replica& replica() const noexcept {
+    return replica_;
+  }
+
+ private:
+  void Do(consensus::Persist&& action, core::Instant now);
+  void Do(consensus::SaveSnapshot&& action, core::Instant now);
+  void Do(consensus::Send&& action, core::Instant now);
+  void Do(consensus::Apply&& action, core::Instant now);
+  void Do(consensus::Restore&& action, core::Instant now);
+  void Do(consensus::ProposalDecided&& action, core::Instant now);
+  void Do(consensus::LeaderChanged&& action, core::Instant now);
+  void Do(consensus::MembersChanged&& action, core::Instant now);
+  void Do(consensus::TakeSnapshot&& action, core::Instant now);
+  void NoteCommits(std::uint64_t before, core::Instant now);
+
+  Output output_;
+  std::deque<consensus::Event> events_;
+  bool handling_ = false;
+  control::State state_;
+  consensus::Replica replica_;
+  std::optional<control::InForceTracker> tracker_;
+  std::map<consensus::ProposalId, Done> proposals_;
+  std::uint64_t next_proposal_ = 1;
+  std::uint64_t last_index_ = 0;
+  schema::ControlResult last_result_;
+};
+
+/// Returns the state in a recovered snapshot; kCorrupt if it does not decode.
+[[nodiscard]] core::Result<control::State> RestoreState(
+    const consensus::Durable& durable);
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_DAEMON_CONTROL_REPLICA_H_
--- a/src/foxquay/daemon/hooks.h
+++ b/src/foxquay/daemon/hooks.h
@@ -8,6 +8,7 @@
 #include "foxquay/core/outcome.h"
 #include "foxquay/daemon/fwd.h"
 #include "foxquay/http/caller.h"
+#include "foxquay/metrics/registry.h"
 #include "foxquay/schema/announcement.h"
 
 namespace foxquay::daemon {
@@ -35,6 +36,17 @@
   std::string body;
 };
 
+/// How a request ended, for the log and the counters.
+struct RequestEnd {
+  std::string request;  ///< Its name towards upstreams.
+  core::WorkspaceId workspace;
+  core::TrafficClass traffic_class = core::TrafficClass::kInteractive;
+  core::Outcome outcome = core::Outcome::kNotRun;
+  std::string reason;
+  std::uint32_t tokens = 0;  ///< Delivered to the caller.
+  core::Duration total{};
+};
+
 /// What the traffic side asks of the control side. Every function is called on
 /// traffic threads, concurrently, and must return without waiting.
 ///
@@ -56,6 +68,12 @@
   std::function<http::EntryAnswer(const core::DataCentreId&)> entry_answer;
   /// Told once that a drain has begun.
   std::function<void()> drain_started;
+  /// Told of each duration worth a histogram.
+  std::function<void(metrics::Series, const core::WorkspaceId&,
+                     core::TrafficClass, core::Duration)>
+      record_time;
+  /// Told once of each request that has ended.
+  std::function<void(const RequestEnd&)> request_ended;
   /// Writes one key=value line; without it, to standard error.
   std::function<void(const std::string&)> log;
 };
--- a/src/foxquay/daemon/serve.cc
+++ b/src/foxquay/daemon/serve.cc
@@ -4,12 +4,23 @@
 #include <signal.h>  // NOLINT: sigwait is not in <csignal>
 #include <unistd.h>
 
+#include <chrono>
 #include <cstdlib>
+#include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
+#include <vector>
 
+#include "foxquay/daemon/admin_api.h"
+#include "foxquay/daemon/control_node.h"
 #include "foxquay/daemon/host.h"
+#include "foxquay/daemon/secret.h"
 #include "foxquay/http/server.h"
+#include "foxquay/log/log.h"
+#include "foxquay/metrics/registry.h"
 
 namespace foxquay::daemon {
 namespace internal {
@@ -53,15 +64,139 @@
   return EXIT_SUCCESS;
 }
 
+struct Secrets {
+  std::string peer_key;
+  std::string operator_token;
+};
+
+/// Reads both secrets and logs every fault.
+std::optional<Secrets> ReadSecrets(const schema::SecuritySettings& settings) {
+  const auto read = [](const std::string& file) {
+    auto secret = ReadSecret(file);
+    if (!secret) {
+      log::Write(log::Level::kError, "secret_unusable",
+                 {{"file", file},
+                  {"error", secret.error().message()},
+                  {"remedy", "create it with mode 0600 and one line"}});
+    }
+    return secret;
+  };
+  const auto key = read(settings.peer_key_file);
+  const auto token = read(settings.operator_token_file);
+  if (!key || !token) return std::nullopt;
+  return Secrets{key.value(), token.value()};
+}
+
+/// Returns the wall clock, which grows with every start of a host.
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+/// Logs an error; returns whether there was one.
+bool Report(std::string_view part, std::error_code error) {
+  if (!error) return false;
+  log::Write(log::Level::kError, "start_failed",
+             {{"part", std::string(part)}, {"error", error.message()}});
+  return true;
+}
+
+/// Hooks of the traffic side; `control` is set before the host starts.
+ControlHooks MakeHooks(const std::unique_ptr<ControlNode>& control,
+                       metrics::Registry& registry) {
+  ControlHooks hooks;
+  hooks.request_claim = [&control](ClaimRequest&& request) {
+    control->RequestClaim(std::move(request));
+  };
+  hooks.release_claim = [&control](ClaimRelease&& release) {
+    control->ReleaseClaim(std::move(release));
+  };
+  hooks.record_outcome = [&control](ClaimRecord&& record) {
+    control->RecordOutcome(std::move(record));
+  };
+  hooks.announcement_heard = [&control](const schema::Announcement& heard) {
+    control->Announce(heard);
+  };
+  hooks.withdrawal_heard = [&control](const core::UpstreamId& upstream) {
+    control->Withdraw(upstream);
+  };
+  hooks.entry_answer = [&control](const core::DataCentreId& data_centre) {
+    return control->Entry(data_centre);
+  };
+  hooks.drain_started = [&control] { control->StartDrain(); };
+  hooks.log = [](const std::string& line) {
+    log::WriteLine(log::Level::kInfo, line);
+  };
+  hooks.record_time =
+      [&registry](metrics::Series series, const core::WorkspaceId& workspace,
+                  core::TrafficClass traffic_class, core::Duration duration) {
+        registry.Record(series, workspace, traffic_class, duration);
+      };
+  hooks.request_ended = [&registry](const RequestEnd& end) {
+    registry.Add("foxquay_requests_total",
+                 "outcome=\"" + std::string(core::Name(end.outcome)) + "\"");
+    log::Write(log::Level::kInfo, "request_ended",
+               {{"request", end.request},
+                {"workspace", end.workspace},
+                {"class", std::string(core::Name(end.traffic_class))},
+                {"outcome", std::string(core::Name(end.outcome))},
+                {"tokens", end.tokens},
+                {"total_ms",
+                 std::chrono::duration<double, std::milli>(end.total).count()},
+                {"reason", end.reason}});
+  };
+  return hooks;
+}
+
+/// Lets the control side feed the engine.
+ControlSink MakeSink(Traffic& traffic) {
+  ControlSink sink;
+  sink.set_upstreams = [&traffic](std::vector<schema::Announcement> upstreams) {
+    traffic.SetUpstreams(std::move(upstreams));
+  };
+  sink.set_policy = [&traffic](dispatch::PolicyChanged policy) {
+    traffic.SetPolicy(std::move(policy));
+  };
+  sink.set_admission = [&traffic](dispatch::AdmissionChanged admission) {
+    traffic.SetAdmission(std::move(admission));
+  };
+  sink.decide_claim = [&traffic](dispatch::ClaimDecided decision) {
+    traffic.DecideClaim(std::move(decision));
+  };
+  sink.free_capacity = [&traffic] { return traffic.FreeCapacity(); };
+  sink.open_requests = [&traffic] { return traffic.OpenRequests().size(); };
+  return sink;
+}
+
 }  // namespace internal
 
 int Serve(const schema::Settings& settings) {
   const sigset_t signals = internal::BlockSignals();
+  log::Configure(log::ParseLevel(settings.log.level), settings.log.file);
+  const auto secrets = internal::ReadSecrets(settings.security);
+  if (!secrets) return kExitConfig;
   const http::Library library;
-  const ControlHooks hooks;
+  metrics::Registry registry;
+  std::unique_ptr<ControlNode> control;
+  const ControlHooks hooks = internal::MakeHooks(control, registry);
   Host host(settings, hooks);
-  if (host.Start()) return EXIT_FAILURE;
-  return internal::DrainOnSignal(host, signals);
+  control = std::make_unique<ControlNode>(settings, secrets->peer_key,
+                                          internal::NewIncarnation(),
+                                          internal::MakeSink(host.traffic()));
+  AdminApi api(*control, registry, secrets->operator_token,
+               [] { kill(getpid(), SIGTERM); });
+  http::Server admin({settings.limits.max_body_bytes}, api.Routes());
+  const bool started =
+      !internal::Report("control", control->Start()) &&
+      !internal::Report("admin", admin.Start(settings.listeners.admin)) &&
+      !host.Start();
+  const int status =
+      started ? internal::DrainOnSignal(host, signals) : EXIT_FAILURE;
+  admin.Stop();
+  control->Stop();
+  return status;
 }
 
 }  // namespace foxquay::daemon
--- a/src/foxquay/daemon/serve.h
+++ b/src/foxquay/daemon/serve.h
@@ -5,6 +5,9 @@
 
 namespace foxquay::daemon {
 
+/// Exit status for unusable settings (EX_CONFIG of sysexits.h).
+inline constexpr int kExitConfig = 78;
+
 /// Serves until a signal ends the process; returns its exit status.
 ///
 /// SIGTERM or SIGINT drains; a second one exits at once and logs the requests
--- a/src/foxquay/daemon/traffic.cc
+++ b/src/foxquay/daemon/traffic.cc
@@ -8,14 +8,14 @@
 #include <utility>
 #include <variant>
 
+#include "foxquay/daemon/clock.h"
+
 namespace foxquay::daemon {
 namespace internal {
 
 constexpr std::chrono::milliseconds kTimerInterval{250};
 constexpr std::chrono::seconds kReaderPatience{10};
 
-core::Instant Now() { return std::chrono::steady_clock::now(); }
-
 /// Returns which of the connections were closed by their peers.
 std::vector<bool> ClosedByPeer(std::vector<pollfd>& descriptors) {
   std::vector<bool> closed(descriptors.size(), false);
@@ -37,6 +37,11 @@
   http::Connection connection;
   bool claimed = false;   ///< Whether its outcome may be recorded.
   bool finished = false;  ///< Whether the engine has ended it.
+  core::TrafficClass traffic_class = core::TrafficClass::kInteractive;
+  core::Instant arrived{};
+  core::Instant last_token{};
+  bool dispatched = false;
+  std::uint32_t tokens = 0;
 };
 
 struct Traffic::Leg {
@@ -61,12 +66,14 @@
       : traffic_(traffic), events_(events), pending_(pending) {}
 
   void operator()(dispatch::StartLeg& leg) {
+    NoteDispatch(leg.request);
     traffic_.legs_[leg.leg] = {leg.request, leg.chain.front().address,
                                leg.epoch, false};
     std::string name = traffic_.NameOf(leg.request);
     pending_.jobs.emplace_back(
-        [&traffic = traffic_, name = std::move(name),
-         order = std::move(leg)] { traffic.RunLeg(order, name); });
+        [&traffic = traffic_, name = std::move(name), order = std::move(leg)] {
+          traffic.RunLeg(order, name);
+        });
   }
 
   void operator()(dispatch::CancelLeg& cancel) {
@@ -88,6 +95,7 @@
       events_.emplace_back(dispatch::ServiceFailed{call.leg, false});
       return;
     }
+    NoteDispatch(call.request);
     traffic_.legs_[call.leg] = {call.request, call.address, 0, true};
     http::ServiceSend send = found->second.service;
     send.address = call.address;
@@ -140,7 +148,8 @@
     const auto found = traffic_.entries_.find(token.request);
     if (found == traffic_.entries_.end()) return;
     const core::RequestId request = token.request;
-    if (found->second.exchange->Deliver(std::move(token), internal::Now())) {
+    NoteToken(found->second);
+    if (found->second.exchange->Deliver(std::move(token), Now())) {
       return;
     }
     found->second.exchange->Abandon();
@@ -152,10 +161,53 @@
     const auto found = traffic_.entries_.find(finish.request);
     if (found == traffic_.entries_.end()) return;
     found->second.finished = true;
+    NoteEnd(found->second, finish);
     found->second.exchange->Finish(std::move(finish));
   }
 
  private:
+  void Record(metrics::Series series, const Entry& entry,
+              core::Duration duration) {
+    if (!traffic_.hooks_.record_time) return;
+    traffic_.hooks_.record_time(series, entry.workspace, entry.traffic_class,
+                                duration);
+  }
+
+  void NoteDispatch(core::RequestId request) {
+    const auto found = traffic_.entries_.find(request);
+    if (found == traffic_.entries_.end() || found->second.dispatched) return;
+    found->second.dispatched = true;
+    Record(metrics::Series::kWait, found->second,
+           Now() - found->second.arrived);
+  }
+
+  void NoteToken(Entry& entry) {
+    const core::Instant now = Now();
+    if (entry.tokens++ == 0) {
+      Record(metrics::Series::kFirstToken, entry, now - entry.arrived);
+    } else {
+      Record(metrics::Series::kBetweenTokens, entry, now - entry.last_token);
+    }
+    entry.last_token = now;
+  }
+
+  void NoteEnd(const Entry& entry, const dispatch::Finish& finish) {
+    RequestEnd end;
+    end.request = traffic_.NameOf(finish.request);
+    end.workspace = entry.workspace;
+    end.traffic_class = entry.traffic_class;
+    end.outcome = finish.outcome;
+    end.reason = finish.reason;
+    end.tokens = entry.tokens;
+    end.total = Now() - entry.arrived;
+    Record(metrics::Series::kTotal, entry, end.total);
+    if (!traffic_.hooks_.request_ended) return;
+    pending_.hooks.emplace_back(
+        [&hooks = traffic_.hooks_, end = std::move(end)] {
+          hooks.request_ended(end);
+        });
+  }
+
   Traffic& traffic_;
   std::deque<dispatch::Event>& events_;
   Pending& pending_;
@@ -201,6 +253,8 @@
     entry.digest = std::move(order.digest);
     entry.service = std::move(order.service);
     entry.connection = order.connection;
+    entry.traffic_class = order.submission.traffic_class;
+    entry.arrived = Now();
     entry.claimed =
         order.submission.no_repeat && !order.submission.idempotency_key.empty();
     ticket.exchange = entry.exchange.get();
@@ -226,7 +280,7 @@
   std::vector<pollfd> descriptors;
   std::vector<core::RequestId> ids;
   std::vector<core::RequestId> gone;
-  const core::Instant oldest = internal::Now() - internal::kReaderPatience;
+  const core::Instant oldest = Now() - internal::kReaderPatience;
   {
     const std::lock_guard lock(mutex_);
     for (const auto& [id, entry] : entries_) {
@@ -352,7 +406,7 @@
   while (!events.empty()) {
     const dispatch::Event next = std::move(events.front());
     events.pop_front();
-    for (dispatch::Action& action : engine_.Handle(next, internal::Now())) {
+    for (dispatch::Action& action : engine_.Handle(next, Now())) {
       std::visit(perform, action);
     }
   }
@@ -423,14 +477,14 @@
 void Traffic::KeepTime() {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    const core::Instant now = internal::Now();
+    const core::Instant now = Now();
     timer_wakes_ = now + internal::kTimerInterval;
     const auto deadline = engine_.NextDeadline();
     if (deadline) timer_wakes_ = std::min(timer_wakes_, *deadline);
     if (timer_wakes_ > now) timer_wake_.wait_until(lock, timer_wakes_);
     if (stopping_) return;
     const auto due = engine_.NextDeadline();
-    if (!due || *due > internal::Now()) continue;
+    if (!due || *due > Now()) continue;
     Pending pending;
     Apply(dispatch::Tick{}, pending);
     lock.unlock();
--- a/src/foxquay/log/log.cc
+++ b/src/foxquay/log/log.cc
@@ -91,10 +91,12 @@
 
 void Write(Level level, std::string_view event,
            std::initializer_list<Field> fields) {
+  WriteLine(level, Format(event, fields));
+}
+
+void WriteLine(Level level, const std::string& line) {
   log4cplus::Logger& root = internal::Root();
-  const log4cplus::LogLevel translated = internal::Translate(level);
-  if (!root.isEnabledFor(translated)) return;
-  root.log(translated, Format(event, fields));
+  root.log(internal::Translate(level), line);
 }
 
 }  // namespace foxquay::log
--- a/src/foxquay/log/log.h
+++ b/src/foxquay/log/log.h
@@ -51,6 +51,9 @@
 void Write(Level level, std::string_view event,
            std::initializer_list<Field> fields);
 
+/// Writes a line that is in the form of Format already. Thread-safe.
+void WriteLine(Level level, const std::string& line);
+
 }  // namespace foxquay::log
 
 #endif  // FOXQUAY_LOG_LOG_H_
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -117,15 +117,14 @@
 key="$(($(date +%s) + 3600)).demo-$$"
 expect "streamed completion over two stages" 0 \
   --model demo-llm --prompt "shift summary" --max-tokens 12 --stream
-echo "== claims are not wired yet: protected calls are expected to be not-run"
-expect "protected call" 3 \
+expect "protected call" 0 \
   --service orderdesk --path /dispatches --body '{"order":7}' --no-repeat --key "$key"
-expect "the same protected call again" 3 \
+expect "the same protected call again" 0 \
   --service orderdesk --path /dispatches --body '{"order":7}' --no-repeat --key "$key"
 expect "refused request: unknown model" 3 --model no-such-model --prompt x
 
 dispatches=$(grep -c /dispatches "$folder/desk-1.log")
 echo "== the service ran the protected action $dispatches times"
-[ "$dispatches" -eq 0 ] || failures=$((failures + 1))
+[ "$dispatches" -eq 1 ] || failures=$((failures + 1))
 [ "$failures" -eq 0 ] && echo "demo: every outcome was the expected one"
 exit "$((failures > 0))"
