--- a/src/foxquay/daemon/traffic.cc
+++ b/src/foxquay/daemon/traffic.cc
@@ -65,8 +65,9 @@
                                leg.epoch, false};
     std::string name = traffic_.NameOf(leg.request);
     pending_.jobs.emplace_back(
-        [&traffic = traffic_, name = std::move(name),
-         order = std::move(leg)] { traffic.RunLeg(order, name); });
+        [&traffic = traffic_, name = std::move(name), order = std::move(leg)] {
+          traffic.RunLeg(order, name);
+        });
   }
 
   void operator()(dispatch::CancelLeg& cancel) {
--- a/src/foxquay/http/fwd.h
+++ b/src/foxquay/http/fwd.h
@@ -4,13 +4,13 @@
 namespace foxquay::http {
 
 class Connection;
-class Request;
+class Library;
 class Server;
-struct Answer;
 struct EntryAnswer;
+struct Incoming;
 struct Network;
+struct Outgoing;
 struct Problem;
-struct Response;
 
 }  // namespace foxquay::http
 
--- /dev/null
+++ b/tests/foxquay/daemon/exchange_test.cc
@@ -0,0 +1,63 @@
+#include "foxquay/daemon/exchange.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "foxquay/daemon/announcements.h"
+
+namespace foxquay::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+schema::Announcement Announced(std::uint64_t sequence, bool leaving = false) {
+  schema::Announcement announcement;
+  announcement.id = core::UpstreamId("u");
+  announcement.sequence = sequence;
+  announcement.leaving = leaving;
+  return announcement;
+}
+
+}  // namespace
+
+// Guards against a caller that reads slowly and fills the host's memory.
+TEST_CASE("an exchange bounds what waits for a slow reader") {
+  Exchange exchange;
+  const core::Instant start{};
+  const std::string text(1000, 'x');
+  std::uint32_t accepted = 0;
+  while (exchange.Deliver({core::RequestId(1), accepted, text}, start)) {
+    REQUIRE(++accepted < 1000);
+  }
+  CHECK(accepted > 100);
+  CHECK(exchange.WaitingSince(start + milliseconds(1)));
+  CHECK_FALSE(exchange.WaitingSince(start));
+  CHECK(exchange.Await().tokens.size() == accepted + 1);
+  CHECK_FALSE(exchange.WaitingSince(start + milliseconds(1)));
+}
+
+// Guards against an upstream that stays usable after it left or fell silent.
+TEST_CASE("announcements expire, leave and do not come back by delay") {
+  Announcements announcements;
+  const core::Instant start{};
+  CHECK(announcements.Put(Announced(5), start));
+  CHECK_FALSE(announcements.Put(Announced(6), start + milliseconds(600)));
+  CHECK_FALSE(announcements.Expire(start + milliseconds(2399)));
+  CHECK(announcements.Active().size() == 1);
+  CHECK(announcements.Expire(start + milliseconds(2400)));
+  CHECK(announcements.Active().empty());
+
+  CHECK(announcements.Put(Announced(7), start));
+  CHECK(announcements.Put(Announced(8, true), start));
+  CHECK(announcements.Active().empty());
+  CHECK_FALSE(announcements.Put(Announced(7), start));
+  CHECK(announcements.Active().empty());
+
+  CHECK(announcements.Put(Announced(9), start));
+  CHECK(announcements.Remove(core::UpstreamId("u")));
+  CHECK_FALSE(announcements.Put(Announced(9), start));
+  CHECK(announcements.Active().empty());
+}
+
+}  // namespace foxquay::daemon
--- /dev/null
+++ b/tests/foxquay/daemon/process.h
@@ -0,0 +1,43 @@
+#ifndef FOXQUAY_TESTS_DAEMON_PROCESS_H_
+#define FOXQUAY_TESTS_DAEMON_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace foxquay::daemon {
+
+/// A process started by a test; killed when it goes out of scope.
+class Process {
+ public:
+  /// Starts a binary with its standard error appended to a file.
+  Process(const std::vector<std::string>& command, const std::string& log);
+  ~Process();
+  Process(Process&& other) noexcept;
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Signal(int number) const;
+  /// Returns the exit status, or nothing if the process does not end in time
+  /// or was killed by a signal.
+  std::optional<int> Wait();
+
+ private:
+  pid_t pid_;
+};
+
+/// Polls a condition for up to 20 s; returns whether it became true.
+bool Await(const std::function<bool()>& condition);
+
+/// Returns a loopback address that no other test process uses.
+std::string FreeAddress();
+
+/// Returns the lines of a file; none if it does not exist.
+std::vector<std::string> Lines(const std::string& file);
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_TESTS_DAEMON_PROCESS_H_
--- /dev/null
+++ b/tests/foxquay/daemon/serve_test.cc
@@ -0,0 +1,309 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <signal.h>  // NOLINT: signal numbers for kill
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "fakes/token.h"
+#include "foxquay/http/endpoint.h"
+#include "foxquay/http/server.h"
+#include "site.h"
+
+namespace foxquay::daemon {
+namespace {
+
+constexpr std::uint32_t kLayers = 8;
+
+std::string Outcome(const http::ServiceResult& result) {
+  if (!result.reply) return "";
+  for (const auto& [name, value] : result.reply->headers) {
+    if (name == "X-Foxquay-Outcome") return value;
+  }
+  return "";
+}
+
+/// Opens a connection to the host and sends a completion request.
+int SendRaw(const Site& site, const std::string& body) {
+  const auto endpoint = http::ParseEndpoint(site.caller());
+  REQUIRE(endpoint);
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  REQUIRE(connect(descriptor,
+                  reinterpret_cast<const sockaddr*>(&endpoint.value().storage),
+                  endpoint.value().size) == 0);
+  const std::string request =
+      "POST /v1/completions HTTP/1.1\r\nHost: test\r\n"
+      "X-Foxquay-Workspace: test\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  REQUIRE(send(descriptor, request.data(), request.size(), 0) ==
+          static_cast<ssize_t>(request.size()));
+  return descriptor;
+}
+
+bool HasCancel(const std::vector<std::string>& lines) {
+  return std::any_of(lines.begin(), lines.end(), [](const std::string& line) {
+    return line.starts_with("cancel ");
+  });
+}
+
+}  // namespace
+
+// Guards against lost, repeated or reordered tokens and layers on the plain
+// path through two stages.
+TEST_CASE("a completion runs every layer of every token once") {
+  Site site;
+  site.StartModel("stage-1", 0, 3, kLayers);
+  site.StartModel("stage-2", 4, 7, kLayers);
+  REQUIRE(site.AwaitModel());
+
+  constexpr std::uint32_t kTokens = 100;  // more than one leg
+  SECTION("streamed") {
+    CHECK(IsWhole(site.Stream("p", kTokens), "p", kTokens, kLayers));
+  }
+  SECTION("collected") {
+    const auto result = site.Complete("p", kTokens);
+    REQUIRE(result.reply);
+    CHECK(Outcome(result) == "complete");
+    std::string expected;
+    for (std::uint32_t index = 0; index < kTokens; ++index) {
+      expected += fakes::ExpectedToken("p", index, kLayers);
+    }
+    const auto body = nlohmann::json::parse(result.reply->body);
+    CHECK(body["text"] == expected);
+    CHECK(body["outcome"] == "complete");
+  }
+  for (const char* stage : {"stage-1", "stage-2"}) {
+    const auto counts = Count(site.Log(stage));
+    CHECK(counts.size() == kTokens * kLayers / 2);
+    CHECK(std::all_of(counts.begin(), counts.end(),
+                      [](const auto& entry) { return entry.second == 1; }));
+  }
+}
+
+// Guards against a caller that sees a token twice or never when the stage that
+// serves it disappears.
+TEST_CASE("a stream resumes on another stage") {
+  Site site;
+  site.StartModel("stage-1", 0, 3, kLayers);
+  std::map<std::string, Process*> stages;
+  stages["stage-2a"] = &site.StartModel("stage-2a", 4, 7, kLayers);
+  stages["stage-2b"] = &site.StartModel("stage-2b", 4, 7, kLayers);
+  REQUIRE(site.AwaitModel());
+  const int signal = GENERATE(SIGKILL, SIGSTOP);
+  CAPTURE(signal);
+
+  constexpr std::uint32_t kTokens = 120;
+  auto answer = std::async(std::launch::async,
+                           [&site] { return site.Stream("p", kTokens); });
+  std::string serving;
+  REQUIRE(Await([&] {
+    for (const auto& [id, process] : stages) {
+      if (site.Log(id).size() > 20) serving = id;
+    }
+    return !serving.empty();
+  }));
+  stages[serving]->Signal(signal);
+  CHECK(IsWhole(answer.get(), "p", kTokens, kLayers));
+}
+
+// Guards against a shutdown that cuts off a stream or exits with an error.
+TEST_CASE("SIGTERM finishes the streams in flight") {
+  Site site;
+  site.StartModel("whole", 0, 7, kLayers);
+  REQUIRE(site.AwaitModel());
+
+  constexpr std::uint32_t kTokens = 700;  // 7 s, longer than the entry answer
+  auto answer = std::async(std::launch::async,
+                           [&site] { return site.Stream("p", kTokens); });
+  REQUIRE(Await([&] { return site.Log("whole").size() > 20; }));
+  site.host().Signal(SIGTERM);
+
+  // The host has left the entry answer but still admits.
+  REQUIRE(Await([&] {
+    const auto entry = site.Send("GET", "/v1/entry", "", {});
+    return entry.reply &&
+           nlohmann::json::parse(entry.reply->body)["addresses"].empty();
+  }));
+  CHECK(Outcome(site.Complete("late", 1)) == "complete");
+  CHECK(IsWhole(answer.get(), "p", kTokens, kLayers));
+  CHECK(site.host().Wait() == EXIT_SUCCESS);
+}
+
+// Guards against an operator who cannot end a host whose drain takes too long,
+// and against requests that vanish from the record.
+TEST_CASE("a second SIGTERM exits at once and names what it cut off") {
+  Site site;
+  site.StartModel("whole", 0, 7, kLayers);
+  REQUIRE(site.AwaitModel());
+  auto answer = std::async(std::launch::async,
+                           [&site] { return site.Stream("p", 2000); });
+  REQUIRE(Await([&] { return site.Log("whole").size() > 20; }));
+  site.host().Signal(SIGTERM);
+  REQUIRE(Await([&] { return Lines(site.HostLog()).size() > 1; }));
+  site.host().Signal(SIGTERM);
+  CHECK(site.host().Wait() == EXIT_FAILURE);
+  CHECK(answer.get().outcome.empty());
+  const auto lines = Lines(site.HostLog());
+  CHECK(std::any_of(lines.begin(), lines.end(), [](const std::string& line) {
+    return line.starts_with("event=cut-off request=");
+  }));
+}
+
+// Guards against streams whose caller is gone but which keep their slot.
+TEST_CASE("a dead caller frees its stream") {
+  Site site;
+  site.StartModel("whole", 0, 7, kLayers);
+  REQUIRE(site.AwaitModel());
+  const bool stream = GENERATE(true, false);
+  CAPTURE(stream);
+  const int caller = SendRaw(site, nlohmann::json({{"model", "tiny"},
+                                                   {"prompt", "p"},
+                                                   {"max_tokens", 4000},
+                                                   {"stream", stream}})
+                                       .dump());
+  REQUIRE(Await([&] { return site.Log("whole").size() > 20; }));
+  close(caller);
+  CHECK(Await([&] { return HasCancel(site.Log("whole")); }));
+}
+
+// Guards against a not-run that is untrue.
+TEST_CASE("not-run means that no upstream ran anything") {
+  Site site;
+  site.StartModel("stage-1", 0, 3, kLayers);
+  site.StartService("desk-1");
+  REQUIRE(site.AwaitService());
+
+  SECTION("no chain covers the model") {
+    REQUIRE(Await([&] {
+      const auto result = site.Complete("p", 5);
+      return result.reply &&
+             result.reply->body.find("layers 4") != std::string::npos;
+    }));
+    CHECK(Outcome(site.Complete("p", 5)) == "not-run");
+  }
+  SECTION("a claim cannot be decided") {
+    const auto result = site.Send("POST", "/v1/services/desk/book", "{}",
+                                  {{"X-Foxquay-Workspace", "test"},
+                                   {"X-Foxquay-No-Repeat", "true"},
+                                   {"Idempotency-Key", "99999999999.a"}});
+    CHECK(Outcome(result) == "not-run");
+    CHECK(result.reply->status == 503);
+  }
+  CHECK(site.Log("stage-1").empty());
+  CHECK(site.Log("desk-1").empty());
+}
+
+// Guards against a protected call that is sent again after its answer is lost.
+TEST_CASE("a protected call without a key runs at most once") {
+  Site site;
+  site.StartService("desk-1", {"--die-after", "1"});
+  REQUIRE(site.AwaitService());
+  site.StartService("desk-2");
+  const auto result = site.Send(
+      "POST", "/v1/services/desk/book", "{}",
+      {{"X-Foxquay-Workspace", "test"}, {"X-Foxquay-No-Repeat", "true"}});
+  const std::size_t runs =
+      site.Log("desk-1").size() + site.Log("desk-2").size();
+  CHECK(runs == 1);
+  CHECK(Outcome(result) ==
+        (site.Log("desk-1").empty() ? "complete" : "unknown"));
+}
+
+// Guards against bad input that is dispatched, or refused without a reason.
+TEST_CASE("bad input gets a 4xx that names the field") {
+  struct Row {
+    std::string name;
+    std::string path;
+    std::string body;
+    Headers headers;
+    std::uint32_t status;
+    std::string field;
+  };
+  const std::string path = "/v1/completions";
+  const std::string good = R"({"model":"tiny","prompt":"p","max_tokens":1})";
+  const Headers workspace = {{"X-Foxquay-Workspace", "test"}};
+  const auto with = [&workspace](const std::string& name,
+                                 const std::string& value) {
+    Headers headers = workspace;
+    headers.emplace_back(name, value);
+    return headers;
+  };
+  const std::vector<Row> rows = {
+      {"broken JSON", path, "{\"model\":", workspace, 400, "body"},
+      {"not an object", path, "[1]", workspace, 400, "body"},
+      {"empty body", path, "", workspace, 400, "body"},
+      {"no model", path, R"({"prompt":"p"})", workspace, 400, "model"},
+      {"no prompt", path, R"({"model":"tiny"})", workspace, 400, "prompt"},
+      {"unknown model", path, R"({"model":"none","prompt":"p"})", workspace,
+       404, "model"},
+      {"prompt is a number", path, R"({"model":"tiny","prompt":1})", workspace,
+       400, "prompt"},
+      {"negative max_tokens", path,
+       R"({"model":"tiny","prompt":"p","max_tokens":-1})", workspace, 400,
+       "max_tokens"},
+      {"too many tokens", path,
+       R"({"model":"tiny","prompt":"p","max_tokens":99999999999})", workspace,
+       400, "max_tokens"},
+      {"stream is text", path,
+       R"({"model":"tiny","prompt":"p","stream":"yes"})", workspace, 400,
+       "stream"},
+      {"oversized", path, std::string(70000, ' ') + good, workspace, 413,
+       "body"},
+      {"no workspace", path, good, {}, 400, "X-Foxquay-Workspace"},
+      {"malformed workspace",
+       path,
+       good,
+       {{"X-Foxquay-Workspace", "a b\xff"}},
+       400,
+       "X-Foxquay-Workspace"},
+      {"unknown class", path, good, with("X-Foxquay-Class", "urgent"), 400,
+       "X-Foxquay-Class"},
+      {"negative timeout", path, good, with("X-Foxquay-Timeout", "-5"), 400,
+       "X-Foxquay-Timeout"},
+      {"timeout is text", path, good, with("X-Foxquay-Timeout", "1s"), 400,
+       "X-Foxquay-Timeout"},
+      {"overflowing timeout", path, good,
+       with("X-Foxquay-Timeout", "99999999999999999999"), 400,
+       "X-Foxquay-Timeout"},
+      {"unclear no-repeat", path, good, with("X-Foxquay-No-Repeat", "yes"), 400,
+       "X-Foxquay-No-Repeat"},
+      {"unknown service", "/v1/services/none/x", "", workspace, 404, "service"},
+      {"malformed service", "/v1/services/%20/x", "", workspace, 400, "path"},
+      {"unknown path", "/v2", "", workspace, 404, "path"},
+  };
+  Site site;
+  site.StartModel("whole", 0, 7, kLayers);
+  REQUIRE(site.AwaitModel());
+  // A host that has just started does not know yet which names are unknown.
+  REQUIRE(Await([&] {
+    const auto result =
+        site.Send("POST", path, R"({"model":"none","prompt":"p"})", workspace);
+    return result.reply && result.reply->status == 404;
+  }));
+  for (const Row& row : rows) {
+    INFO(row.name);
+    const auto result = site.Send("POST", row.path, row.body, row.headers);
+    REQUIRE(result.reply);
+    CHECK(result.reply->status == row.status);
+    CHECK(Outcome(result) == "not-run");
+    const auto body = nlohmann::json::parse(result.reply->body);
+    CHECK(body["error"]["field"] == row.field);
+    CHECK(!body["error"]["message"].get<std::string>().empty());
+    CHECK(body["outcome"] == "not-run");
+  }
+  Headers protected_call = with("X-Foxquay-No-Repeat", "true");
+  protected_call.emplace_back("Idempotency-Key", "no-expiry");
+  const auto result = site.Send("POST", path, good, protected_call);
+  REQUIRE(result.reply);
+  CHECK(result.reply->status == 400);
+  CHECK(site.Log("whole").empty());
+}
+
+}  // namespace foxquay::daemon
