Prove the configuration lease and the in-force rule with a stateful test

Processes of three hosts, some running on after their incarnation was ended, poll the leader, a former leader or each other over a network that delays and repeats replies; clock rates differ by up to 1 %. The oracle checks that no process admits without a change that is declared in force or older than 2.525 s, and that the leader declares every change within 5 s.

--- /dev/null
+++ b/tests/foxquay/control/lease_property_test.cc
@@ -0,0 +1,282 @@
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "foxquay/control/in_force_tracker.h"
+#include "foxquay/control/observer.h"
+#include "foxquay/control/state.h"
+#include "foxquay/schema/codec.h"
+
+namespace foxquay::control {
+namespace {
+
+using core::Duration;
+using core::Instant;
+using std::chrono::milliseconds;
+
+enum class Op {
+  kWait,
+  kWaitForLease,
+  kPoll,
+  kReply,
+  kChange,
+  kTakeOver,
+  kRestart,
+  kEnd,
+  kRejoin,
+  kRegister,
+  kConfirm
+};
+
+struct Step {
+  Op op = Op::kWait;
+  unsigned host = 0;  ///< Observer that acts.
+  unsigned peer = 0;  ///< Whom it polls: 0 and 1 replicas, else an observer.
+  unsigned pick = 0;  ///< Wait in milliseconds or message, by operation.
+};
+
+void showValue(const Step& step, std::ostream& out) {  // NOLINT: RapidCheck's
+  out << static_cast<int>(step.op) << "/" << step.host << "/" << step.peer
+      << "/" << step.pick;
+}
+
+/// A clock whose rate is up to 1 % above the slowest one's.
+struct Clock {
+  Duration offset{};
+  int permille = 0;
+
+  [[nodiscard]] Instant At(Duration real) const {
+    return Instant(offset + real + real * permille / 1000);
+  }
+};
+
+struct Process {
+  Observer observer;
+  core::HostId host;
+  Clock clock;
+};
+
+struct Replica {
+  State state;
+  Clock clock;
+  Duration confirmed{};  ///< Real time of its latest quorum round.
+};
+
+struct Mail {
+  std::size_t process = 0;
+  schema::ConfigReply reply;
+};
+
+struct Commit {
+  Duration at{};
+  bool declared = false;  ///< Whether the leader called it in force.
+};
+
+/// Processes of three hosts, of which some run on after their incarnation was
+/// ended, the leader and the former leader, which still answers polls. Real
+/// time is that of the slowest possible clock.
+class World {
+ public:
+  explicit World(std::vector<int> rates) : rates_(std::move(rates)) {
+    leader_.clock = NextClock();
+    tracker_.emplace(leader_.state.config(), LeaderNow());
+    for (unsigned host = 0; host < 3; ++host) Start(host);
+  }
+
+  void Run(const Step& step) {
+    Process& process = processes_[step.host % processes_.size()];
+    switch (step.op) {
+      case Op::kWait:
+        now_ += milliseconds(step.pick * 20);
+        break;
+      case Op::kWaitForLease:
+        WaitForLease(process);
+        break;
+      case Op::kConfirm:
+        leader_.confirmed = now_;
+        break;
+      case Op::kPoll:
+        Poll(step.host % processes_.size(), step.peer);
+        break;
+      case Op::kReply:
+        Reply(step.pick);
+        break;
+      case Op::kChange:
+        Apply(schema::SetDefault{{"c" + std::to_string(index_),
+                                  leader_.state.config().revision(), "ada"},
+                                 "retry.budget",
+                                 step.pick % 100});
+        break;
+      case Op::kTakeOver:
+        TakeOver();
+        break;
+      case Op::kRestart:
+        Start(step.host % 3);
+        break;
+      case Op::kEnd:
+        Apply(schema::EndIncarnation{process.host,
+                                     process.observer.incarnation()});
+        break;
+      case Op::kRejoin:
+        process.observer.SetIncarnation(++incarnation_);
+        break;
+      case Op::kRegister:
+        Apply(schema::RegisterHost{
+            process.host, process.observer.incarnation(), {}});
+        break;
+    }
+    Check();
+  }
+
+ private:
+  Clock NextClock() {
+    const int rate = rates_[clocks_++ % rates_.size()];
+    return {std::chrono::hours(clocks_), rate};
+  }
+  Instant LeaderNow() const { return leader_.clock.At(now_); }
+
+  /// Waits until just before the end of a lease, where clock rates matter.
+  void WaitForLease(const Process& process) {
+    const auto end = process.observer.LeaseEnd();
+    if (!end) return;
+    const Duration left = *end - process.clock.At(now_);
+    const Duration real = left * 1000 / (1000 + process.clock.permille);
+    now_ += std::max(Duration::zero(), real - milliseconds(1));
+  }
+
+  void Start(unsigned host) {
+    const core::HostId id("h" + std::to_string(host));
+    processes_.push_back({Observer(id, ++incarnation_), id, NextClock()});
+  }
+
+  template <class Command>
+  void Apply(const Command& command) {
+    const Config before = leader_.state.config();
+    leader_.state.Apply(++index_, {},
+                        schema::Encode(schema::ControlCommand(command)));
+    schema::ConfigPoll poll;
+    poll.sequence = before.sequence();
+    for (const auto& entry : leader_.state.Answer(poll, {}).entries) {
+      tracker_->HandleCommit(entry, LeaderNow());
+      commits_[entry.sequence].at = now_;
+    }
+  }
+
+  /// Another replica leads; the old one keeps its state and its last round.
+  void TakeOver() {
+    former_ = leader_;
+    leader_.state = State::FromSnapshot(leader_.state.Snapshot()).value();
+    leader_.clock = NextClock();
+    leader_.confirmed = now_;
+    led_since_ = now_;
+    tracker_.emplace(leader_.state.config(), LeaderNow());
+  }
+
+  void Poll(std::size_t index, unsigned peer) {
+    Process& process = processes_[index];
+    const schema::ConfigPoll poll =
+        process.observer.StartPoll(process.clock.At(now_));
+    if (peer == 0) {
+      tracker_->HandleApplied(poll.host, poll.incarnation, poll.sequence);
+      mail_.push_back({index, Answer(leader_, poll)});
+    } else if (peer == 1) {
+      if (former_) mail_.push_back({index, Answer(*former_, poll)});
+    } else {
+      const Process& other = processes_[peer % processes_.size()];
+      const auto reply = other.observer.Answer(poll, other.clock.At(now_));
+      if (reply) mail_.push_back({index, *reply});
+    }
+  }
+
+  schema::ConfigReply Answer(const Replica& replica,
+                             const schema::ConfigPoll& poll) const {
+    const Duration age =
+        replica.clock.At(now_) - replica.clock.At(replica.confirmed);
+    return replica.state.Answer(poll, age);
+  }
+
+  /// Delivers a message, mostly a recent one; it may come again later.
+  void Reply(unsigned pick) {
+    if (mail_.empty()) return;
+    const std::size_t window =
+        pick % 4 == 0 ? mail_.size() : std::min<std::size_t>(mail_.size(), 3);
+    const Mail& mail = mail_[mail_.size() - 1 - pick / 4 % window];
+    processes_[mail.process].observer.HandleReply(mail.reply);
+  }
+
+  /// No process admits under a configuration without a change that the leader
+  /// called in force or that is older than the lease.
+  void Check() {
+    for (auto& [sequence, commit] : commits_) {
+      const InForce status = tracker_->Check(sequence, LeaderNow());
+      commit.declared = commit.declared || status.in_force;
+      const bool due = now_ - commit.at >= WithClockError(kConfigLease);
+      RC_ASSERT(status.in_force ||
+                now_ - std::max(commit.at, led_since_) < 2 * kConfigLease);
+      if (!commit.declared && !due) continue;
+      for (const Process& process : processes_) {
+        const Admission admission =
+            process.observer.Admit(process.clock.At(now_));
+        RC_ASSERT(admission.state != AdmissionState::kOpen ||
+                  process.observer.config().sequence() >= sequence);
+      }
+    }
+  }
+
+  std::vector<int> rates_;
+  int clocks_ = 0;
+  Duration now_{};
+  Duration led_since_{};
+  Replica leader_;
+  std::optional<Replica> former_;
+  std::optional<InForceTracker> tracker_;
+  std::vector<Process> processes_;
+  std::vector<Mail> mail_;
+  std::map<std::uint64_t, Commit> commits_;
+  std::uint64_t index_ = 0;
+  std::uint64_t incarnation_ = 0;
+};
+
+rc::Gen<Step> GenStep() {
+  using rc::gen::inRange;
+  using rc::gen::set;
+  return rc::gen::build<Step>(
+      set(&Step::op, rc::gen::weightedElement<Op>({{8, Op::kWait},
+                                                   {2, Op::kWaitForLease},
+                                                   {10, Op::kPoll},
+                                                   {10, Op::kReply},
+                                                   {3, Op::kChange},
+                                                   {1, Op::kTakeOver},
+                                                   {1, Op::kRestart},
+                                                   {1, Op::kEnd},
+                                                   {1, Op::kRejoin},
+                                                   {4, Op::kRegister},
+                                                   {6, Op::kConfirm}})),
+      set(&Step::host, inRange(0U, 12U)),
+      set(&Step::peer, rc::gen::weightedOneOf<unsigned>(
+                           {{3, rc::gen::just(0U)}, {2, inRange(1U, 12U)}})),
+      set(&Step::pick, rc::gen::weightedOneOf<unsigned>(
+                           {{5, inRange(0U, 12U)}, {1, inRange(0U, 150U)}})));
+}
+
+// Guards against a host that admits work under settings older than the lease
+// allows, or after the leader reported newer ones in force everywhere.
+TEST_CASE("no host admits under settings that are out of force", "[fuzz]") {
+  REQUIRE(rc::check([] {
+    const auto rates =
+        *rc::gen::container<std::vector<int>>(7, rc::gen::element(0, 10));
+    const auto steps =
+        *rc::gen::scale(12.0, rc::gen::container<std::vector<Step>>(GenStep()));
+    World world(rates);
+    for (const Step& step : steps) world.Run(step);
+  }));
+}
+
+}  // namespace
+}  // namespace foxquay::control
