--- a/src/foxquay/routing/draw.cc
+++ b/src/foxquay/routing/draw.cc
@@ -1,4 +1,5 @@
 #include <cstddef>
+#include <random>
 
 #include "foxquay/routing/router.h"
 
@@ -19,8 +20,16 @@
   const auto consider = [&](UpstreamIndex index) {
     if (!Allowed(index, excluded, now)) return;
     ++found;
-    const double seconds = upstreams_[index].LoadedLayerSeconds(now);
-    if (seconds < best.layer_seconds) best = {index, seconds};
+    const Upstream& upstream = upstreams_[index];
+    const double factor = upstream.suspicion.Factor(now);
+    // Ignoring the factor with probability 1 / factor lets traffic return in
+    // proportion; a plain comparison would return it all at once.
+    const bool trusted =
+        factor > 1 &&
+        std::uniform_real_distribution<double>()(random_) * factor < 1;
+    const double seconds =
+        upstream.LoadedLayerSeconds(now) / (trusted ? factor : 1);
+    if (seconds < best.layer_seconds) best = {index, seconds, trusted};
   };
   for (int i = 0; i < internal::kDrawTries && found < 2; ++i) {
     consider(members[random_() % members.size()]);
--- a/src/foxquay/routing/group.cc
+++ b/src/foxquay/routing/group.cc
@@ -51,8 +51,9 @@
     std::set<std::uint32_t> boundaries = starts;
     boundaries.insert(group_.layers);
     for (StageClass& c : group_.classes) {
-      // With a time per layer, the best cut between two overlapping ranges is
-      // the end of the former or the start of the latter.
+      // With a time per layer, and no link slower than a detour, the best cut
+      // between two overlapping ranges is the end of the former or the start
+      // of the latter.
       c.ends.assign(starts.upper_bound(c.layers.first),
                     starts.upper_bound(c.layers.last));
       c.ends.push_back(c.layers.last + 1);
--- a/src/foxquay/routing/planner.cc
+++ b/src/foxquay/routing/planner.cc
@@ -79,7 +79,7 @@
     steps.push_back(
         {pick.upstream,
          {group.boundaries[cell.boundary], group.boundaries[boundary] - 1},
-         pick.layer_seconds});
+         pick.trusted});
     boundary = cell.boundary;
     place = cell.place;
   }
--- a/src/foxquay/routing/planner.h
+++ b/src/foxquay/routing/planner.h
@@ -15,6 +15,7 @@
 struct Pick {
   UpstreamIndex upstream = 0;
   double layer_seconds = std::numeric_limits<double>::infinity();
+  bool trusted = false;  ///< Whether its suspicion is ignored.
 
   /// Returns whether the class has a usable member.
   [[nodiscard]] bool Valid() const noexcept {
@@ -26,7 +27,7 @@
 struct Step {
   UpstreamIndex upstream = 0;
   schema::LayerRange layers;
-  double layer_seconds = 0;
+  bool trusted = false;  ///< As in Pick.
 };
 
 /// Finds the cheapest cover of a group's layers by dynamic programming over
--- a/src/foxquay/routing/router.cc
+++ b/src/foxquay/routing/router.cc
@@ -94,8 +94,9 @@
         static_cast<std::size_t>(std::find(places.begin(), places.end(),
                                            upstream.announced.data_centre) -
                                  places.begin());
-    const double seconds =
-        upstream.LayerSeconds(now) * (step.layers.last - step.layers.first + 1);
+    const double suspicion = step.trusted ? upstream.suspicion.Factor(now) : 1;
+    const double seconds = upstream.LayerSeconds(now) / suspicion *
+                           (step.layers.last - step.layers.first + 1);
     sum += group.links[at * places.size() + next] + seconds;
     slowest = std::max(slowest, seconds * upstream.Share());
     at = next;
--- /dev/null
+++ b/tests/foxquay/routing/router_test.cc
@@ -0,0 +1,157 @@
+#include "foxquay/routing/router.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace foxquay::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr core::Instant kStart{seconds(1000)};
+
+schema::Announcement Sample(const std::string& id, std::uint32_t first,
+                            std::uint32_t last) {
+  schema::Announcement announced;
+  announced.id = core::UpstreamId(id);
+  announced.data_centre = core::DataCentreId("osborne");
+  announced.model = core::ModelId("drafter");
+  announced.layers = {first, last};
+  announced.model_layers = 8;
+  announced.slots = 8;
+  return announced;
+}
+
+Router SampleRouter(const std::vector<schema::Announcement>& announced) {
+  Router router({core::DataCentreId("osborne"), {}, 5});
+  router.Replace(announced);
+  return router;
+}
+
+Query SampleQuery() { return {core::ModelId("drafter"), "", std::nullopt, {}}; }
+
+/// Returns the share of decisions whose chain starts at an upstream.
+double ShareOf(Router& router, const std::string& id, core::Instant now) {
+  constexpr int kDecisions = 2000;
+  int count = 0;
+  for (int i = 0; i < kDecisions; ++i) {
+    const auto found = router.Find(SampleQuery(), now);
+    const Plan& plan = std::get<Plan>(found);
+    if (plan.chain.front().upstream.value() == id) ++count;
+  }
+  return static_cast<double>(count) / kDecisions;
+}
+
+}  // namespace
+
+// Guards against refusals that name no layers, or layers that are held.
+TEST_CASE("the missing layers of a model are named") {
+  Router router = SampleRouter({Sample("a", 0, 1), Sample("b", 4, 6)});
+  const auto found = router.Find(SampleQuery(), kStart);
+  const auto& none = std::get<NoPlan>(found);
+  CHECK(none.reason == NoPlan::Reason::kMissing);
+  CHECK(Describe(none.missing) == "2-3, 7-7");
+}
+
+// Guards against work for upstreams that leave, are disabled or are full.
+TEST_CASE("closed and full upstreams are not in any chain") {
+  Router router = SampleRouter({Sample("a", 0, 7), Sample("b", 0, 7)});
+  SECTION("leaving") {
+    schema::Announcement leaving = Sample("a", 0, 7);
+    leaving.leaving = true;
+    router.Replace({leaving, Sample("b", 0, 7)});
+  }
+  SECTION("withdrawn") { router.Replace({Sample("b", 0, 7)}); }
+  SECTION("disabled") {
+    router.upstreams().Find(core::UpstreamId("a"))->enabled = false;
+  }
+  SECTION("full") {
+    router.upstreams().Find(core::UpstreamId("a"))->limit = 1;
+    router.Start(core::UpstreamId("a"));
+  }
+  CHECK(ShareOf(router, "b", kStart) == 1);
+}
+
+// Guards against a refusal where waiting for a free slot would do.
+TEST_CASE("a full model is busy, not missing") {
+  Router router = SampleRouter({Sample("a", 0, 7)});
+  router.upstreams().Find(core::UpstreamId("a"))->limit = 0;
+  const auto found = router.Find(SampleQuery(), kStart);
+  CHECK(std::get<NoPlan>(found).reason == NoPlan::Reason::kBusy);
+}
+
+// Guards against chains whose stages hold different versions or lack the
+// adapter.
+TEST_CASE("a chain has one version and the adapter on every stage") {
+  schema::Announcement head = Sample("a", 0, 3);
+  schema::Announcement tail = Sample("b", 4, 7);
+  head.versions = {"v1", "v2"};
+  tail.versions = {"v2", "v3"};
+  head.adapters = {"quotes"};
+  Router router = SampleRouter({head, tail});
+  Query query = SampleQuery();
+  CHECK(std::get<Plan>(router.Find(query, kStart)).version == "v2");
+  query.version = "v1";
+  CHECK(std::holds_alternative<NoPlan>(router.Find(query, kStart)));
+  query.version = "v2";
+  query.adapter = "quotes";
+  CHECK(std::holds_alternative<NoPlan>(router.Find(query, kStart)));
+  tail.adapters = {"quotes"};
+  router.Replace({head, tail});
+  CHECK(std::holds_alternative<Plan>(router.Find(query, kStart)));
+}
+
+// Guards against slow links in a chain where near upstreams have room.
+TEST_CASE("an idle chain stays in the host's data centre") {
+  schema::Announcement far = Sample("a", 0, 7);
+  far.data_centre = core::DataCentreId("welshpool");
+  Router router = SampleRouter({far, Sample("b", 0, 7)});
+  CHECK(ShareOf(router, "b", kStart) == 1);
+}
+
+// Guards against a failed upstream that gets work at once, or all of its
+// former share in one step.
+TEST_CASE("a failed upstream is avoided and returns gradually") {
+  Router router = SampleRouter({Sample("a", 0, 7), Sample("b", 0, 7)});
+  router.upstreams().Find(core::UpstreamId("a"))->suspicion.Fail(kStart);
+  CHECK(ShareOf(router, "a", kStart + milliseconds(999)) == 0);
+  // Avoidance lasts 1 s, the return 2 s.
+  const double early = ShareOf(router, "a", kStart + milliseconds(1100));
+  const double middle = ShareOf(router, "a", kStart + milliseconds(2500));
+  const double late = ShareOf(router, "a", kStart + milliseconds(2900));
+  const double after = ShareOf(router, "a", kStart + milliseconds(3100));
+  CAPTURE(early, middle, late, after);
+  CHECK(early < 0.2);
+  CHECK(middle > early + 0.05);
+  CHECK(late > middle + 0.05);
+  CHECK(after > 0.45);
+}
+
+// Guards against endless retries of an upstream that keeps failing.
+TEST_CASE("avoidance doubles with each failure in a row") {
+  Suspicion suspicion;
+  suspicion.Fail(kStart);
+  suspicion.Fail(kStart + seconds(1));
+  CHECK(suspicion.Avoided(kStart + milliseconds(2999)));
+  CHECK_FALSE(suspicion.Avoided(kStart + seconds(3)));
+}
+
+// Guards against herding: hosts with different seeds must not pick alike.
+TEST_CASE("hosts with different seeds spread over equal upstreams") {
+  std::vector<schema::Announcement> announced;
+  for (int i = 0; i < 16; ++i) {
+    announced.push_back(Sample("u" + std::to_string(i), 0, 7));
+  }
+  std::map<std::string, int> picked;
+  for (std::uint64_t seed = 1; seed <= 160; ++seed) {
+    Router router({core::DataCentreId("osborne"), {}, seed});
+    router.Replace(announced);
+    const auto found = router.Find(SampleQuery(), kStart);
+    ++picked[std::get<Plan>(found).chain.front().upstream.value()];
+  }
+  CHECK(picked.size() == 16);
+  for (const auto& [id, count] : picked) CHECK(count < 30);
+}
+
+}  // namespace foxquay::routing
