--- a/tests/foxquay/routing/router_test.cc
+++ b/tests/foxquay/routing/router_test.cc
@@ -139,9 +139,9 @@
 
 // Guards against herding: hosts with different seeds must not pick alike.
 TEST_CASE("hosts with different seeds spread over equal upstreams") {
-  std::vector<schema::Announcement> announced;
-  for (int i = 0; i < 16; ++i) {
-    announced.push_back(Sample("u" + std::to_string(i), 0, 7));
+  std::vector<schema::Announcement> announced(16);
+  for (std::size_t i = 0; i < announced.size(); ++i) {
+    announced[i] = Sample("u" + std::to_string(i), 0, 7);
   }
   std::map<std::string, int> picked;
   for (std::uint64_t seed = 1; seed <= 160; ++seed) {
