Admit by all legs to come and by the measured rate of a flow

Causes: the queue holds only the next leg of a request, so later legs were not counted; the share of a flow was taken from the present backlogs, so work that other flows bring later was not counted; one mean length of answers hid that long requests are longer.

Now each admitted request is a commitment with the rest of its service and the latest time at which it may start; a new request must fit and must leave those of its flow enough time; waits follow the measured rate of the flow; lengths are learnt per size asked for; legs of one class go by deadline.

--- a/bench/policy/arrivals.cc
+++ b/bench/policy/arrivals.cc
@@ -101,7 +101,10 @@
 
 std::vector<Arrival> Generate(const Load& load, const ServiceTime& service) {
   const double rate = load.share * load.slots / MeanWork(load, service);
+  // Times are drawn apart from contents, so that loads with and without long
+  // requests have the same swings.
   Generator generator(load.seed);
+  Generator contents(load.seed + 3);
   std::vector<Arrival> arrivals;
   double now = 0;
   double level = 1;
@@ -116,7 +119,7 @@
         at >= load.crest_at && at < load.crest_at + load.crest_span;
     now += generator.Exponential(1 / (rate * level * (crest ? load.crest : 1)));
     if (FromSeconds(now) >= load.span) return arrivals;
-    arrivals.push_back(generator.Request(load.long_part));
+    arrivals.push_back(contents.Request(load.long_part));
     arrivals.back().at = FromSeconds(now);
   }
 }
--- a/src/foxquay/dispatch/legs.cc
+++ b/src/foxquay/dispatch/legs.cc
@@ -177,7 +177,7 @@
   end.outcome = core::Outcome::kComplete;
   end.status = event.status;
   end.body = event.body;
-  End(*request, std::move(end));
+  End(*request, std::move(end), now);
 }
 
 void Engine::State::On(const ServiceFailed& event, core::Instant now) {
@@ -207,12 +207,12 @@
     case stream::Next::kContinue:
       request.excluded.clear();
       request.suspected.clear();
-      return Enqueue(request, false);
+      return Enqueue(request, false, now);
     case stream::Next::kComplete:
-      return Complete(request);
+      return Complete(request, now);
     case stream::Next::kRetry:
       if (queue_.AllowRetry(request.submission.workspace, request.failed)) {
-        return Enqueue(request, true);
+        return Enqueue(request, true, now);
       }
       return GiveUp(request, "retry budget is used up",
                     queue_.RetryAfter(Describe(request).pool), now);
@@ -222,7 +222,7 @@
   }
 }
 
-void Engine::State::Complete(Request& request) {
+void Engine::State::Complete(Request& request, core::Instant now) {
   Finish end;
   end.request = request.submission.id;
   end.outcome = core::Outcome::kComplete;
@@ -230,7 +230,7 @@
     end.status = internal::kStatusOk;
     end.body = internal::Join(request.stream.delivered());
   }
-  End(request, std::move(end));
+  End(request, std::move(end), now);
 }
 
 void Engine::State::ReportServed(const Request& request, const Leg& leg,
@@ -249,7 +249,7 @@
   if (end == LegEnd::kStop || (served.ended_well && whole)) {
     served.answer = delivered;
   }
-  queue_.Complete(served);
+  queue_.Complete(served, now);
 }
 
 }  // namespace foxquay::dispatch
--- a/src/foxquay/dispatch/plans.cc
+++ b/src/foxquay/dispatch/plans.cc
@@ -31,7 +31,7 @@
   return waiting;
 }
 
-void Engine::State::Enqueue(Request& request, bool resumed) {
+void Engine::State::Enqueue(Request& request, bool resumed, core::Instant now) {
   // Until a token is delivered, any version that the caller permits may serve.
   const Completion* completion = request.completion();
   if (completion != nullptr && request.stream.delivered().empty()) {
@@ -40,7 +40,7 @@
   }
   Waiting waiting = Describe(request);
   waiting.resumed = resumed;
-  queue_.Push(waiting);
+  queue_.Push(waiting, now);
   pump_needed_ = true;
 }
 
@@ -106,7 +106,7 @@
   };
   while (queue_.size() > 0) {
     hopeless.clear();
-    const std::optional<Waiting> taken = queue_.Take(runnable);
+    const std::optional<Waiting> taken = queue_.Take(runnable, now);
     if (taken) {
       Request& request = requests_.at(taken->request);
       std::visit(
--- a/src/foxquay/dispatch/queue.cc
+++ b/src/foxquay/dispatch/queue.cc
@@ -36,14 +36,18 @@
 }
 
 std::optional<Refusal> Queue::Admit(const Waiting& waiting, core::Instant now) {
-  core::Duration work_before = core::Duration::zero();
+  scheduling::QueueState state = StateOf(waiting.pool);
+  const scheduling::Commitment added = CommitmentTo(waiting);
   const auto pool = pools_.find(waiting.pool);
   if (pool != pools_.end()) {
-    work_before = pool->second.WorkBefore(
-        waiting.workspace, waiting.traffic_class, ShareOf(waiting));
+    const scheduling::Commitments& owed = pool->second.commitments;
+    const auto parallel = static_cast<double>(state.running);
+    state.wait = owed.Wait(added, parallel);
+    state.fits = owed.Fits(added, now, parallel);
   }
-  const auto refusal = admission_.Check(DemandOf(waiting, now),
-                                        StateOf(waiting.pool, work_before));
+  const auto refusal = admission_.Check({waiting.deadline - now, added.rest,
+                                         waiting.deadline - added.latest_start},
+                                        state);
   if (refusal) {
     return Refusal{internal::Reason(refusal->reason), refusal->retry_after};
   }
@@ -51,59 +55,77 @@
   return std::nullopt;
 }
 
-void Queue::Push(const Waiting& waiting) {
+void Queue::Push(const Waiting& waiting, core::Instant now) {
   if (pools_.size() >= internal::kMaxPools) {
     std::erase_if(pools_, [](const auto& entry) {
-      return entry.second.size() == 0 && entry.second.running() == 0;
+      return entry.second.commitments.size() == 0 &&
+             entry.second.queue.running() == 0;
     });
   }
   const scheduling::Ticket ticket{
       waiting.request, waiting.workspace, waiting.traffic_class,
       estimator_.EstimateLeg(waiting.pool, waiting.traffic_class,
-                             ShapeOf(waiting))};
-  pools_[waiting.pool].Push(
+                             ShapeOf(waiting)),
+      waiting.deadline};
+  Pool& pool = pools_[waiting.pool];
+  pool.queue.Push(
       ticket, ShareOf(waiting),
       waiting.resumed ? scheduling::Place::kFront : scheduling::Place::kBack);
+  pool.commitments.Set(waiting.request, CommitmentTo(waiting));
+  admitted_.insert_or_assign(waiting.request, waiting);
+  NoteBacklog(pool, waiting, now);
   waiting_.emplace(waiting.request, waiting);
 }
 
-void Queue::Remove(core::RequestId request) {
-  const auto found = waiting_.find(request);
-  if (found == waiting_.end()) return;
-  pools_.at(found->second.pool).Remove(request);
-  waiting_.erase(found);
+void Queue::Remove(core::RequestId request, core::Instant now) {
+  const auto node = admitted_.extract(request);
+  if (node.empty()) return;
+  waiting_.erase(request);
+  Pool& pool = pools_.at(node.mapped().pool);
+  pool.commitments.Erase(request);
+  if (pool.queue.Remove(request)) NoteBacklog(pool, node.mapped(), now);
+}
+
+void Queue::NoteBacklog(Pool& pool, const Waiting& waiting, core::Instant now) {
+  pool.commitments.SetBacklogged(
+      waiting.workspace, waiting.traffic_class,
+      pool.queue.Backlogged(waiting.workspace, waiting.traffic_class), now);
 }
 
 std::optional<Waiting> Queue::Take(
-    const std::function<bool(const Waiting&)>& runnable) {
+    const std::function<bool(const Waiting&)>& runnable, core::Instant now) {
   const auto accept = [&](const scheduling::Ticket& ticket) {
     const Waiting& waiting = waiting_.at(ticket.request);
     return MayRun(waiting) && runnable(waiting);
   };
   for (auto& [id, pool] : pools_) {
-    if (pool.size() == 0) continue;
-    const std::optional<scheduling::Ticket> ticket = pool.Take(accept);
-    if (ticket) return Taking(*ticket);
+    if (pool.queue.size() == 0) continue;
+    const std::optional<scheduling::Ticket> ticket = pool.queue.Take(accept);
+    if (ticket) return Taking(*ticket, now);
   }
   return std::nullopt;
 }
 
-Waiting Queue::Taking(const scheduling::Ticket& ticket) {
+Waiting Queue::Taking(const scheduling::Ticket& ticket, core::Instant now) {
   const auto found = waiting_.find(ticket.request);
   Waiting waiting = std::move(found->second);
   waiting_.erase(found);
   ++in_flight_[waiting.workspace];
+  NoteBacklog(pools_.at(waiting.pool), waiting, now);
   taken_.insert_or_assign(ticket.request, Taken{waiting, ticket});
   return waiting;
 }
 
-void Queue::Complete(const Served& served) {
+void Queue::Complete(const Served& served, core::Instant now) {
   const auto node = taken_.extract(served.request);
   if (node.empty()) return;
   const Taken& taken = node.mapped();
   const auto count = in_flight_.find(taken.waiting.workspace);
   if (--count->second == 0) in_flight_.erase(count);
-  pools_.at(taken.waiting.pool).Complete(taken.ticket, served.time);
+  Pool& pool = pools_.at(taken.waiting.pool);
+  pool.queue.Complete(taken.ticket, served.time);
+  pool.commitments.AddServed(taken.waiting.workspace,
+                             taken.waiting.traffic_class, served.time, now);
   Learn(taken, served);
 }
 
@@ -129,10 +151,7 @@
 }
 
 core::Duration Queue::RetryAfter(const scheduling::PoolId& pool) {
-  const auto found = pools_.find(pool);
-  const core::Duration backlog =
-      found == pools_.end() ? core::Duration::zero() : found->second.Backlog();
-  return admission_.RetryAfter(StateOf(pool, backlog));
+  return admission_.RetryAfter(StateOf(pool));
 }
 
 PolicyScope Queue::ScopeOf(const Waiting& waiting) const {
@@ -181,29 +200,33 @@
           std::min(ExpectedTokens(waiting), LegTokens(waiting))};
 }
 
-scheduling::Demand Queue::DemandOf(const Waiting& waiting,
-                                   core::Instant now) const {
-  const scheduling::LegShape shape = ShapeOf(waiting);
-  scheduling::Demand demand;
-  demand.time_left = waiting.deadline - now;
-  if (waiting.max_tokens > 0) {
-    const std::uint32_t tokens = std::max(1U, shape.tokens);
-    demand.legs = (ExpectedTokens(waiting) + tokens - 1) / tokens;
-  }
-  demand.service =
-      estimator_.EstimateLeg(waiting.pool, waiting.traffic_class, shape) *
-      demand.legs;
-  return demand;
+core::Duration Queue::ServiceOf(const Waiting& waiting,
+                                std::uint32_t tokens) const {
+  const auto estimate = [&](std::uint32_t leg_tokens) {
+    return estimator_.EstimateLeg(waiting.pool, waiting.traffic_class,
+                                  {waiting.prompt_bytes, leg_tokens});
+  };
+  const std::uint32_t full = LegTokens(waiting);
+  if (waiting.max_tokens == 0 || full == 0) return estimate(1);
+  const std::uint32_t rest = tokens % full;
+  return estimate(full) * (tokens / full) +
+         (rest > 0 ? estimate(rest) : core::Duration::zero());
+}
+
+scheduling::Commitment Queue::CommitmentTo(const Waiting& waiting) const {
+  return {waiting.workspace, waiting.traffic_class, ShareOf(waiting),
+          ServiceOf(waiting, ExpectedTokens(waiting)),
+          waiting.deadline - ServiceOf(waiting, waiting.tokens_left)};
 }
 
-scheduling::QueueState Queue::StateOf(const scheduling::PoolId& pool,
-                                      core::Duration work_before) const {
+scheduling::QueueState Queue::StateOf(const scheduling::PoolId& pool) const {
   scheduling::QueueState state;
-  state.work_before = work_before;
   const auto found = pools_.find(pool);
   if (found != pools_.end()) {
-    state.running = found->second.running();
-    state.waiting = found->second.size();
+    state.running = found->second.queue.running();
+    state.waiting = found->second.queue.size();
+    state.drain =
+        found->second.commitments.DrainTime(static_cast<double>(state.running));
   }
   // The bound applies to the waiting requests of all pools.
   state.capacity =
--- a/src/foxquay/dispatch/queue.h
+++ b/src/foxquay/dispatch/queue.h
@@ -15,6 +15,7 @@
 #include "foxquay/core/time.h"
 #include "foxquay/dispatch/policy.h"
 #include "foxquay/scheduling/admission.h"
+#include "foxquay/scheduling/commitments.h"
 #include "foxquay/scheduling/fair_queue.h"
 #include "foxquay/scheduling/retry_budget.h"
 #include "foxquay/scheduling/service_estimator.h"
@@ -64,15 +65,15 @@
   [[nodiscard]] std::optional<Refusal> Admit(const Waiting& waiting,
                                              core::Instant now);
   /// Queues a request. Precondition: it is not in the queue.
-  void Push(const Waiting& waiting);
-  /// Takes a request out, if it waits.
-  void Remove(core::RequestId request);
+  void Push(const Waiting& waiting, core::Instant now);
+  /// Ends a request, whether it waits or not.
+  void Remove(core::RequestId request, core::Instant now);
   /// Takes the first request, in fair order, that `runnable` accepts; it must
   /// be ended by Complete. `runnable` does not call this object.
   [[nodiscard]] std::optional<Waiting> Take(
-      const std::function<bool(const Waiting&)>& runnable);
+      const std::function<bool(const Waiting&)>& runnable, core::Instant now);
   /// Ends the leg or call of a request that Take returned.
-  void Complete(const Served& served);
+  void Complete(const Served& served, core::Instant now);
 
   /// Counts a leg or call sent to an upstream.
   void CountLeg(const core::UpstreamId& upstream);
@@ -86,6 +87,11 @@
   [[nodiscard]] std::size_t size() const noexcept { return waiting_.size(); }
 
  private:
+  struct Pool {
+    scheduling::FairQueue queue;
+    scheduling::Commitments commitments;
+  };
+
   struct Taken {
     Waiting waiting;
     scheduling::Ticket ticket;
@@ -98,12 +104,19 @@
   [[nodiscard]] std::uint32_t ExpectedTokens(const Waiting& waiting) const;
   [[nodiscard]] std::uint32_t LegTokens(const Waiting& waiting) const;
   [[nodiscard]] scheduling::LegShape ShapeOf(const Waiting& waiting) const;
-  [[nodiscard]] scheduling::Demand DemandOf(const Waiting& waiting,
-                                            core::Instant now) const;
+  /// Returns the estimated service time of all legs to come.
+  [[nodiscard]] core::Duration ServiceOf(const Waiting& waiting,
+                                         std::uint32_t tokens) const;
+  [[nodiscard]] scheduling::Commitment CommitmentTo(
+      const Waiting& waiting) const;
   [[nodiscard]] scheduling::QueueState StateOf(
-      const scheduling::PoolId& pool, core::Duration work_before) const;
+      const scheduling::PoolId& pool) const;
   [[nodiscard]] bool MayRun(const Waiting& waiting) const;
-  [[nodiscard]] Waiting Taking(const scheduling::Ticket& ticket);
+  [[nodiscard]] Waiting Taking(const scheduling::Ticket& ticket,
+                               core::Instant now);
+  /// Tells the rate of a flow whether it has a backlog.
+  static void NoteBacklog(Pool& pool, const Waiting& waiting,
+                          core::Instant now);
   void Learn(const Taken& taken, const Served& served);
 
   Policy policy_;
@@ -112,7 +125,9 @@
   scheduling::Admission admission_;
   scheduling::ServiceEstimator estimator_;
   scheduling::RetryBudgets budgets_;
-  std::map<scheduling::PoolId, scheduling::FairQueue> pools_;
+  std::map<scheduling::PoolId, Pool> pools_;
+  /// Requests that were admitted and have not ended.
+  std::unordered_map<core::RequestId, Waiting> admitted_;
   std::unordered_map<core::RequestId, Waiting> waiting_;
   std::unordered_map<core::RequestId, Taken> taken_;
   std::unordered_map<core::WorkspaceId, std::uint32_t> in_flight_;
--- a/src/foxquay/dispatch/requests.cc
+++ b/src/foxquay/dispatch/requests.cc
@@ -95,7 +95,7 @@
     actions_.emplace_back(
         RequestClaim{submission.id, submission.idempotency_key});
   } else {
-    Enqueue(request, false);
+    Enqueue(request, false, now);
   }
   Arm(request);
 }
@@ -110,8 +110,7 @@
   actions_.emplace_back(std::move(end));
 }
 
-void Engine::State::On(const ClaimDecided& event,
-                       [[maybe_unused]] core::Instant now) {
+void Engine::State::On(const ClaimDecided& event, core::Instant now) {
   Request* request = FindRequest(event.request);
   if (request == nullptr) {
     const auto found = std::find_if(
@@ -125,7 +124,7 @@
     return;
   }
   if (request->claim != ClaimState::kAsked) return;
-  if (event.decision == ClaimDecision::kGranted) return Grant(*request);
+  if (event.decision == ClaimDecision::kGranted) return Grant(*request, now);
   if (event.decision != ClaimDecision::kUnavailable) {
     request->claim = ClaimState::kNone;
   }
@@ -154,13 +153,13 @@
     case ClaimDecision::kMismatch:
       break;
   }
-  End(*request, std::move(end));
+  End(*request, std::move(end), now);
 }
 
-void Engine::State::Grant(Request& request) {
+void Engine::State::Grant(Request& request, core::Instant now) {
   request.claim = ClaimState::kHeld;
   request.stream.Grant();
-  Enqueue(request, false);
+  Enqueue(request, false, now);
 }
 
 void Engine::State::On(const CallerGone& event, core::Instant now) {
@@ -204,7 +203,7 @@
   end.outcome = request.stream.GiveUp();
   end.reason = std::move(reason);
   end.retry_after = retry_after;
-  End(request, std::move(end));
+  End(request, std::move(end), now);
 }
 
 void Engine::State::GiveUp(Request& request, const routing::NoPlan& none,
@@ -227,9 +226,9 @@
   GiveUp(request, std::move(reason), none.retry_after, now);
 }
 
-void Engine::State::End(Request& request, Finish end) {
+void Engine::State::End(Request& request, Finish end, core::Instant now) {
   SettleClaim(request, end);
-  queue_.Remove(end.request);
+  queue_.Remove(end.request, now);
   requests_.erase(end.request);
   pump_needed_ = true;
   actions_.emplace_back(std::move(end));
--- a/src/foxquay/dispatch/state.h
+++ b/src/foxquay/dispatch/state.h
@@ -50,14 +50,14 @@
       const Submission& submission) const;
   [[nodiscard]] stream::Terms TermsOf(const Submission& submission,
                                       core::Instant now) const;
-  void Grant(Request& request);
+  void Grant(Request& request, core::Instant now);
   void Expire(Request& request, core::Instant now);
   /// Ends a request whose answer is not whole.
   void GiveUp(Request& request, std::string reason,
               std::optional<core::Duration> retry_after, core::Instant now);
   void GiveUp(Request& request, const routing::NoPlan& none, core::Instant now);
   /// Ends a request; `end` names it.
-  void End(Request& request, Finish end);
+  void End(Request& request, Finish end, core::Instant now);
   void SettleClaim(Request& request, const Finish& end);
   void RefuseArrival(const Submission& submission, const Refusal& refusal);
 
@@ -76,7 +76,7 @@
   void Follow(Request& request, stream::Next next, core::Instant now);
   void Blame(Request* request, const Leg& leg,
              const std::optional<core::UpstreamId>& culprit, core::Instant now);
-  void Complete(Request& request);
+  void Complete(Request& request, core::Instant now);
   void ReportServed(const Request& request, const Leg& leg, LegEnd end,
                     core::Instant now);
   /// Passes the time of a token of a leg to the limits.
@@ -87,7 +87,7 @@
   [[nodiscard]] FoundOrNot FindChain(const Request& request,
                                      const Completion& completion,
                                      core::Instant now);
-  void Enqueue(Request& request, bool resumed);
+  void Enqueue(Request& request, bool resumed, core::Instant now);
   [[nodiscard]] Waiting Describe(const Request& request) const;
   /// Starts what can start and gives up what has no chain.
   void Pump(core::Instant now);
--- a/src/foxquay/scheduling/admission.cc
+++ b/src/foxquay/scheduling/admission.cc
@@ -18,16 +18,8 @@
 
 }  // namespace
 
-core::Duration EstimateWait(const QueueState& queue) noexcept {
-  if (queue.waiting == 0) return core::Duration::zero();
-  // While legs wait, all capacity is in use, so the legs in service count it.
-  const auto parallel =
-      static_cast<core::Duration::rep>(std::max<std::size_t>(1, queue.running));
-  return queue.work_before / parallel;
-}
-
 core::Duration Admission::RetryAfter(const QueueState& queue) {
-  const core::Duration base = std::max(kMinRetry, EstimateWait(queue));
+  const core::Duration base = std::max(kMinRetry, queue.drain);
   std::uniform_real_distribution<double> spread(0, kSpread);
   return base + Scale(base, spread(random_));
 }
@@ -43,8 +35,9 @@
   if (demand.service > demand.time_left) {
     return Refusal{RefusalReason::kServiceTime, std::nullopt};
   }
-  const core::Duration wait = EstimateWait(queue) * demand.legs;
-  if (wait + demand.service > demand.time_left) {
+  // While no leg waits there is room, whatever is owed to running requests.
+  if (queue.waiting == 0) return std::nullopt;
+  if (!queue.fits || queue.wait + demand.longest > demand.time_left) {
     return Refusal{RefusalReason::kDeadline, RetryAfter(queue)};
   }
   return std::nullopt;
--- a/src/foxquay/scheduling/admission.h
+++ b/src/foxquay/scheduling/admission.h
@@ -14,15 +14,17 @@
 /// What a new request needs.
 struct Demand {
   core::Duration time_left = core::Duration::zero();  ///< To its deadline.
-  core::Duration service = core::Duration::zero();    ///< Of all its legs.
-  std::uint32_t legs = 1;  ///< Times it waits in the queue.
+  core::Duration service = core::Duration::zero();    ///< Expected.
+  core::Duration longest = core::Duration::zero();  ///< If its answer is full.
 };
 
 /// What a new request finds in the queue of its pool.
 struct QueueState {
-  core::Duration work_before = core::Duration::zero();  ///< Served first.
-  std::size_t running = 0;                              ///< Legs in service.
-  std::size_t waiting = 0;                              ///< Legs in the queue.
+  core::Duration wait = core::Duration::zero();   ///< Of the new request.
+  core::Duration drain = core::Duration::zero();  ///< To serve all it holds.
+  bool fits = true;          ///< Whether admitted requests keep their time.
+  std::size_t running = 0;   ///< Legs in service.
+  std::size_t waiting = 0;   ///< Legs in the queue.
   std::size_t capacity = 0;  ///< Most legs that may wait.
 };
 
@@ -58,9 +60,6 @@
   std::mt19937_64 random_;
 };
 
-/// Returns the estimated wait for the work before a new leg.
-[[nodiscard]] core::Duration EstimateWait(const QueueState& queue) noexcept;
-
 }  // namespace foxquay::scheduling
 
 #endif  // FOXQUAY_SCHEDULING_ADMISSION_H_
--- a/src/foxquay/scheduling/fair_order.h
+++ b/src/foxquay/scheduling/fair_order.h
@@ -36,32 +36,30 @@
   /// dropped, whatever they owe.
   explicit FairOrder(std::size_t capacity) : capacity_(capacity) {}
 
-  /// Adds queued work to a flow and sets its weight.
+  /// Adds a leg to a flow and sets its weight.
   ///
   /// Precondition: `weight` is positive.
-  void Add(const Key& key, double weight, core::Duration cost) {
+  void Add(const Key& key, double weight) {
     assert(weight > 0 && "a weight is positive");
     Flow& flow = FindOrCreate(key);
     flow.weight = weight;
-    flow.queued += cost;
     if (flow.waiting++ > 0) return;
     flow.rank.tag = std::max(flow.rank.tag, virtual_time_);
     flow.rank.number = next_number_++;
     ranks_.emplace(flow.rank, key);
   }
 
-  /// Takes queued work away without service.
-  void Remove(const Key& key, core::Duration cost) {
+  /// Takes a leg away without service.
+  void Remove(const Key& key) {
     Flow& flow = flows_.at(key);
-    flow.queued -= cost;
     if (--flow.waiting == 0) ranks_.erase(flow.rank);
   }
 
-  /// Moves queued work into service and charges its estimated cost.
+  /// Moves a leg into service and charges its estimated cost.
   void Serve(const Key& key, core::Duration cost) {
     Flow& flow = flows_.at(key);
     virtual_time_ = std::max(virtual_time_, flow.rank.tag);
-    Remove(key, cost);
+    Remove(key);
     ++flow.running;
     Move(key, flow, cost);
   }
@@ -75,36 +73,6 @@
     Move(key, flow, error);
   }
 
-  /// Returns the queued work served before work that would join a flow now
-  /// behind `own` work of the same flow; includes `own`.
-  [[nodiscard]] core::Duration WorkBefore(const Key& key, double weight,
-                                          core::Duration own) const {
-    const auto found = flows_.find(key);
-    double tag = virtual_time_;
-    if (found != flows_.end()) {
-      const Flow& flow = found->second;
-      tag = flow.waiting > 0 ? flow.rank.tag
-                             : std::max(flow.rank.tag, virtual_time_);
-    }
-    tag += Seconds(own) / weight;
-    double work = Seconds(own);
-    for (const auto& [rank, other] : ranks_) {
-      if (rank.tag >= tag) break;
-      if (other == key) continue;
-      const Flow& flow = flows_.at(other);
-      work += std::min(Seconds(flow.queued), (tag - rank.tag) * flow.weight);
-    }
-    return std::chrono::duration_cast<core::Duration>(
-        std::chrono::duration<double>(work));
-  }
-
-  /// Returns the queued work of a flow.
-  [[nodiscard]] core::Duration Queued(const Key& key) const {
-    const auto found = flows_.find(key);
-    return found == flows_.end() ? core::Duration::zero()
-                                 : found->second.queued;
-  }
-
   /// Returns the backlogged flows, next first.
   [[nodiscard]] const Ranks& ranks() const noexcept { return ranks_; }
   /// Returns the number of flows whose state is kept.
@@ -118,7 +86,6 @@
   struct Flow {
     Rank rank;
     double weight = 1;
-    core::Duration queued = core::Duration::zero();
     std::size_t waiting = 0;
     std::size_t running = 0;
   };
--- a/src/foxquay/scheduling/fair_queue.cc
+++ b/src/foxquay/scheduling/fair_queue.cc
@@ -9,29 +9,25 @@
 void FairQueue::Push(const Ticket& ticket, const Share& share, Place place) {
   assert(!Contains(ticket.request) && "a request has one waiting leg");
   assert(ticket.cost >= core::Duration::zero() && "a cost is not negative");
-  order_.Add(ticket.workspace, static_cast<double>(share.workspace),
-             ticket.cost);
+  order_.Add(ticket.workspace, static_cast<double>(share.workspace));
   if (workspaces_.size() > order_.size()) Sweep();
   Workspace& workspace = workspaces_[ticket.workspace];
   workspace.classes.Add(ticket.traffic_class,
-                        static_cast<double>(share.traffic_class), ticket.cost);
-  const std::int64_t number =
-      place == Place::kBack ? ++last_back_ : --last_front_;
+                        static_cast<double>(share.traffic_class));
+  const Number number{place == Place::kBack, ticket.deadline, ++last_number_};
   workspace.flows[ticket.traffic_class].emplace(number, ticket);
   places_.emplace(ticket.request,
                   Position{ticket.workspace, ticket.traffic_class, number});
-  backlog_ += ticket.cost;
 }
 
 Ticket FairQueue::Extract(Workspace& workspace,
                           core::TrafficClass traffic_class,
-                          std::int64_t number) {
+                          const Number& number) {
   Flow& flow = workspace.flows.at(traffic_class);
   const auto found = flow.find(number);
   Ticket ticket = found->second;
   flow.erase(found);
   places_.erase(ticket.request);
-  backlog_ -= ticket.cost;
   return ticket;
 }
 
@@ -40,10 +36,9 @@
   if (found == places_.end()) return false;
   const Position position = found->second;
   Workspace& workspace = workspaces_.at(position.workspace);
-  const Ticket ticket =
-      Extract(workspace, position.traffic_class, position.number);
-  workspace.classes.Remove(position.traffic_class, ticket.cost);
-  order_.Remove(position.workspace, ticket.cost);
+  Extract(workspace, position.traffic_class, position.number);
+  workspace.classes.Remove(position.traffic_class);
+  order_.Remove(position.workspace);
   return true;
 }
 
@@ -52,8 +47,9 @@
   for (const auto& [rank, id] : order_.ranks()) {
     Workspace& workspace = workspaces_.at(id);
     for (const auto& [class_rank, traffic_class] : workspace.classes.ranks()) {
-      const auto& [number, first] = *workspace.flows.at(traffic_class).begin();
-      if (!runnable(first)) continue;
+      const auto first = workspace.flows.at(traffic_class).begin();
+      if (!runnable(first->second)) continue;
+      const Number number = first->first;
       const Ticket ticket = Extract(workspace, traffic_class, number);
       workspace.classes.Serve(ticket.traffic_class, ticket.cost);
       order_.Serve(ticket.workspace, ticket.cost);
@@ -74,19 +70,12 @@
   order_.Complete(ticket.workspace, error);
 }
 
-core::Duration FairQueue::WorkBefore(const core::WorkspaceId& workspace,
-                                     core::TrafficClass traffic_class,
-                                     const Share& share) const {
-  core::Duration own = core::Duration::zero();
+bool FairQueue::Backlogged(const core::WorkspaceId& workspace,
+                           core::TrafficClass traffic_class) const {
   const auto found = workspaces_.find(workspace);
-  if (found != workspaces_.end()) {
-    const auto& classes = found->second.classes;
-    own = classes.WorkBefore(traffic_class,
-                             static_cast<double>(share.traffic_class),
-                             classes.Queued(traffic_class));
-  }
-  return order_.WorkBefore(workspace, static_cast<double>(share.workspace),
-                           own);
+  if (found == workspaces_.end()) return false;
+  const auto flow = found->second.flows.find(traffic_class);
+  return flow != found->second.flows.end() && !flow->second.empty();
 }
 
 bool FairQueue::Contains(core::RequestId request) const {
--- a/src/foxquay/scheduling/fair_queue.h
+++ b/src/foxquay/scheduling/fair_queue.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 
 #include "foxquay/core/id.h"
@@ -28,6 +29,7 @@
   core::WorkspaceId workspace;
   core::TrafficClass traffic_class = core::TrafficClass::kInteractive;
   core::Duration cost = core::Duration::zero();  ///< Estimated service time.
+  core::Instant deadline;  ///< Legs of a class are served by deadline.
 };
 
 /// End of its flow at which a ticket joins.
@@ -39,8 +41,8 @@
 /// Shares one pool among workspaces, then among the classes of a workspace.
 ///
 /// Workspaces and classes are ordered by start-time fair queueing on the
-/// estimated service time of legs; the order within one class is first in,
-/// first out. Complete corrects estimates. Not thread-safe.
+/// estimated service time of legs; legs of one class by deadline, then first
+/// in, first out. Complete corrects estimates. Not thread-safe.
 class FairQueue {
  public:
   FairQueue();
@@ -65,26 +67,24 @@
   /// actual one.
   void Complete(const Ticket& ticket, core::Duration actual);
 
-  /// Returns the queued work that a leg joining now would wait for.
-  [[nodiscard]] core::Duration WorkBefore(const core::WorkspaceId& workspace,
-                                          core::TrafficClass traffic_class,
-                                          const Share& share) const;
-
+  /// Returns whether a flow has a waiting leg.
+  [[nodiscard]] bool Backlogged(const core::WorkspaceId& workspace,
+                                core::TrafficClass traffic_class) const;
   /// Returns whether a request has a waiting leg.
   [[nodiscard]] bool Contains(core::RequestId request) const;
   /// Returns the number of waiting legs.
   [[nodiscard]] std::size_t size() const noexcept { return places_.size(); }
   /// Returns the number of legs taken and not complete.
   [[nodiscard]] std::size_t running() const noexcept { return running_; }
-  /// Returns the estimated service time of all waiting legs.
-  [[nodiscard]] core::Duration Backlog() const noexcept { return backlog_; }
   /// Returns the number of workspaces whose state is kept.
   [[nodiscard]] std::size_t Workspaces() const noexcept {
     return workspaces_.size();
   }
 
  private:
-  using Flow = std::map<std::int64_t, Ticket>;
+  /// Position in a flow: resumed legs first, then by deadline, then as queued.
+  using Number = std::tuple<bool, core::Instant, std::int64_t>;
+  using Flow = std::map<Number, Ticket>;
 
   struct Workspace {
     internal::FairOrder<core::TrafficClass> classes{2};
@@ -94,20 +94,18 @@
   struct Position {
     core::WorkspaceId workspace;
     core::TrafficClass traffic_class = core::TrafficClass::kInteractive;
-    std::int64_t number = 0;
+    Number number;
   };
 
   void Sweep();
   Ticket Extract(Workspace& workspace, core::TrafficClass traffic_class,
-                 std::int64_t number);
+                 const Number& number);
 
   internal::FairOrder<core::WorkspaceId> order_;
   std::map<core::WorkspaceId, Workspace> workspaces_;
   std::unordered_map<core::RequestId, Position> places_;
-  core::Duration backlog_ = core::Duration::zero();
   std::size_t running_ = 0;
-  std::int64_t last_back_ = 0;
-  std::int64_t last_front_ = 0;
+  std::int64_t last_number_ = 0;
 };
 
 }  // namespace foxquay::scheduling
--- a/src/foxquay/scheduling/service_estimator.cc
+++ b/src/foxquay/scheduling/service_estimator.cc
@@ -1,6 +1,7 @@
 #include "foxquay/scheduling/service_estimator.h"
 
 #include <algorithm>
+#include <bit>
 #include <chrono>
 #include <cmath>
 #include <cstddef>
@@ -14,6 +15,8 @@
 constexpr double kStartToken = 0.018;
 // 37 models and some services with two classes each, several times over.
 constexpr std::size_t kMaxRates = 512;
+// As many with about eight sizes each.
+constexpr std::size_t kMaxAnswers = 4096;
 constexpr double kMinWeight = 1.0 / 16;
 constexpr double kBytesPerUnit = 1024;
 
@@ -41,17 +44,16 @@
   token.Add(Seconds(timing.total - timing.first_token) / (timing.tokens - 1));
 }
 
-ServiceEstimator::ServiceEstimator() : rates_(kMaxRates) {
+ServiceEstimator::ServiceEstimator()
+    : rates_(kMaxRates), answers_(kMaxAnswers) {
   mean_.first_token.value = kStartFirstToken;
   mean_.token.value = kStartToken;
-  mean_.answer.value = 1;
 }
 
 ServiceEstimator::Rates ServiceEstimator::Start() const noexcept {
   Rates rates = mean_;
   rates.first_token.samples = 0;
   rates.token.samples = 0;
-  rates.answer.samples = 0;
   return rates;
 }
 
@@ -75,8 +77,10 @@
 std::uint32_t ServiceEstimator::EstimateTokens(const PoolId& pool,
                                                core::TrafficClass traffic_class,
                                                std::uint32_t max_tokens) const {
-  const Rates& rates = Find({pool, traffic_class});
-  const double tokens = std::ceil(rates.answer.value * max_tokens);
+  const Mean* answer =
+      answers_.Find({pool, traffic_class, std::bit_width(max_tokens)});
+  if (answer == nullptr) return max_tokens;
+  const double tokens = std::ceil(answer->value * max_tokens);
   return std::clamp<std::uint32_t>(static_cast<std::uint32_t>(tokens),
                                    std::min(1U, max_tokens), max_tokens);
 }
@@ -96,8 +100,8 @@
                                    std::uint32_t produced) {
   if (max_tokens == 0) return;
   const double part = static_cast<double>(produced) / max_tokens;
-  rates_.Use({pool, traffic_class}, Start()).answer.Add(part);
-  mean_.answer.Add(part);
+  answers_.Use({pool, traffic_class, std::bit_width(max_tokens)}, Mean{})
+      .Add(part);
 }
 
 }  // namespace foxquay::scheduling
--- a/src/foxquay/scheduling/service_estimator.h
+++ b/src/foxquay/scheduling/service_estimator.h
@@ -2,6 +2,7 @@
 #define FOXQUAY_SCHEDULING_SERVICE_ESTIMATOR_H_
 
 #include <cstdint>
+#include <tuple>
 #include <utility>
 
 #include "foxquay/core/id.h"
@@ -63,7 +64,6 @@
   struct Rates {
     Mean first_token;  ///< Seconds per prompt unit.
     Mean token;        ///< Seconds per further token.
-    Mean answer;       ///< Produced part of the allowed tokens.
     void Add(const LegShape& shape, const LegTiming& timing) noexcept;
   };
 
@@ -71,10 +71,14 @@
   [[nodiscard]] Rates Start() const noexcept;
 
   using Key = std::pair<PoolId, core::TrafficClass>;
+  /// Pool, class and binary logarithm of the allowed tokens: callers allow
+  /// similar lengths for similar work.
+  using AnswerKey = std::tuple<PoolId, core::TrafficClass, int>;
 
   [[nodiscard]] const Rates& Find(const Key& key) const;
 
   internal::RecentMap<Key, Rates> rates_;
+  internal::RecentMap<AnswerKey, Mean> answers_;  ///< Produced part.
   Rates mean_;
 };
 
