--- a/src/foxquay/dispatch/requests.cc
+++ b/src/foxquay/dispatch/requests.cc
@@ -87,7 +87,12 @@
   }
   refusal = queue_.Admit(Describe(request), now);
   if (refusal) {
-    return GiveUp(request, refusal->reason, refusal->retry_after, now);
+    // Estimates are learnt, so even a deadline that looks too short may be met
+    // later: every refusal here names a retry time.
+    return GiveUp(request, refusal->reason,
+                  refusal->retry_after.value_or(
+                      queue_.RetryAfter(Describe(request).pool)),
+                  now);
   }
   if (request.stream.phase() == stream::Phase::kClaiming) {
     request.claim = ClaimState::kAsked;
@@ -117,7 +122,9 @@
         undecided_claims_.begin(), undecided_claims_.end(),
         [&](const auto& entry) { return entry.first == event.request; });
     if (found == undecided_claims_.end()) return;
-    if (event.decision == ClaimDecision::kGranted) {
+    // The claim may have committed after the release that End asked for.
+    if (event.decision == ClaimDecision::kGranted ||
+        event.decision == ClaimDecision::kUnavailable) {
       actions_.emplace_back(ReleaseClaim{event.request, found->second});
     }
     undecided_claims_.erase(found);
--- a/src/foxquay/scheduling/admission.cc
+++ b/src/foxquay/scheduling/admission.cc
@@ -33,7 +33,7 @@
   // otherwise refuse all work and never be corrected.
   if (queue.waiting == 0 && queue.running == 0) return std::nullopt;
   if (demand.service > demand.time_left) {
-    return Refusal{RefusalReason::kServiceTime, std::nullopt};
+    return Refusal{RefusalReason::kServiceTime, RetryAfter(queue)};
   }
   // While no leg waits there is room, whatever is owed to running requests.
   if (queue.waiting == 0) return std::nullopt;
