--- a/tests/foxquay/daemon/process.h
+++ b/tests/foxquay/daemon/process.h
@@ -21,6 +21,7 @@
   Process& operator=(const Process&) = delete;
 
   void Signal(int number) const;
+  [[nodiscard]] pid_t pid() const noexcept { return pid_; }
   /// Returns the exit status, or nothing if the process does not end in time
   /// or was killed by a signal.
   std::optional<int> Wait();
