--- a/bench/restart/main.cc
+++ b/bench/restart/main.cc
@@ -101,6 +101,7 @@
 
 void PrintRestarts(const char* name, const std::filesystem::path& folder) {
   std::vector<Restart> restarts;
+  restarts.reserve(kRuns);
   for (int run = 0; run < kRuns; ++run) {
     restarts.push_back(MeasureRestart(folder));
   }
--- a/tests/foxquay/consensus/proof_test.cc
+++ b/tests/foxquay/consensus/proof_test.cc
@@ -22,7 +22,7 @@
         return Fault{static_cast<FaultKind>(kind), replica, detail};
       },
       rc::gen::inRange(0, static_cast<int>(last) + 1),
-      rc::gen::inRange<std::size_t>(0, 30),
+      rc::gen::inRange<std::size_t>(0, 2 * Fault::kLeader),
       rc::gen::inRange<std::size_t>(0, 60));
 }
 
--- a/tests/foxquay/consensus/world.cc
+++ b/tests/foxquay/consensus/world.cc
@@ -30,6 +30,8 @@
 }  // namespace
 
 World::World(std::size_t founders, std::size_t standbys) {
+  // Close timeouts make elections collide.
+  options_.timing.max_election = std::chrono::milliseconds(600);
   options_.limits.snapshot_entries = 12;
   options_.limits.trailing_entries = 4;
   options_.limits.max_chunk_bytes = 9;
@@ -130,8 +132,22 @@
   Start(index);
 }
 
+std::size_t World::Target(const Fault& fault) const {
+  std::size_t target = fault.replica % nodes_.size();
+  if (fault.replica < Fault::kLeader) return target;
+  Term latest = 0;
+  for (std::size_t index = 0; index < nodes_.size(); ++index) {
+    const auto& replica = nodes_[index].replica;
+    const bool leads = replica && replica->role() == Role::kLeader;
+    if (!leads || replica->term() < latest) continue;
+    latest = replica->term();
+    target = index;
+  }
+  return target;
+}
+
 void World::Inject(const Fault& fault) {
-  const std::size_t index = fault.replica % nodes_.size();
+  const std::size_t index = Target(fault);
   Node& node = nodes_[index];
   switch (fault.kind) {
     case FaultKind::kNone:
@@ -139,6 +155,10 @@
     case FaultKind::kKill:
       Kill(node, fault.detail);
       break;
+    case FaultKind::kReboot:
+      Kill(node, fault.detail);
+      Start(index);
+      break;
     case FaultKind::kRestart:
       if (!node.replica) Start(index);
       break;
@@ -160,10 +180,14 @@
     case FaultKind::kHeal:
       cuts_.clear();
       loss_percent_ = 0;
+      delay_percent_ = 2;
       break;
     case FaultKind::kLose:
       loss_percent_ = static_cast<int>(fault.detail % 40);
       break;
+    case FaultKind::kDelay:
+      delay_percent_ = static_cast<int>(fault.detail % 40);
+      break;
     case FaultKind::kPower:
       for (std::size_t other = 0; other < nodes_.size(); ++other) {
         Kill(nodes_[other], other == index ? fault.detail : 0);
@@ -290,7 +314,10 @@
                    [&](const Node& node) { return node.id.host == send.to; });
   Flying flying{real_, index, static_cast<std::size_t>(to - nodes_.begin()),
                 send.message};
-  if (Roll(2)) flying.due += std::chrono::milliseconds(random_() % 4000);
+  if (Roll(delay_percent_)) {
+    flying.due += std::chrono::milliseconds(random_() % 1000);
+  }
+  if (Roll(1)) flying.due += std::chrono::seconds(random_() % 8);
   bag_.push_back(std::move(flying));
 }
 
--- a/tests/foxquay/consensus/world.h
+++ b/tests/foxquay/consensus/world.h
@@ -21,21 +21,25 @@
 enum class FaultKind : std::uint8_t {
   kNone,
   kKill,     ///< Ends a replica; of its unsynced writes `detail` many survive.
+  kReboot,   ///< As kKill, then starts it again at once.
   kRestart,  ///< Starts a killed replica from its disk.
   kFreeze,   ///< Stops a replica without ending it.
   kThaw,
   kCut,      ///< Loses messages from one replica to another, silently.
   kIsolate,  ///< Loses messages from and to a replica, silently.
-  kHeal,     ///< Ends all cuts and losses.
+  kHeal,     ///< Ends all cuts, losses and delays.
   kLose,     ///< Loses `detail` percent of all messages.
+  kDelay,    ///< Delays `detail` percent of all messages by up to 1 s.
   kPower,    ///< Ends all replicas at once; all but one restart.
   kStall,    ///< Stops the syncs of a replica, or starts them again.
   kWipe,     ///< Ends a replica and loses its disk; it restarts empty.
 };
 
 struct Fault {
+  static constexpr std::size_t kLeader = 10;
+
   FaultKind kind = FaultKind::kNone;
-  std::size_t replica = 0;
+  std::size_t replica = 0;  ///< The leader from kLeader on.
   std::size_t detail = 0;
 };
 
@@ -76,6 +80,7 @@
     schema::ConsensusMessage message;
   };
 
+  [[nodiscard]] std::size_t Target(const Fault& fault) const;
   void Start(std::size_t index);
   void Kill(Node& node, std::size_t surviving);
   [[nodiscard]] bool MayWipe(const Node& node) const;
@@ -100,6 +105,7 @@
   std::vector<Flying> bag_;
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   int loss_percent_ = 0;
+  int delay_percent_ = 2;
   bool proposing_ = true;
   core::Instant real_{std::chrono::hours(1)};
   core::Instant last_wipe_{};
