--- a/src/foxquay/control/order_gate.cc
+++ b/src/foxquay/control/order_gate.cc
@@ -23,8 +23,9 @@
   end_ = requested + result.length;
   if (result.previous_epoch <= awaited_) return;
   awaited_ = result.previous_epoch;
+  // The delivery time runs on the old holder's clock too.
   ready_ = std::max(
-      ready_, now + WithClockError(result.previous_length) + kOrderDelivery);
+      ready_, now + WithClockError(result.previous_length + kOrderDelivery));
 }
 
 std::optional<OrderPermit> OrderGate::Check(core::Instant now) const {
--- /dev/null
+++ b/tests/foxquay/control/order_gate_property_test.cc
@@ -0,0 +1,247 @@
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "foxquay/control/order_gate.h"
+#include "foxquay/control/state.h"
+#include "foxquay/schema/codec.h"
+
+namespace foxquay::control {
+namespace {
+
+using core::Duration;
+using core::Instant;
+using std::chrono::seconds;
+
+// A missing 1 % shows in one of about 400 worlds.
+constexpr int kWorldsPerCase = 12;
+
+enum class Op {
+  kWait,
+  kSendFirst,
+  kSendLast,
+  kAcquire,
+  kRequest,
+  kCommit,
+  kResult,
+  kSend,
+  kRestart,
+};
+
+struct Step {
+  Op op = Op::kWait;
+  unsigned host = 0;
+  unsigned pick = 0;  ///< Wait, grant length or message, by operation.
+};
+
+void showValue(const Step& step, std::ostream& out) {  // NOLINT: RapidCheck's
+  out << static_cast<int>(step.op) << "/" << step.host << "/" << step.pick;
+}
+
+struct Holder {
+  core::HostId host;
+  std::uint64_t incarnation = 0;
+  int permille = 0;  ///< Clock rate above the slowest clock's.
+  OrderGate gate;
+  Duration end{};  ///< Real time at which its latest grant ends.
+
+  [[nodiscard]] Instant At(Duration real) const {
+    return Instant(real + real * permille / 1000);
+  }
+  [[nodiscard]] Duration Real(Duration local) const {
+    return local * 1000 / (1000 + permille);
+  }
+};
+
+struct Request {
+  std::size_t holder = 0;
+  Instant sent;
+  schema::GrantFencing command;
+};
+
+struct Result {
+  Request request;
+  schema::FencingResult result;
+};
+
+struct Order {
+  std::size_t holder = 0;
+  std::uint64_t epoch = 0;
+  Duration latest{};  ///< Real time until which it may still arrive.
+};
+
+/// Holders that take turns on one upstream that ignores fencing numbers. They
+/// freeze whenever they take no step; the log's wall time jumps ahead.
+class World {
+ public:
+  explicit World(std::vector<int> rates) : rates_(std::move(rates)) {
+    for (unsigned host = 0; host < 3; ++host) Start(host);
+  }
+
+  void Run(const Step& step) {
+    const std::size_t index = step.host % holders_.size();
+    Holder& holder = holders_[index];
+    switch (step.op) {
+      case Op::kWait:
+        now_ += std::chrono::milliseconds(step.pick * 100);
+        return;
+      case Op::kSendFirst:
+        now_ = std::max(now_, FirstMoment(holder));
+        return Send(index);
+      case Op::kSendLast:
+        now_ = std::max(now_, holder.end - std::chrono::milliseconds(1));
+        return Send(index);
+      case Op::kAcquire:
+        AskFor(index, step.pick);
+        Commit(0);
+        return Learn(0);
+      case Op::kRequest:
+        return AskFor(index, step.pick);
+      case Op::kCommit:
+        return Commit(step.pick);
+      case Op::kResult:
+        return Learn(step.pick);
+      case Op::kSend:
+        return Send(index);
+      case Op::kRestart:
+        return Start(step.host % 3);
+    }
+  }
+
+ private:
+  void Start(unsigned host) {
+    const core::HostId id("h" + std::to_string(host));
+    const std::uint64_t incarnation = holders_.size() + 1;
+    holders_.push_back({id,
+                        incarnation,
+                        rates_[holders_.size() % rates_.size()],
+                        OrderGate(id, incarnation, false),
+                        {}});
+    Apply(schema::RegisterHost{id, incarnation, {}});
+  }
+
+  schema::ControlResult Apply(const schema::ControlCommand& command) {
+    return state_.Apply(++index_, wall_, schema::Encode(command));
+  }
+
+  [[nodiscard]] Duration FirstMoment(const Holder& holder) const {
+    const auto ready = holder.gate.ReadyAt();
+    if (!ready) return now_;
+    return holder.Real(ready->time_since_epoch()) + Duration(1000);
+  }
+
+  void AskFor(std::size_t index, unsigned pick) {
+    const Holder& holder = holders_[index];
+    requests_.push_back({index,
+                         holder.At(now_),
+                         {core::UpstreamId("u"), holder.host,
+                          holder.incarnation, seconds(1 + pick % 20)}});
+  }
+
+  /// Commits a proposal, mostly a recent one; it may be committed again.
+  void Commit(unsigned pick) {
+    if (requests_.empty()) return;
+    wall_ += seconds(pick % 7 == 0 ? 30 : 0);
+    const std::size_t window = std::min<std::size_t>(requests_.size(), 4);
+    const Request& request = requests_[requests_.size() - 1 - pick % window];
+    results_.push_back(
+        {request, std::get<schema::FencingResult>(Apply(request.command))});
+  }
+
+  void Learn(unsigned pick) {
+    if (results_.empty()) return;
+    const std::size_t window = std::min<std::size_t>(results_.size(), 4);
+    const Result& result = results_[results_.size() - 1 - pick % window];
+    Holder& holder = holders_[result.request.holder];
+    holder.gate.HandleResult(result.result, result.request.sent,
+                             holder.At(now_));
+    holder.end =
+        holder.Real((result.request.sent + result.request.command.length)
+                        .time_since_epoch());
+  }
+
+  /// No order may still arrive after one of a newer holder was sent.
+  void Send(std::size_t index) {
+    const Holder& holder = holders_[index];
+    const auto permit = holder.gate.Check(holder.At(now_));
+    if (!permit) return;
+    for (const Order& order : orders_) {
+      if (order.holder == index) continue;
+      RC_ASSERT(order.epoch < permit->epoch);
+      RC_ASSERT(order.latest <= now_);
+    }
+    orders_.push_back({index, permit->epoch,
+                       holder.Real(permit->deadline.time_since_epoch())});
+  }
+
+  std::vector<int> rates_;
+  Duration now_{};
+  core::WallTime wall_{};
+  State state_;
+  std::uint64_t index_ = 0;
+  std::vector<Holder> holders_;
+  std::vector<Request> requests_;
+  std::vector<Result> results_;
+  std::vector<Order> orders_;
+};
+
+rc::Gen<Step> GenStep() {
+  using rc::gen::inRange;
+  using rc::gen::set;
+  return rc::gen::build<Step>(
+      set(&Step::op, rc::gen::weightedElement<Op>({{3, Op::kWait},
+                                                   {8, Op::kSendFirst},
+                                                   {6, Op::kSendLast},
+                                                   {6, Op::kAcquire},
+                                                   {6, Op::kRequest},
+                                                   {8, Op::kCommit},
+                                                   {8, Op::kResult},
+                                                   {8, Op::kSend},
+                                                   {1, Op::kRestart}})),
+      set(&Step::host, inRange(0U, 12U)), set(&Step::pick, inRange(0U, 60U)));
+}
+
+// Guards against an upstream that ignores fencing numbers and gets an old
+// holder's order after a new holder's, e.g. from one that wakes after a freeze.
+TEST_CASE("orders of two holders never overlap", "[fuzz]") {
+  REQUIRE(rc::check([] {
+    for (int repeat = 0; repeat < kWorldsPerCase; ++repeat) {
+      const auto rates = *rc::gen::container<std::vector<int>>(
+          5, rc::gen::element(0, 0, 10, 10, 5));
+      const auto steps = *rc::gen::scale(
+          16.0, rc::gen::container<std::vector<Step>>(GenStep()));
+      World world(rates);
+      for (const Step& step : steps) world.Run(step);
+    }
+  }));
+}
+
+// Guards against needless waits where the upstream itself refuses old numbers.
+TEST_CASE("an upstream that checks numbers gets orders at once") {
+  OrderGate gate(core::HostId("a"), 1, true);
+  const Instant start{};
+  CHECK_FALSE(gate.Check(start));
+  schema::FencingResult result;
+  result.epoch = 7;
+  result.holder = core::HostId("a");
+  result.incarnation = 1;
+  result.length = seconds(10);
+  result.previous_epoch = 6;
+  result.previous_length = seconds(60);
+  gate.HandleResult(result, start, start + seconds(1));
+  REQUIRE(gate.Check(start + seconds(1)));
+  CHECK(gate.Check(start + seconds(1))->epoch == 7);
+  CHECK_FALSE(gate.Check(start + seconds(10)));
+  result.epoch = 8;
+  result.status = schema::FencingStatus::kHeld;
+  result.holder = core::HostId("b");
+  gate.HandleResult(result, start, start + seconds(2));
+  CHECK_FALSE(gate.Check(start + seconds(2)));
+}
+
+}  // namespace
+}  // namespace foxquay::control
--- a/tests/foxquay/control/state_test.cc
+++ b/tests/foxquay/control/state_test.cc
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <string>
 
+#include "foxquay/control/observer.h"
 #include "foxquay/control/policy.h"
 #include "foxquay/dispatch/event.h"
 #include "foxquay/schema/codec.h"
@@ -10,18 +12,137 @@
 namespace foxquay::control {
 namespace {
 
-// Guards against a change that is accepted but does not reach the policy event.
-TEST_CASE("an accepted default reaches the policy event") {
-  State state;
-  const auto result =
-      state.Apply(1, core::WallTime(std::chrono::seconds(1000)),
-                  schema::Encode(schema::ControlCommand(schema::SetDefault{
-                      {"c1", 0, "ada"}, "retry.budget", 20})));
-  const auto& change = std::get<schema::ChangeResult>(result);
-  CHECK(change.status == schema::ChangeStatus::kAccepted);
-  CHECK(change.revision == 1);
-  CHECK(ToPolicy<dispatch::PolicyChanged>(state.config()).defaults[9] == 20);
+using schema::ExceptionScope;
+using schema::PolicyKey;
+
+template <class Result, class Command>
+Result Apply(State& state, const Command& command) {
+  const std::string bytes = schema::Encode(schema::ControlCommand(command));
+  return std::get<Result>(state.Apply(state.index() + 1, {}, bytes));
+}
+
+template <class Command>
+schema::ChangeResult Change(State& state, Command command) {
+  command.header.change = "c" + std::to_string(state.index());
+  command.header.expected_revision = state.config().revision();
+  command.header.author = "ada";
+  return Apply<schema::ChangeResult>(state, command);
+}
+
+schema::ChangeResult Except(State& state, ExceptionScope scope,
+                            const std::string& object, std::int64_t value) {
+  return Change(state, schema::AddException{
+                           {}, "retry.budget", scope, object, value, "why"});
 }
 
 }  // namespace
+
+// Guards against a check that stops at its first finding.
+TEST_CASE("a refused change reports all findings") {
+  State state;
+  const auto result = Apply<schema::ChangeResult>(
+      state, schema::AddException{{"", 0, " "},
+                                  "retry.budget",
+                                  static_cast<ExceptionScope>(9),
+                                  "",
+                                  101,
+                                  "\t"});
+  CHECK(result.status == schema::ChangeStatus::kInvalid);
+  std::string paths;
+  for (const auto& finding : result.findings) paths += finding.path + " ";
+  CHECK(paths == "change_id author value scope object reason ");
+  CHECK(state.config().revision() == 0);
+}
+
+// Guards against bytes that stop a replica or that replicas treat differently.
+TEST_CASE("a malformed entry changes nothing") {
+  State state;
+  const auto result = state.Apply(1, {}, "\xff\xff\xff");
+  CHECK(std::holds_alternative<schema::MalformedResult>(result));
+  CHECK_FALSE(State::FromSnapshot("x"));
+  CHECK(state.index() == 1);
+}
+
+// Guards against an exception of a wider scope that hides a narrower one, and
+// against overrides that reach the traffic cores under another scope.
+TEST_CASE("the most specific exception decides") {
+  State state;
+  const Subject subject{core::WorkspaceId("w"), core::ModelId("m"),
+                        core::UpstreamId("u"), core::DataCentreId("d"),
+                        core::HostId("h")};
+  std::int64_t value = 20;
+  for (const auto& [scope, object] :
+       {std::pair(ExceptionScope::kDataCentre, "d"),
+        std::pair(ExceptionScope::kHost, "h"),
+        std::pair(ExceptionScope::kModel, "m"),
+        std::pair(ExceptionScope::kWorkspace, "w"),
+        std::pair(ExceptionScope::kUpstream, "u")}) {
+    REQUIRE(Except(state, scope, object, ++value).status ==
+            schema::ChangeStatus::kAccepted);
+    CHECK(state.config().Effective(PolicyKey::kRetryBudget, subject) == value);
+  }
+  CHECK(state.config().Effective(PolicyKey::kRetryBudget, {}) == 10);
+  Change(state, schema::SetDefault{{}, "retry.budget", 30});
+  const auto policy = ToPolicy<dispatch::PolicyChanged>(state.config());
+  CHECK(policy.defaults[static_cast<int>(PolicyKey::kRetryBudget)] == 30);
+  REQUIRE(policy.overrides.size() == 5);
+  CHECK(policy.overrides[4].scope == dispatch::Scope::kUpstream);
+  CHECK(policy.overrides[4].object == "u");
+  CHECK(policy.overrides[4].value == 25);
+}
+
+// Guards against two exceptions for one target, of which one would be ignored.
+TEST_CASE("a target has at most one exception") {
+  State state;
+  Except(state, ExceptionScope::kHost, "h", 1);
+  CHECK(Except(state, ExceptionScope::kHost, "h", 2).status ==
+        schema::ChangeStatus::kInvalid);
+}
+
+// Guards against an observer that never gets a lease or gets claims.
+TEST_CASE("an observer follows by steps, after a gap by a snapshot") {
+  State state;
+  Apply<schema::HostResult>(state,
+                            schema::RegisterHost{core::HostId("h"), 1, {}});
+  Observer observer(core::HostId("h"), 1);
+  const core::Instant start{std::chrono::hours(1)};
+  CHECK(observer.Admit(start).state == AdmissionState::kNoLease);
+  auto reply = state.Answer(observer.StartPoll(start), {});
+  CHECK(reply.entries.size() == 1);
+  CHECK(observer.HandleReply(reply));
+  CHECK(observer.Admit(start).state == AdmissionState::kOpen);
+  CHECK(observer.Admit(start + kConfigLease).state == AdmissionState::kNoLease);
+
+  const std::uint64_t sequence = state.config().sequence();
+  schema::Claim claim;
+  claim.owner = {core::HostId("h"), 1, 1};
+  claim.key = "50.k";
+  Apply<schema::ClaimResult>(state, claim);
+  CHECK(state.claims().size() == 1);
+  CHECK(state.config().sequence() == sequence);
+  for (int change = 0; change < 300; ++change) {
+    Change(state, schema::SetDefault{{}, "retry.budget", change % 100});
+  }
+  reply = state.Answer(observer.StartPoll(start), {});
+  CHECK(reply.snapshot);
+  CHECK(observer.HandleReply(reply));
+  CHECK(observer.config() == state.config());
+}
+
+// Guards against an unbounded snapshot: the largest frame is 1 MiB.
+TEST_CASE("the largest configuration fits into one frame") {
+  schema::ConfigReply reply;
+  reply.snapshot.emplace();
+  reply.snapshot->defaults.resize(64);
+  schema::ConfigException exception;
+  exception.object = std::string(128, 'o');
+  exception.reason = std::string(256, 'r');
+  exception.author = std::string(64, 'a');
+  reply.snapshot->exceptions.assign(kMaxExceptions, exception);
+  const schema::HostRecord host{core::HostId(std::string(128, 'h')), 1, true,
+                                core::DataCentreId(std::string(128, 'd'))};
+  reply.snapshot->hosts.assign(kMaxHosts, host);
+  CHECK(schema::Encode(reply).size() < 1'048'576 - 4096);
+}
+
 }  // namespace foxquay::control
