--- /dev/null
+++ b/tests/foxquay/membership/detector_test.cc
@@ -0,0 +1,221 @@
+#include "foxquay/membership/detector.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "foxquay/schema/codec.h"
+
+namespace foxquay::membership {
+namespace {
+
+using core::Duration;
+using core::HostId;
+using core::Instant;
+using schema::MemberState;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+HostId Name(unsigned host) { return HostId("h" + std::to_string(host)); }
+
+/// Hosts on a network that drops a share of the messages and delays the rest by
+/// 1 to 30 ms, in steps of 10 ms.
+class World {
+ public:
+  World(std::uint64_t seed, unsigned loss_percent, unsigned hosts)
+      : random_(seed), loss_percent_(loss_percent) {
+    for (unsigned host = 0; host < hosts; ++host) Start(host, 1);
+  }
+
+  void Start(unsigned host, std::uint64_t incarnation) {
+    Detector detector({Name(host), incarnation, "10.0.0.1:1", {}, random_()},
+                      now_);
+    // Every host is told of two others only.
+    detector.AddPeer(Name(0), "10.0.0.1:1");
+    detector.AddPeer(Name(1), "10.0.0.1:1");
+    running_.insert_or_assign(Name(host), std::move(detector));
+    incarnations_[Name(host)] = incarnation;
+  }
+
+  void Stop(unsigned host) {
+    running_.erase(Name(host));
+    incarnations_.erase(Name(host));
+  }
+
+  /// A frozen host neither runs nor receives; its messages wait.
+  void Freeze(unsigned host) { frozen_.insert(Name(host)); }
+  void Thaw(unsigned host) { frozen_.erase(Name(host)); }
+
+  void Run(Duration duration) {
+    for (const Instant end = now_ + duration; now_ < end;
+         now_ += milliseconds(10)) {
+      for (auto& [host, detector] : running_) {
+        if (frozen_.contains(host)) continue;
+        if (detector.NextDeadline() <= now_) Post(host, detector.Tick(now_));
+      }
+      Deliver();
+      Count();
+    }
+  }
+
+  /// Returns whether every other host knows this incarnation as dead, or as
+  /// not dead; a suspicion that can still be refuted is not a death.
+  [[nodiscard]] bool Agree(unsigned host, bool dead,
+                           std::uint64_t incarnation) const {
+    for (const auto& [viewer, detector] : running_) {
+      if (viewer == Name(host)) continue;
+      const auto found = detector.members().find(Name(host));
+      if (found == detector.members().end() ||
+          (found->second.update.state == MemberState::kDead) != dead ||
+          found->second.update.incarnation != incarnation) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// Declarations of death of running incarnations, by host.
+  std::map<HostId, int> false_deaths;
+
+ private:
+  struct Mail {
+    HostId from;
+    HostId to;
+    std::string bytes;
+  };
+
+  void Post(const HostId& from, const std::vector<Datagram>& datagrams) {
+    for (const Datagram& datagram : datagrams) {
+      if (random_() % 100 < loss_percent_) continue;
+      const Instant at = now_ + milliseconds(1 + random_() % 30);
+      std::string bytes = schema::Encode(datagram.message);
+      RC_ASSERT(bytes.size() <= 1400U);
+      mail_.emplace(at, Mail{from, datagram.to, std::move(bytes)});
+    }
+  }
+
+  void Deliver() {
+    while (!mail_.empty() && mail_.begin()->first <= now_) {
+      const Mail mail = std::move(mail_.begin()->second);
+      mail_.erase(mail_.begin());
+      const auto to = running_.find(mail.to);
+      if (to == running_.end() || frozen_.contains(mail.to)) continue;
+      const auto message =
+          schema::Decode<schema::MembershipMessage>(mail.bytes);
+      RC_ASSERT(message.has_value());
+      Post(mail.to, to->second.Handle(mail.from, message.value(), now_));
+    }
+  }
+
+  void Count() {
+    for (auto& [host, detector] : running_) {
+      for (const schema::MemberUpdate& change : detector.TakeChanges()) {
+        const auto subject = incarnations_.find(change.host);
+        if (change.state == MemberState::kDead &&
+            subject != incarnations_.end() &&
+            subject->second == change.incarnation) {
+          ++false_deaths[change.host];
+        }
+      }
+    }
+  }
+
+  std::mt19937_64 random_;
+  unsigned loss_percent_;
+  Instant now_{seconds(100)};
+  std::map<HostId, Detector> running_;
+  std::map<HostId, std::uint64_t> incarnations_;
+  std::set<HostId> frozen_;
+  std::multimap<Instant, Mail> mail_;
+};
+
+constexpr unsigned kHosts = 8;
+
+/// Longest time from a silent death until every host knows of it: 2 N - 1
+/// periods for N = 7 others, one period of probing, the suspicion, and 1 s for
+/// the news to spread.
+constexpr Duration kDetection = (2 * (kHosts - 1) - 1) * kProbePeriod +
+                                kProbePeriod + kSuspicion + seconds(1);
+
+/// Time in which a host that starts is known to all.
+constexpr Duration kJoin = seconds(6);
+
+// Guards against flapping under loss, deaths that stay unnoticed, and restarted
+// or new hosts that the others do not take up.
+TEST_CASE("hosts agree on who is alive under 10 % loss", "[fuzz]") {
+  REQUIRE(rc::check([] {
+    const unsigned loss = *rc::gen::element(0U, 5U, 10U);
+    World world(*rc::gen::arbitrary<std::uint64_t>(), loss, kHosts);
+    world.Run(kJoin);
+    for (unsigned host = 0; host < kHosts; ++host) {
+      RC_ASSERT(world.Agree(host, false, 1));
+    }
+    world.Run(seconds(20));
+    const unsigned dead = *rc::gen::inRange(0U, kHosts);
+    world.Stop(dead);
+    world.Run(kDetection);
+    RC_ASSERT(world.Agree(dead, true, 1));
+    world.Start(dead, 2);
+    world.Start(kHosts, 1);
+    world.Run(kJoin);
+    RC_ASSERT(world.Agree(dead, false, 2));
+    RC_ASSERT(world.Agree(kHosts, false, 1));
+    RC_ASSERT(world.false_deaths.empty());
+  }));
+}
+
+// Guards against a host that wakes up and declares the others dead, and against
+// one that stays dead for the others although it answers again.
+TEST_CASE("a host that freezes returns without harm", "[fuzz]") {
+  REQUIRE(rc::check([] {
+    World world(*rc::gen::arbitrary<std::uint64_t>(),
+                *rc::gen::element(0U, 10U), kHosts);
+    world.Run(seconds(8));
+    const unsigned host = *rc::gen::inRange(0U, kHosts);
+    world.Freeze(host);
+    world.Run(milliseconds(*rc::gen::inRange(0, 20'000)));
+    world.Thaw(host);
+    world.Run(seconds(10));
+    RC_ASSERT(world.Agree(host, false, 1));
+    world.false_deaths.erase(Name(host));
+    RC_ASSERT(world.false_deaths.empty());
+  }));
+}
+
+// Guards against an old incarnation's news that hides the new one, and against
+// others that return a host to life.
+TEST_CASE("only a newer version or incarnation returns to life") {
+  MemberTable table;
+  const Instant now{};
+  schema::MemberUpdate update{Name(1), 3, 0, MemberState::kDead, "a", {}};
+  CHECK(table.Merge(update, now));
+  update.state = MemberState::kAlive;
+  CHECK_FALSE(table.Merge(update, now));
+  update.incarnation = 2;
+  update.version = 9;
+  CHECK_FALSE(table.Merge(update, now));
+  update = {Name(1), 3, 1, MemberState::kAlive, "a", {}};
+  CHECK(table.Merge(update, now));
+  update = {Name(1), 4, 0, MemberState::kAlive, "b", {}};
+  CHECK(table.Merge(update, now));
+  CHECK(table.Find(Name(1))->update.address == "b");
+}
+
+// Guards against two processes under one name that both serve.
+TEST_CASE("a process learns of its successor") {
+  Detector detector({Name(1), 1, "a", {}, 1}, Instant{});
+  schema::Probe probe;
+  probe.updates = {{Name(1), 2, 0, MemberState::kAlive, "b", {}}};
+  (void)detector.Handle(Name(2), probe, Instant{});
+  CHECK(detector.superseded());
+}
+
+}  // namespace
+}  // namespace foxquay::membership
