--- a/src/foxquay/membership/detector.cc
+++ b/src/foxquay/membership/detector.cc
@@ -8,7 +8,7 @@
 
 using schema::MemberState;
 
-Detector::Detector(DetectorOptions options, core::Instant now)
+Detector::Detector(const DetectorOptions& options, core::Instant now)
     : self_{options.host,        options.incarnation, 0,
             MemberState::kAlive, options.address,     options.data_centre},
       random_(options.seed),
--- a/src/foxquay/membership/detector.h
+++ b/src/foxquay/membership/detector.h
@@ -53,7 +53,7 @@
 /// 0.2 s + 2 s later. Not thread-safe. Performs no I/O.
 class Detector {
  public:
-  Detector(DetectorOptions options, core::Instant now);
+  Detector(const DetectorOptions& options, core::Instant now);
 
   /// Adds a host from the settings; it counts as dead until it is heard of.
   void AddPeer(const core::HostId& host, const std::string& address);
--- a/tests/foxquay/membership/detector_test.cc
+++ b/tests/foxquay/membership/detector_test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <map>
@@ -81,6 +82,15 @@
     return true;
   }
 
+  /// Returns how many other hosts a host has heard of.
+  [[nodiscard]] std::size_t Known(unsigned host) const {
+    const auto& members = running_.at(Name(host)).members();
+    return static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [](const auto& member) {
+          return member.second.update.incarnation > 0;
+        }));
+  }
+
   /// Declarations of death of running incarnations, by host.
   std::map<HostId, int> false_deaths;
 
@@ -171,6 +181,22 @@
   }));
 }
 
+// Guards against a detector that holds with few hosts only: among many, false
+// deaths appear without indirect probes or without telling suspects, and a new
+// host learns of the others slowly without news in turn.
+TEST_CASE("forty hosts hold under 10 % loss") {
+  constexpr unsigned kMany = 40;
+  const std::uint64_t seed = GENERATE(1U, 2U, 3U);
+  CAPTURE(seed);
+  World world(seed, 10, kMany);
+  world.Run(seconds(60));
+  CHECK(world.false_deaths.empty());
+  world.Start(kMany, 1);
+  world.Run(kJoin);
+  CHECK(world.Agree(kMany, false, 1));
+  CHECK(world.Known(kMany) == kMany);
+}
+
 // Guards against a host that wakes up and declares the others dead, and against
 // one that stays dead for the others although it answers again.
 TEST_CASE("a host that freezes returns without harm", "[fuzz]") {
