Refuse a waiting request once it cannot meet its deadline

A request that has not started now ends as not-run at its deadline less the estimated service time.

Tried and reverted: string_view in PolicyScope, and copying only load and state of an unchanged announcement.

--- a/bench/dispatch/main.cc
+++ b/bench/dispatch/main.cc
@@ -112,6 +112,27 @@
   state.counters["running"] = static_cast<double>(load.running());
 }
 
+/// Applies a list of upstreams in which only reported loads changed.
+void ApplyUpstreams(benchmark::State& state) {
+  dispatch::Engine engine({core::HostId("h"), core::DataCentreId("d0"), 1});
+  dispatch::Event event = dispatch::UpstreamsChanged{
+      Fleet(static_cast<std::size_t>(state.range(0)),
+            static_cast<std::size_t>(state.range(1)))};
+  auto& upstreams = std::get<dispatch::UpstreamsChanged>(event).upstreams;
+  std::uint32_t load = 0;
+  for ([[maybe_unused]] auto step : state) {
+    ++load;
+    for (auto& announced : upstreams) announced.load = load % 4;
+    auto actions = engine.Handle(event, kStart);
+    benchmark::DoNotOptimize(actions);
+  }
+}
+
+BENCHMARK(ApplyUpstreams)
+    ->Args({500, 2})
+    ->Args({10000, 37})
+    ->ArgNames({"upstreams", "models"})
+    ->Unit(benchmark::kMicrosecond);
 BENCHMARK(Stream)
     ->Args({50, 1})
     ->Args({500, 2})
--- a/src/foxquay/dispatch/engine.cc
+++ b/src/foxquay/dispatch/engine.cc
@@ -97,6 +97,9 @@
     due = std::min(due, request.claim_until);
   }
   due = std::min(due, request.stream.silent_at().value_or(due));
+  if (request.stream.phase() == stream::Phase::kWaiting) {
+    due = std::min(due, request.start_by);
+  }
   if (due >= request.armed) return;
   request.armed = due;
   timers_.emplace(due, request.submission.id);
--- a/src/foxquay/dispatch/legs.cc
+++ b/src/foxquay/dispatch/legs.cc
@@ -207,12 +207,12 @@
     case stream::Next::kContinue:
       request.excluded.clear();
       request.suspected.clear();
-      return Enqueue(request, false);
+      return Enqueue(request, false, now);
     case stream::Next::kComplete:
       return Complete(request);
     case stream::Next::kRetry:
       if (queue_.AllowRetry(request.submission.workspace, request.failed)) {
-        return Enqueue(request, true);
+        return Enqueue(request, true, now);
       }
       return GiveUp(request, "retry budget is used up",
                     queue_.RetryAfter(Describe(request).pool), now);
--- a/src/foxquay/dispatch/plans.cc
+++ b/src/foxquay/dispatch/plans.cc
@@ -31,7 +31,7 @@
   return waiting;
 }
 
-void Engine::State::Enqueue(Request& request, bool resumed) {
+void Engine::State::Enqueue(Request& request, bool resumed, core::Instant now) {
   // Until a token is delivered, any version that the caller permits may serve.
   const Completion* completion = request.completion();
   if (completion != nullptr && request.stream.delivered().empty()) {
@@ -42,6 +42,11 @@
   waiting.resumed = resumed;
   queue_.Push(waiting);
   pump_needed_ = true;
+  request.start_by = core::Instant::max();
+  if (!request.stream.may_have_run()) {
+    request.start_by = waiting.deadline - queue_.EstimateService(waiting, now);
+    Arm(request);
+  }
 }
 
 Engine::State::FoundOrNot Engine::State::Find(const Request& request,
--- a/src/foxquay/dispatch/request.h
+++ b/src/foxquay/dispatch/request.h
@@ -36,6 +36,8 @@
   std::vector<core::UpstreamId> suspected;
   /// Upstreams one of which failed its last leg or call.
   std::vector<core::UpstreamId> failed;
+  /// Latest start, while it waits, that lets it meet its deadline.
+  core::Instant start_by = core::Instant::max();
   bool caller_gone = false;
   core::Instant armed = core::Instant::max();  ///< Time of its timer.
 
--- a/src/foxquay/dispatch/requests.cc
+++ b/src/foxquay/dispatch/requests.cc
@@ -15,6 +15,12 @@
 /// Largest body that the claim log keeps.
 constexpr std::size_t kMaxRecordedBody = 4096;
 
+/// Returns whether a request that has not started would miss its deadline.
+bool CannotStartInTime(const Request& request, core::Instant now) {
+  return request.stream.phase() == stream::Phase::kWaiting &&
+         !request.stream.may_have_run() && request.start_by <= now;
+}
+
 std::string Reason(ClaimDecision decision) {
   switch (decision) {
     case ClaimDecision::kGranted:
@@ -100,7 +106,7 @@
     actions_.emplace_back(
         RequestClaim{submission.id, submission.idempotency_key});
   } else {
-    Enqueue(request, false);
+    Enqueue(request, false, now);
   }
   Arm(request);
 }
@@ -132,7 +138,7 @@
     return;
   }
   if (request->claim != ClaimState::kAsked) return;
-  if (event.decision == ClaimDecision::kGranted) return Grant(*request);
+  if (event.decision == ClaimDecision::kGranted) return Grant(*request, now);
   if (event.decision != ClaimDecision::kUnavailable) {
     request->claim = ClaimState::kNone;
   }
@@ -164,10 +170,10 @@
   End(*request, std::move(end));
 }
 
-void Engine::State::Grant(Request& request) {
+void Engine::State::Grant(Request& request, core::Instant now) {
   request.claim = ClaimState::kHeld;
   request.stream.Grant();
-  Enqueue(request, false);
+  Enqueue(request, false, now);
 }
 
 void Engine::State::On(const CallerGone& event, core::Instant now) {
@@ -191,6 +197,10 @@
   if (request.claim == ClaimState::kAsked && request.claim_until <= now) {
     return GiveUp(request, "claim was not decided in time", retry_after, now);
   }
+  if (internal::CannotStartInTime(request, now)) {
+    return GiveUp(request, "queue is too long for the deadline", retry_after,
+                  now);
+  }
   if (request.stream.silent_at().value_or(core::Instant::max()) <= now) {
     Silence(request, now);
   }
--- a/src/foxquay/dispatch/state.h
+++ b/src/foxquay/dispatch/state.h
@@ -50,7 +50,7 @@
       const Submission& submission) const;
   [[nodiscard]] stream::Terms TermsOf(const Submission& submission,
                                       core::Instant now) const;
-  void Grant(Request& request);
+  void Grant(Request& request, core::Instant now);
   void Expire(Request& request, core::Instant now);
   /// Ends a request whose answer is not whole.
   void GiveUp(Request& request, std::string reason,
@@ -87,7 +87,7 @@
   [[nodiscard]] FoundOrNot FindChain(const Request& request,
                                      const Completion& completion,
                                      core::Instant now);
-  void Enqueue(Request& request, bool resumed);
+  void Enqueue(Request& request, bool resumed, core::Instant now);
   [[nodiscard]] Waiting Describe(const Request& request) const;
   /// Starts what can start and gives up what has no chain.
   void Pump(core::Instant now);
--- /dev/null
+++ b/tests/foxquay/dispatch/drain_test.cc
@@ -0,0 +1,155 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "foxquay/dispatch/engine.h"
+#include "sample.h"
+
+namespace foxquay::dispatch {
+namespace {
+
+/// Upstreams that produce a token of every leg in each step of time.
+class Fleet {
+ public:
+  explicit Fleet(std::size_t count) : engine_(SampleEngine()) {
+    for (std::size_t i = 0; i < count; ++i) {
+      upstreams_.push_back(ModelUpstream("m" + std::to_string(i), 0, 3));
+    }
+    Handle(UpstreamsChanged{upstreams_});
+  }
+
+  void Submit(std::uint32_t tokens, core::Duration timeout) {
+    Submission submission = SampleCompletion(++submitted_, tokens);
+    submission.timeout = timeout;
+    Handle(Arrived{submission});
+  }
+
+  /// Withdraws the upstreams from `first` on; their legs fail if `cut`.
+  void Withdraw(std::size_t first, bool cut) {
+    std::set<core::UpstreamId> gone;
+    while (upstreams_.size() > first) {
+      gone.insert(upstreams_.back().id);
+      upstreams_.pop_back();
+    }
+    Handle(UpstreamsChanged{upstreams_});
+    if (!cut) return;
+    for (const auto& [id, leg] : std::map(legs_)) {
+      const core::UpstreamId& upstream = leg.chain.front().upstream;
+      if (gone.contains(upstream)) End(id, LegEnd::kFailed, upstream);
+    }
+  }
+
+  void Step() {
+    now_ += kStep;
+    for (const auto& [id, leg] : std::map(legs_)) {
+      const std::uint32_t index = next_[id]++;
+      Handle(LegToken{leg.leg, leg.epoch, index, "x"});
+      if (index + 1 < leg.first_token + leg.count) continue;
+      End(id, leg.count == 64 ? LegEnd::kChunk : LegEnd::kLength, {});
+    }
+    Handle(Tick{});
+  }
+
+  [[nodiscard]] std::size_t Running(const std::string& id) const {
+    return static_cast<std::size_t>(
+        std::count_if(legs_.begin(), legs_.end(), [&](const auto& entry) {
+          return entry.second.chain.front().upstream.value() == id;
+        }));
+  }
+
+  static constexpr core::Duration kStep = milliseconds(25);
+  std::vector<Finish> ends;
+  std::vector<StartLeg> starts;
+
+ private:
+  void End(std::uint64_t id, LegEnd end,
+           const std::optional<core::UpstreamId>& culprit) {
+    const core::LegId leg = legs_.at(id).leg;
+    legs_.erase(id);
+    Handle(LegEnded{leg, end, culprit});
+  }
+
+  void Handle(const Event& event) {
+    const auto actions = engine_.Handle(event, now_);
+    for (const StartLeg& start : Only<StartLeg>(actions)) {
+      legs_.emplace(start.leg.value(), start);
+      next_[start.leg.value()] = start.first_token;
+      starts.push_back(start);
+    }
+    for (const Finish& end : Only<Finish>(actions)) ends.push_back(end);
+  }
+
+  core::Instant now_ = kStart;
+  Engine engine_;
+  std::vector<schema::Announcement> upstreams_;
+  std::map<std::uint64_t, StartLeg> legs_;
+  std::map<std::uint64_t, std::uint32_t> next_;
+  std::uint64_t submitted_ = 0;
+};
+
+std::size_t CountOutcome(const std::vector<Finish>& ends,
+                         core::Outcome outcome) {
+  return static_cast<std::size_t>(
+      std::count_if(ends.begin(), ends.end(),
+                    [&](const Finish& end) { return end.outcome == outcome; }));
+}
+
+}  // namespace
+
+// Guards against new legs on an upstream that leaves, and against cutting off
+// the leg that runs there.
+TEST_CASE("a long request moves away at its next leg") {
+  Fleet fleet(2);
+  for (int i = 0; i < 8; ++i) fleet.Submit(100, seconds(60));
+  REQUIRE(fleet.Running("m1") == 4);
+  fleet.Withdraw(1, false);
+  for (int i = 0; i < 63; ++i) fleet.Step();
+  CHECK(fleet.Running("m1") == 4);
+  for (int i = 0; i < 137; ++i) fleet.Step();
+  CHECK(CountOutcome(fleet.ends, core::Outcome::kComplete) == 8);
+  for (const StartLeg& start : fleet.starts) {
+    if (start.first_token == 0) continue;
+    CHECK(start.first_token == 64);
+    CHECK(start.chain[0].upstream.value() == "m0");
+  }
+}
+
+// Guards against requests that wait for upstreams that are gone.
+TEST_CASE("a model that loses its layers refuses its queue at once") {
+  Fleet fleet(1);
+  for (int i = 0; i < 10; ++i) fleet.Submit(4, seconds(60));
+  REQUIRE(fleet.starts.size() == 4);
+  fleet.Withdraw(0, false);
+  CHECK(fleet.ends.size() == 6);
+  for (int i = 0; i < 5; ++i) fleet.Step();
+  REQUIRE(fleet.ends.size() == 10);
+  for (std::size_t i = 0; i < 6; ++i) {
+    CHECK(fleet.ends[i].outcome == core::Outcome::kNotRun);
+    CHECK(fleet.ends[i].retry_after);
+  }
+}
+
+// Guards against a queue that lets its requests time out when half of the
+// fleet is withdrawn under load.
+TEST_CASE("half the fleet withdrawn becomes refusals, not timeouts") {
+  const bool cut = GENERATE(false, true);
+  CAPTURE(cut);
+  Fleet fleet(8);
+  // 32 slots serve 32 requests/s, 28 arrive.
+  for (int i = 0; i < 1200; ++i) {
+    if (i % 2 == 0) fleet.Submit(40, seconds(3));
+    if (i % 5 == 0) fleet.Submit(40, seconds(3));
+    fleet.Step();
+    if (i == 600) fleet.Withdraw(4, cut);
+  }
+  for (int i = 0; i < 400; ++i) fleet.Step();
+  CHECK(fleet.ends.size() == 840);
+  CHECK(CountOutcome(fleet.ends, core::Outcome::kComplete) > 640);
+  for (const Finish& end : fleet.ends) {
+    CHECK(end.reason != "deadline passed");
+    CHECK((end.outcome == core::Outcome::kComplete || end.retry_after));
+  }
+}
+
+}  // namespace foxquay::dispatch
