--- a/src/foxquay/dispatch/plans.cc
+++ b/src/foxquay/dispatch/plans.cc
@@ -40,7 +40,7 @@
   }
   Waiting waiting = Describe(request);
   waiting.resumed = resumed;
-  queue_.Push(waiting);
+  queue_.Push(waiting, now);
   pump_needed_ = true;
   request.start_by = core::Instant::max();
   if (!request.stream.may_have_run()) {
@@ -111,7 +111,7 @@
   };
   while (queue_.size() > 0) {
     hopeless.clear();
-    const std::optional<Waiting> taken = queue_.Take(runnable);
+    const std::optional<Waiting> taken = queue_.Take(runnable, now);
     if (taken) {
       Request& request = requests_.at(taken->request);
       std::visit(
--- a/src/foxquay/dispatch/requests.cc
+++ b/src/foxquay/dispatch/requests.cc
@@ -121,8 +121,7 @@
   actions_.emplace_back(std::move(end));
 }
 
-void Engine::State::On(const ClaimDecided& event,
-                       [[maybe_unused]] core::Instant now) {
+void Engine::State::On(const ClaimDecided& event, core::Instant now) {
   Request* request = FindRequest(event.request);
   if (request == nullptr) {
     const auto found = std::find_if(
@@ -167,7 +166,7 @@
     case ClaimDecision::kMismatch:
       break;
   }
-  End(*request, std::move(end));
+  End(*request, std::move(end), now);
 }
 
 void Engine::State::Grant(Request& request, core::Instant now) {
@@ -221,7 +220,7 @@
   end.outcome = request.stream.GiveUp();
   end.reason = std::move(reason);
   end.retry_after = retry_after;
-  End(request, std::move(end));
+  End(request, std::move(end), now);
 }
 
 void Engine::State::GiveUp(Request& request, const routing::NoPlan& none,
@@ -244,9 +243,9 @@
   GiveUp(request, std::move(reason), none.retry_after, now);
 }
 
-void Engine::State::End(Request& request, Finish end) {
+void Engine::State::End(Request& request, Finish end, core::Instant now) {
   SettleClaim(request, end);
-  queue_.Remove(end.request);
+  queue_.Remove(end.request, now);
   requests_.erase(end.request);
   pump_needed_ = true;
   actions_.emplace_back(std::move(end));
--- a/src/foxquay/dispatch/state.h
+++ b/src/foxquay/dispatch/state.h
@@ -57,7 +57,7 @@
               std::optional<core::Duration> retry_after, core::Instant now);
   void GiveUp(Request& request, const routing::NoPlan& none, core::Instant now);
   /// Ends a request; `end` names it.
-  void End(Request& request, Finish end);
+  void End(Request& request, Finish end, core::Instant now);
   void SettleClaim(Request& request, const Finish& end);
   void RefuseArrival(const Submission& submission, const Refusal& refusal);
 
@@ -76,7 +76,7 @@
   void Follow(Request& request, stream::Next next, core::Instant now);
   void Blame(Request* request, const Leg& leg,
              const std::optional<core::UpstreamId>& culprit, core::Instant now);
-  void Complete(Request& request);
+  void Complete(Request& request, core::Instant now);
   void ReportServed(const Request& request, const Leg& leg, LegEnd end,
                     core::Instant now);
   /// Passes the time of a token of a leg to the limits.
