--- a/src/foxquay/dispatch/plans.cc
+++ b/src/foxquay/dispatch/plans.cc
@@ -44,7 +44,7 @@
   pump_needed_ = true;
   request.start_by = core::Instant::max();
   if (!request.stream.may_have_run()) {
-    request.start_by = waiting.deadline - queue_.EstimateService(waiting, now);
+    request.start_by = waiting.deadline - queue_.EstimateService(waiting);
     Arm(request);
   }
 }
--- a/src/foxquay/dispatch/queue.h
+++ b/src/foxquay/dispatch/queue.h
@@ -82,9 +82,8 @@
   [[nodiscard]] bool AllowRetry(const core::WorkspaceId& workspace,
                                 const std::vector<core::UpstreamId>& failed);
   /// Returns the estimated time of all legs or the call, without waits.
-  [[nodiscard]] core::Duration EstimateService(const Waiting& waiting,
-                                               core::Instant now) const {
-    return DemandOf(waiting, now).service;
+  [[nodiscard]] core::Duration EstimateService(const Waiting& waiting) const {
+    return ServiceOf(waiting, ExpectedTokens(waiting));
   }
   /// Returns when a refused request may come again.
   [[nodiscard]] core::Duration RetryAfter(const scheduling::PoolId& pool);
