Predict load from the host's own work alone

Cause: the larger of own and announced load was used; announcements lag, so all hosts went to the same upstreams until the next one.

Tried and not kept: adding the load of other hosts, smoothed over announcements.

--- a/src/foxquay/routing/upstreams.cc
+++ b/src/foxquay/routing/upstreams.cc
@@ -25,9 +25,9 @@
 }  // namespace internal
 
 double Upstream::Share() const noexcept {
-  // The own count is current; the announced one lags but includes other hosts.
-  const std::uint32_t streams = std::max(in_flight, announced.load) + 1;
-  return static_cast<double>(streams) /
+  // Announced loads lag by up to 600 ms. Hosts that go by them choose the same
+  // upstreams until the next announcement, so only the own work counts.
+  return static_cast<double>(in_flight + 1) /
          std::max<std::uint32_t>(announced.slots, 1);
 }
 
