Learn the layer time of each upstream

All upstreams were predicted to take 0.5 ms per layer, so slow and fast accelerators got equal shares.

--- a/bench/routing/main.cc
+++ b/bench/routing/main.cc
@@ -1,7 +1,14 @@
 // Measures the decision time of routing against the number of upstreams.
 #include <benchmark/benchmark.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
 
 #include "fleet.h"
 #include "foxquay/routing/router.h"
@@ -79,6 +86,51 @@
   }
 }
 
+/// Runs streams on upstreams of which each kind takes 1.3 times as long as the
+/// one before it; reports the mean time between tokens, with or without the
+/// learnt times.
+void Speeds(benchmark::State& state) {
+  constexpr std::size_t kStreams = 200;
+  routing::Router router({core::DataCentreId("d0"), {}, 1});
+  const auto fleet = Fleet(500, 2);
+  router.Replace(fleet);
+  std::unordered_map<std::string, double> layer_seconds;
+  for (const schema::Announcement& announced : fleet) {
+    layer_seconds[announced.id.value()] =
+        100e-6 * std::pow(1.3, announced.accelerator.back() - '0');
+  }
+  const routing::Query query = SampleQuery();
+  std::deque<routing::Chain> running;
+  core::Instant now = kNow;
+  double sum = 0;
+  double samples = 0;
+  for ([[maybe_unused]] auto step : state) {
+    const auto plan = std::get<routing::Plan>(router.Find(query, now));
+    std::vector<routing::StageUse> uses;
+    double gap = 0;
+    for (const routing::Stage& stage : plan.chain) {
+      const std::uint32_t layers = stage.layers.last - stage.layers.first + 1;
+      uses.push_back({stage.upstream, layers});
+      router.Start(stage.upstream);
+      gap += layers * layer_seconds.at(stage.upstream.value()) *
+             router.upstreams().Find(stage.upstream)->Slowdown();
+    }
+    const auto stages_time = std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double>(gap));
+    if (state.range(0) != 0) router.upstreams().Learn(uses, stages_time, now);
+    running.push_back(plan.chain);
+    now += std::chrono::milliseconds(10);
+    if (running.size() <= kStreams) continue;
+    for (const routing::Stage& stage : running.front()) {
+      router.End(stage.upstream);
+    }
+    running.pop_front();
+    if (++samples <= 2000) continue;
+    sum += gap + std::chrono::duration<double>(plan.link_time).count();
+  }
+  state.counters["token_ms"] = 1000 * sum / std::max(1.0, samples - 2000);
+}
+
 /// Numbers of upstreams and of models: as planned, then all of one model.
 void Sizes(benchmark::internal::Benchmark* run) {
   run->Args({50, 1})->Args({500, 2})->Args({10000, 37});
@@ -86,6 +138,7 @@
   run->ArgNames({"upstreams", "models"})->Unit(benchmark::kMicrosecond);
 }
 
+BENCHMARK(Speeds)->Arg(0)->Arg(1)->ArgName("learn")->Iterations(10000);
 BENCHMARK(FindChain)->Apply(Sizes);
 BENCHMARK(FindNoChain)->Apply(Sizes);
 BENCHMARK(ReplaceLoads)->Apply(Sizes);
--- a/src/foxquay/dispatch/legs.cc
+++ b/src/foxquay/dispatch/legs.cc
@@ -9,6 +9,9 @@
 /// HTTP status recorded for a claimed completion.
 constexpr std::uint32_t kStatusOk = 200;
 
+/// Tokens over which the time between tokens is averaged.
+constexpr std::uint32_t kSpeedSample = 8;
+
 std::string Join(const std::vector<std::string>& tokens) {
   std::string text;
   for (const std::string& token : tokens) text += token;
@@ -34,9 +37,15 @@
       id, leg_tokens,
       policy_.GetTime(schema::PolicyKey::kLegTokenTimeout, scope), now);
   request.version = plan.version;
-  Leg leg{submission.id, {}, terms.first_token, now, {}, {}};
+  Leg leg;
+  leg.request = submission.id;
+  leg.first_token = terms.first_token;
+  leg.started = now;
+  leg.link_time = plan.link_time;
   for (const Stage& stage : plan.chain) {
     leg.stages.push_back(stage.upstream);
+    leg.uses.push_back(
+        {stage.upstream, stage.layers.last - stage.layers.first + 1});
     queue_.CountLeg(stage.upstream);
     router_.Start(stage.upstream);
   }
@@ -65,7 +74,11 @@
   request.stream.StartCall(id);
   router_.Start(plan.upstream);
   queue_.CountLeg(plan.upstream);
-  legs_.emplace(id, Leg{request_id, {plan.upstream}, 0, now, {}, {}});
+  Leg leg;
+  leg.request = request_id;
+  leg.stages = {plan.upstream};
+  leg.started = now;
+  legs_.emplace(id, std::move(leg));
   actions_.emplace_back(CallService{id, request_id, plan.upstream, plan.address,
                                     request.stream.terms().deadline - now});
 }
@@ -107,6 +120,18 @@
                               router_.upstreams());
   }
   leg.last_token_at = now;
+  SampleSpeed(leg, now);
+}
+
+void Engine::State::SampleSpeed(Leg& leg, core::Instant now) {
+  if (leg.first_token_at == now) leg.sampled_at = now;
+  if (leg.first_token_at == now || ++leg.unsampled < internal::kSpeedSample) {
+    return;
+  }
+  router_.upstreams().Learn(
+      leg.uses, (now - leg.sampled_at) / leg.unsampled - leg.link_time, now);
+  leg.sampled_at = now;
+  leg.unsampled = 0;
 }
 
 void Engine::State::On(const LegEnded& event, core::Instant now) {
--- a/src/foxquay/dispatch/request.h
+++ b/src/foxquay/dispatch/request.h
@@ -9,6 +9,7 @@
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
 #include "foxquay/dispatch/event.h"
+#include "foxquay/routing/upstreams.h"
 #include "foxquay/stream/stream.h"
 
 namespace foxquay::dispatch {
@@ -55,6 +56,10 @@
   core::Instant started;
   std::optional<core::Instant> first_token_at;
   core::Instant last_token_at;
+  std::vector<routing::StageUse> uses;  ///< Layers of its stages.
+  core::Duration link_time{};           ///< Of one token.
+  core::Instant sampled_at;             ///< Token of the last speed sample.
+  std::uint32_t unsampled = 0;          ///< Tokens since then.
 };
 
 }  // namespace foxquay::dispatch
--- a/src/foxquay/dispatch/state.h
+++ b/src/foxquay/dispatch/state.h
@@ -69,6 +69,8 @@
   void Start(Request& request, const routing::Plan& plan, core::Instant now);
   void Start(Request& request, const routing::ServicePlan& plan,
              core::Instant now);
+  /// Lets routing learn from the time of some tokens of a leg.
+  void SampleSpeed(Leg& leg, core::Instant now);
   /// Ends the running leg of a request that has been silent.
   void Silence(Request& request, core::Instant now);
   /// Frees the upstreams of a leg and returns it, if it is known.
--- a/src/foxquay/routing/router.cc
+++ b/src/foxquay/routing/router.cc
@@ -65,7 +65,7 @@
 std::optional<Plan> Router::FindIn(const Group& group, const Query& query,
                                    core::Instant now) {
   std::optional<std::vector<Step>> best;
-  double best_seconds = 0;
+  Prediction best_time;
   for (int draw = 0; draw < 2; ++draw) {
     picks_.clear();
     for (const StageClass& stage_class : group.classes) {
@@ -73,19 +73,21 @@
     }
     std::optional<std::vector<Step>> steps = planner_.Cheapest(group, picks_);
     if (!steps) return std::nullopt;
-    const double seconds = Predict(group, *steps, now);
-    if (!best || seconds < best_seconds) {
+    const Prediction time = Predict(group, *steps, now);
+    if (!best || time.token_seconds < best_time.token_seconds) {
       best = std::move(steps);
-      best_seconds = seconds;
+      best_time = time;
     }
   }
-  return MakePlan(group, *best, best_seconds);
+  return MakePlan(group, *best, best_time);
 }
 
-double Router::Predict(const Group& group, const std::vector<Step>& steps,
-                       core::Instant now) const {
+Router::Prediction Router::Predict(const Group& group,
+                                   const std::vector<Step>& steps,
+                                   core::Instant now) const {
   const auto& places = group.places;
   double sum = 0;
+  double links = 0;
   double slowest = 0;
   std::size_t at = 0;
   for (const Step& step : steps) {
@@ -97,22 +99,27 @@
     const double suspicion = step.trusted ? upstream.suspicion.Factor(now) : 1;
     const double seconds = upstream.LayerSeconds(now) / suspicion *
                            (step.layers.last - step.layers.first + 1);
-    sum += group.links[at * places.size() + next] + seconds;
+    links += group.links[at * places.size() + next];
+    sum += seconds;
     slowest = std::max(slowest, seconds * upstream.Share());
     at = next;
   }
-  sum += group.links[at * places.size()];
+  links += group.links[at * places.size()];
   // A stream cycles through an idle chain in the sum of its times; in a loaded
   // one it waits for the slowest stage to serve all streams.
-  return std::max(sum, slowest);
+  return {std::max(sum + links, slowest), links};
 }
 
 Plan Router::MakePlan(const Group& group, const std::vector<Step>& steps,
-                      double seconds) const {
+                      const Prediction& time) const {
   Plan plan;
   plan.version = group.version;
-  plan.token_time = std::chrono::duration_cast<core::Duration>(
-      std::chrono::duration<double>(seconds));
+  const auto to_duration = [](double seconds) {
+    return std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double>(seconds));
+  };
+  plan.token_time = to_duration(time.token_seconds);
+  plan.link_time = to_duration(time.link_seconds);
   for (const Step& step : steps) {
     const schema::Announcement& announced = upstreams_[step.upstream].announced;
     plan.chain.push_back({announced.id, announced.address, step.layers});
--- a/src/foxquay/routing/router.h
+++ b/src/foxquay/routing/router.h
@@ -35,6 +35,7 @@
   Chain chain;
   std::string version;          ///< Version that all its stages hold.
   core::Duration token_time{};  ///< Predicted time between tokens.
+  core::Duration link_time{};   ///< Part of it that is spent on links.
 };
 
 /// Why there is no chain or upstream.
@@ -91,6 +92,10 @@
   void End(const core::UpstreamId& id) noexcept;
 
  private:
+  struct Prediction {
+    double token_seconds = 0;  ///< Between two tokens.
+    double link_seconds = 0;   ///< Part of it that is spent on links.
+  };
   struct ModelGroups {
     std::map<std::pair<std::string, std::optional<std::string>>,
              std::vector<Group>>
@@ -106,13 +111,13 @@
             const std::vector<core::UpstreamId>& excluded, core::Instant now);
   std::optional<Plan> FindIn(const Group& group, const Query& query,
                              core::Instant now);
-  /// Returns the predicted seconds between tokens of one more stream.
-  [[nodiscard]] double Predict(const Group& group,
-                               const std::vector<Step>& steps,
-                               core::Instant now) const;
+  /// Returns the prediction for one more stream on a chain.
+  [[nodiscard]] Prediction Predict(const Group& group,
+                                   const std::vector<Step>& steps,
+                                   core::Instant now) const;
   [[nodiscard]] Plan MakePlan(const Group& group,
                               const std::vector<Step>& steps,
-                              double seconds) const;
+                              const Prediction& time) const;
   [[nodiscard]] NoPlan Explain(const std::vector<Group>& groups,
                                const Query& query, core::Instant now) const;
 
--- a/src/foxquay/routing/upstreams.cc
+++ b/src/foxquay/routing/upstreams.cc
@@ -31,12 +31,14 @@
          std::max<std::uint32_t>(announced.slots, 1);
 }
 
-double Upstream::LayerSeconds(core::Instant now) const noexcept {
+double Upstream::Slowdown() const noexcept {
   // A batch slows a little as it fills.
   constexpr double kFullBatchSlowdown = 0.25;
-  return std::chrono::duration<double>(layer_time).count() *
-         (1 + kFullBatchSlowdown * std::min(Share(), 1.0)) *
-         suspicion.Factor(now);
+  return 1 + kFullBatchSlowdown * std::min(Share(), 1.0);
+}
+
+double Upstream::LayerSeconds(core::Instant now) const noexcept {
+  return speed.Seconds(now) * Slowdown() * suspicion.Factor(now);
 }
 
 double Upstream::LoadedLayerSeconds(core::Instant now) const noexcept {
@@ -57,6 +59,7 @@
       changed.insert(upstream.announced.model);
       changed.insert(next.model);
       rebuild = true;
+      upstream.kind = KindOf(next.accelerator);
     }
     upstream.present = true;
     upstream.announced = next;
@@ -68,6 +71,7 @@
     rebuild = true;
   }
   if (rebuild) Rebuild();
+  SetPriors();
   return {changed.begin(), changed.end()};
 }
 
@@ -106,6 +110,44 @@
   }
 }
 
+std::uint32_t Upstreams::KindOf(const std::string& accelerator) {
+  const auto [found, added] = kind_index_.emplace(
+      accelerator, static_cast<std::uint32_t>(kinds_.size()));
+  if (added) kinds_.emplace_back();
+  return found->second;
+}
+
+void Upstreams::SetPriors() {
+  for (Upstream& upstream : upstreams_) {
+    const KindSpeed& kind = kinds_[upstream.kind];
+    upstream.speed.SetPrior(kind.samples > 0 ? kind.seconds
+                                             : all_kinds_.seconds);
+  }
+}
+
+void Upstreams::Learn(const std::vector<StageUse>& stages, core::Duration gap,
+                      core::Instant now) {
+  constexpr double kStep = 0.3;
+  std::vector<Upstream*> used;
+  double error = std::chrono::duration<double>(gap).count();
+  double norm = 0;
+  for (const StageUse& stage : stages) {
+    Upstream* upstream = Find(stage.upstream);
+    if (upstream == nullptr) return;
+    used.push_back(upstream);
+    const double weight = stage.layers * upstream->Slowdown();
+    error -= weight * upstream->speed.Seconds(now);
+    norm += weight * weight;
+  }
+  for (std::size_t i = 0; i < used.size(); ++i) {
+    const double weight = stages[i].layers * used[i]->Slowdown();
+    used[i]->speed.Move(kStep * error * weight / norm, now);
+    const double seconds = used[i]->speed.Seconds(now);
+    kinds_[used[i]->kind].Add(seconds);
+    all_kinds_.Add(seconds);
+  }
+}
+
 Upstream* Upstreams::Find(const core::UpstreamId& id) noexcept {
   const auto found = index_.find(id);
   return found == index_.end() ? nullptr : &upstreams_[found->second];
--- a/src/foxquay/routing/upstreams.h
+++ b/src/foxquay/routing/upstreams.h
@@ -1,14 +1,15 @@
 #ifndef FOXQUAY_ROUTING_UPSTREAMS_H_
 #define FOXQUAY_ROUTING_UPSTREAMS_H_
 
-#include <chrono>
 #include <cstdint>
 #include <limits>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
+#include "foxquay/routing/speed.h"
 #include "foxquay/routing/suspicion.h"
 #include "foxquay/schema/announcement.h"
 
@@ -21,8 +22,8 @@
   bool enabled = true;          ///< Whether policy permits new work.
   std::uint32_t in_flight = 0;  ///< Legs and calls of this host.
   std::uint32_t limit = std::numeric_limits<std::uint32_t>::max();
-  /// Time to run one layer for one token while slots are free.
-  core::Duration layer_time = std::chrono::microseconds(500);
+  Speed speed;
+  std::uint32_t kind = 0;  ///< Index of its accelerator's mean speed.
   Suspicion suspicion;
 
   /// Returns whether it may get new work at all.
@@ -35,12 +36,20 @@
   }
   /// Returns the streams for each slot, with one more stream than now.
   [[nodiscard]] double Share() const noexcept;
+  /// Returns the factor by which its streams slow each other down.
+  [[nodiscard]] double Slowdown() const noexcept;
   /// Returns the time of one layer and token if no stream waits for a slot.
   [[nodiscard]] double LayerSeconds(core::Instant now) const noexcept;
   /// Returns the predicted time of one layer and token for one more stream.
   [[nodiscard]] double LoadedLayerSeconds(core::Instant now) const noexcept;
 };
 
+/// Layers of one token that an upstream ran.
+struct StageUse {
+  core::UpstreamId upstream;
+  std::uint32_t layers = 0;
+};
+
 /// Position of an upstream in Upstreams; stable while it is present.
 using UpstreamIndex = std::uint32_t;
 
@@ -53,6 +62,14 @@
   [[nodiscard]] std::vector<core::ModelId> Replace(
       const std::vector<schema::Announcement>& announced);
 
+  /// Learns from the time between two tokens of a chain, less its links.
+  ///
+  /// The error of the prediction is shared by normalized least mean squares
+  /// (Widrow and Hoff 1960): the stages of one chain cannot be told apart, but
+  /// over different chains the estimates converge.
+  void Learn(const std::vector<StageUse>& stages, core::Duration gap,
+             core::Instant now);
+
   /// Returns the upstream with this id, or null.
   [[nodiscard]] Upstream* Find(const core::UpstreamId& id) noexcept;
   [[nodiscard]] const Upstream* Find(const core::UpstreamId& id) const noexcept;
@@ -74,9 +91,14 @@
  private:
   UpstreamIndex Slot(const core::UpstreamId& id);
   void Rebuild();
+  std::uint32_t KindOf(const std::string& accelerator);
+  void SetPriors();
 
   std::vector<Upstream> upstreams_;
   std::vector<UpstreamIndex> free_;
+  std::unordered_map<std::string, std::uint32_t> kind_index_;
+  std::vector<KindSpeed> kinds_;
+  KindSpeed all_kinds_;
   std::unordered_map<core::UpstreamId, UpstreamIndex> index_;
   std::unordered_map<core::ModelId, std::vector<UpstreamIndex>> models_;
   std::unordered_map<core::ServiceId, std::vector<UpstreamIndex>> services_;
--- a/tests/foxquay/routing/router_test.cc
+++ b/tests/foxquay/routing/router_test.cc
@@ -128,6 +128,51 @@
   CHECK(after > 0.45);
 }
 
+// Guards against equal shares for unequal upstreams, and against an upstream
+// that is never tried again after it was slow for a while.
+TEST_CASE("the learnt time of an upstream decides and fades") {
+  Router router = SampleRouter({Sample("a", 0, 7), Sample("b", 0, 7)});
+  const auto learn = [&](const char* id, core::Duration gap) {
+    for (int i = 0; i < 50; ++i) {
+      router.upstreams().Learn({{core::UpstreamId(id), 8}}, gap, kStart);
+    }
+  };
+  learn("a", milliseconds(40));
+  learn("b", milliseconds(4));
+  // Both draws must be of the slower one for it to be chosen.
+  CHECK(ShareOf(router, "a", kStart) < 0.1);
+  const Upstream& slow = *router.upstreams().Find(core::UpstreamId("a"));
+  CHECK(slow.speed.Seconds(kStart) == Approx(0.04 / 8 / slow.Slowdown()));
+  router.Replace({Sample("a", 0, 7), Sample("b", 0, 7)});
+  CHECK(slow.speed.Seconds(kStart + seconds(60)) <
+        0.7 * slow.speed.Seconds(kStart));
+}
+
+// Guards against blame for the wrong stage of a chain.
+TEST_CASE("the times of stages are told apart over different chains") {
+  Router router =
+      SampleRouter({Sample("a", 0, 3), Sample("b", 0, 3), Sample("c", 4, 7)});
+  const std::map<std::string, double> truth{
+      {"a", 1e-3}, {"b", 2e-3}, {"c", 4e-3}};
+  const double slowdown =
+      router.upstreams().Find(core::UpstreamId("a"))->Slowdown();
+  for (int i = 0; i < 400; ++i) {
+    const std::string head = i % 2 == 0 ? "a" : "b";
+    const double gap = (truth.at(head) + truth.at("c")) * 4 * slowdown;
+    router.upstreams().Learn(
+        {{core::UpstreamId(head), 4}, {core::UpstreamId("c"), 4}},
+        std::chrono::duration_cast<core::Duration>(
+            std::chrono::duration<double>(gap)),
+        kStart);
+  }
+  const auto seconds_of = [&](const char* id) {
+    return router.upstreams().Find(core::UpstreamId(id))->speed.Seconds(kStart);
+  };
+  // One chain more than stages would be needed to find them exactly.
+  CHECK(seconds_of("b") - seconds_of("a") == Approx(1e-3).epsilon(0.01));
+  CHECK(seconds_of("a") + seconds_of("c") == Approx(5e-3).epsilon(0.01));
+}
+
 // Guards against endless retries of an upstream that keeps failing.
 TEST_CASE("avoidance doubles with each failure in a row") {
   Suspicion suspicion;
