Stop searching a full pool and weigh workspaces in constant time

The queue now counts waiting legs by offer and stops once every offer is busy; the share of a workspace uses the sum of weights.

The tests of refusal at arrival and of the retry budget fail when the refusal is skipped (2401 open requests) and when every retry is allowed (no Finish).

--- a/src/foxquay/dispatch/plans.cc
+++ b/src/foxquay/dispatch/plans.cc
@@ -88,25 +88,24 @@
 void Engine::State::Pump(core::Instant now) {
   if (!pump_needed_) return;
   pump_needed_ = false;
-  std::set<std::string> busy;
   std::optional<FoundOrNot> found;
   std::vector<std::pair<core::RequestId, routing::NoPlan>> hopeless;
-  const auto runnable = [&](const Waiting& waiting) {
-    if (busy.contains(waiting.offer)) return false;
+  const auto judge = [&](const Waiting& waiting) {
     const Request& request = requests_.at(waiting.request);
     found = Find(request, now);
     const auto* none = std::get_if<routing::NoPlan>(&*found);
-    if (none == nullptr) return true;
+    if (none == nullptr) return Readiness::kReady;
     if (none->reason != routing::NoPlan::Reason::kBusy) {
       hopeless.emplace_back(waiting.request, *none);
-    } else if (request.excluded.empty() && request.suspected.empty()) {
-      busy.insert(waiting.offer);
+      return Readiness::kBlocked;
     }
-    return false;
+    const bool restricted =
+        !request.excluded.empty() || !request.suspected.empty();
+    return restricted ? Readiness::kBlocked : Readiness::kBusy;
   };
   while (queue_.size() > 0) {
     hopeless.clear();
-    const std::optional<Waiting> taken = queue_.Take(runnable, now);
+    const std::optional<Waiting> taken = queue_.Take(judge, now);
     if (taken) {
       Request& request = requests_.at(taken->request);
       std::visit(
--- a/src/foxquay/dispatch/queue.cc
+++ b/src/foxquay/dispatch/queue.cc
@@ -1,6 +1,7 @@
 #include "foxquay/dispatch/queue.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace foxquay::dispatch {
@@ -74,6 +75,7 @@
   pool.commitments.Set(waiting.request, CommitmentTo(waiting));
   admitted_.insert_or_assign(waiting.request, waiting);
   NoteBacklog(pool, waiting, now);
+  ++pool.offers[waiting.offer];
   waiting_.emplace(waiting.request, waiting);
 }
 
@@ -83,7 +85,9 @@
   waiting_.erase(request);
   Pool& pool = pools_.at(node.mapped().pool);
   pool.commitments.Erase(request);
-  if (pool.queue.Remove(request)) NoteBacklog(pool, node.mapped(), now);
+  if (!pool.queue.Remove(request)) return;
+  EndWait(pool, node.mapped());
+  NoteBacklog(pool, node.mapped(), now);
 }
 
 void Queue::NoteBacklog(Pool& pool, const Waiting& waiting, core::Instant now) {
@@ -93,25 +97,47 @@
 }
 
 std::optional<Waiting> Queue::Take(
-    const std::function<bool(const Waiting&)>& runnable, core::Instant now) {
-  const auto accept = [&](const scheduling::Ticket& ticket) {
-    const Waiting& waiting = waiting_.at(ticket.request);
-    return MayRun(waiting) && runnable(waiting);
-  };
+    const std::function<Readiness(const Waiting&)>& judge, core::Instant now) {
   for (auto& [id, pool] : pools_) {
     if (pool.queue.size() == 0) continue;
-    const std::optional<scheduling::Ticket> ticket = pool.queue.Take(accept);
+    const std::optional<scheduling::Ticket> ticket = TakeFrom(pool, judge);
     if (ticket) return Taking(*ticket, now);
   }
   return std::nullopt;
 }
 
+std::optional<scheduling::Ticket> Queue::TakeFrom(
+    Pool& pool, const std::function<Readiness(const Waiting&)>& judge) {
+  std::set<std::string> busy;
+  std::size_t busy_legs = 0;
+  return pool.queue.Take([&](const scheduling::Ticket& ticket) {
+    const Waiting& waiting = waiting_.at(ticket.request);
+    if (busy.contains(waiting.offer) || !MayRun(waiting)) {
+      return scheduling::Verdict::kSkip;
+    }
+    const Readiness readiness = judge(waiting);
+    if (readiness == Readiness::kReady) return scheduling::Verdict::kTake;
+    if (readiness == Readiness::kBlocked) return scheduling::Verdict::kSkip;
+    busy.insert(waiting.offer);
+    busy_legs += pool.offers.at(waiting.offer);
+    return busy_legs == pool.queue.size() ? scheduling::Verdict::kStop
+                                          : scheduling::Verdict::kSkip;
+  });
+}
+
+void Queue::EndWait(Pool& pool, const Waiting& waiting) {
+  const auto offer = pool.offers.find(waiting.offer);
+  if (--offer->second == 0) pool.offers.erase(offer);
+}
+
 Waiting Queue::Taking(const scheduling::Ticket& ticket, core::Instant now) {
   const auto found = waiting_.find(ticket.request);
   Waiting waiting = std::move(found->second);
   waiting_.erase(found);
   ++in_flight_[waiting.workspace];
-  NoteBacklog(pools_.at(waiting.pool), waiting, now);
+  Pool& pool = pools_.at(waiting.pool);
+  EndWait(pool, waiting);
+  NoteBacklog(pool, waiting, now);
   taken_.insert_or_assign(ticket.request, Taken{waiting, ticket});
   return waiting;
 }
--- a/src/foxquay/dispatch/queue.h
+++ b/src/foxquay/dispatch/queue.h
@@ -36,6 +36,13 @@
   bool resumed = false;  ///< Whether it lost its leg or call.
 };
 
+/// Whether a waiting request can start.
+enum class Readiness : std::uint8_t {
+  kReady,
+  kBlocked,  ///< This request cannot start now.
+  kBusy,     ///< No request with the same offer can start now.
+};
+
 /// A leg or call that ended.
 struct Served {
   core::RequestId request;
@@ -68,10 +75,10 @@
   void Push(const Waiting& waiting, core::Instant now);
   /// Ends a request, whether it waits or not.
   void Remove(core::RequestId request, core::Instant now);
-  /// Takes the first request, in fair order, that `runnable` accepts; it must
-  /// be ended by Complete. `runnable` does not call this object.
+  /// Takes the first request, in fair order, that `judge` accepts; it must be
+  /// ended by Complete. `judge` does not call this object.
   [[nodiscard]] std::optional<Waiting> Take(
-      const std::function<bool(const Waiting&)>& runnable, core::Instant now);
+      const std::function<Readiness(const Waiting&)>& judge, core::Instant now);
   /// Ends the leg or call of a request that Take returned.
   void Complete(const Served& served, core::Instant now);
 
@@ -90,6 +97,7 @@
   struct Pool {
     scheduling::FairQueue queue;
     scheduling::Commitments commitments;
+    std::map<std::string, std::size_t> offers;  ///< Waiting legs of each.
   };
 
   struct Taken {
@@ -112,6 +120,10 @@
   [[nodiscard]] scheduling::QueueState StateOf(
       const scheduling::PoolId& pool) const;
   [[nodiscard]] bool MayRun(const Waiting& waiting) const;
+  [[nodiscard]] std::optional<scheduling::Ticket> TakeFrom(
+      Pool& pool, const std::function<Readiness(const Waiting&)>& judge);
+  /// Stops counting a leg of an offer.
+  static void EndWait(Pool& pool, const Waiting& waiting);
   [[nodiscard]] Waiting Taking(const scheduling::Ticket& ticket,
                                core::Instant now);
   /// Tells the rate of a flow whether it has a backlog.
--- a/src/foxquay/scheduling/commitments.cc
+++ b/src/foxquay/scheduling/commitments.cc
@@ -7,8 +7,7 @@
 namespace foxquay::scheduling {
 namespace {
 
-// Requests of a flow whose time left is checked on each admission; the check
-// walks the workspaces for each of them.
+// Requests of a flow whose time left is checked on each admission.
 constexpr std::size_t kMaxChecks = 8;
 // Least slots that a wait is divided by.
 constexpr double kMinParallel = 0.25;
@@ -31,6 +30,7 @@
 void Commitments::Set(core::RequestId request, const Commitment& commitment) {
   Erase(request);
   Workspace& workspace = workspaces_[commitment.workspace];
+  weights_ += commitment.share.workspace - workspace.weight;
   workspace.weight = commitment.share.workspace;
   workspace.total += commitment.rest;
   Flow& flow = workspace.flows[commitment.traffic_class];
@@ -56,29 +56,24 @@
   workspace->second.total -= rest;
   total_ -= rest;
   if (flow->second.work.empty()) workspace->second.flows.erase(flow);
-  if (workspace->second.flows.empty()) workspaces_.erase(workspace);
+  if (!workspace->second.flows.empty()) return;
+  weights_ -= workspace->second.weight;
+  workspaces_.erase(workspace);
 }
 
 core::Duration Commitments::Served(const Commitment& added,
                                    core::Duration own) const {
-  core::Duration of_workspace = own;
   const auto found = workspaces_.find(added.workspace);
-  if (found != workspaces_.end()) {
-    for (const auto& [traffic_class, flow] : found->second.flows) {
-      if (traffic_class == added.traffic_class) continue;
-      of_workspace +=
-          std::min(flow.total,
-                   InProportion(own, flow.weight, added.share.traffic_class));
-    }
-  }
-  core::Duration all = of_workspace;
-  for (const auto& [id, workspace] : workspaces_) {
-    if (id == added.workspace) continue;
-    all += std::min(
-        workspace.total,
-        InProportion(of_workspace, workspace.weight, added.share.workspace));
+  if (found == workspaces_.end()) return own;
+  core::Duration of_workspace = own;
+  for (const auto& [traffic_class, flow] : found->second.flows) {
+    if (traffic_class == added.traffic_class) continue;
+    of_workspace += std::min(
+        flow.total, InProportion(own, flow.weight, added.share.traffic_class));
   }
-  return all;
+  const core::Duration of_others = InProportion(
+      of_workspace, weights_ - found->second.weight, found->second.weight);
+  return of_workspace + std::min(total_ - found->second.total, of_others);
 }
 
 core::Duration Commitments::TimeFor(const Commitment& added, core::Duration own,
--- a/src/foxquay/scheduling/commitments.h
+++ b/src/foxquay/scheduling/commitments.h
@@ -78,7 +78,7 @@
   struct Workspace {
     std::map<core::TrafficClass, Flow> flows;
     core::Duration total{};
-    std::int64_t weight = 100;
+    std::int64_t weight = 0;
   };
 
   using FlowId = std::pair<core::WorkspaceId, core::TrafficClass>;
@@ -96,6 +96,7 @@
   std::map<core::WorkspaceId, Workspace> workspaces_;
   std::unordered_map<core::RequestId, Place> requests_;
   core::Duration total_{};
+  std::int64_t weights_ = 0;  ///< Of all workspaces with commitments.
   internal::RecentMap<FlowId, ServiceRate> rates_{2 * kMaxWorkspaces};
 };
 
--- a/src/foxquay/scheduling/fair_queue.cc
+++ b/src/foxquay/scheduling/fair_queue.cc
@@ -43,12 +43,14 @@
 }
 
 std::optional<Ticket> FairQueue::Take(
-    const std::function<bool(const Ticket&)>& runnable) {
+    const std::function<Verdict(const Ticket&)>& judge) {
   for (const auto& [rank, id] : order_.ranks()) {
     Workspace& workspace = workspaces_.at(id);
     for (const auto& [class_rank, traffic_class] : workspace.classes.ranks()) {
       const auto first = workspace.flows.at(traffic_class).begin();
-      if (!runnable(first->second)) continue;
+      const Verdict verdict = judge(first->second);
+      if (verdict == Verdict::kStop) return std::nullopt;
+      if (verdict == Verdict::kSkip) continue;
       const Number number = first->first;
       const Ticket ticket = Extract(workspace, traffic_class, number);
       workspace.classes.Serve(ticket.traffic_class, ticket.cost);
--- a/src/foxquay/scheduling/fair_queue.h
+++ b/src/foxquay/scheduling/fair_queue.h
@@ -38,6 +38,13 @@
   kFront,  ///< Legs that lost their upstream and resume.
 };
 
+/// What to do with the first leg of a flow.
+enum class Verdict : std::uint8_t {
+  kTake,  ///< It runs.
+  kSkip,  ///< It cannot run now, but legs of other flows may.
+  kStop,  ///< No leg of the queue can run now.
+};
+
 /// Shares one pool among workspaces, then among the classes of a workspace.
 ///
 /// Workspaces and classes are ordered by start-time fair queueing on the
@@ -56,12 +63,12 @@
   /// Removes the waiting leg of a request; returns false if it has none.
   bool Remove(core::RequestId request);
 
-  /// Takes the next leg that `runnable` accepts and charges its cost.
+  /// Takes the next leg that `judge` accepts and charges its cost.
   ///
-  /// `runnable` sees the first leg of each flow at most once, in fair order.
+  /// `judge` sees the first leg of each flow at most once, in fair order.
   /// The taker must call Complete when the leg ends.
   [[nodiscard]] std::optional<Ticket> Take(
-      const std::function<bool(const Ticket&)>& runnable);
+      const std::function<Verdict(const Ticket&)>& judge);
 
   /// Ends the service of a taken leg and replaces its estimated cost with the
   /// actual one.
--- a/src/foxquay/scheduling/fwd.h
+++ b/src/foxquay/scheduling/fwd.h
@@ -14,6 +14,7 @@
 
 struct Share;
 struct Ticket;
+enum class Verdict : std::uint8_t;
 class FairQueue;
 struct Commitment;
 class Commitments;
--- /dev/null
+++ b/tests/foxquay/dispatch/overload_test.cc
@@ -0,0 +1,80 @@
+#include <catch2/catch.hpp>
+
+#include "sample.h"
+
+namespace foxquay::dispatch {
+namespace {
+
+Submission From(const std::string& workspace, std::uint64_t id,
+                core::Duration timeout) {
+  Submission submission = SampleCompletion(id, 64);
+  submission.workspace = core::WorkspaceId(workspace);
+  submission.timeout = timeout;
+  return submission;
+}
+
+/// Returns an engine with one upstream of four slots and 400 requests.
+void Fill(Engine& engine) {
+  (void)engine.Handle(UpstreamsChanged{{ModelUpstream("a", 0, 3)}}, kStart);
+  for (std::uint64_t id = 1; id <= 400; ++id) {
+    (void)engine.Handle(Arrived{From("flood", id, seconds(600))}, kStart);
+  }
+}
+
+}  // namespace
+
+// Guards against a refusal that is held back until the deadline.
+TEST_CASE("a request that cannot finish in time is refused at its arrival") {
+  Engine engine = SampleEngine();
+  Fill(engine);
+  const std::size_t open = engine.OpenRequests();
+  const auto ends = Only<Finish>(
+      engine.Handle(Arrived{From("flood", 1000, seconds(599))}, kStart));
+  CHECK(ends.empty());
+  int refused = 0;
+  for (std::uint64_t id = 2000; id < 4000; ++id) {
+    const auto refusals = Only<Finish>(
+        engine.Handle(Arrived{From("flood", id, seconds(10))}, kStart));
+    if (refusals.empty()) continue;
+    ++refused;
+    CHECK(refusals.front().outcome == core::Outcome::kNotRun);
+    REQUIRE(refusals.front().retry_after);
+    CHECK(*refusals.front().retry_after > seconds(10));
+  }
+  // At 1.4 s each on four slots, about 25 more can finish within 10 s.
+  CHECK(refused > 1900);
+  CHECK(engine.OpenRequests() < open + 100);
+}
+
+TEST_CASE("a flood does not refuse another workspace") {
+  Engine engine = SampleEngine();
+  Fill(engine);
+  CHECK(Only<Finish>(
+            engine.Handle(Arrived{From("quiet", 1000, seconds(10))}, kStart))
+            .empty());
+}
+
+// Guards against a failed leg that is sent again without a budget.
+TEST_CASE("without a retry budget a failed leg ends its request") {
+  Engine engine = SampleEngine();
+  PolicyChanged policy;
+  for (const auto& spec : schema::kPolicySpecs) {
+    policy.defaults.push_back(
+        spec.key == schema::PolicyKey::kRetryBudget ? 0 : spec.initial);
+  }
+  (void)engine.Handle(policy, kStart);
+  (void)engine.Handle(
+      UpstreamsChanged{{ModelUpstream("a", 0, 3), ModelUpstream("b", 0, 3)}},
+      kStart);
+  const auto legs = Only<StartLeg>(
+      engine.Handle(Arrived{From("quiet", 1, seconds(10))}, kStart));
+  REQUIRE(legs.size() == 1);
+  const auto actions = engine.Handle(
+      LegEnded{legs[0].leg, LegEnd::kFailed, legs[0].chain[0].upstream},
+      kStart);
+  CHECK(Only<StartLeg>(actions).empty());
+  REQUIRE(Only<Finish>(actions).size() == 1);
+  CHECK(Only<Finish>(actions)[0].outcome == core::Outcome::kFailed);
+}
+
+}  // namespace foxquay::dispatch
--- a/tests/foxquay/dispatch/queue_test.cc
+++ b/tests/foxquay/dispatch/queue_test.cc
@@ -8,7 +8,9 @@
 namespace foxquay::dispatch {
 namespace {
 
-bool Any(const Waiting& waiting) { return !waiting.workspace.empty(); }
+Readiness Any(const Waiting& waiting) {
+  return waiting.workspace.empty() ? Readiness::kBlocked : Readiness::kReady;
+}
 
 Waiting Make(std::uint64_t request, const std::string& workspace,
              core::Duration timeout = seconds(60)) {
@@ -73,6 +75,22 @@
   CHECK(queue.Take(Any, kStart));
 }
 
+// Guards against one full offer that hides another of the same model.
+TEST_CASE("a busy adapter does not block the model's other work") {
+  Queue queue(1);
+  Waiting other = Make(1, "a");
+  other.offer = "drafter\nquotes";
+  queue.Push(other, kStart);
+  queue.Push(Make(2, "b"), kStart);
+  const auto judge = [](const Waiting& waiting) {
+    return waiting.offer == "drafter" ? Readiness::kReady : Readiness::kBusy;
+  };
+  const auto taken = queue.Take(judge, kStart);
+  REQUIRE(taken);
+  CHECK(taken->request.value() == 2);
+  CHECK_FALSE(queue.Take(judge, kStart));
+}
+
 // Guards against retries that do not count against the budgets.
 TEST_CASE("retries end with the budget") {
   Queue queue(1);
--- a/tests/foxquay/scheduling/fair_queue_test.cc
+++ b/tests/foxquay/scheduling/fair_queue_test.cc
@@ -14,7 +14,9 @@
 
 using std::chrono::milliseconds;
 
-bool Any(const Ticket& ticket) { return ticket.request.value() > 0; }
+Verdict Any(const Ticket& ticket) {
+  return ticket.request.value() > 0 ? Verdict::kTake : Verdict::kSkip;
+}
 
 Ticket Make(
     std::uint64_t request, const std::string& workspace, core::Duration cost,
@@ -118,8 +120,9 @@
   FairQueue queue;
   queue.Push(Make(1, "a", milliseconds(1)), {});
   queue.Push(Make(2, "b", milliseconds(1)), {});
-  const auto taken = queue.Take(
-      [](const Ticket& ticket) { return ticket.request.value() != 1; });
+  const auto taken = queue.Take([](const Ticket& ticket) {
+    return ticket.request.value() == 1 ? Verdict::kSkip : Verdict::kTake;
+  });
   REQUIRE(taken);
   CHECK(taken->request.value() == 2);
   CHECK(queue.size() == 1);
@@ -138,6 +141,20 @@
   }
 }
 
+// Guards against a walk over all flows of a pool that has no room.
+TEST_CASE("a queue is not searched further once nothing can run") {
+  FairQueue queue;
+  for (std::uint64_t i = 1; i <= 10; ++i) {
+    queue.Push(Make(i, "w" + std::to_string(i), milliseconds(1)), {});
+  }
+  int judged = 0;
+  CHECK_FALSE(queue.Take([&](const Ticket&) {
+    ++judged;
+    return Verdict::kStop;
+  }));
+  CHECK(judged == 1);
+}
+
 TEST_CASE("a resumed leg goes first in its flow") {
   FairQueue queue;
   queue.Push(Make(1, "a", milliseconds(1)), {});
