--- a/bench/load/main.cc
+++ b/bench/load/main.cc
@@ -1,6 +1,8 @@
 #include <popt.h>
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -8,6 +10,7 @@
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -173,10 +176,11 @@
 
 int main(int argc, const char** argv) {
   int tokens = 400;
-  int most = 1240;
+  char* levels = nullptr;
   const std::array<poptOption, 4> table{{
       {"tokens", 0, POPT_ARG_INT, &tokens, 0, "Tokens of a stream", "N"},
-      {"streams", 0, POPT_ARG_INT, &most, 0, "Largest number of streams", "N"},
+      {"streams", 0, POPT_ARG_STRING, &levels, 0,
+       "Numbers of concurrent streams, by commas", "N,..."},
       POPT_AUTOHELP POPT_TABLEEND,
   }};
   poptContext context =
@@ -193,10 +197,12 @@
       "| streams | time (ms) | median direct | routed | added | p95 direct | "
       "routed | added | p99 direct | routed | added |\n"
       "|---|---|---|---|---|---|---|---|---|---|---|\n");
-  for (const int streams : {1, 100, 1240}) {
-    if (streams > most) continue;
+  std::istringstream list(levels == nullptr ? "1,100,1240" : levels);
+  std::free(levels);  // NOLINT: popt allocates with malloc
+  for (std::string level; std::getline(list, level, ',');) {
+    const auto streams = static_cast<std::uint32_t>(std::stoul(level));
     const int few = streams == 1 ? 50 : tokens;
-    foxquay::bench::Measure(bed, static_cast<std::uint32_t>(streams),
+    foxquay::bench::Measure(bed, std::min(streams, 2000U),
                             static_cast<std::uint32_t>(few));
   }
   return EXIT_SUCCESS;
