Start a request that an idle upstream admits despite its estimate

Ruled out: dropping the latest start (it keeps late work from starting under overload) and starting before timers fire (a request whose deadline has passed would be dispatched). Conclusion: the latest start holds only for requests that could meet it when they were admitted.

--- a/src/foxquay/dispatch/plans.cc
+++ b/src/foxquay/dispatch/plans.cc
@@ -43,10 +43,13 @@
   queue_.Push(waiting, now);
   pump_needed_ = true;
   request.start_by = core::Instant::max();
-  if (!request.stream.may_have_run()) {
-    request.start_by = waiting.deadline - queue_.EstimateService(waiting);
-    Arm(request);
-  }
+  if (request.stream.may_have_run()) return;
+  // An idle pool admits a request whose estimate exceeds its time, since the
+  // estimate may be wrong; it must not be given up before it can start.
+  const core::Instant start_by =
+      waiting.deadline - queue_.EstimateService(waiting);
+  if (start_by > now) request.start_by = start_by;
+  Arm(request);
 }
 
 Engine::State::FoundOrNot Engine::State::Find(const Request& request,
--- a/tests/foxquay/dispatch/engine_test.cc
+++ b/tests/foxquay/dispatch/engine_test.cc
@@ -130,4 +130,19 @@
   CHECK(ends[0].retry_after.has_value());
 }
 
+// Guards against an idle host that refuses a request because one short answer
+// made the estimate of a long one exceed its deadline.
+TEST_CASE("an idle upstream takes a request whose estimate is too long") {
+  Engine engine = SampleEngine();
+  (void)engine.Handle(UpstreamsChanged{{ModelUpstream("a", 0, 3)}}, kStart);
+  auto actions = engine.Handle(Arrived{SampleCompletion(1, 1)}, kStart);
+  const StartLeg first = Only<StartLeg>(actions).at(0);
+  const core::Instant end = kStart + milliseconds(500);
+  (void)engine.Handle(LegToken{first.leg, first.epoch, 0, "a"}, end);
+  (void)engine.Handle(LegEnded{first.leg, LegEnd::kLength, std::nullopt}, end);
+  actions = engine.Handle(Arrived{SampleCompletion(2, 4000)}, end);
+  CHECK(Only<Finish>(actions).empty());
+  CHECK(Only<StartLeg>(actions).size() == 1);
+}
+
 }  // namespace foxquay::dispatch
