Keep the log on disk and test the control side with real processes

Change: a disk thread writes through storage::Store with one sync for all queued records; a failed write ends the process. Settings must name a control host; peers can be standbys; status shows replica incarnations and whether the voters are changing.

--- a/src/foxquay/daemon/admin_json.cc
+++ b/src/foxquay/daemon/admin_json.cc
@@ -101,14 +101,17 @@
   internal::Json hosts = internal::Json::array();
   for (const HostView& host : status.hosts) hosts.push_back(ToJson(host));
   internal::Json voters = internal::Json::array();
-  for (const core::HostId& voter : status.voters) {
-    voters.push_back(voter.value());
+  for (const schema::ReplicaId& voter : status.voters) {
+    voters.push_back(
+        {{"host", voter.host.value()}, {"incarnation", voter.incarnation}});
   }
   return {{"host", status.host.value()},
           {"leader", status.leader.value()},
           {"term", status.term},
           {"commit", status.commit},
           {"voters", voters},
+          {"changing_voters", status.changing_voters},
+          {"replica", status.replica},
           {"revision", status.revision},
           {"admitting", status.admitting},
           {"hosts", hosts},
--- a/src/foxquay/daemon/control_disk.cc
+++ b/src/foxquay/daemon/control_disk.cc
@@ -1,24 +1,53 @@
 #include "foxquay/daemon/control_disk.h"
 
+#include <cstdlib>
 #include <utility>
 
+#include "foxquay/core/finding.h"
+#include "foxquay/log/log.h"
+
 namespace foxquay::daemon {
+namespace internal {
+
+[[noreturn]] void EndAfterFailedWrite(std::error_code error) {
+  log::Write(log::Level::kError, "disk_write_failed",
+             {{"error", error.message()},
+              {"remedy", "check the disk, then start the host again"}});
+  std::abort();
+}
 
-class ControlDisk::Folder {};
+}  // namespace internal
 
-ControlDisk::ControlDisk(std::string folder,
+ControlDisk::ControlDisk(core::HostId host, std::string folder,
                          std::function<void(consensus::Ticket)> persisted)
-    : path_(std::move(folder)), persisted_(std::move(persisted)) {}
+    : host_(std::move(host)),
+      folder_(std::move(folder)),
+      persisted_(std::move(persisted)) {}
 
 ControlDisk::~ControlDisk() { Stop(); }
 
 core::Result<consensus::Durable> ControlDisk::Recover() {
+  core::Findings findings;
+  auto store = storage::Store::Open(folder_, host_, findings);
+  for (const core::Finding& finding : findings) {
+    log::Write(log::Level::kError, "data_folder_damaged",
+               {{"finding", core::Format(finding)}});
+  }
+  if (!store) return store.error();
+  store_.emplace(std::move(store).value());
+  storage::Recovered recovered = store_->TakeRecovered();
+  replica_ = recovered.self;
+  log::Write(log::Level::kInfo, "data_folder_opened",
+             {{"folder", folder_},
+              {"created", recovered.created},
+              {"incarnation", replica_.incarnation},
+              {"snapshot", recovered.durable.snapshot.meta.index},
+              {"entries", recovered.durable.entries.size()},
+              {"discarded_bytes", recovered.discarded_bytes}});
   thread_ = std::thread([this] { Run(); });
-  return consensus::Durable();
+  return std::move(recovered.durable);
 }
 
-std::uint64_t ControlDisk::incarnation() const noexcept { return 1; }
-
 void ControlDisk::Persist(consensus::Persist&& action) {
   Enqueue(std::move(action));
 }
@@ -40,15 +69,27 @@
   while (true) {
     wake_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
     if (queue_.empty()) return;
-    std::deque<Write> writes = std::exchange(queue_, {});
+    const std::deque<Write> writes = std::exchange(queue_, {});
     lock.unlock();
-    const consensus::Ticket newest = std::visit(
-        [](const auto& write) { return write.ticket; }, writes.back());
-    persisted_(newest);
+    persisted_(Carry(writes));
     lock.lock();
   }
 }
 
+consensus::Ticket ControlDisk::Carry(const std::deque<Write>& writes) {
+  for (const Write& write : writes) {
+    if (const auto* record = std::get_if<consensus::Persist>(&write)) {
+      store_->Write(*record);
+      continue;
+    }
+    const auto error = store_->Write(std::get<consensus::SaveSnapshot>(write));
+    if (error) internal::EndAfterFailedWrite(error);
+  }
+  const auto ticket = store_->Sync();
+  if (!ticket) internal::EndAfterFailedWrite(ticket.error());
+  return ticket.value();
+}
+
 void ControlDisk::Stop() {
   {
     const std::lock_guard lock(mutex_);
--- a/src/foxquay/daemon/control_disk.h
+++ b/src/foxquay/daemon/control_disk.h
@@ -5,8 +5,8 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <variant>
@@ -14,28 +14,35 @@
 #include "foxquay/consensus/action.h"
 #include "foxquay/consensus/replica.h"
 #include "foxquay/core/error.h"
+#include "foxquay/core/id.h"
+#include "foxquay/storage/store.h"
 
 namespace foxquay::daemon {
 
 /// Writes a replica's records and snapshots on a thread of its own, so that a
 /// slow sync does not hold up heartbeats.
+///
+/// A write that fails ends the process: nothing may be acknowledged after it.
 class ControlDisk {
  public:
   /// `persisted` is called on the disk thread after each sync with the newest
   /// ticket that it covers.
-  ControlDisk(std::string folder,
+  ControlDisk(core::HostId host, std::string folder,
               std::function<void(consensus::Ticket)> persisted);
   ~ControlDisk();
   ControlDisk(const ControlDisk&) = delete;
   ControlDisk& operator=(const ControlDisk&) = delete;
 
-  /// Opens the data folder, returns what it holds and starts the thread.
+  /// Opens the data folder, returns what it holds and starts the thread; logs
+  /// what is wrong with a damaged folder.
   [[nodiscard]] core::Result<consensus::Durable> Recover();
 
-  /// Returns the incarnation drawn when the data folder was created.
+  /// Returns the replica that the data folder belongs to.
   ///
   /// Precondition: Recover succeeded.
-  [[nodiscard]] std::uint64_t incarnation() const noexcept;
+  [[nodiscard]] const schema::ReplicaId& replica() const noexcept {
+    return replica_;
+  }
 
   /// Queues a write. Thread-safe.
   void Persist(consensus::Persist&& action);
@@ -46,14 +53,16 @@
 
  private:
   using Write = std::variant<consensus::Persist, consensus::SaveSnapshot>;
-  class Folder;
 
   void Enqueue(Write write);
   void Run();
+  [[nodiscard]] consensus::Ticket Carry(const std::deque<Write>& writes);
 
-  std::string path_;
+  core::HostId host_;
+  std::string folder_;
   std::function<void(consensus::Ticket)> persisted_;
-  std::unique_ptr<Folder> folder_;
+  std::optional<storage::Store> store_;
+  schema::ReplicaId replica_;
   std::mutex mutex_;
   std::condition_variable wake_;
   std::deque<Write> queue_;
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -36,6 +36,14 @@
   return hosts;
 }
 
+std::vector<core::HostId> Standbys(const schema::Settings& settings) {
+  std::vector<core::HostId> hosts;
+  for (const schema::PeerSettings& peer : settings.peers) {
+    if (peer.standby) hosts.push_back(peer.id);
+  }
+  return hosts;
+}
+
 bool HasRole(const schema::Settings& settings, schema::Role role) {
   const auto& roles = settings.host.roles;
   return std::find(roles.begin(), roles.end(), role) != roles.end();
@@ -108,7 +116,7 @@
   if (internal::HasRole(settings_, schema::Role::kControl) ||
       internal::HasRole(settings_, schema::Role::kStandby)) {
     disk_ = std::make_unique<ControlDisk>(
-        settings_.host.data_folder, [this](consensus::Ticket ticket) {
+        self_, settings_.host.data_folder, [this](consensus::Ticket ticket) {
           boost::asio::post(context_, [this, ticket] {
             replica_->Handle(consensus::Persisted{ticket}, Now());
           });
@@ -149,8 +157,9 @@
 
 void ControlNode::StartReplica(consensus::Durable durable) {
   consensus::Options options;
-  options.self = {self_, disk_->incarnation()};
+  options.self = disk_->replica();
   options.founders = internal::ControlHosts(settings_);
+  options.standbys = internal::Standbys(settings_);
   options.seed = std::random_device()();
   ControlReplica::Output output;
   output.send = [this](const core::HostId& to,
@@ -653,9 +662,10 @@
     if (replica_) {
       status.term = replica_->replica().term();
       status.commit = replica_->replica().commit();
-      for (const auto& voter : replica_->replica().configuration().voters) {
-        status.voters.push_back(voter.host);
-      }
+      const auto& configuration = replica_->replica().configuration();
+      status.voters = configuration.voters;
+      status.changing_voters = !configuration.previous.empty();
+      status.replica = disk_->replica().incarnation;
     }
     status.revision = observer_.config().revision();
     status.admitting =
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -63,7 +63,9 @@
   core::HostId leader;
   std::uint64_t term = 0;    ///< 0 on a host without a replica.
   std::uint64_t commit = 0;  ///< 0 on a host without a replica.
-  std::vector<core::HostId> voters;
+  std::vector<schema::ReplicaId> voters;
+  bool changing_voters = false;  ///< A lost replica is being replaced.
+  std::uint64_t replica = 0;     ///< Incarnation of the replica on this host.
   std::uint64_t revision = 0;
   bool admitting = false;
   std::vector<HostView> hosts;
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -47,6 +47,7 @@
   core::DataCentreId data_centre;  ///< Its data centre.
   core::RegionId region;           ///< Its region.
   bool control = false;            ///< Whether it holds a replica of the log.
+  bool standby = false;            ///< Whether it replaces a lost replica.
 };
 
 /// Who may do what.
--- a/src/foxquay/settings/reader.h
+++ b/src/foxquay/settings/reader.h
@@ -111,6 +111,7 @@
 
 template <class Element, class Read>
 void Reader::ReadList(std::vector<Element>& value, Read read) {
+  if (node_.IsNull()) return;
   if (!node_.IsSequence()) {
     Add("expected a list");
     return;
--- a/src/foxquay/settings/reader_generated.cc
+++ b/src/foxquay/settings/reader_generated.cc
@@ -58,6 +58,7 @@
                               "data_centre",
                               "region",
                               "control",
+                              "standby",
                           });
   section.Field("id", Need::kRequired,
                 [&](Reader& child) { Read(child, value.id); });
@@ -71,6 +72,8 @@
                 [&](Reader& child) { Read(child, value.region); });
   section.Field("control", Need::kOptional,
                 [&](Reader& child) { Read(child, value.control); });
+  section.Field("standby", Need::kOptional,
+                [&](Reader& child) { Read(child, value.standby); });
 }
 
 void Read(Reader& reader, schema::SecuritySettings& value) {
--- a/src/foxquay/settings/settings.cc
+++ b/src/foxquay/settings/settings.cc
@@ -20,6 +20,7 @@
 
   void Check() {
     CheckDataFolder();
+    CheckControl();
     CheckPeers();
     CheckListeners();
     CheckLogLevel();
@@ -43,6 +44,21 @@
     }
   }
 
+  void CheckControl() {
+    const auto& roles = loaded_.settings.host.roles;
+    const auto& peers = loaded_.settings.peers;
+    const bool own = std::find(roles.begin(), roles.end(),
+                               schema::Role::kControl) != roles.end();
+    const bool other =
+        std::any_of(peers.begin(), peers.end(),
+                    [](const schema::PeerSettings& p) { return p.control; });
+    if (!own && !other) {
+      Add(root_["host"]["roles"], "host.roles",
+          "no host has the role control: give it to this one or set control: "
+          "true on a peer");
+    }
+  }
+
   void CheckPeers() {
     std::set<core::HostId> ids{loaded_.settings.host.id};
     std::set<std::string> addresses{loaded_.settings.listeners.peer};
--- a/src/foxquay_cli/fleet_commands.cc
+++ b/src/foxquay_cli/fleet_commands.cc
@@ -22,12 +22,24 @@
   return kExitOk;
 }
 
+std::string Voters(const nlohmann::json& voters) {
+  std::string text;
+  for (const nlohmann::json& voter : voters) {
+    text += (text.empty() ? "" : ", ") + voter.value("host", "") + " (" +
+            std::to_string(voter.value("incarnation", std::uint64_t{0})) + ")";
+  }
+  return text;
+}
+
 void PrintStatus(const nlohmann::json& body) {
   std::cout << "host:      " << body.value("host", "") << "\n"
             << "leader:    " << body.value("leader", "") << "\n"
             << "term:      " << body.value("term", std::uint64_t{0}) << "\n"
             << "commit:    " << body.value("commit", std::uint64_t{0}) << "\n"
-            << "voters:    " << body["voters"].dump() << "\n"
+            << "replica:   " << body.value("replica", std::uint64_t{0}) << "\n"
+            << "voters:    " << Voters(body["voters"])
+            << (body.value("changing_voters", false) ? ", changing" : "")
+            << "\n"
             << "revision:  " << body.value("revision", std::uint64_t{0}) << "\n"
             << "admitting: " << (body.value("admitting", false) ? "yes" : "no")
             << "\n"
--- /dev/null
+++ b/tests/foxquay/daemon/cluster.h
@@ -0,0 +1,91 @@
+#ifndef FOXQUAY_TESTS_DAEMON_CLUSTER_H_
+#define FOXQUAY_TESTS_DAEMON_CLUSTER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "foxquay/http/client.h"
+#include "process.h"
+
+namespace foxquay::daemon {
+
+/// Answer of an admin listener; status 0 if none arrived.
+struct AdminAnswer {
+  std::uint32_t status = 0;
+  nlohmann::json body;
+};
+
+/// Several hosts on loopback, the first ones with a replica of the log.
+class Cluster {
+ public:
+  Cluster(std::size_t hosts, std::size_t replicas);
+  ~Cluster();
+  Cluster(const Cluster&) = delete;
+  Cluster& operator=(const Cluster&) = delete;
+
+  void Start(std::size_t host);
+  void Kill(std::size_t host);
+  void Signal(std::size_t host, int number);
+  /// Deletes the data folder of a host.
+  void Wipe(std::size_t host);
+
+  /// Starts a fake plain service "desk" that announces itself to one host.
+  void StartService(std::size_t host);
+  /// Returns the calls that the service has run, without those to /ready.
+  [[nodiscard]] std::size_t ServiceRuns() const;
+
+  [[nodiscard]] AdminAnswer Admin(std::size_t host, const std::string& method,
+                                  const std::string& path,
+                                  const nlohmann::json& body = nullptr) const;
+  /// Sets the default of entry.ttl; `wait` waits until it is in force.
+  [[nodiscard]] AdminAnswer SetTtl(std::size_t host, int value,
+                                   std::uint64_t expected_revision,
+                                   const std::string& change_id,
+                                   bool wait = false) const;
+
+  /// Sends a protected call to the service.
+  [[nodiscard]] http::ServiceResult Book(std::size_t host,
+                                         const std::string& key) const;
+  /// Sends an ordinary call to the service.
+  [[nodiscard]] http::ServiceResult Read(std::size_t host) const;
+
+  [[nodiscard]] bool AwaitAdmitting(std::size_t host) const;
+  /// Waits until an ordinary call through the host succeeds.
+  [[nodiscard]] bool AwaitService(std::size_t host) const;
+  [[nodiscard]] std::optional<std::uint64_t> Revision(std::size_t host) const;
+  /// Returns the leader that a host knows, by index.
+  [[nodiscard]] std::optional<std::size_t> Leader(std::size_t host) const;
+
+ private:
+  struct Listeners {
+    std::string caller = FreeAddress();
+    std::string upstream = FreeAddress();
+    std::string admin = FreeAddress();
+    std::string peer = FreeAddress();
+  };
+
+  void WriteSettings(std::size_t host, std::size_t replicas) const;
+  [[nodiscard]] std::string Path(std::size_t host,
+                                 const std::string& suffix) const;
+
+  std::string folder_;
+  std::vector<Listeners> listeners_;
+  std::vector<std::optional<Process>> hosts_;
+  std::list<Process> services_;
+};
+
+/// Returns a header of a reply, or an empty text.
+std::string HeaderOf(const http::ServiceResult& result,
+                     const std::string& name);
+
+/// Returns an idempotency key that lives for an hour.
+std::string FreshKey(const std::string& unique);
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_TESTS_DAEMON_CLUSTER_H_
--- /dev/null
+++ b/tests/foxquay/daemon/control_test.cc
@@ -0,0 +1,187 @@
+#include <signal.h>  // NOLINT: SIGSTOP is not in <csignal>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "cluster.h"
+
+namespace foxquay::daemon {
+namespace {
+
+constexpr std::size_t kHosts = 3;
+
+void AwaitAll(const Cluster& cluster) {
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    REQUIRE(cluster.AwaitAdmitting(host));
+  }
+}
+
+std::size_t AwaitLeader(const Cluster& cluster, std::size_t host) {
+  std::optional<std::size_t> leader;
+  REQUIRE(Await([&] {
+    leader = cluster.Leader(host);
+    return leader.has_value();
+  }));
+  return *leader;
+}
+
+bool IsVoter(const nlohmann::json& status, const nlohmann::json& replica) {
+  if (status["changing_voters"] == true) return false;
+  for (const nlohmann::json& voter : status["voters"]) {
+    if (voter["incarnation"] == replica) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+// Guards against a change that is reported in force before every host has it,
+// and against two accepted changes under one revision.
+TEST_CASE("a change is in force on every host, and of a race one wins") {
+  const Cluster cluster(kHosts, kHosts);
+  AwaitAll(cluster);
+  const AdminAnswer first = cluster.SetTtl(1, 1000, 0, "first", true);
+  REQUIRE(first.status == 200);
+  CHECK(first.body["in_force"] == true);
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    CHECK(cluster.Revision(host) == 1);
+  }
+  const AdminAnswer racing = cluster.SetTtl(2, 2000, 0, "racing");
+  CHECK(racing.status == 409);
+  CHECK(racing.body["winner"] == "first");
+  const AdminAnswer resent = cluster.SetTtl(0, 1000, 0, "first");
+  CHECK(resent.status == 200);
+  CHECK(resent.body["revision"] == 1);
+}
+
+// Guards against an accepted change that is lost with the processes.
+TEST_CASE("accepted changes survive the loss of every process") {
+  Cluster cluster(kHosts, kHosts);
+  AwaitAll(cluster);
+  REQUIRE(cluster.SetTtl(0, 1234, 0, "kept").status == 200);
+  for (std::size_t host = 0; host < kHosts; ++host) cluster.Kill(host);
+  for (std::size_t host = 0; host < kHosts; ++host) cluster.Start(host);
+  AwaitAll(cluster);
+  CHECK(cluster.Revision(0) == 1);
+  CHECK(cluster.SetTtl(1, 1234, 0, "kept").status == 200);
+  CHECK(cluster.SetTtl(1, 1, 0, "other").status == 409);
+}
+
+// Guards against a protected call that runs again after its host and the
+// leader are lost.
+TEST_CASE("a repeated protected call runs once across hosts and leaders") {
+  Cluster cluster(kHosts, kHosts);
+  cluster.StartService(0);
+  AwaitAll(cluster);
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    REQUIRE(cluster.AwaitService(host));
+  }
+  const std::string key = FreshKey("once");
+  const auto first = cluster.Book(1, key);
+  REQUIRE(HeaderOf(first, "X-Foxquay-Outcome") == "complete");
+  const auto repeated = cluster.Book(2, key);
+  CHECK(HeaderOf(repeated, "X-Foxquay-Outcome") == "complete");
+  CHECK(repeated.reply->body == first.reply->body);
+  const std::size_t leader = AwaitLeader(cluster, 0);
+  const std::size_t survivor = (leader + 1) % kHosts;
+  cluster.Kill(leader);
+  http::ServiceResult after;
+  REQUIRE(Await([&] {
+    after = cluster.Book(survivor, key);
+    return HeaderOf(after, "X-Foxquay-Outcome") == "complete";
+  }));
+  CHECK(after.reply->body == first.reply->body);
+  CHECK(cluster.ServiceRuns() == 1);
+}
+
+// Guards against a claim that is taken for granted without a quorum, and
+// against a host that admits after its lease.
+TEST_CASE("without a quorum a protected call is not run") {
+  Cluster cluster(kHosts, kHosts);
+  cluster.StartService(0);
+  AwaitAll(cluster);
+  REQUIRE(cluster.AwaitService(0));
+  cluster.Signal(1, SIGSTOP);
+  cluster.Signal(2, SIGSTOP);
+  const auto claimed = cluster.Book(0, FreshKey("a"));
+  CHECK(HeaderOf(claimed, "X-Foxquay-Outcome") == "not-run");
+  REQUIRE(claimed.reply);
+  CHECK(claimed.reply->status == 503);
+  CHECK_FALSE(HeaderOf(claimed, "Retry-After").empty());
+  REQUIRE(Await([&] {
+    return HeaderOf(cluster.Read(0), "X-Foxquay-Outcome") == "not-run";
+  }));
+  cluster.Signal(1, SIGCONT);
+  cluster.Signal(2, SIGCONT);
+  CHECK(cluster.AwaitService(0));
+  CHECK(cluster.ServiceRuns() == 0);
+}
+
+// Guards against a leader that wakes from a freeze longer than its lease and
+// serves or reports settings that were replaced meanwhile.
+TEST_CASE("a frozen leader is current before it admits again") {
+  Cluster cluster(kHosts, kHosts);
+  cluster.StartService(0);
+  AwaitAll(cluster);
+  const std::size_t frozen = AwaitLeader(cluster, 0);
+  const std::size_t other = (frozen + 1) % kHosts;
+  cluster.Signal(frozen, SIGSTOP);
+  AdminAnswer changed;
+  REQUIRE(Await([&] {
+    changed = cluster.SetTtl(other, 1500, 0, "while-frozen", true);
+    return changed.status == 200;
+  }));
+  CHECK(changed.body["in_force"] == true);
+  CHECK(changed.body["lease_expired"].size() == 1);
+  cluster.Signal(frozen, SIGCONT);
+  bool stale = false;
+  REQUIRE(Await([&] {
+    const AdminAnswer status = cluster.Admin(frozen, "GET", "/admin/v1/status");
+    if (status.status != 200) return false;
+    const bool admitting = status.body["admitting"];
+    stale = stale || (admitting && status.body["revision"] != 1);
+    return admitting;
+  }));
+  CHECK_FALSE(stale);
+}
+
+// Guards against a replica that votes again after its disk was lost.
+TEST_CASE("a replica whose data folder is lost joins again") {
+  Cluster cluster(kHosts, kHosts);
+  AwaitAll(cluster);
+  REQUIRE(cluster.SetTtl(0, 1000, 0, "one").status == 200);
+  cluster.Kill(2);
+  cluster.Wipe(2);
+  cluster.Start(2);
+  REQUIRE(cluster.AwaitAdmitting(2));
+  CHECK(cluster.Revision(2) == 1);
+  // A second loss is survived once the survivors know that the new replica
+  // votes in the old one's place.
+  const std::size_t leader = AwaitLeader(cluster, 0);
+  const std::size_t lost = leader == 2 ? 0 : leader;
+  REQUIRE(Await([&] {
+    const AdminAnswer own = cluster.Admin(2, "GET", "/admin/v1/status");
+    const AdminAnswer other =
+        cluster.Admin(1 - lost, "GET", "/admin/v1/status");
+    return own.status == 200 && other.status == 200 &&
+           IsVoter(own.body, own.body["replica"]) &&
+           IsVoter(other.body, own.body["replica"]);
+  }));
+  cluster.Kill(lost);
+  REQUIRE(
+      Await([&] { return cluster.SetTtl(2, 2000, 1, "two").status == 200; }));
+}
+
+// Guards against an announcement that stays on the host that heard it.
+TEST_CASE("an upstream announced at one host is used by all") {
+  Cluster cluster(kHosts, 1);
+  AwaitAll(cluster);
+  cluster.StartService(2);
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    CHECK(cluster.AwaitService(host));
+  }
+}
+
+}  // namespace foxquay::daemon
--- a/tests/foxquay/daemon/process.cc
+++ b/tests/foxquay/daemon/process.cc
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <random>
@@ -118,4 +119,11 @@
   return lines;
 }
 
+bool Contains(const std::string& file, const std::string& text) {
+  const std::vector<std::string> lines = Lines(file);
+  return std::any_of(lines.begin(), lines.end(), [&](const std::string& line) {
+    return line.find(text) != std::string::npos;
+  });
+}
+
 }  // namespace foxquay::daemon
--- a/tests/foxquay/daemon/process.h
+++ b/tests/foxquay/daemon/process.h
@@ -39,6 +39,9 @@
 /// Returns the lines of a file; none if it does not exist.
 std::vector<std::string> Lines(const std::string& file);
 
+/// Returns whether a line of a file contains a text.
+bool Contains(const std::string& file, const std::string& text);
+
 }  // namespace foxquay::daemon
 
 #endif  // FOXQUAY_TESTS_DAEMON_PROCESS_H_
--- a/tests/foxquay/settings/settings_test.cc
+++ b/tests/foxquay/settings/settings_test.cc
@@ -82,6 +82,14 @@
   CHECK(loaded.findings[0].path == "host.data_folder");
 }
 
+// Guards against a cluster that can never accept a change.
+TEST_CASE("some host must have the role control") {
+  const Loaded loaded =
+      Parse(Replace(kGood, "[entry, control]", "[entry]"), "entry.yaml");
+  REQUIRE(loaded.findings.size() == 1);
+  CHECK(loaded.findings[0].path == "host.roles");
+}
+
 TEST_CASE("broken YAML yields one finding with its line") {
   const Loaded loaded = Parse("host: [1,\n", "broken.yaml");
   REQUIRE(loaded.findings.size() == 1);
