--- a/tests/foxquay/control/claims_property_test.cc
+++ b/tests/foxquay/control/claims_property_test.cc
@@ -9,36 +9,16 @@
 
 #include "foxquay/control/state.h"
 #include "foxquay/schema/codec.h"
+#include "steps.h"
 
 namespace foxquay::control {
 namespace {
 
 using schema::ClaimStatus;
 
-enum class Op {
-  kClaim,
-  kGiveUp,
-  kFinish,
-  kLose,
-  kRestart,
-  kDeclareDead,
-  kRejoin,
-  kDeliver,
-  kSnapshot,
-  kWait
-};
-
-struct Step {
-  Op op = Op::kDeliver;
-  unsigned host = 0;
-  unsigned pick = 0;  ///< Key, attempt or message, by operation.
-  bool heard = true;  ///< Whether the result of a delivered command arrives.
-};
-
-void showValue(const Step& step, std::ostream& out) {  // NOLINT: RapidCheck's
-  out << static_cast<int>(step.op) << "/" << step.host << "/" << step.pick
-      << (step.heard ? "" : " lost");
-}
+/// c claims, g gives up, f finishes, l loses its answer, r restarts, j rejoins,
+/// e declares dead, d delivers a proposal, s takes a snapshot, w waits.
+constexpr const char* kOps = "ccccccgggfflrejddddddddddddddddsw";
 
 enum class Phase { kWaiting, kDispatched, kOver };
 
@@ -70,36 +50,36 @@
   void Run(const Step& step) {
     const unsigned host = step.host % 3;
     switch (step.op) {
-      case Op::kClaim:
+      case 'c':
         return Claim(host, step.pick % 3);
-      case Op::kGiveUp:
+      case 'g':
         return GiveUp(host, step.pick);
-      case Op::kFinish:
-      case Op::kLose:
-        return Record(host, step.pick, step.op == Op::kFinish);
-      case Op::kRestart:
+      case 'f':
+      case 'l':
+        return Record(host, step.pick, step.op == 'f');
+      case 'r':
         std::erase_if(attempts_, [&](const Attempt& attempt) {
           return attempt.owner.host == Host(host);
         });
         return Restart(host);
-      case Op::kRejoin:
+      case 'j':
         return Restart(host);
-      case Op::kDeclareDead:
+      case 'e':
         sent_.emplace_back(
             schema::EndIncarnation{Host(host), incarnations_[host]});
         return;
-      case Op::kDeliver:
+      case 'd':
         // Half of the deliveries concern the latest proposals.
         return Deliver(
             step.pick % 2 == 0
                 ? sent_.size() - 1 -
                       step.pick / 2 % std::min<std::size_t>(sent_.size(), 4)
                 : step.pick / 2 % sent_.size(),
-            step.heard);
-      case Op::kSnapshot:
+            step.peer % 5 > 0);
+      case 's':
         state_ = State::FromSnapshot(state_.Snapshot()).value();
         return;
-      case Op::kWait:
+      case 'w':
         time_ += std::chrono::seconds(step.pick % 40);
     }
   }
@@ -188,31 +168,11 @@
   std::map<std::string, std::string> dispatched_;
 };
 
-rc::Gen<Step> GenStep() {
-  using rc::gen::set;
-  return rc::gen::build<Step>(
-      set(&Step::op, rc::gen::weightedElement<Op>({{6, Op::kClaim},
-                                                   {3, Op::kGiveUp},
-                                                   {2, Op::kFinish},
-                                                   {1, Op::kLose},
-                                                   {1, Op::kRestart},
-                                                   {1, Op::kDeclareDead},
-                                                   {1, Op::kRejoin},
-                                                   {16, Op::kDeliver},
-                                                   {1, Op::kSnapshot},
-                                                   {1, Op::kWait}})),
-      set(&Step::host, rc::gen::inRange(0U, 3U)),
-      set(&Step::pick, rc::gen::inRange(0U, 100U)),
-      set(&Step::heard,
-          rc::gen::weightedElement<bool>({{4, true}, {1, false}})));
-}
-
 // Guards against a protected request that is dispatched twice or answered with
 // another attempt's result, whatever is lost, late, repeated or restarted.
 TEST_CASE("a claimed key is dispatched at most once", "[fuzz]") {
   REQUIRE(rc::check([] {
-    const auto steps =
-        *rc::gen::scale(3.0, rc::gen::container<std::vector<Step>>(GenStep()));
+    const auto steps = *Steps(kOps, 8.0);
     World world;
     for (const Step& step : steps) {
       world.Run(step);
--- a/tests/foxquay/control/lease_property_test.cc
+++ b/tests/foxquay/control/lease_property_test.cc
@@ -12,6 +12,7 @@
 #include "foxquay/control/observer.h"
 #include "foxquay/control/state.h"
 #include "foxquay/schema/codec.h"
+#include "steps.h"
 
 namespace foxquay::control {
 namespace {
@@ -20,31 +21,10 @@
 using core::Instant;
 using std::chrono::milliseconds;
 
-enum class Op {
-  kWait,
-  kWaitForLease,
-  kPoll,
-  kReply,
-  kChange,
-  kTakeOver,
-  kRestart,
-  kEnd,
-  kRejoin,
-  kRegister,
-  kConfirm
-};
-
-struct Step {
-  Op op = Op::kWait;
-  unsigned host = 0;  ///< Observer that acts.
-  unsigned peer = 0;  ///< Whom it polls: 0 and 1 replicas, else an observer.
-  unsigned pick = 0;  ///< Wait in milliseconds or message, by operation.
-};
-
-void showValue(const Step& step, std::ostream& out) {  // NOLINT: RapidCheck's
-  out << static_cast<int>(step.op) << "/" << step.host << "/" << step.peer
-      << "/" << step.pick;
-}
+/// w waits, l waits for a lease's end, p polls, a delivers an answer, c
+/// changes, t changes the leader, s starts a process, e ends an incarnation, j
+/// rejoins, r registers, q confirms leadership.
+constexpr const char* kOps = "wwwwwwwwllppppppppppaaaaaaaaaaccctsejrrrrqqqqqq";
 
 /// A clock whose rate is up to 1 % above the slowest one's.
 struct Clock {
@@ -92,46 +72,56 @@
   void Run(const Step& step) {
     Process& process = processes_[step.host % processes_.size()];
     switch (step.op) {
-      case Op::kWait:
+      case 'w':
         now_ += milliseconds(step.pick * 20);
-        break;
-      case Op::kWaitForLease:
-        WaitForLease(process);
-        break;
-      case Op::kConfirm:
+        return;
+      case 'l':
+        return WaitForLease(process);
+      case 'q':
         leader_.confirmed = now_;
-        break;
-      case Op::kPoll:
-        Poll(step.host % processes_.size(), step.peer);
-        break;
-      case Op::kReply:
-        Reply(step.pick);
-        break;
-      case Op::kChange:
-        Apply(schema::SetDefault{{"c" + std::to_string(index_),
-                                  leader_.state.config().revision(), "ada"},
-                                 "retry.budget",
-                                 step.pick % 100});
-        break;
-      case Op::kTakeOver:
-        TakeOver();
-        break;
-      case Op::kRestart:
-        Start(step.host % 3);
-        break;
-      case Op::kEnd:
-        Apply(schema::EndIncarnation{process.host,
-                                     process.observer.incarnation()});
-        break;
-      case Op::kRejoin:
-        process.observer.SetIncarnation(++incarnation_);
-        break;
-      case Op::kRegister:
-        Apply(schema::RegisterHost{
+        return;
+      case 'p':
+        return Poll(step);
+      case 'a':
+        return Reply(step.pick);
+      case 'c':
+        return Apply(
+            schema::SetDefault{{"c" + std::to_string(index_),
+                                leader_.state.config().revision(), "ada"},
+                               "retry.budget",
+                               step.pick % 100});
+      case 't':
+        return TakeOver();
+      case 's':
+        return Start(step.host % 3);
+      case 'e':
+        return Apply(schema::EndIncarnation{process.host,
+                                            process.observer.incarnation()});
+      case 'j':
+        return process.observer.SetIncarnation(++incarnation_);
+      case 'r':
+        return Apply(schema::RegisterHost{
             process.host, process.observer.incarnation(), {}});
-        break;
     }
-    Check();
+  }
+
+  /// No process admits under a configuration without a change that the leader
+  /// called in force or that is older than the lease.
+  void Check() {
+    for (auto& [sequence, commit] : commits_) {
+      const InForce status = tracker_->Check(sequence, LeaderNow());
+      commit.declared = commit.declared || status.in_force;
+      const bool due = now_ - commit.at >= WithClockError(kConfigLease);
+      RC_ASSERT(status.in_force ||
+                now_ - std::max(commit.at, led_since_) < 2 * kConfigLease);
+      if (!commit.declared && !due) continue;
+      for (const Process& process : processes_) {
+        const Admission admission =
+            process.observer.Admit(process.clock.At(now_));
+        RC_ASSERT(admission.state != AdmissionState::kOpen ||
+                  process.observer.config().sequence() >= sequence);
+      }
+    }
   }
 
  private:
@@ -178,17 +168,19 @@
     tracker_.emplace(leader_.state.config(), LeaderNow());
   }
 
-  void Poll(std::size_t index, unsigned peer) {
+  /// Polls mostly the leader, else the former leader or another process.
+  void Poll(const Step& step) {
+    const std::size_t index = step.host % processes_.size();
     Process& process = processes_[index];
     const schema::ConfigPoll poll =
         process.observer.StartPoll(process.clock.At(now_));
-    if (peer == 0) {
+    if (step.peer < 7) {
       tracker_->HandleApplied(poll.host, poll.incarnation, poll.sequence);
       mail_.push_back({index, Answer(leader_, poll)});
-    } else if (peer == 1) {
+    } else if (step.peer < 9) {
       if (former_) mail_.push_back({index, Answer(*former_, poll)});
     } else {
-      const Process& other = processes_[peer % processes_.size()];
+      const Process& other = processes_[step.pick % processes_.size()];
       const auto reply = other.observer.Answer(poll, other.clock.At(now_));
       if (reply) mail_.push_back({index, *reply});
     }
@@ -210,25 +202,6 @@
     processes_[mail.process].observer.HandleReply(mail.reply);
   }
 
-  /// No process admits under a configuration without a change that the leader
-  /// called in force or that is older than the lease.
-  void Check() {
-    for (auto& [sequence, commit] : commits_) {
-      const InForce status = tracker_->Check(sequence, LeaderNow());
-      commit.declared = commit.declared || status.in_force;
-      const bool due = now_ - commit.at >= WithClockError(kConfigLease);
-      RC_ASSERT(status.in_force ||
-                now_ - std::max(commit.at, led_since_) < 2 * kConfigLease);
-      if (!commit.declared && !due) continue;
-      for (const Process& process : processes_) {
-        const Admission admission =
-            process.observer.Admit(process.clock.At(now_));
-        RC_ASSERT(admission.state != AdmissionState::kOpen ||
-                  process.observer.config().sequence() >= sequence);
-      }
-    }
-  }
-
   std::vector<int> rates_;
   int clocks_ = 0;
   Duration now_{};
@@ -243,38 +216,16 @@
   std::uint64_t incarnation_ = 0;
 };
 
-rc::Gen<Step> GenStep() {
-  using rc::gen::inRange;
-  using rc::gen::set;
-  return rc::gen::build<Step>(
-      set(&Step::op, rc::gen::weightedElement<Op>({{8, Op::kWait},
-                                                   {2, Op::kWaitForLease},
-                                                   {10, Op::kPoll},
-                                                   {10, Op::kReply},
-                                                   {3, Op::kChange},
-                                                   {1, Op::kTakeOver},
-                                                   {1, Op::kRestart},
-                                                   {1, Op::kEnd},
-                                                   {1, Op::kRejoin},
-                                                   {4, Op::kRegister},
-                                                   {6, Op::kConfirm}})),
-      set(&Step::host, inRange(0U, 12U)),
-      set(&Step::peer, rc::gen::weightedOneOf<unsigned>(
-                           {{3, rc::gen::just(0U)}, {2, inRange(1U, 12U)}})),
-      set(&Step::pick, rc::gen::weightedOneOf<unsigned>(
-                           {{5, inRange(0U, 12U)}, {1, inRange(0U, 150U)}})));
-}
-
 // Guards against a host that admits work under settings older than the lease
 // allows, or after the leader reported newer ones in force everywhere.
 TEST_CASE("no host admits under settings that are out of force", "[fuzz]") {
   REQUIRE(rc::check([] {
-    const auto rates =
-        *rc::gen::container<std::vector<int>>(7, rc::gen::element(0, 10));
-    const auto steps =
-        *rc::gen::scale(12.0, rc::gen::container<std::vector<Step>>(GenStep()));
-    World world(rates);
-    for (const Step& step : steps) world.Run(step);
+    const auto steps = *Steps(kOps, 24.0);
+    World world(Rates());
+    for (const Step& step : steps) {
+      world.Run(step);
+      world.Check();
+    }
   }));
 }
 
--- a/tests/foxquay/control/order_gate_property_test.cc
+++ b/tests/foxquay/control/order_gate_property_test.cc
@@ -9,6 +9,7 @@
 #include "foxquay/control/order_gate.h"
 #include "foxquay/control/state.h"
 #include "foxquay/schema/codec.h"
+#include "steps.h"
 
 namespace foxquay::control {
 namespace {
@@ -20,27 +21,10 @@
 // A missing 1 % shows in one of about 400 worlds.
 constexpr int kWorldsPerCase = 12;
 
-enum class Op {
-  kWait,
-  kSendFirst,
-  kSendLast,
-  kAcquire,
-  kRequest,
-  kCommit,
-  kResult,
-  kSend,
-  kRestart,
-};
-
-struct Step {
-  Op op = Op::kWait;
-  unsigned host = 0;
-  unsigned pick = 0;  ///< Wait, grant length or message, by operation.
-};
-
-void showValue(const Step& step, std::ostream& out) {  // NOLINT: RapidCheck's
-  out << static_cast<int>(step.op) << "/" << step.host << "/" << step.pick;
-}
+/// w waits, f sends at the first and l at the last moment allowed, s sends, a
+/// acquires at once, r requests, c commits, n learns a result, b restarts.
+constexpr const char* kOps =
+    "wwwffffffffllllllaaaaaarrrrrrccccccccnnnnnnnnssssssssb";
 
 struct Holder {
   core::HostId host;
@@ -86,28 +70,28 @@
     const std::size_t index = step.host % holders_.size();
     Holder& holder = holders_[index];
     switch (step.op) {
-      case Op::kWait:
+      case 'w':
         now_ += std::chrono::milliseconds(step.pick * 100);
         return;
-      case Op::kSendFirst:
+      case 'f':
         now_ = std::max(now_, FirstMoment(holder));
         return Send(index);
-      case Op::kSendLast:
+      case 'l':
         now_ = std::max(now_, holder.end - std::chrono::milliseconds(1));
         return Send(index);
-      case Op::kAcquire:
+      case 'a':
         AskFor(index, step.pick);
         Commit(0);
         return Learn(0);
-      case Op::kRequest:
+      case 'r':
         return AskFor(index, step.pick);
-      case Op::kCommit:
+      case 'c':
         return Commit(step.pick);
-      case Op::kResult:
+      case 'n':
         return Learn(step.pick);
-      case Op::kSend:
+      case 's':
         return Send(index);
-      case Op::kRestart:
+      case 'b':
         return Start(step.host % 3);
     }
   }
@@ -189,32 +173,13 @@
   std::vector<Order> orders_;
 };
 
-rc::Gen<Step> GenStep() {
-  using rc::gen::inRange;
-  using rc::gen::set;
-  return rc::gen::build<Step>(
-      set(&Step::op, rc::gen::weightedElement<Op>({{3, Op::kWait},
-                                                   {8, Op::kSendFirst},
-                                                   {6, Op::kSendLast},
-                                                   {6, Op::kAcquire},
-                                                   {6, Op::kRequest},
-                                                   {8, Op::kCommit},
-                                                   {8, Op::kResult},
-                                                   {8, Op::kSend},
-                                                   {1, Op::kRestart}})),
-      set(&Step::host, inRange(0U, 12U)), set(&Step::pick, inRange(0U, 60U)));
-}
-
 // Guards against an upstream that ignores fencing numbers and gets an old
 // holder's order after a new holder's, e.g. from one that wakes after a freeze.
 TEST_CASE("orders of two holders never overlap", "[fuzz]") {
   REQUIRE(rc::check([] {
     for (int repeat = 0; repeat < kWorldsPerCase; ++repeat) {
-      const auto rates = *rc::gen::container<std::vector<int>>(
-          5, rc::gen::element(0, 0, 10, 10, 5));
-      const auto steps = *rc::gen::scale(
-          16.0, rc::gen::container<std::vector<Step>>(GenStep()));
-      World world(rates);
+      const auto steps = *Steps(kOps, 16.0);
+      World world(Rates());
       for (const Step& step : steps) world.Run(step);
     }
   }));
