--- a/bench/routing/main.cc
+++ b/bench/routing/main.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cmath>
 #include <deque>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -26,7 +27,7 @@
 }
 
 routing::Query SampleQuery() {
-  return {core::ModelId("m0"), "", std::nullopt, {}};
+  return {core::ModelId("m0"), "", std::nullopt, {}, {}};
 }
 
 /// Finds a chain while all upstreams have room.
@@ -131,6 +132,79 @@
   state.counters["token_ms"] = 1000 * sum / std::max(1.0, samples - 2000);
 }
 
+/// Last prefixes that ran on one upstream.
+class Cache {
+ public:
+  /// Returns whether the prefix was held, and holds it.
+  bool Use(std::size_t prefix) {
+    const auto found = std::find(held_.begin(), held_.end(), prefix);
+    const bool hit = found != held_.end();
+    if (hit) held_.erase(found);
+    held_.push_front(prefix);
+    if (held_.size() > kCapacity) held_.pop_back();
+    return hit;
+  }
+
+ private:
+  static constexpr std::size_t kCapacity = 16;
+  std::deque<std::size_t> held_;
+};
+
+/// Runs prompts that share 400 prefixes, some of them often; reports the share
+/// of layers whose cache holds the prefix and the load of the busiest upstream
+/// relative to the mean, with or without affinity.
+void Affinity(benchmark::State& state) {
+  constexpr std::size_t kStreams = 400;
+  constexpr std::size_t kPrefixes = 400;
+  routing::Router router({core::DataCentreId("d0"), {}, 1});
+  router.Replace(Fleet(500, 2));
+  std::vector<double> weights(kPrefixes);
+  for (std::size_t i = 0; i < kPrefixes; ++i) {
+    weights[i] = 1.0 / static_cast<double>(i + 1);
+  }
+  std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+  std::mt19937_64 random(1);
+  std::unordered_map<std::string, Cache> caches;
+  std::deque<routing::Chain> running;
+  routing::Query query = SampleQuery();
+  double hits = 0;
+  double layers = 0;
+  double busiest = 0;
+  double samples = 0;
+  for ([[maybe_unused]] auto step : state) {
+    const std::size_t prefix = pick(random);
+    const auto hashes = routing::PrefixHashes(
+        std::to_string(prefix) + std::string(1024, 'p'), "m0");
+    if (state.range(0) != 0) query.prefixes = hashes;
+    const auto plan = std::get<routing::Plan>(router.Find(query, kNow));
+    if (state.range(0) != 0) router.Remember(hashes, plan.chain);
+    for (const routing::Stage& stage : plan.chain) {
+      const double held = stage.layers.last - stage.layers.first + 1;
+      layers += held;
+      if (caches[stage.upstream.value()].Use(prefix)) hits += held;
+      router.Start(stage.upstream);
+    }
+    running.push_back(plan.chain);
+    if (running.size() <= kStreams) continue;
+    for (const routing::Stage& stage : running.front()) {
+      router.End(stage.upstream);
+    }
+    running.pop_front();
+    if (++samples < 2000) hits = layers = busiest = 0;
+    double most = 0;
+    double sum = 0;
+    double count = 0;
+    for (const routing::Upstream& upstream : router.upstreams().All()) {
+      most = std::max<double>(most, upstream.in_flight);
+      sum += upstream.in_flight;
+      if (upstream.in_flight > 0) ++count;
+    }
+    busiest += most * count / sum;
+  }
+  state.counters["hits"] = hits / layers;
+  state.counters["busiest"] = busiest / std::max(1.0, samples - 1999);
+}
+
 /// Numbers of upstreams and of models: as planned, then all of one model.
 void Sizes(benchmark::internal::Benchmark* run) {
   run->Args({50, 1})->Args({500, 2})->Args({10000, 37});
@@ -139,6 +213,7 @@
 }
 
 BENCHMARK(Speeds)->Arg(0)->Arg(1)->ArgName("learn")->Iterations(10000);
+BENCHMARK(Affinity)->Arg(0)->Arg(1)->ArgName("affinity")->Iterations(20000);
 BENCHMARK(FindChain)->Apply(Sizes);
 BENCHMARK(FindNoChain)->Apply(Sizes);
 BENCHMARK(ReplaceLoads)->Apply(Sizes);
--- a/src/foxquay/dispatch/legs.cc
+++ b/src/foxquay/dispatch/legs.cc
@@ -37,6 +37,7 @@
       id, leg_tokens,
       policy_.GetTime(schema::PolicyKey::kLegTokenTimeout, scope), now);
   request.version = plan.version;
+  router_.Remember(request.prefixes, plan.chain);
   Leg leg;
   leg.request = submission.id;
   leg.first_token = terms.first_token;
--- a/src/foxquay/dispatch/plans.cc
+++ b/src/foxquay/dispatch/plans.cc
@@ -67,7 +67,7 @@
                                                    const Completion& completion,
                                                    core::Instant now) {
   routing::Query query{completion.model, completion.adapter, request.version,
-                       request.excluded};
+                       request.excluded, request.prefixes};
   query.excluded.insert(query.excluded.end(), request.suspected.begin(),
                         request.suspected.end());
   auto found = router_.Find(query, now);
--- a/src/foxquay/dispatch/request.h
+++ b/src/foxquay/dispatch/request.h
@@ -32,6 +32,7 @@
   core::Instant claim_until = core::Instant::max();
   /// Version that runs it; absent until the caller or its first leg sets it.
   std::optional<std::string> version;
+  std::vector<std::uint64_t> prefixes;     ///< Hashes of its prompt.
   std::vector<core::UpstreamId> excluded;  ///< Failed this request.
   /// Stages of its last leg that ended without a known culprit.
   std::vector<core::UpstreamId> suspected;
--- a/src/foxquay/dispatch/requests.cc
+++ b/src/foxquay/dispatch/requests.cc
@@ -82,9 +82,11 @@
   Request& request =
       requests_.try_emplace(submission.id, submission, TermsOf(submission, now))
           .first->second;
-  if (const Completion* completion = request.completion();
-      completion != nullptr && !completion->version.empty()) {
-    request.version = completion->version;
+  if (const Completion* completion = request.completion()) {
+    if (!completion->version.empty()) request.version = completion->version;
+    request.prefixes = routing::PrefixHashes(
+        completion->prompt,
+        completion->model.value() + '\n' + completion->adapter);
   }
   const FoundOrNot found = Find(request, now);
   const auto* none = std::get_if<routing::NoPlan>(&found);
--- a/src/foxquay/routing/group.cc
+++ b/src/foxquay/routing/group.cc
@@ -43,6 +43,7 @@
       group_.classes.push_back(std::move(stage_class));
     }
     group_.classes[found->second].members.push_back(index);
+    group_.class_of[index] = static_cast<std::uint32_t>(found->second);
   }
 
   Group Finish(const LinkTable& links) && {
--- a/src/foxquay/routing/group.h
+++ b/src/foxquay/routing/group.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "foxquay/core/id.h"
@@ -29,6 +30,8 @@
   std::vector<StageClass> classes;
   std::vector<std::uint32_t> boundaries;   ///< Ascending, 0 to `layers`.
   std::vector<core::DataCentreId> places;  ///< The host's own comes first.
+  /// Index into `classes` of each member.
+  std::unordered_map<UpstreamIndex, std::uint32_t> class_of;
   /// Link seconds between places, row by row.
   std::vector<double> links;
 };
--- a/src/foxquay/routing/router.cc
+++ b/src/foxquay/routing/router.cc
@@ -8,6 +8,10 @@
 namespace foxquay::routing {
 namespace internal {
 
+/// Largest time between tokens of a chain chosen for its caches, relative to
+/// the best chain.
+constexpr double kAffinityBound = 1.25;
+
 /// Groups kept per model; more adapters or versions rebuild them.
 constexpr std::size_t kMaxGroups = 64;
 /// An upstream renews every 600 ms, so a new one is known by then.
@@ -22,7 +26,9 @@
 }  // namespace internal
 
 Router::Router(RouterOptions options)
-    : options_(std::move(options)), random_(options_.seed) {}
+    : options_(std::move(options)),
+      prefixes_(options_.max_prefixes),
+      random_(options_.seed) {}
 
 void Router::Replace(const std::vector<schema::Announcement>& announced) {
   for (const core::ModelId& model : upstreams_.Replace(announced)) {
@@ -79,6 +85,15 @@
       best_time = time;
     }
   }
+  if (PickHolders(group, query, now)) {
+    const auto steps = planner_.Cheapest(group, picks_);
+    const Prediction time = Predict(group, *steps, now);
+    if (WithinBound(*steps, *best) &&
+        time.token_seconds <=
+            best_time.token_seconds * internal::kAffinityBound) {
+      return MakePlan(group, *steps, time);
+    }
+  }
   return MakePlan(group, *best, best_time);
 }
 
--- a/src/foxquay/routing/router.h
+++ b/src/foxquay/routing/router.h
@@ -18,6 +18,7 @@
 #include "foxquay/routing/group.h"
 #include "foxquay/routing/links.h"
 #include "foxquay/routing/planner.h"
+#include "foxquay/routing/prefixes.h"
 #include "foxquay/routing/upstreams.h"
 
 namespace foxquay::routing {
@@ -28,6 +29,7 @@
   std::string adapter;                     ///< Empty for none.
   std::optional<std::string> version;      ///< Absent for any.
   std::vector<core::UpstreamId> excluded;  ///< Must not be in the chain.
+  std::vector<std::uint64_t> prefixes;     ///< As PrefixHashes returns them.
 };
 
 /// A chain that may run now.
@@ -61,6 +63,8 @@
   core::DataCentreId data_centre;
   LinkTable links;
   std::uint64_t seed = 1;
+  /// Prefixes whose upstreams are remembered; about 200 bytes each.
+  std::size_t max_prefixes = 16384;
 };
 
 /// Chooses chains and service upstreams, and counts the work of this host on
@@ -86,6 +90,9 @@
       const core::ServiceId& service,
       const std::vector<core::UpstreamId>& excluded, core::Instant now);
 
+  /// Notes that a chain runs a prompt, so that its caches hold the prefixes.
+  void Remember(const std::vector<std::uint64_t>& prefixes, const Chain& chain);
+
   /// Counts new work on an upstream.
   void Start(const core::UpstreamId& id) noexcept;
   /// Ends work that Start counted.
@@ -109,6 +116,12 @@
   /// Returns the less loaded of two random allowed members, if any.
   Pick Draw(const std::vector<UpstreamIndex>& members,
             const std::vector<core::UpstreamId>& excluded, core::Instant now);
+  /// Puts upstreams that hold a prefix into `picks_`; returns whether any.
+  bool PickHolders(const Group& group, const Query& query, core::Instant now);
+  /// Returns whether one more stream keeps a chain within the load bound;
+  /// `best` is the chain that load alone would choose.
+  [[nodiscard]] bool WithinBound(const std::vector<Step>& steps,
+                                 const std::vector<Step>& best) const;
   std::optional<Plan> FindIn(const Group& group, const Query& query,
                              core::Instant now);
   /// Returns the prediction for one more stream on a chain.
@@ -126,6 +139,7 @@
   std::unordered_map<core::ModelId, ModelGroups> models_;
   Planner planner_;
   std::vector<Pick> picks_;
+  Prefixes prefixes_;
   std::mt19937_64 random_;
 };
 
--- a/src/foxquay/routing/upstreams.cc
+++ b/src/foxquay/routing/upstreams.cc
@@ -158,6 +158,13 @@
   return found == index_.end() ? nullptr : &upstreams_[found->second];
 }
 
+std::optional<UpstreamIndex> Upstreams::IndexOf(
+    const core::UpstreamId& id) const {
+  const auto found = index_.find(id);
+  if (found == index_.end()) return std::nullopt;
+  return found->second;
+}
+
 const std::vector<UpstreamIndex>& Upstreams::Members(
     const core::ModelId& model) const noexcept {
   return internal::Lookup(models_, model);
--- a/src/foxquay/routing/upstreams.h
+++ b/src/foxquay/routing/upstreams.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -74,6 +75,10 @@
   [[nodiscard]] Upstream* Find(const core::UpstreamId& id) noexcept;
   [[nodiscard]] const Upstream* Find(const core::UpstreamId& id) const noexcept;
 
+  /// Returns the position of an upstream that is known, or nothing.
+  [[nodiscard]] std::optional<UpstreamIndex> IndexOf(
+      const core::UpstreamId& id) const;
+
   [[nodiscard]] const Upstream& operator[](UpstreamIndex index) const noexcept {
     return upstreams_[index];
   }
--- a/tests/foxquay/dispatch/world.cc
+++ b/tests/foxquay/dispatch/world.cc
@@ -58,6 +58,10 @@
   FakeRequest request;
   request.submission = service ? SampleCall(id, no_repeat)
                                : SampleCompletion(id, std::max(tokens, 1U));
+  if (auto* work = std::get_if<Completion>(&request.submission.work)) {
+    // Long enough to have a prefix, so that affinity takes part.
+    work->prompt = std::string(600, id % 2 == 0 ? 'a' : 'b');
+  }
   request.submission.no_repeat = no_repeat;
   if (no_repeat && key > 0) {
     request.submission.idempotency_key = "2000000000." + std::to_string(key);
--- a/tests/foxquay/routing/router_test.cc
+++ b/tests/foxquay/routing/router_test.cc
@@ -29,7 +29,9 @@
   return router;
 }
 
-Query SampleQuery() { return {core::ModelId("drafter"), "", std::nullopt, {}}; }
+Query SampleQuery() {
+  return {core::ModelId("drafter"), "", std::nullopt, {}, {}};
+}
 
 /// Returns the share of decisions whose chain starts at an upstream.
 double ShareOf(Router& router, const std::string& id, core::Instant now) {
