Blame no upstream for a call or leg that was cancelled

A service call ends with ServiceFailed after CancelLeg. The engine took that for a failure and avoided the upstream for 1 s, so one caller that left closed a service with one upstream to all others. The new test fails without the fix ('0 == 1' calls).

--- a/src/foxquay/dispatch/legs.cc
+++ b/src/foxquay/dispatch/legs.cc
@@ -146,7 +146,7 @@
       routing::Upstream* upstream = router_.upstreams().Find(id);
       if (upstream != nullptr) upstream->suspicion.Succeed(now);
     }
-  } else if (event.culprit || (current && event.end != LegEnd::kCanceled)) {
+  } else if (event.end != LegEnd::kCanceled && (current || event.culprit)) {
     Blame(current ? request : nullptr, *leg, event.culprit, now);
   }
   if (!current) return;
@@ -211,8 +211,9 @@
   if (!leg) return;
   Request* request = FindRequest(leg->request);
   const bool current = request != nullptr && request->stream.leg() == event.leg;
-  Blame(current ? request : nullptr, *leg, leg->stages.front(), now);
+  // A call that was cancelled fails because of its caller or its deadline.
   if (!current) return;
+  Blame(request, *leg, leg->stages.front(), now);
   ReportServed(*request, *leg, LegEnd::kFailed, now);
   Follow(*request, request->stream.FailCall(event.leg, event.sent), now);
 }
--- a/src/foxquay/routing/upstreams.h
+++ b/src/foxquay/routing/upstreams.h
@@ -19,9 +19,9 @@
 /// An upstream as announced, with what this host knows of it.
 struct Upstream {
   schema::Announcement announced;
-  bool present = true;                   ///< Whether it is in the current list.
-  bool enabled = true;                   ///< Whether policy permits new work.
-  std::uint32_t in_flight = 0;           ///< Legs and calls of this host.
+  bool present = true;          ///< Whether it is in the current list.
+  bool enabled = true;          ///< Whether policy permits new work.
+  std::uint32_t in_flight = 0;  ///< Legs and calls of this host.
   std::uint32_t limit = std::numeric_limits<std::uint32_t>::max();
   Speed speed;
   std::uint32_t kind = 0;  ///< Index of its accelerator's mean speed.
--- a/tests/foxquay/dispatch/engine_test.cc
+++ b/tests/foxquay/dispatch/engine_test.cc
@@ -130,4 +130,19 @@
   CHECK(ends[0].retry_after.has_value());
 }
 
+// Guards against callers that leave and thereby close an upstream to others.
+TEST_CASE("the end of a cancelled call is not the upstream's fault") {
+  Engine engine = SampleEngine();
+  CHECK(
+      engine.Handle(UpstreamsChanged{{ServiceUpstream("s")}}, kStart).empty());
+  const auto calls =
+      Only<CallService>(engine.Handle(Arrived{SampleCall(1, false)}, kStart));
+  REQUIRE(calls.size() == 1);
+  const auto actions = engine.Handle(CallerGone{core::RequestId(1)}, kStart);
+  CHECK(Only<CancelLeg>(actions).size() == 1);
+  CHECK(engine.Handle(ServiceFailed{calls[0].leg, true}, kStart).empty());
+  CHECK(Only<CallService>(engine.Handle(Arrived{SampleCall(2, false)}, kStart))
+            .size() == 1);
+}
+
 }  // namespace foxquay::dispatch
