--- a/bench/policy/round_robin/draw.cc
+++ b/bench/policy/round_robin/draw.cc
@@ -28,6 +28,8 @@
   static std::map<const Router*, Turn> turns;
   if (members.empty()) return {};
   Turn& turn = turns[this];
+  // A router of a later run may have the address of an earlier one.
+  if (now < turn.at) turn = {};
   const bool started = turn.last < upstreams_.All().size() &&
                        upstreams_[turn.last].in_flight > turn.in_flight;
   if (now != turn.at || started) ++turn.number;
--- a/src/foxquay/routing/draw.cc
+++ b/src/foxquay/routing/draw.cc
@@ -1,4 +1,5 @@
 #include <cstddef>
+#include <optional>
 #include <random>
 
 #include "foxquay/routing/router.h"
@@ -6,40 +7,50 @@
 namespace foxquay::routing {
 namespace internal {
 
-/// Random tries before a scan of the whole class.
+/// Part of the predicted time that a random member must not exceed to take the
+/// place of the member whose turn it is. Load reports lag, so small differences
+/// mean little.
+constexpr double kMargin = 0.8;
+/// Random tries to find a second member.
 constexpr int kDrawTries = 4;
 
 }  // namespace internal
 
+Pick Router::Consider(UpstreamIndex index, core::Instant now) {
+  const Upstream& upstream = upstreams_[index];
+  const double factor = upstream.suspicion.Factor(now);
+  // Ignoring the factor with probability 1 / factor lets traffic return in
+  // proportion; a plain comparison would return it all at once.
+  const bool trusted =
+      factor > 1 &&
+      std::uniform_real_distribution<double>()(random_) * factor < 1;
+  return {index, upstream.LoadedLayerSeconds(now) / (trusted ? factor : 1),
+          trusted};
+}
+
 Pick Router::Draw(const std::vector<UpstreamIndex>& members,
                   const std::vector<core::UpstreamId>& excluded,
                   core::Instant now) {
-  Pick best;
-  if (members.empty()) return best;
-  int found = 0;
-  const auto consider = [&](UpstreamIndex index) {
-    if (best.Valid() && index == best.upstream) return;
-    if (!Allowed(index, excluded, now)) return;
-    ++found;
-    const Upstream& upstream = upstreams_[index];
-    const double factor = upstream.suspicion.Factor(now);
-    // Ignoring the factor with probability 1 / factor lets traffic return in
-    // proportion; a plain comparison would return it all at once.
-    const bool trusted =
-        factor > 1 &&
-        std::uniform_real_distribution<double>()(random_) * factor < 1;
-    const double seconds =
-        upstream.LoadedLayerSeconds(now) / (trusted ? factor : 1);
-    if (seconds < best.layer_seconds) best = {index, seconds, trusted};
-  };
-  for (int i = 0; i < internal::kDrawTries && found < 2; ++i) {
-    consider(members[random_() % members.size()]);
+  std::optional<UpstreamIndex> next;
+  const std::size_t start = members.empty() ? 0 : random_() % members.size();
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    const UpstreamIndex index = members[(start + i) % members.size()];
+    if (next && upstreams_[index].last_start >= upstreams_[*next].last_start) {
+      continue;
+    }
+    if (Allowed(index, excluded, now)) next = index;
   }
-  const std::size_t start = random_() % members.size();
-  for (std::size_t i = 0; i < members.size() && found == 0; ++i) {
-    consider(members[(start + i) % members.size()]);
+  if (!next) return {};
+  const Pick first = Consider(*next, now);
+  for (int i = 0; i < internal::kDrawTries; ++i) {
+    const UpstreamIndex index = members[random_() % members.size()];
+    if (index == *next || !Allowed(index, excluded, now)) continue;
+    const Pick second = Consider(index, now);
+    return second.layer_seconds < internal::kMargin * first.layer_seconds
+               ? second
+               : first;
   }
-  return best;
+  return first;
 }
 
 }  // namespace foxquay::routing
--- a/src/foxquay/routing/router.cc
+++ b/src/foxquay/routing/router.cc
@@ -199,7 +199,10 @@
 }
 
 void Router::Start(const core::UpstreamId& id) noexcept {
-  if (Upstream* upstream = upstreams_.Find(id)) ++upstream->in_flight;
+  Upstream* upstream = upstreams_.Find(id);
+  if (upstream == nullptr) return;
+  ++upstream->in_flight;
+  upstream->last_start = ++starts_;
 }
 
 void Router::End(const core::UpstreamId& id) noexcept {
--- a/src/foxquay/routing/router.h
+++ b/src/foxquay/routing/router.h
@@ -101,7 +101,10 @@
   bool Allowed(UpstreamIndex index,
                const std::vector<core::UpstreamId>& excluded,
                core::Instant now) const;
-  /// Returns the less loaded of two random allowed members, if any.
+  /// Returns a member with its predicted time.
+  Pick Consider(UpstreamIndex index, core::Instant now);
+  /// Returns the allowed member that this host started work on longest ago, or
+  /// a random one that is clearly less loaded.
   Pick Draw(const std::vector<UpstreamIndex>& members,
             const std::vector<core::UpstreamId>& excluded, core::Instant now);
   std::optional<Plan> FindIn(const Group& group, const Query& query,
@@ -122,6 +125,7 @@
   Planner planner_;
   std::vector<Pick> picks_;
   std::mt19937_64 random_;
+  std::uint64_t starts_ = 0;
 };
 
 /// Names missing layers, e.g. "0-7, 16-23".
--- a/src/foxquay/routing/upstreams.h
+++ b/src/foxquay/routing/upstreams.h
@@ -21,6 +21,7 @@
   bool enabled = true;                   ///< Whether policy permits new work.
   std::uint32_t in_flight = 0;           ///< Legs and calls of this host.
   std::uint32_t in_flight_reported = 0;  ///< The same at the last load report.
+  std::uint64_t last_start = 0;  ///< Number of this host's last start here.
   std::uint32_t limit = std::numeric_limits<std::uint32_t>::max();
   /// Time to run one layer for one token while slots are free.
   core::Duration layer_time = std::chrono::microseconds(500);
