--- a/src/foxquay/dispatch/plans.cc
+++ b/src/foxquay/dispatch/plans.cc
@@ -42,6 +42,11 @@
   waiting.resumed = resumed;
   queue_.Push(waiting, now);
   pump_needed_ = true;
+  request.start_by = core::Instant::max();
+  if (!request.stream.may_have_run()) {
+    request.start_by = waiting.deadline - queue_.EstimateService(waiting);
+    Arm(request);
+  }
 }
 
 Engine::State::FoundOrNot Engine::State::Find(const Request& request,
--- a/src/foxquay/routing/upstreams.cc
+++ b/src/foxquay/routing/upstreams.cc
@@ -25,23 +25,20 @@
 }  // namespace internal
 
 double Upstream::Share() const noexcept {
-  // The announced count includes other hosts but lags; what this host started
-  // or ended since then is added, or it would send all work of an interval to
-  // the upstream that was idle at its begin.
-  const std::uint32_t reported = announced.load + in_flight;
-  const std::uint32_t streams =
-      std::max(in_flight, reported - std::min(reported, in_flight_reported)) +
-      1;
-  return static_cast<double>(streams) /
+  // Announced loads lag by up to 600 ms. Hosts that go by them choose the same
+  // upstreams until the next announcement, so only the own work counts.
+  return static_cast<double>(in_flight + 1) /
          std::max<std::uint32_t>(announced.slots, 1);
 }
 
-double Upstream::LayerSeconds(core::Instant now) const noexcept {
+double Upstream::Slowdown() const noexcept {
   // A batch slows a little as it fills.
   constexpr double kFullBatchSlowdown = 0.25;
-  return std::chrono::duration<double>(layer_time).count() *
-         (1 + kFullBatchSlowdown * std::min(Share(), 1.0)) *
-         suspicion.Factor(now);
+  return 1 + kFullBatchSlowdown * std::min(Share(), 1.0);
+}
+
+double Upstream::LayerSeconds(core::Instant now) const noexcept {
+  return speed.Seconds(now) * Slowdown() * suspicion.Factor(now);
 }
 
 double Upstream::LoadedLayerSeconds(core::Instant now) const noexcept {
@@ -62,9 +59,7 @@
       changed.insert(upstream.announced.model);
       changed.insert(next.model);
       rebuild = true;
-    }
-    if (upstream.announced.sequence != next.sequence) {
-      upstream.in_flight_reported = upstream.in_flight;
+      upstream.kind = KindOf(next.accelerator);
     }
     upstream.present = true;
     upstream.announced = next;
@@ -76,6 +71,7 @@
     rebuild = true;
   }
   if (rebuild) Rebuild();
+  SetPriors();
   return {changed.begin(), changed.end()};
 }
 
@@ -114,6 +110,44 @@
   }
 }
 
+std::uint32_t Upstreams::KindOf(const std::string& accelerator) {
+  const auto [found, added] = kind_index_.emplace(
+      accelerator, static_cast<std::uint32_t>(kinds_.size()));
+  if (added) kinds_.emplace_back();
+  return found->second;
+}
+
+void Upstreams::SetPriors() {
+  for (Upstream& upstream : upstreams_) {
+    const KindSpeed& kind = kinds_[upstream.kind];
+    upstream.speed.SetPrior(kind.samples > 0 ? kind.seconds
+                                             : all_kinds_.seconds);
+  }
+}
+
+void Upstreams::Learn(const std::vector<StageUse>& stages, core::Duration gap,
+                      core::Instant now) {
+  constexpr double kStep = 0.3;
+  std::vector<Upstream*> used;
+  double error = std::chrono::duration<double>(gap).count();
+  double norm = 0;
+  for (const StageUse& stage : stages) {
+    Upstream* upstream = Find(stage.upstream);
+    if (upstream == nullptr) return;
+    used.push_back(upstream);
+    const double weight = stage.layers * upstream->Slowdown();
+    error -= weight * upstream->speed.Seconds(now);
+    norm += weight * weight;
+  }
+  for (std::size_t i = 0; i < used.size(); ++i) {
+    const double weight = stages[i].layers * used[i]->Slowdown();
+    used[i]->speed.Move(kStep * error * weight / norm, now);
+    const double seconds = used[i]->speed.Seconds(now);
+    kinds_[used[i]->kind].Add(seconds);
+    all_kinds_.Add(seconds);
+  }
+}
+
 Upstream* Upstreams::Find(const core::UpstreamId& id) noexcept {
   const auto found = index_.find(id);
   return found == index_.end() ? nullptr : &upstreams_[found->second];
