Add the entry module: which hosts a caller may use

Nearest data centre first, dead and draining hosts absent, weights by free capacity. Hosts that do not admit are named only if no other is left. An answer ends with the data centre that brings it to 64 addresses.

The tests fail when draining hosts are kept, when a data centre is cut and when distances are ignored.

--- /dev/null
+++ b/src/foxquay/entry/answer.cc
@@ -0,0 +1,53 @@
+#include "foxquay/entry/answer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace foxquay::entry {
+namespace {
+
+std::uint32_t Weigh(const Host& host) noexcept {
+  const double weight = std::round(std::clamp(host.free, 0.0, 1.0) *
+                                   static_cast<double>(kFullWeight));
+  return std::max(1U, static_cast<std::uint32_t>(weight));
+}
+
+std::vector<const Host*> Usable(const std::vector<Host>& hosts) {
+  std::vector<const Host*> usable;
+  for (const Host& host : hosts) {
+    if (host.alive && !host.draining) usable.push_back(&host);
+  }
+  const auto admits = [](const Host* host) { return host->admitting; };
+  if (std::any_of(usable.begin(), usable.end(), admits)) {
+    std::erase_if(usable, [](const Host* host) { return !host->admitting; });
+  }
+  return usable;
+}
+
+}  // namespace
+
+Answer Choose(const std::vector<Host>& hosts, const core::DataCentreId& caller,
+              const Distances& distances, core::Duration ttl) {
+  std::vector<const Host*> usable = Usable(hosts);
+  const auto rank = [&](const Host* host) {
+    return std::make_tuple(distances.Get(caller, host->data_centre),
+                           host->data_centre, host->id);
+  };
+  std::sort(usable.begin(), usable.end(),
+            [&](const Host* a, const Host* b) { return rank(a) < rank(b); });
+  Answer answer;
+  answer.ttl = ttl;
+  for (const Host* host : usable) {
+    // A data centre is named whole, or its last hosts would get no work.
+    if (answer.addresses.size() >= kEnoughAddresses &&
+        answer.addresses.back().data_centre != host->data_centre) {
+      break;
+    }
+    answer.addresses.push_back(
+        {host->id, host->address, host->data_centre, Weigh(*host)});
+  }
+  return answer;
+}
+
+}  // namespace foxquay::entry
--- /dev/null
+++ b/tests/foxquay/entry/answer_test.cc
@@ -0,0 +1,97 @@
+#include "foxquay/entry/answer.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace foxquay::entry {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::seconds;
+
+Host Make(const std::string& id, const std::string& data_centre,
+          double free = 1) {
+  Host host;
+  host.id = core::HostId(id);
+  host.address = "127.0.0.1:8080";
+  host.data_centre = core::DataCentreId(data_centre);
+  host.free = free;
+  return host;
+}
+
+std::vector<std::string> Names(const std::vector<Host>& hosts,
+                               const std::string& caller = "osborne") {
+  Distances distances;
+  distances.Set(core::DataCentreId("welshpool"), core::DataCentreId("osborne"),
+                microseconds(300));
+  distances.Set(core::DataCentreId("osborne"), core::DataCentreId("bassendean"),
+                microseconds(200));
+  std::vector<std::string> names;
+  const Answer answer =
+      Choose(hosts, core::DataCentreId(caller), distances, seconds(5));
+  for (const Address& address : answer.addresses) {
+    names.push_back(address.host.value());
+  }
+  return names;
+}
+
+}  // namespace
+
+// Guards against callers sent across data centres without need.
+TEST_CASE("the nearest data centre comes first") {
+  const std::vector<Host> hosts{
+      Make("h1", "elsewhere"), Make("h2", "welshpool"),
+      Make("h3", "bassendean"), Make("h4", "osborne")};
+  CHECK(Names(hosts) == std::vector<std::string>{"h4", "h3", "h2", "h1"});
+  CHECK(Names(hosts, "").size() == 4);
+}
+
+// Guards against callers sent to hosts that are about to close.
+TEST_CASE("dead and draining hosts are absent") {
+  std::vector<Host> hosts{Make("h1", "osborne"), Make("h2", "osborne"),
+                          Make("h3", "osborne")};
+  hosts[0].alive = false;
+  hosts[1].draining = true;
+  CHECK(Names(hosts) == std::vector<std::string>{"h3"});
+  hosts[2].draining = true;
+  CHECK(Names(hosts).empty());
+}
+
+// Guards against an empty answer while hosts can still say why they refuse.
+TEST_CASE("hosts that do not admit are the last resort") {
+  std::vector<Host> hosts{Make("h1", "osborne"), Make("h2", "welshpool")};
+  hosts[0].admitting = false;
+  CHECK(Names(hosts) == std::vector<std::string>{"h2"});
+  hosts[1].admitting = false;
+  CHECK(Names(hosts) == std::vector<std::string>{"h1", "h2"});
+}
+
+TEST_CASE("weights follow free capacity and are never zero") {
+  const Answer answer =
+      Choose({Make("h1", "osborne", 1), Make("h2", "osborne", 0.25),
+              Make("h3", "osborne", 0), Make("h4", "osborne", 7)},
+             core::DataCentreId("osborne"), {}, seconds(5));
+  REQUIRE(answer.addresses.size() == 4);
+  CHECK(answer.addresses[0].weight == 100);
+  CHECK(answer.addresses[1].weight == 25);
+  CHECK(answer.addresses[2].weight == 1);
+  CHECK(answer.addresses[3].weight == 100);
+  CHECK(answer.ttl == seconds(5));
+}
+
+// Guards against answers that grow with the fleet, and against hosts that a
+// cut within a data centre would leave without work.
+TEST_CASE("an answer names whole data centres and ends when it has enough") {
+  std::vector<Host> hosts;
+  hosts.reserve(730);
+  for (int i = 0; i < 730; ++i) {
+    hosts.push_back(
+        Make("h" + std::to_string(i), "dc" + std::to_string(i % 20)));
+  }
+  const auto names = Names(hosts, "dc3");
+  // Two data centres of 37 hosts.
+  CHECK(names.size() == 74);
+  CHECK(names.front() == "h103");
+}
+
+}  // namespace foxquay::entry
