Free streams of slow readers and end drains on time

Found by hand: HEAD to a service hung until the client's timeout, because ulfius awaits the announced body; it is now sent as GET. A caller that is connected but does not read for 10 s loses its stream.

--- a/src/foxquay/daemon/caller_api.cc
+++ b/src/foxquay/daemon/caller_api.cc
@@ -144,6 +144,7 @@
                          incoming.url, incoming.body});
   order.submission = std::move(request.submission);
   order.connection = incoming.connection;
+  if (request.stream) incoming.connection.BoundSendBuffer();
   const Ticket ticket = traffic_.Submit(std::move(order));
   return request.stream ? Stream(ticket) : Collect(ticket);
 }
--- a/src/foxquay/daemon/exchange.cc
+++ b/src/foxquay/daemon/exchange.cc
@@ -1,5 +1,6 @@
 #include "foxquay/daemon/exchange.h"
 
+#include <chrono>
 #include <utility>
 
 namespace foxquay::daemon {
@@ -15,11 +16,11 @@
   const std::lock_guard lock(mutex_);
   progress_ = Progress{};
   waiting_bytes_ = 0;
+  taken_.reset();
 }
 
-bool Exchange::Deliver(dispatch::DeliverToken&& token, core::Instant now) {
+bool Exchange::Deliver(dispatch::DeliverToken&& token) {
   const std::lock_guard lock(mutex_);
-  if (progress_.tokens.empty()) oldest_ = now;
   waiting_bytes_ += token.text.size() + sizeof(token);
   progress_.tokens.push_back(std::move(token));
   return waiting_bytes_ <= internal::kMaxWaitingBytes;
@@ -42,6 +43,7 @@
 
 Progress Exchange::Await() {
   std::unique_lock lock(mutex_);
+  taken_.reset();
   news_.wait(lock, [this] {
     return !progress_.tokens.empty() || progress_.finish || progress_.abandoned;
   });
@@ -49,12 +51,13 @@
   Progress progress = std::move(progress_);
   progress_ = Progress{};
   progress_.abandoned = progress.abandoned;
+  taken_ = std::chrono::steady_clock::now();
   return progress;
 }
 
-bool Exchange::WaitingSince(core::Instant since) const {
+bool Exchange::StalledSince(core::Instant since) const {
   const std::lock_guard lock(mutex_);
-  return !progress_.tokens.empty() && oldest_ < since;
+  return taken_ && *taken_ < since;
 }
 
 }  // namespace foxquay::daemon
--- a/src/foxquay/daemon/exchange.h
+++ b/src/foxquay/daemon/exchange.h
@@ -34,7 +34,7 @@
   void Reset();
 
   /// Adds a token; returns false if the caller reads too slowly.
-  [[nodiscard]] bool Deliver(dispatch::DeliverToken&& token, core::Instant now);
+  [[nodiscard]] bool Deliver(dispatch::DeliverToken&& token);
   /// Keeps the answer of a service until Finish.
   void Keep(http::ServiceReply&& reply);
   /// Ends the request.
@@ -45,15 +45,16 @@
   /// Blocks until there is something new and returns it.
   [[nodiscard]] Progress Await();
 
-  /// Returns whether tokens have waited for the caller since before `since`.
-  [[nodiscard]] bool WaitingSince(core::Instant since) const;
+  /// Returns whether the caller's thread took news before `since` and is still
+  /// writing it to its connection.
+  [[nodiscard]] bool StalledSince(core::Instant since) const;
 
  private:
   mutable std::mutex mutex_;
   std::condition_variable news_;
   Progress progress_;
   std::size_t waiting_bytes_ = 0;
-  core::Instant oldest_{};
+  std::optional<core::Instant> taken_;  ///< Unset while in Await.
 };
 
 }  // namespace foxquay::daemon
--- a/src/foxquay/daemon/serve.cc
+++ b/src/foxquay/daemon/serve.cc
@@ -41,7 +41,7 @@
   _exit(EXIT_FAILURE);
 }
 
-int DrainOnSignal(Host& host, const sigset_t& signals) {
+void DrainOnSignal(Host& host, const sigset_t& signals) {
   while (AwaitSignal(signals) == SIGUSR1) {
   }
   std::thread drain([&host] {
@@ -50,7 +50,6 @@
   });
   if (AwaitSignal(signals) != SIGUSR1) CutOff(host);
   drain.join();
-  return EXIT_SUCCESS;
 }
 
 }  // namespace internal
@@ -61,7 +60,10 @@
   const ControlHooks hooks;
   Host host(settings, hooks);
   if (host.Start()) return EXIT_FAILURE;
-  return internal::DrainOnSignal(host, signals);
+  internal::DrainOnSignal(host, signals);
+  // Legs canceled at a silent upstream may still block their threads in the
+  // HTTP client, which offers no way to interrupt them; do not wait for those.
+  _exit(EXIT_SUCCESS);
 }
 
 }  // namespace foxquay::daemon
--- a/src/foxquay/daemon/traffic.cc
+++ b/src/foxquay/daemon/traffic.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <deque>
 #include <utility>
 #include <variant>
 
@@ -57,7 +56,7 @@
 /// Carries out the actions of one decision under the engine's mutex.
 class Traffic::Performer {
  public:
-  Performer(Traffic& traffic, std::deque<dispatch::Event>& events,
+  Performer(Traffic& traffic, std::vector<dispatch::Event>& events,
             Pending& pending)
       : traffic_(traffic), events_(events), pending_(pending) {}
 
@@ -144,7 +143,7 @@
     const core::RequestId request = token.request;
     Exchange* exchange = found->second.exchange;
     pending_.wakes.push_back(exchange);
-    if (exchange->Deliver(std::move(token), internal::Now())) return;
+    if (exchange->Deliver(std::move(token))) return;
     exchange->Abandon();
     pending_.aborts.push_back(found->second.connection);
     events_.emplace_back(dispatch::CallerGone{request});
@@ -160,7 +159,7 @@
 
  private:
   Traffic& traffic_;
-  std::deque<dispatch::Event>& events_;
+  std::vector<dispatch::Event>& events_;
   Pending& pending_;
 };
 
@@ -236,7 +235,7 @@
   {
     const std::lock_guard lock(mutex_);
     for (const auto& [id, entry] : entries_) {
-      if (entry.exchange->WaitingSince(oldest)) gone.push_back(id);
+      if (entry.exchange->StalledSince(oldest)) gone.push_back(id);
       if (entry.connection.descriptor() < 0) continue;
       descriptors.push_back({entry.connection.descriptor(), POLLRDHUP, 0});
       ids.push_back(id);
@@ -339,6 +338,10 @@
   std::vector<std::string> names;
   names.reserve(entries_.size());
   for (const auto& [id, entry] : entries_) names.push_back(NameOf(id));
+  // A claimed call runs to its end after its caller has gone.
+  for (const auto& [id, leg] : legs_) {
+    if (!entries_.contains(leg.request)) names.push_back(NameOf(leg.request));
+  }
   return names;
 }
 
@@ -353,15 +356,15 @@
 
 /// Precondition: the engine's mutex is held.
 void Traffic::Apply(dispatch::Event event, Pending& pending) {
-  std::deque<dispatch::Event> events;
-  events.push_back(std::move(event));
-  Performer perform(*this, events, pending);
-  while (!events.empty()) {
-    const dispatch::Event next = std::move(events.front());
-    events.pop_front();
-    for (dispatch::Action& action : engine_.Handle(next, internal::Now())) {
+  std::vector<dispatch::Event> following;
+  Performer perform(*this, following, pending);
+  std::size_t handled = 0;
+  while (true) {
+    for (dispatch::Action& action : engine_.Handle(event, internal::Now())) {
       std::visit(perform, action);
     }
+    if (handled == following.size()) break;
+    event = std::move(following[handled++]);
   }
   const auto deadline = engine_.NextDeadline();
   if (deadline && *deadline < timer_wakes_) timer_wake_.notify_one();
--- a/src/foxquay/daemon/traffic.h
+++ b/src/foxquay/daemon/traffic.h
@@ -78,7 +78,7 @@
   [[nodiscard]] bool Knows(const core::ServiceId& service) const;
   /// Returns the share of capacity that is free, 0 to 1.
   [[nodiscard]] double FreeCapacity() const;
-  /// Returns the names of the requests that have not been closed.
+  /// Returns the names of the requests that have a caller or a running call.
   [[nodiscard]] std::vector<std::string> OpenRequests() const;
 
  private:
--- a/src/foxquay/daemon/workers.cc
+++ b/src/foxquay/daemon/workers.cc
@@ -1,6 +1,7 @@
 #include "foxquay/daemon/workers.h"
 
 #include <chrono>
+#include <system_error>
 #include <thread>
 #include <utility>
 
@@ -25,8 +26,13 @@
     work_.notify_one();
     return;
   }
-  ++threads_;
-  std::thread([this] { Serve(); }).detach();
+  try {
+    std::thread([this] { Serve(); }).detach();
+    ++threads_;
+  } catch (const std::system_error&) {
+    // No thread can be started: the job waits until another one ends. Without
+    // any thread, requests end at their deadlines.
+  }
 }
 
 void Workers::Serve() {
--- a/src/foxquay/http/client.cc
+++ b/src/foxquay/http/client.cc
@@ -233,7 +233,10 @@
   // connection is tried first: only a failure here proves nothing was sent.
   if (!Reachable(call.address)) return result;
   result.sent = true;
-  internal::Request request(call.method, "http://" + call.address + call.path,
+  // ulfius waits for the body that an answer to HEAD announces but lacks; the
+  // answer to GET has the same headers.
+  internal::Request request(call.method == "HEAD" ? "GET" : call.method,
+                            "http://" + call.address + call.path,
                             call.time_left);
   for (const auto& [name, value] : call.headers) {
     request.AddHeader(name, value);
--- a/src/foxquay/http/server.cc
+++ b/src/foxquay/http/server.cc
@@ -19,6 +19,7 @@
 constexpr std::size_t kStreamBlockBytes = 4096;
 constexpr std::size_t kThreadStackBytes = 262144;
 constexpr unsigned int kIdleSeconds = 30;
+constexpr int kSendBufferBytes = 65536;
 
 /// Connection whose request the current thread serves. MHD serves each
 /// connection on a thread of its own, and ulfius hands no connection to its
@@ -84,6 +85,11 @@
   if (descriptor_ >= 0) shutdown(descriptor_, SHUT_RDWR);
 }
 
+void Connection::BoundSendBuffer() const {
+  const int bytes = internal::kSendBufferBytes;
+  setsockopt(descriptor_, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+}
+
 std::optional<std::string> Incoming::Header(std::string_view name) const {
   for (const auto& [key, value] : headers) {
     if (internal::EqualNames(key, name)) return value;
@@ -199,8 +205,14 @@
     // A handler may wait longer than an idle connection is kept.
     internal::SetIdleTimeout(internal::current_connection, 0);
     try {
-      internal::Fill(binding->route->handler(binding->state->Read(*request)),
-                     response);
+      Outgoing outgoing =
+          binding->route->handler(binding->state->Read(*request));
+      // The source of a stream watches its reader itself.
+      if (!outgoing.stream) {
+        internal::SetIdleTimeout(internal::current_connection,
+                                 internal::kIdleSeconds);
+      }
+      internal::Fill(std::move(outgoing), response);
     } catch (const std::exception&) {
       return U_CALLBACK_ERROR;  // status 500; no exception may enter C code
     }
--- a/src/foxquay/http/server.h
+++ b/src/foxquay/http/server.h
@@ -31,6 +31,9 @@
   /// Ends the connection in both directions; wakes a blocked writer.
   void Abort() const;
 
+  /// Bounds what the kernel holds for a caller that does not read.
+  void BoundSendBuffer() const;
+
  private:
   int descriptor_ = -1;
 };
--- a/tests/foxquay/daemon/exchange_test.cc
+++ b/tests/foxquay/daemon/exchange_test.cc
@@ -24,17 +24,22 @@
 // Guards against a caller that reads slowly and fills the host's memory.
 TEST_CASE("an exchange bounds what waits for a slow reader") {
   Exchange exchange;
-  const core::Instant start{};
   const std::string text(1000, 'x');
   std::uint32_t accepted = 0;
-  while (exchange.Deliver({core::RequestId(1), accepted, text}, start)) {
+  while (exchange.Deliver({core::RequestId(1), accepted, text})) {
     REQUIRE(++accepted < 1000);
   }
   CHECK(accepted > 100);
-  CHECK(exchange.WaitingSince(start + milliseconds(1)));
-  CHECK_FALSE(exchange.WaitingSince(start));
+  const core::Instant later =
+      std::chrono::steady_clock::now() + milliseconds(1);
+  CHECK_FALSE(exchange.StalledSince(later));
   CHECK(exchange.Await().tokens.size() == accepted + 1);
-  CHECK_FALSE(exchange.WaitingSince(start + milliseconds(1)));
+  CHECK(exchange.StalledSince(later + std::chrono::hours(1)));
+  CHECK_FALSE(exchange.StalledSince(core::Instant{}));
+  exchange.Finish({});
+  CHECK(exchange.Await().finish);
+  exchange.Reset();
+  CHECK_FALSE(exchange.StalledSince(later + std::chrono::hours(1)));
 }
 
 // Guards against an upstream that stays usable after it left or fell silent.
--- a/tests/foxquay/daemon/serve_test.cc
+++ b/tests/foxquay/daemon/serve_test.cc
@@ -31,10 +31,14 @@
 }
 
 /// Opens a connection to the host and sends a completion request.
-int SendRaw(const Site& site, const std::string& body) {
+int SendRaw(const Site& site, const std::string& body, int receive_bytes = 0) {
   const auto endpoint = http::ParseEndpoint(site.caller());
   REQUIRE(endpoint);
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (receive_bytes > 0) {
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+               sizeof(receive_bytes));
+  }
   REQUIRE(connect(descriptor,
                   reinterpret_cast<const sockaddr*>(&endpoint.value().storage),
                   endpoint.value().size) == 0);
@@ -173,6 +177,36 @@
   CHECK(Await([&] { return HasCancel(site.Log("whole")); }));
 }
 
+// Guards against streams whose caller is connected but never reads.
+TEST_CASE("a slow reader frees its stream") {
+  Site site;
+  site.StartModel("whole", 0, 7, kLayers, {"--token-time", "5"});
+  REQUIRE(site.AwaitModel());
+  const int caller = SendRaw(site,
+                             nlohmann::json({{"model", "tiny"},
+                                             {"prompt", "p"},
+                                             {"max_tokens", 4096},
+                                             {"stream", true}})
+                                 .dump(),
+                             /*receive_bytes=*/1024);
+  CHECK(Await([&] { return HasCancel(site.Log("whole")); }));
+  close(caller);
+}
+
+// Guards against a drain that waits for a silent upstream.
+TEST_CASE("a drain does not wait for legs that were given up") {
+  Site site;
+  Process& stage = site.StartModel("whole", 0, 7, kLayers);
+  REQUIRE(site.AwaitModel());
+  auto answer =
+      std::async(std::launch::async, [&site] { return site.Stream("p", 500); });
+  REQUIRE(Await([&] { return site.Log("whole").size() > 20; }));
+  stage.Signal(SIGSTOP);
+  CHECK(answer.get().outcome == "failed");
+  site.host().Signal(SIGTERM);
+  CHECK(site.host().Wait() == EXIT_SUCCESS);
+}
+
 // Guards against a not-run that is untrue.
 TEST_CASE("not-run means that no upstream ran anything") {
   Site site;
@@ -200,6 +234,28 @@
   CHECK(site.Log("desk-1").empty());
 }
 
+// Guards against calls that change or hang on their way to the service.
+TEST_CASE("a service call keeps its method, path and body") {
+  Site site;
+  site.StartService("desk-1");
+  REQUIRE(site.AwaitService());
+  const Headers headers = {{"X-Foxquay-Workspace", "test"}};
+  for (const char* method : {"GET", "POST", "PUT", "DELETE", "PATCH"}) {
+    CAPTURE(method);
+    const std::string body = method[0] == 'P' ? "a\nb" : "";
+    const auto result =
+        site.Send(method, "/v1/services/desk/a%20b?c=d", body, headers);
+    REQUIRE(result.reply);
+    CHECK(Outcome(result) == "complete");
+    const auto seen = nlohmann::json::parse(result.reply->body);
+    CHECK(seen["method"] == method);
+    CHECK(seen["path"] == "/a%20b?c=d");
+    CHECK(seen["body"] == body);
+  }
+  // The test client turns HEAD into GET, as the host does.
+  CHECK(site.Send("HEAD", "/v1/services/desk", "", headers).reply);
+}
+
 // Guards against a protected call that is sent again after its answer is lost.
 TEST_CASE("a protected call without a key runs at most once") {
   Site site;
