--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -25,6 +25,7 @@
 constexpr core::Duration kRegistrationPause = std::chrono::milliseconds(500);
 
 constexpr core::Duration kInForceTimeout = std::chrono::milliseconds(400);
+constexpr core::Duration kFlushPause = std::chrono::milliseconds(5);
 constexpr core::Duration kInForcePause = std::chrono::milliseconds(20);
 
 std::vector<core::HostId> ControlHosts(const schema::Settings& settings) {
@@ -88,6 +89,14 @@
 
 }  // namespace internal
 
+template <class Function>
+auto ControlNode::Call(Function function) {
+  std::promise<decltype(function())> promise;
+  auto future = promise.get_future();
+  boost::asio::post(context_, [&] { promise.set_value(function()); });
+  return future.get();
+}
+
 ControlNode::ControlNode(const schema::Settings& settings, std::string peer_key,
                          std::uint64_t incarnation, ControlSink sink)
     : settings_(settings),
@@ -141,6 +150,13 @@
   return {};
 }
 
+void ControlNode::Flush(core::Duration timeout) {
+  const core::Instant deadline = Now() + timeout;
+  while (Now() < deadline && !Call([this] { return proposer_.empty(); })) {
+    std::this_thread::sleep_for(internal::kFlushPause);
+  }
+}
+
 void ControlNode::Stop() {
   if (stopping_.exchange(true)) return;
   if (thread_.joinable()) {
@@ -578,14 +594,6 @@
   });
 }
 
-template <class Function>
-auto ControlNode::Call(Function function) {
-  std::promise<decltype(function())> promise;
-  auto future = promise.get_future();
-  boost::asio::post(context_, [&] { promise.set_value(function()); });
-  return future.get();
-}
-
 core::Result<schema::ControlResult> ControlNode::Commit(
     const schema::ControlCommand& command, core::Duration timeout) {
   auto promise =
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -91,6 +91,9 @@
   /// Recovers durable state, binds the peer listener and starts the thread.
   /// Not thread-safe.
   [[nodiscard]] std::error_code Start();
+  /// Waits until no proposal is open, e.g. the outcomes of claims, or `timeout`
+  /// is over.
+  void Flush(core::Duration timeout);
   /// Stops the thread. Not thread-safe.
   void Stop();
 
--- a/src/foxquay/daemon/control_proposer.h
+++ b/src/foxquay/daemon/control_proposer.h
@@ -52,6 +52,9 @@
   /// Sends due attempts and ends proposals whose time is over.
   void Tick(core::Instant now);
 
+  /// Returns whether no proposal is open.
+  [[nodiscard]] bool empty() const noexcept { return open_.empty(); }
+
   /// Notes the leader; empty if unknown.
   void SetLeader(const core::HostId& leader);
   [[nodiscard]] const core::HostId& leader() const noexcept { return leader_; }
