Let hosts without a replica follow a new leader

Entry hosts passed on the leader that they last knew, and nothing cleared it. Ruled out: a timeout on the known leader (it would also drop a live one). Now only hosts with a replica name the leader, with its term, and an older term is ignored. Conclusion: a report of a leader needs its term.

--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -266,7 +266,10 @@
       std::clamp(sink_.free_capacity(), 0.0, 1.0) * 100);
   report.open_requests = static_cast<std::uint32_t>(sink_.open_requests());
   report.revision = observer_.config().revision();
-  report.leader = KnownLeader();
+  if (replica_) {
+    report.leader = replica_->leader();
+    report.term = replica_->replica().term();
+  }
   hosts_.SetOwn(observer_.incarnation(), report);
   for (const core::HostId& peer : peers_) {
     links_.SendDatagram(peer, schema::Encode(schema::PeerMessage(report)));
@@ -500,7 +503,11 @@
 void ControlNode::On(const schema::Envelope& from,
                      const schema::HostReport& report) {
   hosts_.HandleReport(from.sender, from.incarnation, report, Now());
-  if (KnownLeader().empty()) proposer_.SetLeader(report.leader);
+  // Hosts without a replica would pass on a leader that is long gone, and an
+  // isolated old leader still names itself under its older term.
+  if (report.leader.empty() || report.term < leader_term_) return;
+  leader_term_ = report.term;
+  proposer_.SetLeader(report.leader);
 }
 
 void ControlNode::RequestClaim(ClaimRequest request) {
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -210,6 +210,7 @@
   std::vector<schema::Announcement> published_upstreams_;
   std::map<core::RequestId, OpenClaim> claims_;
   std::map<core::HostId, core::Instant> last_poll_;
+  std::uint64_t leader_term_ = 0;  ///< Newest term that a report named.
   core::Instant led_since_{};
   bool led_ = false;
   std::map<std::uint64_t, InForceCheck> checks_;
--- a/src/foxquay/daemon/control_proposer.cc
+++ b/src/foxquay/daemon/control_proposer.cc
@@ -46,11 +46,11 @@
   if (reply.incarnation != incarnation_) return;
   const auto found = open_.find(reply.number);
   if (found == open_.end()) return;
+  SetLeader(reply.leader);
   if (reply.committed && reply.result) {
     End(reply.number, *reply.result);
     return;
   }
-  SetLeader(reply.leader);
   found->second.next_attempt =
       std::min(found->second.next_attempt, now + kAttemptPause);
 }
--- a/src/foxquay/schema/peer.h
+++ b/src/foxquay/schema/peer.h
@@ -104,7 +104,9 @@
   std::uint8_t free_percent = 0;    ///< Share of its capacity that is free.
   std::uint32_t open_requests = 0;  ///< Requests that have not ended.
   std::uint64_t revision = 0;  ///< Configuration revision that it has applied.
-  core::HostId leader;  ///< Leader of the log that it knows; may be empty.
+  core::HostId
+      leader;  ///< Leader of the log that its replica knows; empty if none.
+  std::uint64_t term = 0;  ///< Term of that leader; 0 without a replica.
 
   friend bool operator==(const HostReport&, const HostReport&) = default;
 
@@ -116,6 +118,7 @@
     archive(open_requests);
     archive(revision);
     archive(leader);
+    archive(term);
   }
 };
 
--- a/tests/foxquay/daemon/control_test.cc
+++ b/tests/foxquay/daemon/control_test.cc
@@ -147,6 +147,28 @@
   CHECK_FALSE(stale);
 }
 
+// Guards against a host without a replica that keeps asking a dead leader; seen
+// as a change that was accepted but never reported in force.
+TEST_CASE("an entry host follows a new leader") {
+  constexpr std::size_t kAll = 8;
+  constexpr std::size_t kEntry = 7;
+  Cluster cluster(kAll, kHosts);
+  for (std::size_t host = 0; host < kAll; ++host) {
+    REQUIRE(cluster.AwaitAdmitting(host));
+  }
+  REQUIRE(cluster.SetTtl(kEntry, 1000, 0, "before", true).status == 200);
+  cluster.Kill(AwaitLeader(cluster, kEntry));
+  REQUIRE(Await(
+      [&] { return cluster.SetTtl(kEntry, 2000, 1, "after").status == 200; }));
+  for (std::uint64_t revision = 2; revision < 8; ++revision) {
+    const AdminAnswer changed =
+        cluster.SetTtl(kEntry, 2000 + static_cast<int>(revision), revision,
+                       "later-" + std::to_string(revision), true);
+    REQUIRE(changed.status == 200);
+    CHECK(changed.body["in_force"] == true);
+  }
+}
+
 // Guards against a replica that votes again after its disk was lost.
 TEST_CASE("a replica whose data folder is lost joins again") {
   Cluster cluster(kHosts, kHosts);
