--- /dev/null
+++ b/tests/foxquay/consensus/replica_test.cc
@@ -0,0 +1,111 @@
+#include "foxquay/consensus/replica.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <variant>
+#include <vector>
+
+namespace foxquay::consensus {
+namespace {
+
+using std::chrono::milliseconds;
+
+const schema::ReplicaId kSelf{core::HostId("a"), 1};
+const schema::ReplicaId kFirst{core::HostId("b"), 2};
+const schema::ReplicaId kSecond{core::HostId("c"), 3};
+const core::Instant kStart{std::chrono::hours(1)};
+
+Options MakeOptions() {
+  Options options;
+  options.self = kSelf;
+  options.founders = {kSelf.host, kFirst.host, kSecond.host};
+  return options;
+}
+
+Durable Founded(Term term) {
+  Durable durable;
+  durable.term = term;
+  durable.snapshot.meta.configuration.voters = {kSelf, kFirst, kSecond};
+  return durable;
+}
+
+template <class T>
+std::vector<T> Sent(const std::vector<Action>& actions) {
+  std::vector<T> sent;
+  for (const Action& action : actions) {
+    const auto* send = std::get_if<Send>(&action);
+    const T* message =
+        send != nullptr ? std::get_if<T>(&send->message) : nullptr;
+    if (message != nullptr) sent.push_back(*message);
+  }
+  return sent;
+}
+
+template <class T>
+const T* Find(const std::vector<Action>& actions) {
+  for (const Action& action : actions) {
+    if (const T* found = std::get_if<T>(&action)) return found;
+  }
+  return nullptr;
+}
+
+Received Ask(const schema::ReplicaId& candidate, Term term) {
+  schema::VoteRequest request;
+  request.header = {candidate, kSelf, term};
+  return {request};
+}
+
+}  // namespace
+
+// Guards against a second vote in one term after a crash.
+TEST_CASE("a vote is sent after it is on disk and holds after a restart") {
+  Replica replica(MakeOptions(), Founded(1), kStart);
+  const core::Instant later = kStart + milliseconds(501);
+  const auto asked = replica.Handle(Ask(kFirst, 2), later);
+  const auto* persist = Find<Persist>(asked);
+  REQUIRE(persist != nullptr);
+  CHECK(persist->record.vote == kFirst);
+  CHECK(Sent<schema::VoteReply>(asked).empty());
+  const auto synced = replica.Handle(Persisted{persist->ticket}, later);
+  REQUIRE(Sent<schema::VoteReply>(synced).size() == 1);
+  CHECK(Sent<schema::VoteReply>(synced)[0].granted);
+
+  Durable durable = Founded(persist->record.term);
+  durable.vote = persist->record.vote;
+  Replica restarted(MakeOptions(), durable, kStart);
+  const auto again = restarted.Handle(Ask(kSecond, 2), later);
+  REQUIRE(Sent<schema::VoteReply>(again).size() == 1);
+  CHECK_FALSE(Sent<schema::VoteReply>(again)[0].granted);
+}
+
+// Guards against a new leader within the lease of the old one.
+TEST_CASE("a voter in contact with a leader does not vote") {
+  Replica replica(MakeOptions(), Founded(1), kStart);
+  // A restarted voter may have been in contact just before.
+  const auto soon = replica.Handle(Ask(kSecond, 2), kStart + milliseconds(499));
+  CHECK(Sent<schema::VoteReply>(soon).empty());
+  CHECK(replica.term() == 1);
+  schema::AppendRequest heartbeat;
+  heartbeat.header = {kFirst, kSelf, 1};
+  const core::Instant heard = kStart + milliseconds(550);
+  (void)replica.Handle(Received{heartbeat}, heard);
+  const auto early = replica.Handle(Ask(kSecond, 2), heard + milliseconds(499));
+  CHECK(Sent<schema::VoteReply>(early).empty());
+  CHECK(replica.term() == 1);
+  (void)replica.Handle(Ask(kSecond, 2), heard + milliseconds(500));
+  CHECK(replica.term() == 2);
+}
+
+// Guards against a vote by the incarnation whose disk was lost.
+TEST_CASE("a message to another incarnation is ignored") {
+  Replica replica(MakeOptions(), Founded(1), kStart);
+  schema::VoteRequest request;
+  request.header = {kFirst, {kSelf.host, 9}, 2};
+  const auto actions =
+      replica.Handle(Received{request}, kStart + milliseconds(501));
+  CHECK(Sent<schema::VoteReply>(actions).empty());
+  CHECK(Find<Persist>(actions) == nullptr);
+  CHECK(replica.term() == 1);
+}
+
+}  // namespace foxquay::consensus
