--- a/bench/routing/main.cc
+++ b/bench/routing/main.cc
@@ -1,7 +1,15 @@
 // Measures the decision time of routing against the number of upstreams.
 #include <benchmark/benchmark.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <deque>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
 
 #include "fleet.h"
 #include "foxquay/routing/router.h"
@@ -19,7 +27,7 @@
 }
 
 routing::Query SampleQuery() {
-  return {core::ModelId("m0"), "", std::nullopt, {}};
+  return {core::ModelId("m0"), "", std::nullopt, {}, {}};
 }
 
 /// Finds a chain while all upstreams have room.
@@ -79,6 +87,124 @@
   }
 }
 
+/// Runs streams on upstreams of which each kind takes 1.3 times as long as the
+/// one before it; reports the mean time between tokens, with or without the
+/// learnt times.
+void Speeds(benchmark::State& state) {
+  constexpr std::size_t kStreams = 200;
+  routing::Router router({core::DataCentreId("d0"), {}, 1});
+  const auto fleet = Fleet(500, 2);
+  router.Replace(fleet);
+  std::unordered_map<std::string, double> layer_seconds;
+  for (const schema::Announcement& announced : fleet) {
+    layer_seconds[announced.id.value()] =
+        100e-6 * std::pow(1.3, announced.accelerator.back() - '0');
+  }
+  const routing::Query query = SampleQuery();
+  std::deque<routing::Chain> running;
+  core::Instant now = kNow;
+  double sum = 0;
+  double samples = 0;
+  for ([[maybe_unused]] auto step : state) {
+    const auto plan = std::get<routing::Plan>(router.Find(query, now));
+    std::vector<routing::StageUse> uses;
+    double gap = 0;
+    for (const routing::Stage& stage : plan.chain) {
+      const std::uint32_t layers = stage.layers.last - stage.layers.first + 1;
+      uses.push_back({stage.upstream, layers});
+      router.Start(stage.upstream);
+      gap += layers * layer_seconds.at(stage.upstream.value()) *
+             router.upstreams().Find(stage.upstream)->Slowdown();
+    }
+    const auto stages_time = std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double>(gap));
+    if (state.range(0) != 0) router.upstreams().Learn(uses, stages_time, now);
+    running.push_back(plan.chain);
+    now += std::chrono::milliseconds(10);
+    if (running.size() <= kStreams) continue;
+    for (const routing::Stage& stage : running.front()) {
+      router.End(stage.upstream);
+    }
+    running.pop_front();
+    if (++samples <= 2000) continue;
+    sum += gap + std::chrono::duration<double>(plan.link_time).count();
+  }
+  state.counters["token_ms"] = 1000 * sum / std::max(1.0, samples - 2000);
+}
+
+/// Last prefixes that ran on one upstream.
+class Cache {
+ public:
+  /// Returns whether the prefix was held, and holds it.
+  bool Use(std::size_t prefix) {
+    const auto found = std::find(held_.begin(), held_.end(), prefix);
+    const bool hit = found != held_.end();
+    if (hit) held_.erase(found);
+    held_.push_front(prefix);
+    if (held_.size() > kCapacity) held_.pop_back();
+    return hit;
+  }
+
+ private:
+  static constexpr std::size_t kCapacity = 16;
+  std::deque<std::size_t> held_;
+};
+
+/// Runs prompts that share 400 prefixes, some of them often; reports the share
+/// of layers whose cache holds the prefix and the load of the busiest upstream
+/// relative to the mean, with or without affinity.
+void Affinity(benchmark::State& state) {
+  constexpr std::size_t kStreams = 400;
+  constexpr std::size_t kPrefixes = 400;
+  routing::Router router({core::DataCentreId("d0"), {}, 1});
+  router.Replace(Fleet(500, 2));
+  std::vector<double> weights(kPrefixes);
+  for (std::size_t i = 0; i < kPrefixes; ++i) {
+    weights[i] = 1.0 / static_cast<double>(i + 1);
+  }
+  std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+  std::mt19937_64 random(1);
+  std::unordered_map<std::string, Cache> caches;
+  std::deque<routing::Chain> running;
+  routing::Query query = SampleQuery();
+  double hits = 0;
+  double layers = 0;
+  double busiest = 0;
+  double samples = 0;
+  for ([[maybe_unused]] auto step : state) {
+    const std::size_t prefix = pick(random);
+    const auto hashes = routing::PrefixHashes(
+        std::to_string(prefix) + std::string(1024, 'p'), "m0");
+    if (state.range(0) != 0) query.prefixes = hashes;
+    const auto plan = std::get<routing::Plan>(router.Find(query, kNow));
+    if (state.range(0) != 0) router.Remember(hashes, plan.chain);
+    for (const routing::Stage& stage : plan.chain) {
+      const double held = stage.layers.last - stage.layers.first + 1;
+      layers += held;
+      if (caches[stage.upstream.value()].Use(prefix)) hits += held;
+      router.Start(stage.upstream);
+    }
+    running.push_back(plan.chain);
+    if (running.size() <= kStreams) continue;
+    for (const routing::Stage& stage : running.front()) {
+      router.End(stage.upstream);
+    }
+    running.pop_front();
+    if (++samples < 2000) hits = layers = busiest = 0;
+    double most = 0;
+    double sum = 0;
+    double count = 0;
+    for (const routing::Upstream& upstream : router.upstreams().All()) {
+      most = std::max<double>(most, upstream.in_flight);
+      sum += upstream.in_flight;
+      if (upstream.in_flight > 0) ++count;
+    }
+    busiest += most * count / sum;
+  }
+  state.counters["hits"] = hits / layers;
+  state.counters["busiest"] = busiest / std::max(1.0, samples - 1999);
+}
+
 /// Numbers of upstreams and of models: as planned, then all of one model.
 void Sizes(benchmark::internal::Benchmark* run) {
   run->Args({50, 1})->Args({500, 2})->Args({10000, 37});
@@ -86,6 +212,8 @@
   run->ArgNames({"upstreams", "models"})->Unit(benchmark::kMicrosecond);
 }
 
+BENCHMARK(Speeds)->Arg(0)->Arg(1)->ArgName("learn")->Iterations(10000);
+BENCHMARK(Affinity)->Arg(0)->Arg(1)->ArgName("affinity")->Iterations(20000);
 BENCHMARK(FindChain)->Apply(Sizes);
 BENCHMARK(FindNoChain)->Apply(Sizes);
 BENCHMARK(ReplaceLoads)->Apply(Sizes);
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -25,6 +25,7 @@
 constexpr core::Duration kRegistrationPause = std::chrono::milliseconds(500);
 
 constexpr core::Duration kInForceTimeout = std::chrono::milliseconds(400);
+constexpr core::Duration kFlushPause = std::chrono::milliseconds(5);
 constexpr core::Duration kInForcePause = std::chrono::milliseconds(20);
 
 std::vector<core::HostId> ControlHosts(const schema::Settings& settings) {
@@ -36,6 +37,14 @@
   return hosts;
 }
 
+std::vector<core::HostId> Standbys(const schema::Settings& settings) {
+  std::vector<core::HostId> hosts;
+  for (const schema::PeerSettings& peer : settings.peers) {
+    if (peer.standby) hosts.push_back(peer.id);
+  }
+  return hosts;
+}
+
 bool HasRole(const schema::Settings& settings, schema::Role role) {
   const auto& roles = settings.host.roles;
   return std::find(roles.begin(), roles.end(), role) != roles.end();
@@ -80,6 +89,14 @@
 
 }  // namespace internal
 
+template <class Function>
+auto ControlNode::Call(Function function) {
+  std::promise<decltype(function())> promise;
+  auto future = promise.get_future();
+  boost::asio::post(context_, [&] { promise.set_value(function()); });
+  return future.get();
+}
+
 ControlNode::ControlNode(const schema::Settings& settings, std::string peer_key,
                          std::uint64_t incarnation, ControlSink sink)
     : settings_(settings),
@@ -108,7 +125,7 @@
   if (internal::HasRole(settings_, schema::Role::kControl) ||
       internal::HasRole(settings_, schema::Role::kStandby)) {
     disk_ = std::make_unique<ControlDisk>(
-        settings_.host.data_folder, [this](consensus::Ticket ticket) {
+        self_, settings_.host.data_folder, [this](consensus::Ticket ticket) {
           boost::asio::post(context_, [this, ticket] {
             replica_->Handle(consensus::Persisted{ticket}, Now());
           });
@@ -133,6 +150,13 @@
   return {};
 }
 
+void ControlNode::Flush(core::Duration timeout) {
+  const core::Instant deadline = Now() + timeout;
+  while (Now() < deadline && !Call([this] { return proposer_.empty(); })) {
+    std::this_thread::sleep_for(internal::kFlushPause);
+  }
+}
+
 void ControlNode::Stop() {
   if (stopping_.exchange(true)) return;
   if (thread_.joinable()) {
@@ -149,8 +173,9 @@
 
 void ControlNode::StartReplica(consensus::Durable durable) {
   consensus::Options options;
-  options.self = {self_, disk_->incarnation()};
+  options.self = disk_->replica();
   options.founders = internal::ControlHosts(settings_);
+  options.standbys = internal::Standbys(settings_);
   options.seed = std::random_device()();
   ControlReplica::Output output;
   output.send = [this](const core::HostId& to,
@@ -569,14 +594,6 @@
   });
 }
 
-template <class Function>
-auto ControlNode::Call(Function function) {
-  std::promise<decltype(function())> promise;
-  auto future = promise.get_future();
-  boost::asio::post(context_, [&] { promise.set_value(function()); });
-  return future.get();
-}
-
 core::Result<schema::ControlResult> ControlNode::Commit(
     const schema::ControlCommand& command, core::Duration timeout) {
   auto promise =
@@ -653,9 +670,10 @@
     if (replica_) {
       status.term = replica_->replica().term();
       status.commit = replica_->replica().commit();
-      for (const auto& voter : replica_->replica().configuration().voters) {
-        status.voters.push_back(voter.host);
-      }
+      const auto& configuration = replica_->replica().configuration();
+      status.voters = configuration.voters;
+      status.changing_voters = !configuration.previous.empty();
+      status.replica = disk_->replica().incarnation;
     }
     status.revision = observer_.config().revision();
     status.admitting =
--- a/src/foxquay/daemon/exchange.cc
+++ b/src/foxquay/daemon/exchange.cc
@@ -1,5 +1,6 @@
 #include "foxquay/daemon/exchange.h"
 
+#include <chrono>
 #include <utility>
 
 namespace foxquay::daemon {
@@ -9,12 +10,19 @@
 
 }  // namespace internal
 
-bool Exchange::Deliver(dispatch::DeliverToken&& token, core::Instant now) {
+void Exchange::Wake() { news_.notify_one(); }
+
+void Exchange::Reset() {
+  const std::lock_guard lock(mutex_);
+  progress_ = Progress{};
+  waiting_bytes_ = 0;
+  taken_.reset();
+}
+
+bool Exchange::Deliver(dispatch::DeliverToken&& token) {
   const std::lock_guard lock(mutex_);
-  if (progress_.tokens.empty()) oldest_ = now;
   waiting_bytes_ += token.text.size() + sizeof(token);
   progress_.tokens.push_back(std::move(token));
-  news_.notify_one();
   return waiting_bytes_ <= internal::kMaxWaitingBytes;
 }
 
@@ -26,17 +34,16 @@
 void Exchange::Finish(dispatch::Finish&& finish) {
   const std::lock_guard lock(mutex_);
   progress_.finish = std::move(finish);
-  news_.notify_one();
 }
 
 void Exchange::Abandon() {
   const std::lock_guard lock(mutex_);
   progress_.abandoned = true;
-  news_.notify_one();
 }
 
 Progress Exchange::Await() {
   std::unique_lock lock(mutex_);
+  taken_.reset();
   news_.wait(lock, [this] {
     return !progress_.tokens.empty() || progress_.finish || progress_.abandoned;
   });
@@ -44,12 +51,13 @@
   Progress progress = std::move(progress_);
   progress_ = Progress{};
   progress_.abandoned = progress.abandoned;
+  taken_ = std::chrono::steady_clock::now();
   return progress;
 }
 
-bool Exchange::WaitingSince(core::Instant since) const {
+bool Exchange::StalledSince(core::Instant since) const {
   const std::lock_guard lock(mutex_);
-  return !progress_.tokens.empty() && oldest_ < since;
+  return taken_ && *taken_ < since;
 }
 
 }  // namespace foxquay::daemon
--- a/src/foxquay/daemon/serve.cc
+++ b/src/foxquay/daemon/serve.cc
@@ -25,6 +25,9 @@
 namespace foxquay::daemon {
 namespace internal {
 
+/// Time that the outcomes of the last protected requests have to be recorded.
+constexpr std::chrono::seconds kFlushTimeout{2};
+
 sigset_t BlockSignals() {
   sigset_t signals;
   sigemptyset(&signals);
@@ -52,7 +55,7 @@
   _exit(EXIT_FAILURE);
 }
 
-int DrainOnSignal(Host& host, const sigset_t& signals) {
+void DrainOnSignal(Host& host, const sigset_t& signals) {
   while (AwaitSignal(signals) == SIGUSR1) {
   }
   std::thread drain([&host] {
@@ -61,7 +64,6 @@
   });
   if (AwaitSignal(signals) != SIGUSR1) CutOff(host);
   drain.join();
-  return EXIT_SUCCESS;
 }
 
 struct Secrets {
@@ -192,11 +194,14 @@
       !internal::Report("control", control->Start()) &&
       !internal::Report("admin", admin.Start(settings.listeners.admin)) &&
       !host.Start();
-  const int status =
-      started ? internal::DrainOnSignal(host, signals) : EXIT_FAILURE;
+  if (!started) _exit(EXIT_FAILURE);
+  internal::DrainOnSignal(host, signals);
   admin.Stop();
+  control->Flush(internal::kFlushTimeout);
   control->Stop();
-  return status;
+  // Legs canceled at a silent upstream may still block their threads in the
+  // HTTP client, which offers no way to interrupt them; do not wait for those.
+  _exit(EXIT_SUCCESS);
 }
 
 }  // namespace foxquay::daemon
--- a/src/foxquay/daemon/traffic.cc
+++ b/src/foxquay/daemon/traffic.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <deque>
 #include <utility>
 #include <variant>
 
@@ -30,7 +29,7 @@
 }  // namespace internal
 
 struct Traffic::Entry {
-  std::unique_ptr<Exchange> exchange;
+  Exchange* exchange = nullptr;
   core::WorkspaceId workspace;
   std::string digest;
   http::ServiceSend service;
@@ -55,13 +54,14 @@
 struct Traffic::Pending {
   std::vector<std::function<void()>> jobs;   ///< Blocking, on workers.
   std::vector<std::function<void()>> hooks;  ///< Short, on this thread.
+  std::vector<Exchange*> wakes;
   std::vector<http::Connection> aborts;
 };
 
 /// Carries out the actions of one decision under the engine's mutex.
 class Traffic::Performer {
  public:
-  Performer(Traffic& traffic, std::deque<dispatch::Event>& events,
+  Performer(Traffic& traffic, std::vector<dispatch::Event>& events,
             Pending& pending)
       : traffic_(traffic), events_(events), pending_(pending) {}
 
@@ -149,10 +149,10 @@
     if (found == traffic_.entries_.end()) return;
     const core::RequestId request = token.request;
     NoteToken(found->second);
-    if (found->second.exchange->Deliver(std::move(token), Now())) {
-      return;
-    }
-    found->second.exchange->Abandon();
+    Exchange* exchange = found->second.exchange;
+    pending_.wakes.push_back(exchange);
+    if (exchange->Deliver(std::move(token))) return;
+    exchange->Abandon();
     pending_.aborts.push_back(found->second.connection);
     events_.emplace_back(dispatch::CallerGone{request});
   }
@@ -163,6 +163,7 @@
     found->second.finished = true;
     NoteEnd(found->second, finish);
     found->second.exchange->Finish(std::move(finish));
+    pending_.wakes.push_back(found->second.exchange);
   }
 
  private:
@@ -209,7 +210,7 @@
   }
 
   Traffic& traffic_;
-  std::deque<dispatch::Event>& events_;
+  std::vector<dispatch::Event>& events_;
   Pending& pending_;
 };
 
@@ -248,7 +249,7 @@
     ticket.id = core::RequestId(next_request_++);
     order.submission.id = ticket.id;
     Entry& entry = entries_[ticket.id];
-    entry.exchange = std::make_unique<Exchange>();
+    entry.exchange = TakeExchange();
     entry.workspace = order.submission.workspace;
     entry.digest = std::move(order.digest);
     entry.service = std::move(order.service);
@@ -257,7 +258,7 @@
     entry.arrived = Now();
     entry.claimed =
         order.submission.no_repeat && !order.submission.idempotency_key.empty();
-    ticket.exchange = entry.exchange.get();
+    ticket.exchange = entry.exchange;
     Apply(dispatch::Arrived{std::move(order.submission)}, pending);
   }
   Execute(std::move(pending));
@@ -271,7 +272,10 @@
     const auto found = entries_.find(id);
     if (found == entries_.end()) return;
     if (!found->second.finished) Apply(dispatch::CallerGone{id}, pending);
-    entries_.erase(id);
+    Exchange* exchange = found->second.exchange;
+    entries_.erase(found);
+    exchange->Reset();
+    idle_exchanges_.push_back(exchange);
   }
   Execute(std::move(pending));
 }
@@ -284,7 +288,7 @@
   {
     const std::lock_guard lock(mutex_);
     for (const auto& [id, entry] : entries_) {
-      if (entry.exchange->WaitingSince(oldest)) gone.push_back(id);
+      if (entry.exchange->StalledSince(oldest)) gone.push_back(id);
       if (entry.connection.descriptor() < 0) continue;
       descriptors.push_back({entry.connection.descriptor(), POLLRDHUP, 0});
       ids.push_back(id);
@@ -301,6 +305,7 @@
       const auto found = entries_.find(id);
       if (found == entries_.end()) continue;
       found->second.exchange->Abandon();
+      pending.wakes.push_back(found->second.exchange);
       pending.aborts.push_back(found->second.connection);
       if (!found->second.finished) Apply(dispatch::CallerGone{id}, pending);
     }
@@ -386,6 +391,10 @@
   std::vector<std::string> names;
   names.reserve(entries_.size());
   for (const auto& [id, entry] : entries_) names.push_back(NameOf(id));
+  // A claimed call runs to its end after its caller has gone.
+  for (const auto& [id, leg] : legs_) {
+    if (!entries_.contains(leg.request)) names.push_back(NameOf(leg.request));
+  }
   return names;
 }
 
@@ -400,26 +409,35 @@
 
 /// Precondition: the engine's mutex is held.
 void Traffic::Apply(dispatch::Event event, Pending& pending) {
-  std::deque<dispatch::Event> events;
-  events.push_back(std::move(event));
-  Performer perform(*this, events, pending);
-  while (!events.empty()) {
-    const dispatch::Event next = std::move(events.front());
-    events.pop_front();
-    for (dispatch::Action& action : engine_.Handle(next, Now())) {
+  std::vector<dispatch::Event> following;
+  Performer perform(*this, following, pending);
+  std::size_t handled = 0;
+  while (true) {
+    for (dispatch::Action& action : engine_.Handle(event, Now())) {
       std::visit(perform, action);
     }
+    if (handled == following.size()) break;
+    event = std::move(following[handled++]);
   }
   const auto deadline = engine_.NextDeadline();
   if (deadline && *deadline < timer_wakes_) timer_wake_.notify_one();
 }
 
 void Traffic::Execute(Pending&& pending) {
+  for (Exchange* exchange : pending.wakes) exchange->Wake();
   for (std::function<void()>& hook : pending.hooks) hook();
   for (std::function<void()>& job : pending.jobs) workers_->Run(std::move(job));
   for (const http::Connection& connection : pending.aborts) connection.Abort();
 }
 
+/// Precondition: the engine's mutex is held.
+Exchange* Traffic::TakeExchange() {
+  if (idle_exchanges_.empty()) return &exchanges_.emplace_back();
+  Exchange* exchange = idle_exchanges_.back();
+  idle_exchanges_.pop_back();
+  return exchange;
+}
+
 void Traffic::RunLeg(const dispatch::StartLeg& leg, const std::string& name) {
   {
     const std::lock_guard lock(mutex_);
--- a/src/foxquay/dispatch/request.h
+++ b/src/foxquay/dispatch/request.h
@@ -9,6 +9,7 @@
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
 #include "foxquay/dispatch/event.h"
+#include "foxquay/routing/upstreams.h"
 #include "foxquay/stream/stream.h"
 
 namespace foxquay::dispatch {
@@ -31,11 +32,14 @@
   core::Instant claim_until = core::Instant::max();
   /// Version that runs it; absent until the caller or its first leg sets it.
   std::optional<std::string> version;
+  std::vector<std::uint64_t> prefixes;     ///< Hashes of its prompt.
   std::vector<core::UpstreamId> excluded;  ///< Failed this request.
   /// Stages of its last leg that ended without a known culprit.
   std::vector<core::UpstreamId> suspected;
   /// Upstreams one of which failed its last leg or call.
   std::vector<core::UpstreamId> failed;
+  /// Latest start, while it waits, that lets it meet its deadline.
+  core::Instant start_by = core::Instant::max();
   bool caller_gone = false;
   core::Instant armed = core::Instant::max();  ///< Time of its timer.
 
@@ -53,6 +57,10 @@
   core::Instant started;
   std::optional<core::Instant> first_token_at;
   core::Instant last_token_at;
+  std::vector<routing::StageUse> uses;  ///< Layers of its stages.
+  core::Duration link_time{};           ///< Of one token.
+  core::Instant sampled_at;             ///< Token of the last speed sample.
+  std::uint32_t unsampled = 0;          ///< Tokens since then.
 };
 
 }  // namespace foxquay::dispatch
--- a/src/foxquay/dispatch/requests.cc
+++ b/src/foxquay/dispatch/requests.cc
@@ -15,6 +15,12 @@
 /// Largest body that the claim log keeps.
 constexpr std::size_t kMaxRecordedBody = 4096;
 
+/// Returns whether a request that has not started would miss its deadline.
+bool CannotStartInTime(const Request& request, core::Instant now) {
+  return request.stream.phase() == stream::Phase::kWaiting &&
+         !request.stream.may_have_run() && request.start_by <= now;
+}
+
 std::string Reason(ClaimDecision decision) {
   switch (decision) {
     case ClaimDecision::kGranted:
@@ -76,9 +82,11 @@
   Request& request =
       requests_.try_emplace(submission.id, submission, TermsOf(submission, now))
           .first->second;
-  if (const Completion* completion = request.completion();
-      completion != nullptr && !completion->version.empty()) {
-    request.version = completion->version;
+  if (const Completion* completion = request.completion()) {
+    if (!completion->version.empty()) request.version = completion->version;
+    request.prefixes = routing::PrefixHashes(
+        completion->prompt,
+        completion->model.value() + '\n' + completion->adapter);
   }
   const FoundOrNot found = Find(request, now);
   const auto* none = std::get_if<routing::NoPlan>(&found);
@@ -190,6 +198,10 @@
   if (request.claim == ClaimState::kAsked && request.claim_until <= now) {
     return GiveUp(request, "claim was not decided in time", retry_after, now);
   }
+  if (internal::CannotStartInTime(request, now)) {
+    return GiveUp(request, "queue is too long for the deadline", retry_after,
+                  now);
+  }
   if (request.stream.silent_at().value_or(core::Instant::max()) <= now) {
     Silence(request, now);
   }
--- a/src/foxquay/routing/router.h
+++ b/src/foxquay/routing/router.h
@@ -18,6 +18,7 @@
 #include "foxquay/routing/group.h"
 #include "foxquay/routing/links.h"
 #include "foxquay/routing/planner.h"
+#include "foxquay/routing/prefixes.h"
 #include "foxquay/routing/upstreams.h"
 
 namespace foxquay::routing {
@@ -28,6 +29,7 @@
   std::string adapter;                     ///< Empty for none.
   std::optional<std::string> version;      ///< Absent for any.
   std::vector<core::UpstreamId> excluded;  ///< Must not be in the chain.
+  std::vector<std::uint64_t> prefixes;     ///< As PrefixHashes returns them.
 };
 
 /// A chain that may run now.
@@ -35,6 +37,7 @@
   Chain chain;
   std::string version;          ///< Version that all its stages hold.
   core::Duration token_time{};  ///< Predicted time between tokens.
+  core::Duration link_time{};   ///< Part of it that is spent on links.
 };
 
 /// Why there is no chain or upstream.
@@ -60,6 +63,8 @@
   core::DataCentreId data_centre;
   LinkTable links;
   std::uint64_t seed = 1;
+  /// Prefixes whose upstreams are remembered; about 200 bytes each.
+  std::size_t max_prefixes = 16384;
 };
 
 /// Chooses chains and service upstreams, and counts the work of this host on
@@ -85,12 +90,19 @@
       const core::ServiceId& service,
       const std::vector<core::UpstreamId>& excluded, core::Instant now);
 
+  /// Notes that a chain runs a prompt, so that its caches hold the prefixes.
+  void Remember(const std::vector<std::uint64_t>& prefixes, const Chain& chain);
+
   /// Counts new work on an upstream.
   void Start(const core::UpstreamId& id) noexcept;
   /// Ends work that Start counted.
   void End(const core::UpstreamId& id) noexcept;
 
  private:
+  struct Prediction {
+    double token_seconds = 0;  ///< Between two tokens.
+    double link_seconds = 0;   ///< Part of it that is spent on links.
+  };
   struct ModelGroups {
     std::map<std::pair<std::string, std::optional<std::string>>,
              std::vector<Group>>
@@ -101,18 +113,27 @@
   bool Allowed(UpstreamIndex index,
                const std::vector<core::UpstreamId>& excluded,
                core::Instant now) const;
-  /// Returns the less loaded of two random allowed members, if any.
+  /// Returns a member with its predicted time.
+  Pick Consider(UpstreamIndex index, core::Instant now);
+  /// Returns the allowed member that this host started work on longest ago, or
+  /// a random one that is clearly less loaded.
   Pick Draw(const std::vector<UpstreamIndex>& members,
             const std::vector<core::UpstreamId>& excluded, core::Instant now);
+  /// Puts upstreams that hold a prefix into `picks_`; returns whether any.
+  bool PickHolders(const Group& group, const Query& query, core::Instant now);
+  /// Returns whether one more stream keeps a chain within the load bound;
+  /// `best` is the chain that load alone would choose.
+  [[nodiscard]] bool WithinBound(const std::vector<Step>& steps,
+                                 const std::vector<Step>& best) const;
   std::optional<Plan> FindIn(const Group& group, const Query& query,
                              core::Instant now);
-  /// Returns the predicted seconds between tokens of one more stream.
-  [[nodiscard]] double Predict(const Group& group,
-                               const std::vector<Step>& steps,
-                               core::Instant now) const;
+  /// Returns the prediction for one more stream on a chain.
+  [[nodiscard]] Prediction Predict(const Group& group,
+                                   const std::vector<Step>& steps,
+                                   core::Instant now) const;
   [[nodiscard]] Plan MakePlan(const Group& group,
                               const std::vector<Step>& steps,
-                              double seconds) const;
+                              const Prediction& time) const;
   [[nodiscard]] NoPlan Explain(const std::vector<Group>& groups,
                                const Query& query, core::Instant now) const;
 
@@ -121,7 +142,9 @@
   std::unordered_map<core::ModelId, ModelGroups> models_;
   Planner planner_;
   std::vector<Pick> picks_;
+  Prefixes prefixes_;
   std::mt19937_64 random_;
+  std::uint64_t starts_ = 0;
 };
 
 /// Names missing layers, e.g. "0-7, 16-23".
