Split elections on purpose in the proof of the log

Cause: a vote that is not persisted passed 3 seeds x 4 x 800 cases, because a restarted voter refuses votes for 500 ms, so a second vote needs a late request.

--- a/tests/foxquay/consensus/world.cc
+++ b/tests/foxquay/consensus/world.cc
@@ -177,6 +177,9 @@
     case FaultKind::kDelay:
       delay_percent_ = static_cast<int>(fault.detail % 40);
       break;
+    case FaultKind::kRival:
+      rival_armed_ = true;
+      break;
     case FaultKind::kPower:
       for (std::size_t other = 0; other < nodes_.size(); ++other) {
         Kill(nodes_[other], other == index ? fault.detail : 0);
@@ -212,6 +215,7 @@
 
 void World::Step() {
   real_ += kStep;
+  if (rival_armed_) HoldRival();
   DeliverSome();
   ProposeSome();
   for (std::size_t index = 0; index < nodes_.size(); ++index) {
@@ -229,6 +233,27 @@
   }
 }
 
+void World::HoldRival() {
+  for (std::size_t winner = 0; winner < nodes_.size(); ++winner) {
+    for (Node& rival : nodes_) {
+      const auto& leader = nodes_[winner].replica;
+      const bool split = leader && rival.replica &&
+                         leader->role() == Role::kLeader &&
+                         rival.replica->role() == Role::kCandidate &&
+                         rival.replica->term() == leader->term();
+      if (!split) continue;
+      rival_armed_ = false;
+      rival.frozen = true;
+      Inject({FaultKind::kIsolate, winner, 0});
+      for (std::size_t other = 0; other < nodes_.size(); ++other) {
+        const bool voter = other != winner && &nodes_[other] != &rival;
+        if (voter) Inject({FaultKind::kReboot, other, 0});
+      }
+      return;
+    }
+  }
+}
+
 void World::DeliverSome() {
   std::vector<Flying> flying = std::exchange(bag_, {});
   std::shuffle(flying.begin(), flying.end(), random_);
@@ -319,6 +344,11 @@
   if (Roll(delay_percent_)) {
     flying.due += std::chrono::milliseconds(random_() % 1000);
   }
+  const auto* vote = std::get_if<schema::VoteRequest>(&send.message);
+  if (rival_armed_ && vote != nullptr && !vote->pre) {
+    bag_.push_back(flying);
+    flying.due = real_ + std::chrono::milliseconds(700);
+  }
   if (Roll(1)) flying.due += std::chrono::seconds(random_() % 8);
   bag_.push_back(std::move(flying));
 }
@@ -388,6 +418,7 @@
 
 void World::Settle() {
   Recover(100, 0);
+  rival_armed_ = false;
   const Index before = oracle_.commit();
   constexpr int kMaxRounds = 120;
   for (int round = 0; round < kMaxRounds; ++round) {
--- a/tests/foxquay/consensus/world.h
+++ b/tests/foxquay/consensus/world.h
@@ -27,6 +27,8 @@
   kIsolate,  ///< Loses messages from and to a replica, silently.
   kLose,     ///< Loses `detail` percent of all messages.
   kDelay,    ///< Delays `detail` percent of all messages by up to 1 s.
+  kRival,    ///< At the next split election, freezes a candidate that lost,
+             ///< isolates the winner and reboots the voters.
   kPower,    ///< Ends all replicas at once; all but one restart.
   kStall,    ///< Stops the syncs of a replica.
   kWipe,     ///< Ends a replica and loses its disk; it restarts empty.
@@ -86,6 +88,7 @@
   [[nodiscard]] bool MayWipe(const Node& node) const;
   void Wipe(std::size_t index);
   void Step();
+  void HoldRival();
   void DeliverSome();
   void SyncSome(std::size_t index);
   void ProposeSome();
@@ -106,6 +109,7 @@
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   int loss_percent_ = 0;
   int delay_percent_ = 2;
+  bool rival_armed_ = false;
   bool proposing_ = true;
   core::Instant real_{std::chrono::hours(1)};
   core::Instant last_wipe_{};
