--- a/tests/foxquay/consensus/replica_test.cc
+++ b/tests/foxquay/consensus/replica_test.cc
@@ -108,4 +108,31 @@
   CHECK(replica.term() == 1);
 }
 
+// Guards against a leadership that is confirmed with the clock of an earlier
+// process: a late refusal carries the current term but an old request's stamp.
+TEST_CASE("a late refusal does not confirm the leadership") {
+  Replica replica(MakeOptions(), Founded(1), kStart);
+  const core::Instant now = kStart + milliseconds(1001);
+  (void)replica.Handle(Tick{}, now);
+  schema::VoteReply vote{{kFirst, kSelf, 2}, true, true};
+  const auto campaign = replica.Handle(Received{vote}, now);
+  REQUIRE(Find<Persist>(campaign) != nullptr);
+  (void)replica.Handle(Persisted{Find<Persist>(campaign)->ticket}, now);
+  vote.pre = false;
+  (void)replica.Handle(Received{vote}, now);
+  REQUIRE(replica.role() == Role::kLeader);
+
+  schema::AppendReply reply;
+  reply.header = {kFirst, kSelf, 2};
+  reply.asked = 1;
+  reply.sent = (now + std::chrono::hours(1)).time_since_epoch();
+  (void)replica.Handle(Received{reply}, now);
+  CHECK_FALSE(replica.HoldsLease(now));
+  reply.asked = 2;
+  reply.sent = now.time_since_epoch();
+  (void)replica.Handle(Received{reply}, now);
+  CHECK(replica.HoldsLease(now + milliseconds(484)));
+  CHECK_FALSE(replica.HoldsLease(now + milliseconds(485)));
+}
+
 }  // namespace foxquay::consensus
