--- a/tests/foxquay/consensus/world.h
+++ b/tests/foxquay/consensus/world.h
@@ -22,16 +22,15 @@
   kNone,
   kKill,     ///< Ends a replica; of its unsynced writes `detail` many survive.
   kReboot,   ///< As kKill, then starts it again at once.
-  kRestart,  ///< Starts a killed replica from its disk.
   kFreeze,   ///< Stops a replica without ending it.
-  kThaw,
   kCut,      ///< Loses messages from one replica to another, silently.
   kIsolate,  ///< Loses messages from and to a replica, silently.
-  kHeal,     ///< Ends all cuts, losses and delays.
   kLose,     ///< Loses `detail` percent of all messages.
   kDelay,    ///< Delays `detail` percent of all messages by up to 1 s.
+  kRival,    ///< At the next split election, freezes a candidate that lost,
+             ///< isolates the winner and reboots the voters.
   kPower,    ///< Ends all replicas at once; all but one restart.
-  kStall,    ///< Stops the syncs of a replica, or starts them again.
+  kStall,    ///< Stops the syncs of a replica.
   kWipe,     ///< Ends a replica and loses its disk; it restarts empty.
 };
 
@@ -46,9 +45,12 @@
 /// Replicas, their disks and one bag of messages in flight.
 class World {
  public:
-  World(std::size_t founders, std::size_t standbys);
+  World(std::size_t founders, std::size_t standbys,
+        core::Duration max_election);
 
   void Inject(const Fault& fault);
+  /// Ends each fault with a probability of `percent`.
+  void Recover(int percent, std::uint32_t seed);
   /// Lets time pass; messages are delivered late, twice, out of order or never.
   void Run(std::chrono::milliseconds span, std::uint32_t seed);
   /// Ends all faults and checks that the group commits again, at full strength
@@ -86,6 +88,7 @@
   [[nodiscard]] bool MayWipe(const Node& node) const;
   void Wipe(std::size_t index);
   void Step();
+  void HoldRival();
   void DeliverSome();
   void SyncSome(std::size_t index);
   void ProposeSome();
@@ -106,6 +109,7 @@
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   int loss_percent_ = 0;
   int delay_percent_ = 2;
+  bool rival_armed_ = false;
   bool proposing_ = true;
   core::Instant real_{std::chrono::hours(1)};
   core::Instant last_wipe_{};
