--- a/bench/load/run.cc
+++ b/bench/load/run.cc
@@ -25,8 +25,8 @@
     tail_.append(bytes);
     for (std::size_t end = tail_.find(separator_); end != std::string::npos;
          end = tail_.find(separator_)) {
-      const std::string_view event = std::string_view(tail_).substr(0, end);
-      if (event.find("\"text\"") != std::string_view::npos) Note(now, times);
+      const std::string event = tail_.substr(0, end);
+      if (event.find("\"text\"") != std::string::npos) Note(now, times);
       tail_.erase(0, end + separator_.size());
     }
   }
