--- a/src/foxquay/dispatch/engine.cc
+++ b/src/foxquay/dispatch/engine.cc
@@ -35,6 +35,7 @@
 std::vector<Action> Engine::State::Handle(const Event& event,
                                           core::Instant now) {
   actions_.clear();
+  CloseLapsedAdmission(now);
   std::visit([&](const auto& e) { On(e, now); }, event);
   FireTimers(now);
   Pump(now);
@@ -43,7 +44,15 @@
 
 std::optional<core::Instant> Engine::State::NextDeadline() const {
   if (timers_.empty()) return std::nullopt;
-  return timers_.top().first;
+  const core::Instant due = timers_.top().first;
+  return std::min(due, admission_until_.value_or(due));
+}
+
+void Engine::State::CloseLapsedAdmission(core::Instant now) {
+  if (!admission_until_ || now < *admission_until_) return;
+  On(AdmissionChanged{false, "the configuration of this host is not confirmed",
+                      std::nullopt},
+     now);
 }
 
 void Engine::State::On(const UpstreamsChanged& event,
@@ -64,6 +73,7 @@
 void Engine::State::On(const AdmissionChanged& event, core::Instant now) {
   admission_open_ = event.open;
   closed_reason_ = event.reason;
+  admission_until_ = event.open ? event.until : std::nullopt;
   if (admission_open_) return;
   // What has not started would start under settings that may be outdated.
   std::vector<core::RequestId> not_started;
@@ -73,8 +83,8 @@
   std::sort(not_started.begin(), not_started.end());
   for (const core::RequestId id : not_started) {
     Request& request = requests_.at(id);
-    GiveUp(request, closed_reason_,
-           queue_.RetryAfter(Describe(request).pool, now), now);
+    GiveUp(request, closed_reason_, queue_.RetryAfter(Describe(request).pool),
+           now);
   }
 }
 
@@ -87,6 +97,9 @@
     due = std::min(due, request.claim_until);
   }
   due = std::min(due, request.stream.silent_at().value_or(due));
+  if (request.stream.phase() == stream::Phase::kWaiting) {
+    due = std::min(due, request.start_by);
+  }
   if (due >= request.armed) return;
   request.armed = due;
   timers_.emplace(due, request.submission.id);
--- a/src/foxquay/dispatch/legs.cc
+++ b/src/foxquay/dispatch/legs.cc
@@ -9,12 +9,20 @@
 /// HTTP status recorded for a claimed completion.
 constexpr std::uint32_t kStatusOk = 200;
 
+/// Tokens over which the time between tokens is averaged.
+constexpr std::uint32_t kSpeedSample = 8;
+
 std::string Join(const std::vector<std::string>& tokens) {
   std::string text;
   for (const std::string& token : tokens) text += token;
   return text;
 }
 
+bool EndedWell(LegEnd end) noexcept {
+  return end == LegEnd::kStop || end == LegEnd::kLength ||
+         end == LegEnd::kChunk;
+}
+
 }  // namespace internal
 
 void Engine::State::Start(Request& request, const routing::Plan& plan,
@@ -29,9 +37,17 @@
       id, leg_tokens,
       policy_.GetTime(schema::PolicyKey::kLegTokenTimeout, scope), now);
   request.version = plan.version;
-  Leg leg{submission.id, {}, terms.first_token, now};
+  router_.Remember(request.prefixes, plan.chain);
+  Leg leg;
+  leg.request = submission.id;
+  leg.first_token = terms.first_token;
+  leg.started = now;
+  leg.link_time = plan.link_time;
   for (const Stage& stage : plan.chain) {
     leg.stages.push_back(stage.upstream);
+    leg.uses.push_back(
+        {stage.upstream, stage.layers.last - stage.layers.first + 1});
+    queue_.CountLeg(stage.upstream);
     router_.Start(stage.upstream);
   }
   legs_.emplace(id, std::move(leg));
@@ -58,7 +74,12 @@
   const core::LegId id(next_leg_++);
   request.stream.StartCall(id);
   router_.Start(plan.upstream);
-  legs_.emplace(id, Leg{request_id, {plan.upstream}, 0, now});
+  queue_.CountLeg(plan.upstream);
+  Leg leg;
+  leg.request = request_id;
+  leg.stages = {plan.upstream};
+  leg.started = now;
+  legs_.emplace(id, std::move(leg));
   actions_.emplace_back(CallService{id, request_id, plan.upstream, plan.address,
                                     request.stream.terms().deadline - now});
 }
@@ -74,36 +95,62 @@
   if (verdict == stream::TokenVerdict::kGap) {
     actions_.emplace_back(CancelLeg{event.leg});
     Blame(request, leg->second, std::nullopt, now);
-    ReportServed(*request, leg->second, false, now);
+    ReportServed(*request, leg->second, LegEnd::kFailed, now);
     return Follow(*request, request->stream.EndLeg(event.leg, LegEnd::kFailed),
                   now);
   }
+  ObserveToken(leg->second, *request, now);
   actions_.emplace_back(
       DeliverToken{leg->second.request, event.index, event.text});
   if (verdict == stream::TokenVerdict::kLast) {
-    ReportServed(*request, leg->second, true, now);
+    ReportServed(*request, leg->second, LegEnd::kLength, now);
     Follow(*request, request->stream.EndLeg(event.leg, LegEnd::kLength), now);
   }
 }
 
+void Engine::State::ObserveToken(Leg& leg, const Request& request,
+                                 core::Instant now) {
+  if (leg.first_token_at) {
+    limits_.ObserveToken(leg.stages, now - leg.last_token_at, now,
+                         router_.upstreams());
+  } else {
+    leg.first_token_at = now;
+    const auto prompt_bytes =
+        static_cast<std::uint32_t>(request.completion()->prompt.size());
+    limits_.ObserveFirstToken(leg.stages, now - leg.started, prompt_bytes, now,
+                              router_.upstreams());
+  }
+  leg.last_token_at = now;
+  SampleSpeed(leg, now);
+}
+
+void Engine::State::SampleSpeed(Leg& leg, core::Instant now) {
+  if (leg.first_token_at == now) leg.sampled_at = now;
+  if (leg.first_token_at == now || ++leg.unsampled < internal::kSpeedSample) {
+    return;
+  }
+  router_.upstreams().Learn(
+      leg.uses, (now - leg.sampled_at) / leg.unsampled - leg.link_time, now);
+  leg.sampled_at = now;
+  leg.unsampled = 0;
+}
+
 void Engine::State::On(const LegEnded& event, core::Instant now) {
   const std::optional<Leg> leg = Release(event.leg);
   if (!leg) return;
   Request* request = FindRequest(leg->request);
   const bool current = request != nullptr && request->stream.leg() == event.leg;
-  const bool ended_well = event.end == LegEnd::kStop ||
-                          event.end == LegEnd::kLength ||
-                          event.end == LegEnd::kChunk;
+  const bool ended_well = internal::EndedWell(event.end);
   if (ended_well) {
     for (const core::UpstreamId& id : leg->stages) {
       routing::Upstream* upstream = router_.upstreams().Find(id);
       if (upstream != nullptr) upstream->suspicion.Succeed(now);
     }
-  } else if (event.culprit || (current && event.end != LegEnd::kCanceled)) {
+  } else if (event.end != LegEnd::kCanceled && (current || event.culprit)) {
     Blame(current ? request : nullptr, *leg, event.culprit, now);
   }
   if (!current) return;
-  ReportServed(*request, *leg, ended_well, now);
+  ReportServed(*request, *leg, event.end, now);
   Follow(*request, request->stream.EndLeg(event.leg, event.end), now);
 }
 
@@ -112,7 +159,7 @@
   const auto leg = legs_.find(id);
   actions_.emplace_back(CancelLeg{id});
   Blame(&request, leg->second, std::nullopt, now);
-  ReportServed(request, leg->second, false, now);
+  ReportServed(request, leg->second, LegEnd::kFailed, now);
   Follow(request, request.stream.EndLeg(id, LegEnd::kFailed), now);
 }
 
@@ -124,14 +171,20 @@
   if (known) {
     routing::Upstream* upstream = router_.upstreams().Find(*culprit);
     if (upstream != nullptr) upstream->suspicion.Fail(now);
-    if (request != nullptr) request->excluded.push_back(*culprit);
+    limits_.ObserveFailure(*culprit, now, router_.upstreams());
+    if (request != nullptr) {
+      request->excluded.push_back(*culprit);
+      request->failed = {*culprit};
+    }
     return;
   }
   for (const core::UpstreamId& id : leg.stages) {
     routing::Upstream* upstream = router_.upstreams().Find(id);
     if (upstream != nullptr) upstream->suspicion.Suspect(now);
   }
-  if (request != nullptr) request->suspected = leg.stages;
+  if (request == nullptr) return;
+  request->suspected = leg.stages;
+  request->failed = leg.stages;
 }
 
 void Engine::State::On(const ServiceAnswered& event, core::Instant now) {
@@ -144,13 +197,13 @@
       request->stream.Answer(event.leg) != stream::Next::kComplete) {
     return;
   }
-  ReportServed(*request, *leg, true, now);
+  ReportServed(*request, *leg, LegEnd::kLength, now);
   Finish end;
   end.request = leg->request;
   end.outcome = core::Outcome::kComplete;
   end.status = event.status;
   end.body = event.body;
-  End(*request, std::move(end));
+  End(*request, std::move(end), now);
 }
 
 void Engine::State::On(const ServiceFailed& event, core::Instant now) {
@@ -158,9 +211,10 @@
   if (!leg) return;
   Request* request = FindRequest(leg->request);
   const bool current = request != nullptr && request->stream.leg() == event.leg;
-  Blame(current ? request : nullptr, *leg, leg->stages.front(), now);
+  // A call that was cancelled fails because of its caller or its deadline.
   if (!current) return;
-  ReportServed(*request, *leg, false, now);
+  Blame(request, *leg, leg->stages.front(), now);
+  ReportServed(*request, *leg, LegEnd::kFailed, now);
   Follow(*request, request->stream.FailCall(event.leg, event.sent), now);
 }
 
@@ -182,20 +236,20 @@
       request.suspected.clear();
       return Enqueue(request, false, now);
     case stream::Next::kComplete:
-      return Complete(request);
+      return Complete(request, now);
     case stream::Next::kRetry:
-      if (queue_.AllowRetry(request.submission.workspace, now)) {
+      if (queue_.AllowRetry(request.submission.workspace, request.failed)) {
         return Enqueue(request, true, now);
       }
       return GiveUp(request, "retry budget is used up",
-                    queue_.RetryAfter(Describe(request).pool, now), now);
+                    queue_.RetryAfter(Describe(request).pool), now);
     case stream::Next::kGiveUp:
       return GiveUp(request, "upstream failed",
-                    queue_.RetryAfter(Describe(request).pool, now), now);
+                    queue_.RetryAfter(Describe(request).pool), now);
   }
 }
 
-void Engine::State::Complete(Request& request) {
+void Engine::State::Complete(Request& request, core::Instant now) {
   Finish end;
   end.request = request.submission.id;
   end.outcome = core::Outcome::kComplete;
@@ -203,16 +257,26 @@
     end.status = internal::kStatusOk;
     end.body = internal::Join(request.stream.delivered());
   }
-  End(request, std::move(end));
+  End(request, std::move(end), now);
 }
 
 void Engine::State::ReportServed(const Request& request, const Leg& leg,
-                                 bool ended_well, core::Instant now) {
+                                 LegEnd end, core::Instant now) {
   const auto delivered =
       static_cast<std::uint32_t>(request.stream.delivered().size());
-  queue_.Complete(
-      {leg.request, delivered - leg.first_token, now - leg.started, ended_well},
-      now);
+  Served served;
+  served.request = leg.request;
+  served.tokens = delivered - leg.first_token;
+  if (leg.first_token_at) {
+    served.first_token = *leg.first_token_at - leg.started;
+  }
+  served.time = now - leg.started;
+  served.ended_well = internal::EndedWell(end);
+  const bool whole = delivered >= request.stream.terms().max_tokens;
+  if (end == LegEnd::kStop || (served.ended_well && whole)) {
+    served.answer = delivered;
+  }
+  queue_.Complete(served, now);
 }
 
 }  // namespace foxquay::dispatch
--- a/src/foxquay/dispatch/plans.cc
+++ b/src/foxquay/dispatch/plans.cc
@@ -13,8 +13,10 @@
   waiting.traffic_class = submission.traffic_class;
   waiting.deadline = request.stream.terms().deadline;
   if (const Completion* completion = request.completion()) {
-    waiting.pool = completion->model.value() + '\n' + completion->adapter +
-                   '\n' + request.version.value_or("*");
+    waiting.pool = scheduling::PoolId(completion->model.value());
+    waiting.offer = completion->model.value() + '\n' + completion->adapter +
+                    '\n' + request.version.value_or("*");
+    waiting.max_tokens = request.stream.terms().max_tokens;
     waiting.tokens_left =
         request.stream.terms().max_tokens -
         static_cast<std::uint32_t>(request.stream.delivered().size());
@@ -22,7 +24,8 @@
         static_cast<std::uint32_t>(completion->prompt.size());
   } else {
     const auto& call = std::get<ServiceCall>(submission.work);
-    waiting.pool = "service\n" + call.service.value();
+    waiting.pool = scheduling::PoolId("service\n" + call.service.value());
+    waiting.offer = waiting.pool.value();
     waiting.prompt_bytes = call.body_bytes;
   }
   return waiting;
@@ -39,6 +42,14 @@
   waiting.resumed = resumed;
   queue_.Push(waiting, now);
   pump_needed_ = true;
+  request.start_by = core::Instant::max();
+  if (request.stream.may_have_run()) return;
+  // An idle pool admits a request whose estimate exceeds its time, since the
+  // estimate may be wrong; it must not be given up before it can start.
+  const core::Instant start_by =
+      waiting.deadline - queue_.EstimateService(waiting);
+  if (start_by > now) request.start_by = start_by;
+  Arm(request);
 }
 
 Engine::State::FoundOrNot Engine::State::Find(const Request& request,
@@ -59,7 +70,7 @@
                                                    const Completion& completion,
                                                    core::Instant now) {
   routing::Query query{completion.model, completion.adapter, request.version,
-                       request.excluded};
+                       request.excluded, request.prefixes};
   query.excluded.insert(query.excluded.end(), request.suspected.begin(),
                         request.suspected.end());
   auto found = router_.Find(query, now);
@@ -85,25 +96,24 @@
 void Engine::State::Pump(core::Instant now) {
   if (!pump_needed_) return;
   pump_needed_ = false;
-  std::set<std::string> busy;
   std::optional<FoundOrNot> found;
   std::vector<std::pair<core::RequestId, routing::NoPlan>> hopeless;
-  const auto runnable = [&](const Waiting& waiting) {
-    if (busy.contains(waiting.pool)) return false;
+  const auto judge = [&](const Waiting& waiting) {
     const Request& request = requests_.at(waiting.request);
     found = Find(request, now);
     const auto* none = std::get_if<routing::NoPlan>(&*found);
-    if (none == nullptr) return true;
+    if (none == nullptr) return Readiness::kReady;
     if (none->reason != routing::NoPlan::Reason::kBusy) {
       hopeless.emplace_back(waiting.request, *none);
-    } else if (request.excluded.empty() && request.suspected.empty()) {
-      busy.insert(waiting.pool);
+      return Readiness::kBlocked;
     }
-    return false;
+    const bool restricted =
+        !request.excluded.empty() || !request.suspected.empty();
+    return restricted ? Readiness::kBlocked : Readiness::kBusy;
   };
   while (queue_.size() > 0) {
     hopeless.clear();
-    const std::optional<Waiting> taken = queue_.Take(runnable, now);
+    const std::optional<Waiting> taken = queue_.Take(judge, now);
     if (taken) {
       Request& request = requests_.at(taken->request);
       std::visit(
--- a/src/foxquay/dispatch/requests.cc
+++ b/src/foxquay/dispatch/requests.cc
@@ -15,6 +15,12 @@
 /// Largest body that the claim log keeps.
 constexpr std::size_t kMaxRecordedBody = 4096;
 
+/// Returns whether a request that has not started would miss its deadline.
+bool CannotStartInTime(const Request& request, core::Instant now) {
+  return request.stream.phase() == stream::Phase::kWaiting &&
+         !request.stream.may_have_run() && request.start_by <= now;
+}
+
 std::string Reason(ClaimDecision decision) {
   switch (decision) {
     case ClaimDecision::kGranted:
@@ -68,7 +74,7 @@
   if (requests_.contains(submission.id)) return;
   std::optional<Refusal> refusal;
   if (!admission_open_) {
-    refusal = Refusal{closed_reason_, queue_.RetryAfter("", now)};
+    refusal = Refusal{closed_reason_, queue_.RetryAfter({})};
   } else {
     refusal = Check(submission);
   }
@@ -76,9 +82,11 @@
   Request& request =
       requests_.try_emplace(submission.id, submission, TermsOf(submission, now))
           .first->second;
-  if (const Completion* completion = request.completion();
-      completion != nullptr && !completion->version.empty()) {
-    request.version = completion->version;
+  if (const Completion* completion = request.completion()) {
+    if (!completion->version.empty()) request.version = completion->version;
+    request.prefixes = routing::PrefixHashes(
+        completion->prompt,
+        completion->model.value() + '\n' + completion->adapter);
   }
   const FoundOrNot found = Find(request, now);
   const auto* none = std::get_if<routing::NoPlan>(&found);
@@ -87,7 +95,12 @@
   }
   refusal = queue_.Admit(Describe(request), now);
   if (refusal) {
-    return GiveUp(request, refusal->reason, refusal->retry_after, now);
+    // Estimates are learnt, so even a deadline that looks too short may be met
+    // later: every refusal here names a retry time.
+    return GiveUp(request, refusal->reason,
+                  refusal->retry_after.value_or(
+                      queue_.RetryAfter(Describe(request).pool)),
+                  now);
   }
   if (request.stream.phase() == stream::Phase::kClaiming) {
     request.claim = ClaimState::kAsked;
@@ -117,7 +130,9 @@
         undecided_claims_.begin(), undecided_claims_.end(),
         [&](const auto& entry) { return entry.first == event.request; });
     if (found == undecided_claims_.end()) return;
-    if (event.decision == ClaimDecision::kGranted) {
+    // The claim may have committed after the release that End asked for.
+    if (event.decision == ClaimDecision::kGranted ||
+        event.decision == ClaimDecision::kUnavailable) {
       actions_.emplace_back(ReleaseClaim{event.request, found->second});
     }
     undecided_claims_.erase(found);
@@ -146,14 +161,14 @@
       end.retry_after = internal::kRunningRetry;
       break;
     case ClaimDecision::kUnavailable:
-      end.retry_after = queue_.RetryAfter(Describe(*request).pool, now);
+      end.retry_after = queue_.RetryAfter(Describe(*request).pool);
       break;
     case ClaimDecision::kGranted:
     case ClaimDecision::kExpired:
     case ClaimDecision::kMismatch:
       break;
   }
-  End(*request, std::move(end));
+  End(*request, std::move(end), now);
 }
 
 void Engine::State::Grant(Request& request, core::Instant now) {
@@ -176,14 +191,17 @@
 }
 
 void Engine::State::Expire(Request& request, core::Instant now) {
-  const core::Duration retry_after =
-      queue_.RetryAfter(Describe(request).pool, now);
+  const core::Duration retry_after = queue_.RetryAfter(Describe(request).pool);
   if (request.stream.terms().deadline <= now) {
     return GiveUp(request, "deadline passed", retry_after, now);
   }
   if (request.claim == ClaimState::kAsked && request.claim_until <= now) {
     return GiveUp(request, "claim was not decided in time", retry_after, now);
   }
+  if (internal::CannotStartInTime(request, now)) {
+    return GiveUp(request, "queue is too long for the deadline", retry_after,
+                  now);
+  }
   if (request.stream.silent_at().value_or(core::Instant::max()) <= now) {
     Silence(request, now);
   }
@@ -196,7 +214,7 @@
     actions_.emplace_back(CancelLeg{*leg});
     const auto found = legs_.find(*leg);
     if (found != legs_.end()) {
-      ReportServed(request, found->second, false, now);
+      ReportServed(request, found->second, LegEnd::kCanceled, now);
     }
   }
   Finish end;
@@ -204,7 +222,7 @@
   end.outcome = request.stream.GiveUp();
   end.reason = std::move(reason);
   end.retry_after = retry_after;
-  End(request, std::move(end));
+  End(request, std::move(end), now);
 }
 
 void Engine::State::GiveUp(Request& request, const routing::NoPlan& none,
@@ -227,9 +245,9 @@
   GiveUp(request, std::move(reason), none.retry_after, now);
 }
 
-void Engine::State::End(Request& request, Finish end) {
+void Engine::State::End(Request& request, Finish end, core::Instant now) {
   SettleClaim(request, end);
-  queue_.Remove(end.request);
+  queue_.Remove(end.request, now);
   requests_.erase(end.request);
   pump_needed_ = true;
   actions_.emplace_back(std::move(end));
--- a/src/foxquay/dispatch/state.h
+++ b/src/foxquay/dispatch/state.h
@@ -57,7 +57,7 @@
               std::optional<core::Duration> retry_after, core::Instant now);
   void GiveUp(Request& request, const routing::NoPlan& none, core::Instant now);
   /// Ends a request; `end` names it.
-  void End(Request& request, Finish end);
+  void End(Request& request, Finish end, core::Instant now);
   void SettleClaim(Request& request, const Finish& end);
   void RefuseArrival(const Submission& submission, const Refusal& refusal);
 
@@ -69,6 +69,8 @@
   void Start(Request& request, const routing::Plan& plan, core::Instant now);
   void Start(Request& request, const routing::ServicePlan& plan,
              core::Instant now);
+  /// Lets routing learn from the time of some tokens of a leg.
+  void SampleSpeed(Leg& leg, core::Instant now);
   /// Ends the running leg of a request that has been silent.
   void Silence(Request& request, core::Instant now);
   /// Frees the upstreams of a leg and returns it, if it is known.
@@ -76,9 +78,11 @@
   void Follow(Request& request, stream::Next next, core::Instant now);
   void Blame(Request* request, const Leg& leg,
              const std::optional<core::UpstreamId>& culprit, core::Instant now);
-  void Complete(Request& request);
-  void ReportServed(const Request& request, const Leg& leg, bool ended_well,
+  void Complete(Request& request, core::Instant now);
+  void ReportServed(const Request& request, const Leg& leg, LegEnd end,
                     core::Instant now);
+  /// Passes the time of a token of a leg to the limits.
+  void ObserveToken(Leg& leg, const Request& request, core::Instant now);
 
   // plans.cc: what a waiting request can start on.
   [[nodiscard]] FoundOrNot Find(const Request& request, core::Instant now);
@@ -97,6 +101,7 @@
   void On(const Tick& event, core::Instant now);
   void Arm(Request& request);
   void FireTimers(core::Instant now);
+  void CloseLapsedAdmission(core::Instant now);
   [[nodiscard]] Request* FindRequest(core::RequestId id);
   [[nodiscard]] PolicyScope ScopeOf(const Submission& submission) const;
 
@@ -109,6 +114,7 @@
   std::unordered_map<core::LegId, Leg> legs_;
   std::uint64_t next_leg_ = 1;
   bool admission_open_ = true;
+  std::optional<core::Instant> admission_until_;
   std::string closed_reason_;
   bool pump_needed_ = false;
   /// Keys of requests that ended before their claim was decided, by age.
--- a/src/foxquay/routing/router.cc
+++ b/src/foxquay/routing/router.cc
@@ -8,8 +8,10 @@
 namespace foxquay::routing {
 namespace internal {
 
-/// Random tries before a scan of the whole class.
-constexpr int kDrawTries = 4;
+/// Largest time between tokens of a chain chosen for its caches, relative to
+/// the best chain.
+constexpr double kAffinityBound = 1.25;
+
 /// Groups kept per model; more adapters or versions rebuild them.
 constexpr std::size_t kMaxGroups = 64;
 /// An upstream renews every 600 ms, so a new one is known by then.
@@ -24,7 +26,9 @@
 }  // namespace internal
 
 Router::Router(RouterOptions options)
-    : options_(std::move(options)), random_(options_.seed) {}
+    : options_(std::move(options)),
+      prefixes_(options_.max_prefixes),
+      random_(options_.seed) {}
 
 void Router::Replace(const std::vector<schema::Announcement>& announced) {
   for (const core::ModelId& model : upstreams_.Replace(announced)) {
@@ -51,28 +55,6 @@
          !internal::Contains(excluded, upstream.announced.id);
 }
 
-Pick Router::Draw(const std::vector<UpstreamIndex>& members,
-                  const std::vector<core::UpstreamId>& excluded,
-                  core::Instant now) {
-  Pick best;
-  if (members.empty()) return best;
-  int found = 0;
-  const auto consider = [&](UpstreamIndex index) {
-    if (!Allowed(index, excluded, now)) return;
-    ++found;
-    const double seconds = upstreams_[index].LoadedLayerSeconds(now);
-    if (seconds < best.layer_seconds) best = {index, seconds};
-  };
-  for (int i = 0; i < internal::kDrawTries && found < 2; ++i) {
-    consider(members[random_() % members.size()]);
-  }
-  const std::size_t start = random_() % members.size();
-  for (std::size_t i = 0; i < members.size() && found == 0; ++i) {
-    consider(members[(start + i) % members.size()]);
-  }
-  return best;
-}
-
 std::variant<Plan, NoPlan> Router::Find(const Query& query, core::Instant now) {
   const std::vector<Group>& groups = Groups(query);
   std::optional<Plan> best;
@@ -89,27 +71,41 @@
 std::optional<Plan> Router::FindIn(const Group& group, const Query& query,
                                    core::Instant now) {
   std::optional<std::vector<Step>> best;
-  double best_seconds = 0;
-  for (int draw = 0; draw < 2; ++draw) {
+  Prediction best_time;
+  // A draw takes the better of two members; drawing a single class twice
+  // would take the best of four, and hosts would choose alike.
+  const int draws = group.classes.size() > 1 ? 2 : 1;
+  for (int draw = 0; draw < draws; ++draw) {
     picks_.clear();
     for (const StageClass& stage_class : group.classes) {
       picks_.push_back(Draw(stage_class.members, query.excluded, now));
     }
     std::optional<std::vector<Step>> steps = planner_.Cheapest(group, picks_);
     if (!steps) return std::nullopt;
-    const double seconds = Predict(group, *steps, now);
-    if (!best || seconds < best_seconds) {
+    const Prediction time = Predict(group, *steps, now);
+    if (!best || time.token_seconds < best_time.token_seconds) {
       best = std::move(steps);
-      best_seconds = seconds;
+      best_time = time;
     }
   }
-  return MakePlan(group, *best, best_seconds);
+  if (PickHolders(group, query, now)) {
+    const auto steps = planner_.Cheapest(group, picks_);
+    const Prediction time = Predict(group, *steps, now);
+    if (WithinBound(*steps, *best) &&
+        time.token_seconds <=
+            best_time.token_seconds * internal::kAffinityBound) {
+      return MakePlan(group, *steps, time);
+    }
+  }
+  return MakePlan(group, *best, best_time);
 }
 
-double Router::Predict(const Group& group, const std::vector<Step>& steps,
-                       core::Instant now) const {
+Router::Prediction Router::Predict(const Group& group,
+                                   const std::vector<Step>& steps,
+                                   core::Instant now) const {
   const auto& places = group.places;
   double sum = 0;
+  double links = 0;
   double slowest = 0;
   std::size_t at = 0;
   for (const Step& step : steps) {
@@ -118,24 +114,30 @@
         static_cast<std::size_t>(std::find(places.begin(), places.end(),
                                            upstream.announced.data_centre) -
                                  places.begin());
-    const double seconds =
-        upstream.LayerSeconds(now) * (step.layers.last - step.layers.first + 1);
-    sum += group.links[at * places.size() + next] + seconds;
+    const double suspicion = step.trusted ? upstream.suspicion.Factor(now) : 1;
+    const double seconds = upstream.LayerSeconds(now) / suspicion *
+                           (step.layers.last - step.layers.first + 1);
+    links += group.links[at * places.size() + next];
+    sum += seconds;
     slowest = std::max(slowest, seconds * upstream.Share());
     at = next;
   }
-  sum += group.links[at * places.size()];
+  links += group.links[at * places.size()];
   // A stream cycles through an idle chain in the sum of its times; in a loaded
   // one it waits for the slowest stage to serve all streams.
-  return std::max(sum, slowest);
+  return {std::max(sum + links, slowest), links};
 }
 
 Plan Router::MakePlan(const Group& group, const std::vector<Step>& steps,
-                      double seconds) const {
+                      const Prediction& time) const {
   Plan plan;
   plan.version = group.version;
-  plan.token_time = std::chrono::duration_cast<core::Duration>(
-      std::chrono::duration<double>(seconds));
+  const auto to_duration = [](double seconds) {
+    return std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double>(seconds));
+  };
+  plan.token_time = to_duration(time.token_seconds);
+  plan.link_time = to_duration(time.link_seconds);
   for (const Step& step : steps) {
     const schema::Announcement& announced = upstreams_[step.upstream].announced;
     plan.chain.push_back({announced.id, announced.address, step.layers});
@@ -218,7 +220,10 @@
 }
 
 void Router::Start(const core::UpstreamId& id) noexcept {
-  if (Upstream* upstream = upstreams_.Find(id)) ++upstream->in_flight;
+  Upstream* upstream = upstreams_.Find(id);
+  if (upstream == nullptr) return;
+  ++upstream->in_flight;
+  upstream->last_start = ++starts_;
 }
 
 void Router::End(const core::UpstreamId& id) noexcept {
--- a/tests/foxquay/dispatch/engine_test.cc
+++ b/tests/foxquay/dispatch/engine_test.cc
@@ -112,4 +112,52 @@
             .empty());
 }
 
+// Guards against a process that admits after its lease while the thread that
+// would close admission has not run, e.g. after a freeze.
+TEST_CASE("admission closes by itself at its end") {
+  Engine engine = SampleEngine();
+  (void)engine.Handle(UpstreamsChanged{{ModelUpstream("a", 0, 3)}}, kStart);
+  (void)engine.Handle(AdmissionChanged{true, "", kStart + seconds(2)}, kStart);
+  auto actions = engine.Handle(Arrived{SampleCompletion(1, 2)},
+                               kStart + milliseconds(1999));
+  CHECK(Only<StartLeg>(actions).size() == 1);
+  actions = engine.Handle(Arrived{SampleCompletion(2, 2)}, kStart + seconds(2));
+  CHECK(Only<StartLeg>(actions).empty());
+  const auto ends = Only<Finish>(actions);
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].request == core::RequestId(2));
+  CHECK(ends[0].outcome == core::Outcome::kNotRun);
+  CHECK(ends[0].retry_after.has_value());
+}
+
+// Guards against an idle host that refuses a request because one short answer
+// made the estimate of a long one exceed its deadline.
+TEST_CASE("an idle upstream takes a request whose estimate is too long") {
+  Engine engine = SampleEngine();
+  (void)engine.Handle(UpstreamsChanged{{ModelUpstream("a", 0, 3)}}, kStart);
+  auto actions = engine.Handle(Arrived{SampleCompletion(1, 1)}, kStart);
+  const StartLeg first = Only<StartLeg>(actions).at(0);
+  const core::Instant end = kStart + milliseconds(500);
+  (void)engine.Handle(LegToken{first.leg, first.epoch, 0, "a"}, end);
+  (void)engine.Handle(LegEnded{first.leg, LegEnd::kLength, std::nullopt}, end);
+  actions = engine.Handle(Arrived{SampleCompletion(2, 4000)}, end);
+  CHECK(Only<Finish>(actions).empty());
+  CHECK(Only<StartLeg>(actions).size() == 1);
+}
+
+// Guards against callers that leave and thereby close an upstream to others.
+TEST_CASE("the end of a cancelled call is not the upstream's fault") {
+  Engine engine = SampleEngine();
+  CHECK(
+      engine.Handle(UpstreamsChanged{{ServiceUpstream("s")}}, kStart).empty());
+  const auto calls =
+      Only<CallService>(engine.Handle(Arrived{SampleCall(1, false)}, kStart));
+  REQUIRE(calls.size() == 1);
+  const auto actions = engine.Handle(CallerGone{core::RequestId(1)}, kStart);
+  CHECK(Only<CancelLeg>(actions).size() == 1);
+  CHECK(engine.Handle(ServiceFailed{calls[0].leg, true}, kStart).empty());
+  CHECK(Only<CallService>(engine.Handle(Arrived{SampleCall(2, false)}, kStart))
+            .size() == 1);
+}
+
 }  // namespace foxquay::dispatch
