Share the clock error, the policy mapping and the entry choice

Ruled out: keeping 1 %: a rate error of 1 % on each host is 2.02 % between two. Change: core::WithClockError with 2.1 % for all; control::ToPolicy and entry::Choose are the only copies; control_node.cc is split by concern.

--- a/src/foxquay/consensus/replication.cc
+++ b/src/foxquay/consensus/replication.cc
@@ -12,13 +12,6 @@
 /// Waits of this many heartbeats for a reply end in another attempt.
 constexpr int kResendHeartbeats = 2;
 
-/// Returns a span that is certainly not shorter than one which another clock
-/// measured, if each clock's rate is wrong by at most 1 %.
-core::Duration Stretch(core::Duration span) {
-  constexpr std::int64_t kPerMille = 21;
-  return span + span * kPerMille / 1000 + core::Duration(1);
-}
-
 /// Appends may be sent before the leader has written them: its own copy does
 /// not count towards the quorum until then.
 constexpr Ticket kAtOnce{0};
@@ -196,7 +189,8 @@
   // The leader sent this after it got the echoed reply, so its age counts from
   // an instant that is not before the stamp of that reply.
   const core::Instant stamp(request.echo);
-  confirmations_.push_back({stamp - Stretch(*request.age), request.commit});
+  confirmations_.push_back(
+      {stamp - core::WithClockError(*request.age), request.commit});
 }
 
 void Replica::State::ReplyAppend(const schema::MessageHeader& to,
--- a/src/foxquay/control/in_force_tracker.cc
+++ b/src/foxquay/control/in_force_tracker.cc
@@ -7,7 +7,7 @@
 namespace foxquay::control {
 namespace internal {
 
-constexpr core::Duration kLeaseElsewhere = WithClockError(kConfigLease);
+constexpr core::Duration kLeaseElsewhere = core::WithClockError(kConfigLease);
 
 }  // namespace internal
 
--- a/src/foxquay/control/observer.cc
+++ b/src/foxquay/control/observer.cc
@@ -38,7 +38,7 @@
   const bool changed = Take(reply);
   if (config_.sequence() >= reply.sequence &&
       reply.age >= core::Duration::zero()) {
-    Confirm(sent - WithClockError(reply.age));
+    Confirm(sent - core::WithClockError(reply.age));
   }
   return changed;
 }
@@ -64,7 +64,7 @@
   poll.sequence = config_.sequence();
   const bool changed =
       Take(state.Answer(poll, age.value_or(core::Duration::zero())));
-  if (age) Confirm(now - WithClockError(*age));
+  if (age) Confirm(now - core::WithClockError(*age));
   return changed;
 }
 
--- a/src/foxquay/control/order_gate.cc
+++ b/src/foxquay/control/order_gate.cc
@@ -24,8 +24,8 @@
   if (result.previous_epoch <= awaited_) return;
   awaited_ = result.previous_epoch;
   // The delivery time runs on the old holder's clock too.
-  ready_ = std::max(
-      ready_, now + WithClockError(result.previous_length + kOrderDelivery));
+  ready_ = std::max(ready_, now + core::WithClockError(result.previous_length +
+                                                       kOrderDelivery));
 }
 
 std::optional<OrderPermit> OrderGate::Check(core::Instant now) const {
--- a/src/foxquay/daemon/control_hosts.cc
+++ b/src/foxquay/daemon/control_hosts.cc
@@ -60,24 +60,30 @@
   return views;
 }
 
-std::vector<HostView> UsableHosts(std::vector<HostView> hosts,
-                                  const core::DataCentreId& data_centre) {
-  std::erase_if(hosts, [](const HostView& host) {
-    return !host.alive || host.report.draining || !host.report.admitting;
-  });
-  core::RegionId region;
+std::vector<entry::Host> EntryHosts(const std::vector<HostView>& hosts) {
+  std::vector<entry::Host> converted;
   for (const HostView& host : hosts) {
-    if (host.data_centre == data_centre) region = host.region;
+    converted.push_back({host.id, host.caller, host.data_centre, host.alive,
+                         host.report.draining, host.report.admitting,
+                         host.report.free_percent / 100.0});
   }
-  const auto distance = [&](const HostView& host) {
-    if (host.data_centre == data_centre) return 0;
-    return host.region == region ? 1 : 2;
-  };
-  std::stable_sort(hosts.begin(), hosts.end(),
-                   [&](const HostView& left, const HostView& right) {
-                     return distance(left) < distance(right);
-                   });
-  return hosts;
+  return converted;
+}
+
+entry::Distances DistancesOf(const schema::Settings& settings) {
+  constexpr core::Duration kWithinRegion = std::chrono::milliseconds(1);
+  constexpr core::Duration kBetweenRegions = std::chrono::milliseconds(100);
+  entry::Distances distances;
+  const std::vector<HostView> hosts = Hosts(settings).View({});
+  for (const HostView& left : hosts) {
+    for (const HostView& right : hosts) {
+      if (left.data_centre == right.data_centre) continue;
+      const bool near = left.region == right.region;
+      distances.Set(left.data_centre, right.data_centre,
+                    near ? kWithinRegion : kBetweenRegions);
+    }
+  }
+  return distances;
 }
 
 }  // namespace foxquay::daemon
--- a/src/foxquay/daemon/control_hosts.h
+++ b/src/foxquay/daemon/control_hosts.h
@@ -8,6 +8,8 @@
 
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
+#include "foxquay/entry/answer.h"
+#include "foxquay/entry/distances.h"
 #include "foxquay/schema/peer.h"
 #include "foxquay/schema/settings.h"
 
@@ -57,10 +59,12 @@
   std::map<core::HostId, Entry> entries_;
 };
 
-/// Returns the hosts that a caller in `data_centre` may use, nearest first:
-/// alive, not draining and admitting, with their free capacity in percent.
-[[nodiscard]] std::vector<HostView> UsableHosts(
-    std::vector<HostView> hosts, const core::DataCentreId& data_centre);
+/// Converts the hosts for the choice of an entry answer. Thread-safe.
+[[nodiscard]] std::vector<entry::Host> EntryHosts(
+    const std::vector<HostView>& hosts);
+
+/// Returns nominal latencies: data centres of one region are near each other.
+[[nodiscard]] entry::Distances DistancesOf(const schema::Settings& settings);
 
 }  // namespace foxquay::daemon
 
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -25,6 +25,7 @@
 #include "foxquay/daemon/control_replica.h"
 #include "foxquay/daemon/hooks.h"
 #include "foxquay/dispatch/event.h"
+#include "foxquay/entry/distances.h"
 #include "foxquay/roster/roster.h"
 #include "foxquay/schema/peer.h"
 #include "foxquay/schema/settings.h"
@@ -194,6 +195,7 @@
   control::Observer observer_;
   roster::Roster roster_;
   Hosts hosts_;
+  const entry::Distances distances_;
   Proposer proposer_;
   std::unique_ptr<ControlDisk> disk_;
   std::optional<ControlReplica> replica_;
--- /dev/null
+++ b/src/foxquay/daemon/control_publish.cc
@@ -0,0 +1,150 @@
+#include "foxquay/daemon/control_node.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "foxquay/control/policy.h"
+#include "foxquay/daemon/clock.h"
+#include "foxquay/log/log.h"
+#include "foxquay/schema/codec.h"
+
+namespace foxquay::daemon {
+namespace internal {
+
+/// Pause between two registrations of this host.
+constexpr core::Duration kRegistrationPause = std::chrono::milliseconds(500);
+
+std::string ReasonOf(control::AdmissionState state) {
+  switch (state) {
+    case control::AdmissionState::kOpen:
+      return "";
+    case control::AdmissionState::kNoLease:
+      return "this host cannot confirm its configuration";
+    case control::AdmissionState::kNotRegistered:
+      return "this host is not registered yet";
+  }
+  return "";
+}
+
+}  // namespace internal
+
+void ControlNode::PollConfig(core::Instant now) {
+  next_config_poll_ = now + kConfigPollInterval;
+  const core::HostId leader = KnownLeader();
+  if (!leader.empty() && leader != self_) {
+    Send(leader, observer_.StartPoll(now));
+  }
+  if (replica_ && replica_->leads()) {
+    last_poll_[self_] = now;
+    (void)replica_->Answer(observer_.StartPoll(now), now);
+  }
+  if (peers_.empty()) return;
+  next_peer_ = (next_peer_ + 1) % peers_.size();
+  if (peers_[next_peer_] != leader) {
+    Send(peers_[next_peer_], observer_.StartPoll(now));
+  }
+}
+
+void ControlNode::PollRoster(core::Instant now) {
+  next_roster_poll_ = now + roster::kPollInterval;
+  schema::HostReport report;
+  report.draining = draining_;
+  report.admitting =
+      observer_.Admit(now).state == control::AdmissionState::kOpen;
+  report.free_percent = static_cast<std::uint8_t>(
+      std::clamp(sink_.free_capacity(), 0.0, 1.0) * 100);
+  report.open_requests = static_cast<std::uint32_t>(sink_.open_requests());
+  report.revision = observer_.config().revision();
+  if (replica_) {
+    report.leader = replica_->leader();
+    report.term = replica_->replica().term();
+  }
+  hosts_.SetOwn(observer_.incarnation(), report);
+  for (const core::HostId& peer : peers_) {
+    links_.SendDatagram(peer, schema::Encode(schema::PeerMessage(report)));
+    Send(peer, roster_.Poll(now));
+  }
+}
+
+void ControlNode::Register(core::Instant now) {
+  const bool live = observer_.config().Live(self_, observer_.incarnation());
+  if (live || registering_ || now < next_registration_) return;
+  registering_ = true;
+  next_registration_ = now + internal::kRegistrationPause;
+  const schema::RegisterHost command{self_, observer_.incarnation(),
+                                     settings_.host.data_centre};
+  proposer_.Propose(
+      command, now + kClaimTimeout, now,
+      [this](const core::Result<schema::ControlResult>& result) {
+        registering_ = false;
+        if (!result) return;
+        const auto* host = std::get_if<schema::HostResult>(&result.value());
+        if (host == nullptr || host->status != schema::HostStatus::kStale) {
+          return;
+        }
+        observer_.SetIncarnation(
+            std::max(host->incarnation, observer_.incarnation()) + 1);
+      });
+}
+
+void ControlNode::EndSilentIncarnations(core::Instant now) {
+  if (!replica_ || !replica_->leads() || draining_) return;
+  for (const auto& [host, record] : replica_->state().config().hosts()) {
+    if (!record.live) continue;
+    const core::Instant heard =
+        last_poll_.try_emplace(host, led_since_).first->second;
+    if (now - heard < kIncarnationSilence) continue;
+    last_poll_[host] = now;
+    log::Write(log::Level::kWarn, "incarnation_ended",
+               {{"host", host}, {"incarnation", record.incarnation}});
+    proposer_.Propose(schema::EndIncarnation{host, record.incarnation},
+                      now + kClaimTimeout, now,
+                      [](const core::Result<schema::ControlResult>&) {});
+  }
+}
+
+void ControlNode::PublishPolicy() {
+  if (published_sequence_ == observer_.config().sequence()) return;
+  published_sequence_ = observer_.config().sequence();
+  sink_.set_policy(control::ToPolicy<dispatch::PolicyChanged>(observer_.config()));
+}
+
+void ControlNode::PublishAdmission(core::Instant now) {
+  const control::Admission admission = observer_.Admit(now);
+  dispatch::AdmissionChanged changed;
+  changed.open = admission.state == control::AdmissionState::kOpen;
+  changed.reason = internal::ReasonOf(admission.state);
+  if (changed.open) changed.until = admission.until;
+  const bool same = published_admission_ &&
+                    published_admission_->open == changed.open &&
+                    published_admission_->until == changed.until;
+  if (same) return;
+  if (!published_admission_ || published_admission_->open != changed.open) {
+    log::Write(log::Level::kInfo, "admission_changed",
+               {{"open", changed.open}, {"reason", changed.reason}});
+  }
+  published_admission_ = changed;
+  sink_.set_admission(std::move(changed));
+}
+
+void ControlNode::PublishRoster(core::Instant now) {
+  std::vector<schema::Announcement> usable = roster_.Usable(now);
+  if (usable == published_upstreams_) return;
+  published_upstreams_ = usable;
+  sink_.set_upstreams(std::move(usable));
+}
+
+void ControlNode::PublishHosts(core::Instant now) {
+  control::Subject subject;
+  subject.data_centre = settings_.host.data_centre;
+  subject.host = self_;
+  const auto ttl =
+      observer_.config().Effective(schema::PolicyKey::kEntryTtl, subject);
+  auto shared = std::make_shared<Shared>();
+  shared->hosts = hosts_.View(now);
+  shared->entry_ttl = std::chrono::milliseconds(ttl);
+  shared_.store(std::move(shared));
+}
+
+}  // namespace foxquay::daemon
--- /dev/null
+++ b/src/foxquay/daemon/control_receive.cc
@@ -0,0 +1,153 @@
+#include "foxquay/daemon/control_node.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+#include <variant>
+
+#include "foxquay/daemon/clock.h"
+#include "foxquay/log/log.h"
+#include "foxquay/schema/codec.h"
+
+namespace foxquay::daemon {
+
+void ControlNode::Send(const core::HostId& to,
+                       const schema::PeerMessage& message) {
+  links_.Send(to, schema::Encode(message));
+}
+
+void ControlNode::SendPropose(const core::HostId& to,
+                              schema::ProposeRequest request) {
+  if (to != self_) {
+    Send(to, std::move(request));
+    return;
+  }
+  boost::asio::post(context_, [this, request = std::move(request)] {
+    AnswerPropose(self_, request);
+  });
+}
+
+void ControlNode::AnswerPropose(const core::HostId& to,
+                                const schema::ProposeRequest& request) {
+  schema::ProposeReply reply;
+  reply.incarnation = request.incarnation;
+  reply.number = request.number;
+  const auto answer = [this, to](schema::ProposeReply done) {
+    done.leader = KnownLeader();
+    if (to == self_) {
+      proposer_.HandleReply(done, Now());
+    } else {
+      Send(to, std::move(done));
+    }
+  };
+  if (!replica_) {
+    answer(std::move(reply));
+    return;
+  }
+  replica_->Propose(
+      request.command, WallNow(), Now(),
+      [answer, reply](const core::Result<schema::ControlResult>& result) {
+        schema::ProposeReply done = reply;
+        done.committed = result.has_value();
+        if (result) done.result = result.value();
+        answer(std::move(done));
+      });
+}
+
+void ControlNode::Receive(schema::Envelope envelope) {
+  auto message = schema::Decode<schema::PeerMessage>(envelope.payload);
+  if (!message) {
+    log::Write(log::Level::kWarn, "peer_message_malformed",
+               {{"host", envelope.sender}});
+    return;
+  }
+  std::visit([&](auto& content) { On(envelope, std::move(content)); },
+             message.value());
+}
+
+void ControlNode::On(const schema::Envelope&,
+                     schema::ConsensusMessage message) {
+  if (!replica_) return;
+  replica_->Handle(consensus::Received{std::move(message)}, Now());
+}
+
+void ControlNode::On(const schema::Envelope& from,
+                     const schema::ConfigPoll& poll) {
+  const core::Instant now = Now();
+  std::optional<schema::ConfigReply> reply;
+  if (replica_ && replica_->leads()) {
+    last_poll_[from.sender] = now;
+    reply = replica_->Answer(poll, now);
+  }
+  if (!reply) reply = observer_.Answer(poll, now);
+  if (reply) Send(from.sender, *std::move(reply));
+}
+
+void ControlNode::On(const schema::Envelope&,
+                     const schema::ConfigReply& reply) {
+  if (observer_.HandleReply(reply)) PublishPolicy();
+  PublishAdmission(Now());
+}
+
+void ControlNode::On(const schema::Envelope& from,
+                     const schema::RosterPoll& poll) {
+  Send(from.sender, roster_.Answer(poll, Now()));
+}
+
+void ControlNode::On(const schema::Envelope&,
+                     const schema::RosterReply& reply) {
+  const core::Instant now = Now();
+  roster_.Apply(reply, now);
+  PublishRoster(now);
+}
+
+void ControlNode::On(const schema::Envelope& from,
+                     const schema::ProposeRequest& request) {
+  AnswerPropose(from.sender, request);
+}
+
+void ControlNode::On(const schema::Envelope&,
+                     const schema::ProposeReply& reply) {
+  proposer_.HandleReply(reply, Now());
+}
+
+void ControlNode::On(const schema::Envelope& from,
+                     const schema::InForceRequest& request) {
+  schema::InForceReply reply;
+  reply.incarnation = request.incarnation;
+  reply.number = request.number;
+  const auto answer =
+      replica_ ? replica_->CheckInForce(request.sequence, Now()) : std::nullopt;
+  reply.known = answer.has_value();
+  if (answer) {
+    reply.in_force = answer->in_force;
+    reply.waiting = answer->waiting;
+    reply.expired = answer->expired;
+  }
+  Send(from.sender, std::move(reply));
+}
+
+void ControlNode::On(const schema::Envelope&,
+                     const schema::InForceReply& reply) {
+  if (reply.incarnation != incarnation_) return;
+  const auto found = checks_.find(reply.number);
+  if (found == checks_.end()) return;
+  const InForceDone done = std::move(found->second.done);
+  checks_.erase(found);
+  if (!reply.known) {
+    done(make_error_code(core::Error::kUnavailable));
+    return;
+  }
+  done(control::InForce{reply.in_force, reply.waiting, reply.expired});
+}
+
+void ControlNode::On(const schema::Envelope& from,
+                     const schema::HostReport& report) {
+  hosts_.HandleReport(from.sender, from.incarnation, report, Now());
+  // Hosts without a replica would pass on a leader that is long gone, and an
+  // isolated old leader still names itself under its older term.
+  if (report.leader.empty() || report.term < leader_term_) return;
+  leader_term_ = report.term;
+  proposer_.SetLeader(report.leader);
+}
+
+}  // namespace foxquay::daemon
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -6,16 +6,9 @@
 namespace foxquay::roster {
 namespace {
 
-/// Clock rate error between two hosts, in percent.
-constexpr int kClockErrorPercent = 1;
-
 /// Polls whose replies are still awaited; older ones are forgotten.
 constexpr std::size_t kMaxOpenPolls = 1024;
 
-core::Duration WithClockError(core::Duration age) {
-  return age + age * kClockErrorPercent / 100;
-}
-
 /// Returns the load in eighths of the slots: smaller changes are not spread.
 std::uint64_t LoadStep(const schema::Announcement& announcement) {
   if (announcement.slots == 0) return announcement.load;
@@ -148,7 +141,7 @@
   polls_.erase(poll);
   for (const schema::FeedUpdate& update : reply.feeds) {
     if (update.host == self_) continue;
-    ApplyFeed(update, sent - WithClockError(update.age), now);
+    ApplyFeed(update, sent - core::WithClockError(update.age), now);
   }
 }
 
--- a/tests/foxquay/control/lease_property_test.cc
+++ b/tests/foxquay/control/lease_property_test.cc
@@ -111,7 +111,7 @@
     for (auto& [sequence, commit] : commits_) {
       const InForce status = tracker_->Check(sequence, LeaderNow());
       commit.declared = commit.declared || status.in_force;
-      const bool due = now_ - commit.at >= WithClockError(kConfigLease);
+      const bool due = now_ - commit.at >= core::WithClockError(kConfigLease);
       RC_ASSERT(status.in_force ||
                 now_ - std::max(commit.at, led_since_) < 2 * kConfigLease);
       if (!commit.declared && !due) continue;
