--- a/src/foxquay_cli/admin.cc
+++ b/src/foxquay_cli/admin.cc
@@ -92,6 +92,17 @@
   return reply->body;
 }
 
+std::optional<AdminClient> OpenFromArguments(int argc, const char** argv,
+                                             AdminOptions& options,
+                                             int& status) {
+  Arguments arguments("");
+  options.AddTo(arguments);
+  status = kExitUsage;
+  if (!arguments.Parse(argc, argv)) return std::nullopt;
+  status = kExitConfig;
+  return AdminClient::Open(options);
+}
+
 int Explain(const AdminReply& reply) {
   const bool object = reply.body.is_object();
   if (object && reply.body.contains("findings")) {
--- a/src/foxquay_cli/admin.h
+++ b/src/foxquay_cli/admin.h
@@ -52,6 +52,11 @@
   std::string token_;
 };
 
+/// Parses a command line that has the admin options only and opens the client;
+/// on a fault sets the exit status and returns nothing.
+[[nodiscard]] std::optional<AdminClient> OpenFromArguments(
+    int argc, const char** argv, AdminOptions& options, int& status);
+
 /// Prints a fault reply with what to do next and returns the exit status.
 int Explain(const AdminReply& reply);
 
--- a/src/foxquay_cli/fleet_commands.cc
+++ b/src/foxquay_cli/fleet_commands.cc
@@ -11,12 +11,9 @@
 int Show(int argc, const char** argv, const std::string& path,
          const std::string& list, const std::vector<std::string>& columns) {
   AdminOptions admin;
-  Arguments arguments("");
-  admin.AddTo(arguments);
-  if (!arguments.Parse(argc, argv)) return kExitUsage;
-  const auto client = AdminClient::Open(admin);
-  if (!client) return kExitConfig;
   int status = kExitOk;
+  const auto client = OpenFromArguments(argc, argv, admin, status);
+  if (!client) return status;
   const auto body = client->Get(path, status);
   if (!body) return status;
   Print(admin.output, *body, list, columns);
@@ -69,12 +66,9 @@
 
 int Status(int argc, const char** argv) {
   AdminOptions admin;
-  Arguments arguments("");
-  admin.AddTo(arguments);
-  if (!arguments.Parse(argc, argv)) return kExitUsage;
-  const auto client = AdminClient::Open(admin);
-  if (!client) return kExitConfig;
   int status = kExitOk;
+  const auto client = OpenFromArguments(argc, argv, admin, status);
+  if (!client) return status;
   const auto body = client->Get("/admin/v1/status", status);
   if (!body) return status;
   if (admin.output == "json") {
@@ -87,11 +81,9 @@
 
 int Drain(int argc, const char** argv) {
   AdminOptions admin;
-  Arguments arguments("");
-  admin.AddTo(arguments);
-  if (!arguments.Parse(argc, argv)) return kExitUsage;
-  const auto client = AdminClient::Open(admin);
-  if (!client) return kExitConfig;
+  int status = kExitOk;
+  const auto client = OpenFromArguments(argc, argv, admin, status);
+  if (!client) return status;
   const auto reply = client->Call("POST", "/admin/v1/drain", nullptr);
   if (!reply) {
     std::cerr << "foxquay: no answer; check with foxquay status\n";
--- a/src/foxquay_cli/policy_commands.cc
+++ b/src/foxquay_cli/policy_commands.cc
@@ -123,12 +123,9 @@
 
 int History(int argc, const char** argv) {
   AdminOptions admin;
-  Arguments arguments("");
-  admin.AddTo(arguments);
-  if (!arguments.Parse(argc, argv)) return kExitUsage;
-  const auto client = AdminClient::Open(admin);
-  if (!client) return kExitConfig;
   int status = kExitOk;
+  const auto client = OpenFromArguments(argc, argv, admin, status);
+  if (!client) return status;
   const auto body = client->Get("/admin/v1/history", status);
   if (!body) return status;
   if ((*body)["history"].empty()) {
