Let hosts join without being in the settings of others

Cause: a host replied only to hosts in its own settings, so a new host took part only after the settings of all others were changed and they restarted; hosts must be able to join without warning. Change: hosts pass on where they and the hosts they hear from are reached, to one host in turn every 500 ms; what a host states of itself under a newer incarnation replaces older knowledge; hosts outside the settings are forgotten after 60 s of silence. Ruled out: carrying addresses in each report (they do not fit a datagram at the design size). Before: not possible. After: a process test with two strangers among five hosts passes: each host's entry answer names all five, an upstream announced at a stranger is used by the others, a killed stranger leaves the answer. Conclusion: settings need the control hosts only.

--- a/bench/metrics/main.cc
+++ b/bench/metrics/main.cc
@@ -42,9 +42,8 @@
   }
   const std::chrono::duration<double, std::micro> taken =
       std::chrono::steady_clock::now() - started;
-  std::cout << workspaces << " workspaces: "
-            << ResidentKilobytes() - before << " KB, "
-            << taken.count() / records << " us a record, exposition "
+  std::cout << workspaces << " workspaces: " << ResidentKilobytes() - before
+            << " KB, " << taken.count() / records << " us a record, exposition "
             << registry.Expose().size() / 1024 << " KB\n";
 }
 
--- a/src/foxquay/daemon/control_hosts.cc
+++ b/src/foxquay/daemon/control_hosts.cc
@@ -7,11 +7,14 @@
 Hosts::Hosts(const schema::Settings& settings) : self_(settings.host.id) {
   const auto add = [this](HostView view) {
     order_.push_back(view.id);
-    entries_[view.id].view = std::move(view);
+    Entry& entry = entries_[view.id];
+    entry.configured = true;
+    entry.view = std::move(view);
   };
   const auto& roles = settings.host.roles;
   HostView own;
   own.id = self_;
+  own.peer = settings.listeners.peer;
   own.caller = settings.listeners.caller;
   own.data_centre = settings.host.data_centre;
   own.region = settings.host.region;
@@ -21,6 +24,7 @@
   for (const schema::PeerSettings& peer : settings.peers) {
     HostView view;
     view.id = peer.id;
+    view.peer = peer.address;
     view.caller = peer.caller;
     view.data_centre = peer.data_centre;
     view.region = peer.region;
@@ -48,6 +52,57 @@
   own.report = report;
 }
 
+bool Hosts::Alive(const core::HostId& id, const Entry& entry,
+                  core::Instant now) const {
+  return id == self_ || (entry.reported && now - entry.heard <= kHostSilence);
+}
+
+bool Hosts::Learn(const schema::HostAddress& address, core::Instant now) {
+  if (address.id == self_) return false;
+  const auto [found, inserted] = entries_.try_emplace(address.id, Entry{});
+  Entry& entry = found->second;
+  if (inserted) {
+    order_.push_back(address.id);
+    entry.heard = now;
+  } else if (address.incarnation <= entry.stated) {
+    return false;
+  }
+  const bool moved = inserted || entry.view.peer != address.peer;
+  entry.stated = address.incarnation;
+  entry.view.id = address.id;
+  entry.view.peer = address.peer;
+  entry.view.caller = address.caller;
+  entry.view.data_centre = address.data_centre;
+  entry.view.region = address.region;
+  entry.view.control = address.control;
+  return moved;
+}
+
+schema::HostList Hosts::Heard(core::Instant now) const {
+  schema::HostList list;
+  for (const core::HostId& id : order_) {
+    const Entry& entry = entries_.at(id);
+    if (!Alive(id, entry, now)) continue;
+    const HostView& view = entry.view;
+    list.hosts.push_back({id, view.incarnation, view.peer, view.caller,
+                          view.data_centre, view.region, view.control});
+  }
+  return list;
+}
+
+std::vector<core::HostId> Hosts::Forget(core::Instant now) {
+  std::vector<core::HostId> forgotten;
+  for (const auto& [id, entry] : entries_) {
+    const bool silent = now - entry.heard > kForgetSilence;
+    if (!entry.configured && silent) forgotten.push_back(id);
+  }
+  for (const core::HostId& id : forgotten) {
+    entries_.erase(id);
+    std::erase(order_, id);
+  }
+  return forgotten;
+}
+
 std::vector<HostView> Hosts::View(core::Instant now) const {
   std::vector<HostView> views;
   for (const core::HostId& id : order_) {
@@ -70,17 +125,18 @@
   return converted;
 }
 
-entry::Distances DistancesOf(const schema::Settings& settings) {
+entry::Distances DistancesOf(const std::vector<HostView>& hosts) {
   constexpr core::Duration kWithinRegion = std::chrono::milliseconds(1);
   constexpr core::Duration kBetweenRegions = std::chrono::milliseconds(100);
+  std::map<core::DataCentreId, core::RegionId> centres;
+  for (const HostView& host : hosts) centres[host.data_centre] = host.region;
   entry::Distances distances;
-  const std::vector<HostView> hosts = Hosts(settings).View({});
-  for (const HostView& left : hosts) {
-    for (const HostView& right : hosts) {
-      if (left.data_centre == right.data_centre) continue;
-      const bool near = left.region == right.region;
-      distances.Set(left.data_centre, right.data_centre,
-                    near ? kWithinRegion : kBetweenRegions);
+  for (const auto& [left, left_region] : centres) {
+    for (const auto& [right, right_region] : centres) {
+      if (left == right) continue;
+      distances.Set(
+          left, right,
+          left_region == right_region ? kWithinRegion : kBetweenRegions);
     }
   }
   return distances;
--- a/src/foxquay/daemon/control_hosts.h
+++ b/src/foxquay/daemon/control_hosts.h
@@ -18,9 +18,13 @@
 /// Silence after which a host leaves the entry answer.
 inline constexpr core::Duration kHostSilence = std::chrono::milliseconds(1500);
 
+/// Silence after which a host that the settings do not name is forgotten.
+inline constexpr core::Duration kForgetSilence = std::chrono::seconds(60);
+
 /// What is known of one host of the cluster.
 struct HostView {
   core::HostId id;
+  std::string peer;    ///< Peer listener.
   std::string caller;  ///< Caller listener.
   core::DataCentreId data_centre;
   core::RegionId region;
@@ -32,7 +36,8 @@
   friend bool operator==(const HostView&, const HostView&) = default;
 };
 
-/// The hosts of the settings and their latest reports. Not thread-safe.
+/// The hosts of the settings, those that joined since, and their latest
+/// reports. Not thread-safe.
 class Hosts {
  public:
   explicit Hosts(const schema::Settings& settings);
@@ -41,6 +46,16 @@
   void HandleReport(const core::HostId& host, std::uint64_t incarnation,
                     const schema::HostReport& report, core::Instant now);
 
+  /// Takes what a host stated of itself, maybe passed on by another; returns
+  /// whether the host is new or has moved.
+  bool Learn(const schema::HostAddress& address, core::Instant now);
+
+  /// Returns the hosts to pass on: this one and those heard from lately.
+  [[nodiscard]] schema::HostList Heard(core::Instant now) const;
+
+  /// Drops hosts that are silent and not in the settings; returns them.
+  std::vector<core::HostId> Forget(core::Instant now);
+
   /// Sets this host's own report.
   void SetOwn(std::uint64_t incarnation, const schema::HostReport& report);
 
@@ -52,8 +67,13 @@
     HostView view;
     core::Instant heard;
     bool reported = false;
+    bool configured = false;   ///< In the settings.
+    std::uint64_t stated = 0;  ///< Incarnation that stated its addresses.
   };
 
+  [[nodiscard]] bool Alive(const core::HostId& id, const Entry& entry,
+                           core::Instant now) const;
+
   core::HostId self_;
   std::vector<core::HostId> order_;
   std::map<core::HostId, Entry> entries_;
@@ -64,7 +84,7 @@
     const std::vector<HostView>& hosts);
 
 /// Returns nominal latencies: data centres of one region are near each other.
-[[nodiscard]] entry::Distances DistancesOf(const schema::Settings& settings);
+[[nodiscard]] entry::Distances DistancesOf(const std::vector<HostView>& hosts);
 
 }  // namespace foxquay::daemon
 
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -65,7 +65,6 @@
       observer_(self_, incarnation),
       roster_(self_, incarnation),
       hosts_(settings),
-      distances_(DistancesOf(settings)),
       proposer_(incarnation, internal::ControlHosts(settings),
                 [this](const core::HostId& to, schema::ProposeRequest request) {
                   SendPropose(to, std::move(request));
@@ -160,6 +159,7 @@
   ExpireChecks(now);
   if (now >= next_config_poll_) PollConfig(now);
   if (now >= next_roster_poll_) PollRoster(now);
+  if (now >= next_spread_) SpreadHosts(now);
   Register(now);
   EndSilentIncarnations(now);
   PublishAdmission(now);
@@ -198,8 +198,8 @@
   const std::shared_ptr<const Shared> shared = shared_.load();
   const core::DataCentreId& nearest =
       data_centre.empty() ? settings_.host.data_centre : data_centre;
-  const entry::Answer chosen = entry::Choose(EntryHosts(shared->hosts), nearest,
-                                             distances_, shared->entry_ttl);
+  const entry::Answer chosen = entry::Choose(
+      EntryHosts(shared->hosts), nearest, shared->distances, shared->entry_ttl);
   http::EntryAnswer answer;
   answer.ttl = chosen.ttl;
   for (const entry::Address& address : chosen.addresses) {
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -40,6 +40,10 @@
 inline constexpr core::Duration kConfigPollInterval =
     std::chrono::milliseconds(250);
 
+/// Interval between two lists of hosts, each to the next host in turn.
+inline constexpr core::Duration kSpreadInterval =
+    std::chrono::milliseconds(500);
+
 /// Time after which a protected request is refused if its claim is undecided.
 inline constexpr core::Duration kClaimTimeout = std::chrono::milliseconds(2000);
 
@@ -132,6 +136,7 @@
   /// Immutable data that traffic threads read.
   struct Shared {
     std::vector<HostView> hosts;
+    entry::Distances distances;
     core::Duration entry_ttl{};
   };
   struct OpenClaim {
@@ -161,6 +166,7 @@
   void On(const schema::Envelope& from, const schema::InForceRequest& request);
   void On(const schema::Envelope& from, const schema::InForceReply& reply);
   void On(const schema::Envelope& from, const schema::HostReport& report);
+  void On(const schema::Envelope& from, const schema::HostList& list);
 
   void Send(const core::HostId& to, const schema::PeerMessage& message);
   void SendPropose(const core::HostId& to, schema::ProposeRequest request);
@@ -170,6 +176,8 @@
   void SyncObserver();
   void PollConfig(core::Instant now);
   void PollRoster(core::Instant now);
+  void SpreadHosts(core::Instant now);
+  void ForgetHosts(core::Instant now);
   void Register(core::Instant now);
   void EndSilentIncarnations(core::Instant now);
   void PublishPolicy();
@@ -198,7 +206,6 @@
   control::Observer observer_;
   roster::Roster roster_;
   Hosts hosts_;
-  const entry::Distances distances_;
   Proposer proposer_;
   std::unique_ptr<ControlDisk> disk_;
   std::optional<ControlReplica> replica_;
@@ -208,6 +215,8 @@
   core::Instant next_config_poll_{};
   core::Instant next_roster_poll_{};
   core::Instant next_registration_{};
+  core::Instant next_spread_{};
+  std::size_t next_spread_peer_ = 0;
   bool registering_ = false;
   bool draining_ = false;
   std::uint64_t published_sequence_ = UINT64_MAX;
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -66,6 +66,21 @@
   }
 }
 
+void ControlNode::SpreadHosts(core::Instant now) {
+  next_spread_ = now + kSpreadInterval;
+  ForgetHosts(now);
+  if (peers_.empty()) return;
+  next_spread_peer_ = (next_spread_peer_ + 1) % peers_.size();
+  Send(peers_[next_spread_peer_], hosts_.Heard(now));
+}
+
+void ControlNode::ForgetHosts(core::Instant now) {
+  for (const core::HostId& host : hosts_.Forget(now)) {
+    std::erase(peers_, host);
+    roster_.Forget(host);
+  }
+}
+
 void ControlNode::Register(core::Instant now) {
   const bool live = observer_.config().Live(self_, observer_.incarnation());
   if (live || registering_ || now < next_registration_) return;
@@ -141,9 +156,14 @@
   subject.host = self_;
   const auto ttl =
       observer_.config().Effective(schema::PolicyKey::kEntryTtl, subject);
+  const std::chrono::milliseconds entry_ttl(ttl);
+  std::vector<HostView> hosts = hosts_.View(now);
+  const std::shared_ptr<const Shared> current = shared_.load();
+  if (current->hosts == hosts && current->entry_ttl == entry_ttl) return;
   auto shared = std::make_shared<Shared>();
-  shared->hosts = hosts_.View(now);
-  shared->entry_ttl = std::chrono::milliseconds(ttl);
+  shared->distances = DistancesOf(hosts);
+  shared->hosts = std::move(hosts);
+  shared->entry_ttl = entry_ttl;
   shared_.store(std::move(shared));
 }
 
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 #include <variant>
@@ -149,4 +150,22 @@
   proposer_.SetLeader(report.leader);
 }
 
+void ControlNode::On(const schema::Envelope& from,
+                     const schema::HostList& list) {
+  const core::Instant now = Now();
+  bool joined = false;
+  for (const schema::HostAddress& address : list.hosts) {
+    const bool known =
+        std::find(peers_.begin(), peers_.end(), address.id) != peers_.end();
+    if (!hosts_.Learn(address, now)) continue;
+    if (links_.SetPeer(address.id, address.peer)) continue;
+    if (known) continue;
+    peers_.push_back(address.id);
+    joined = true;
+    log::Write(log::Level::kInfo, "host_joined",
+               {{"host", address.id}, {"address", address.peer}});
+  }
+  if (joined) Send(from.sender, hosts_.Heard(now));
+}
+
 }  // namespace foxquay::daemon
--- a/src/foxquay/schema/peer.h
+++ b/src/foxquay/schema/peer.h
@@ -97,6 +97,44 @@
   }
 };
 
+/// Where a host is reached, as it states itself.
+struct HostAddress {
+  core::HostId id;  ///< Name of the host.
+  std::uint64_t incarnation =
+      0;  ///< Incarnation that stated it; 0 if it comes from settings.
+  std::string peer;                ///< Peer listener.
+  std::string caller;              ///< Caller listener.
+  core::DataCentreId data_centre;  ///< Its data centre.
+  core::RegionId region;           ///< Its region.
+  bool control = false;            ///< Whether it holds a replica of the log.
+
+  friend bool operator==(const HostAddress&, const HostAddress&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(id);
+    archive(incarnation);
+    archive(Bound(peer, 64));
+    archive(Bound(caller, 64));
+    archive(data_centre);
+    archive(region);
+    archive(control);
+  }
+};
+
+/// Hosts that the sender has heard from lately, itself first; how hosts join
+/// without being in the settings of others.
+struct HostList {
+  std::vector<HostAddress> hosts;  ///< The hosts.
+
+  friend bool operator==(const HostList&, const HostList&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(Bound(hosts, 1024));
+  }
+};
+
 /// State of a host, sent to the others at each roster poll.
 struct HostReport {
   bool draining = false;            ///< Whether it leaves the entry answer.
@@ -126,7 +164,7 @@
 using PeerMessage =
     std::variant<ConsensusMessage, ConfigPoll, ConfigReply, RosterPoll,
                  RosterReply, ProposeRequest, ProposeReply, InForceRequest,
-                 InForceReply, HostReport>;
+                 InForceReply, HostReport, HostList>;
 
 }  // namespace foxquay::schema
 
--- a/tests/foxquay/daemon/cluster.cc
+++ b/tests/foxquay/daemon/cluster.cc
@@ -34,7 +34,7 @@
 
 }  // namespace internal
 
-Cluster::Cluster(std::size_t hosts, std::size_t replicas)
+Cluster::Cluster(std::size_t hosts, std::size_t replicas, std::size_t strangers)
     : folder_(internal::MakeClusterFolder()), listeners_(hosts), hosts_(hosts) {
   for (const char* name : {"/key", "/token"}) {
     std::ofstream(folder_ + name) << "0123456789abcdef\n";
@@ -43,7 +43,7 @@
                                      std::filesystem::perms::owner_write);
   }
   for (std::size_t host = 0; host < hosts; ++host) {
-    WriteSettings(host, replicas);
+    WriteSettings(host, replicas, strangers);
     Start(host);
   }
 }
@@ -58,7 +58,10 @@
   return folder_ + "/h" + std::to_string(host) + suffix;
 }
 
-void Cluster::WriteSettings(std::size_t host, std::size_t replicas) const {
+void Cluster::WriteSettings(std::size_t host, std::size_t replicas,
+                            std::size_t strangers) const {
+  const std::size_t known = listeners_.size() - strangers;
+  const bool stranger = host >= known;
   const Listeners& own = listeners_[host];
   std::ofstream out(Path(host, ".yaml"));
   out << "host: {id: h" << host << ", data_centre: osborne, region: perth, "
@@ -68,7 +71,7 @@
       << own.upstream << "\", admin: \"" << own.admin << "\", peer: \""
       << own.peer << "\"}\npeers:\n";
   for (std::size_t other = 0; other < listeners_.size(); ++other) {
-    if (other == host) continue;
+    if (other == host || other >= (stranger ? replicas : known)) continue;
     out << "  - {id: h" << other << ", address: \"" << listeners_[other].peer
         << "\", caller: \"" << listeners_[other].caller
         << "\", data_centre: osborne, region: perth, control: "
@@ -150,6 +153,13 @@
                         {{"X-Foxquay-Workspace", "test"}});
 }
 
+std::size_t Cluster::EntryAddresses(std::size_t host) const {
+  const auto result =
+      internal::Send(listeners_[host].caller, "GET", "/v1/entry", "", {});
+  if (!result.reply) return 0;
+  return nlohmann::json::parse(result.reply->body)["addresses"].size();
+}
+
 bool Cluster::AwaitAdmitting(std::size_t host) const {
   return Await([&] {
     const AdminAnswer answer = Admin(host, "GET", "/admin/v1/status");
--- a/tests/foxquay/daemon/cluster.h
+++ b/tests/foxquay/daemon/cluster.h
@@ -23,7 +23,9 @@
 /// Several hosts on loopback, the first ones with a replica of the log.
 class Cluster {
  public:
-  Cluster(std::size_t hosts, std::size_t replicas);
+  /// The last `strangers` hosts are in nobody's settings and know only the
+  /// replicas themselves.
+  Cluster(std::size_t hosts, std::size_t replicas, std::size_t strangers = 0);
   ~Cluster();
   Cluster(const Cluster&) = delete;
   Cluster& operator=(const Cluster&) = delete;
@@ -54,6 +56,9 @@
   /// Sends an ordinary call to the service.
   [[nodiscard]] http::ServiceResult Read(std::size_t host) const;
 
+  /// Returns the addresses in the entry answer of a host.
+  [[nodiscard]] std::size_t EntryAddresses(std::size_t host) const;
+
   [[nodiscard]] bool AwaitAdmitting(std::size_t host) const;
   /// Waits until an ordinary call through the host succeeds.
   [[nodiscard]] bool AwaitService(std::size_t host) const;
@@ -69,7 +74,8 @@
     std::string peer = FreeAddress();
   };
 
-  void WriteSettings(std::size_t host, std::size_t replicas) const;
+  void WriteSettings(std::size_t host, std::size_t replicas,
+                     std::size_t strangers) const;
   [[nodiscard]] std::string Path(std::size_t host,
                                  const std::string& suffix) const;
 
--- a/tests/foxquay/daemon/control_test.cc
+++ b/tests/foxquay/daemon/control_test.cc
@@ -220,4 +220,21 @@
   }
 }
 
+// Guards against a host that can take part only after the settings of all
+// others were changed.
+TEST_CASE("hosts join without being in the settings of others") {
+  constexpr std::size_t kAll = 5;
+  Cluster cluster(kAll, 1, 2);
+  for (std::size_t host = 0; host < kAll; ++host) {
+    REQUIRE(cluster.AwaitAdmitting(host));
+  }
+  for (std::size_t host = 0; host < kAll; ++host) {
+    CHECK(Await([&] { return cluster.EntryAddresses(host) == kAll; }));
+  }
+  cluster.StartService(kAll - 1);
+  CHECK(cluster.AwaitService(1));
+  cluster.Kill(kAll - 1);
+  CHECK(Await([&] { return cluster.EntryAddresses(1) == kAll - 1; }));
+}
+
 }  // namespace foxquay::daemon
