--- a/bench/metrics/main.cc
+++ b/bench/metrics/main.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <cstdint>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -12,10 +13,10 @@
 
 namespace {
 
-long ResidentKilobytes() {
+std::int64_t ResidentKilobytes() {
   std::ifstream in("/proc/self/statm");
-  long total = 0;
-  long resident = 0;
+  std::int64_t total = 0;
+  std::int64_t resident = 0;
   in >> total >> resident;
   return resident * sysconf(_SC_PAGESIZE) / 1024;
 }
@@ -23,7 +24,7 @@
 void Measure(int workspaces) {
   using foxquay::core::TrafficClass;
   using foxquay::metrics::Series;
-  const long before = ResidentKilobytes();
+  const std::int64_t before = ResidentKilobytes();
   foxquay::metrics::Registry registry;
   const auto started = std::chrono::steady_clock::now();
   int records = 0;
--- a/src/foxquay/daemon/control_hosts.cc
+++ b/src/foxquay/daemon/control_hosts.cc
@@ -117,6 +117,7 @@
 
 std::vector<entry::Host> EntryHosts(const std::vector<HostView>& hosts) {
   std::vector<entry::Host> converted;
+  converted.reserve(hosts.size());
   for (const HostView& host : hosts) {
     converted.push_back({host.id, host.caller, host.data_centre, host.alive,
                          host.report.draining, host.report.admitting,
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -173,7 +173,7 @@
 
 core::HostId ControlNode::KnownLeader() const {
   if (replica_) {
-    const core::HostId leader = replica_->leader();
+    core::HostId leader = replica_->leader();
     if (!leader.empty()) return leader;
   }
   return proposer_.leader();
