Count and log requests that are refused for their form

Cause: a 4xx for broken JSON, an unknown model or a bad header ended before the request reached the engine, so no counter and no log line showed it. Ruled out: passing such requests to the engine (it takes checked forms only). Before: foxquay_requests_total missed them.

--- a/src/foxquay/daemon/caller_api.cc
+++ b/src/foxquay/daemon/caller_api.cc
@@ -102,10 +102,12 @@
 
 }  // namespace internal
 
-CallerApi::CallerApi(Traffic& traffic, std::string self, Entry entry)
+CallerApi::CallerApi(Traffic& traffic, std::string self, Entry entry,
+                     const ControlHooks& hooks)
     : traffic_(traffic),
       self_(std::move(self)),
       entry_(std::move(entry)),
+      hooks_(hooks),
       started_(std::chrono::steady_clock::now()) {}
 
 std::vector<http::Route> CallerApi::Routes() {
@@ -132,12 +134,12 @@
       traffic_.Policy(schema::PolicyKey::kRequestMaxTokens))};
   auto form = http::ReadCompletion(incoming, limits);
   if (const auto* problem = std::get_if<http::Problem>(&form)) {
-    return http::Render(*problem);
+    return Reject(*problem);
   }
   auto& request = std::get<http::CompletionRequest>(form);
   const auto& work = std::get<dispatch::Completion>(request.submission.work);
   if (!traffic_.Knows(work.model) && !IsYoung()) {
-    return http::Render(http::Problem{404, "model", "unknown model"});
+    return Reject({404, "model", "unknown model"});
   }
   Order order;
   order.digest = Digest({request.submission.workspace.value(), incoming.method,
@@ -152,12 +154,12 @@
 http::Outgoing CallerApi::CallService(http::Incoming&& incoming) {
   auto form = http::ReadServiceCall(incoming);
   if (const auto* problem = std::get_if<http::Problem>(&form)) {
-    return http::Render(*problem);
+    return Reject(*problem);
   }
   auto& request = std::get<http::ServiceRequest>(form);
   const auto& work = std::get<dispatch::ServiceCall>(request.submission.work);
   if (!traffic_.Knows(work.service) && !IsYoung()) {
-    return http::Render(http::Problem{404, "service", "unknown service"});
+    return Reject({404, "service", "unknown service"});
   }
   Order order;
   order.digest = Digest({request.submission.workspace.value(), incoming.method,
@@ -243,4 +245,14 @@
   return std::chrono::steady_clock::now() - started_ < internal::kYouth;
 }
 
+http::Outgoing CallerApi::Reject(const http::Problem& problem) {
+  if (hooks_.request_ended) {
+    RequestEnd end;
+    end.outcome = core::Outcome::kNotRun;
+    end.reason = problem.field + ": " + problem.message;
+    hooks_.request_ended(end);
+  }
+  return http::Render(problem);
+}
+
 }  // namespace foxquay::daemon
--- a/src/foxquay/daemon/caller_api.h
+++ b/src/foxquay/daemon/caller_api.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "foxquay/core/time.h"
+#include "foxquay/daemon/hooks.h"
 #include "foxquay/daemon/traffic.h"
 #include "foxquay/http/caller.h"
 #include "foxquay/http/server.h"
@@ -20,7 +21,9 @@
 
   /// @param self This host's caller address, left out where a refusal names
   /// other addresses.
-  CallerApi(Traffic& traffic, std::string self, Entry entry);
+  /// @param hooks Told of requests that are refused for their form.
+  CallerApi(Traffic& traffic, std::string self, Entry entry,
+            const ControlHooks& hooks);
 
   [[nodiscard]] std::vector<http::Route> Routes();
 
@@ -33,11 +36,13 @@
   http::Outgoing Stream(const Ticket& ticket);
   http::Outgoing CollectAnswer(const Ticket& ticket);
   http::Outgoing Refuse(const Progress& last);
+  http::Outgoing Reject(const http::Problem& problem);
   bool IsYoung() const;
 
   Traffic& traffic_;
   std::string self_;
   Entry entry_;
+  const ControlHooks& hooks_;
   core::Instant started_;
 };
 
--- a/src/foxquay/daemon/host.cc
+++ b/src/foxquay/daemon/host.cc
@@ -49,7 +49,8 @@
                hooks_),
       callers_(
           traffic_, settings.listeners.caller,
-          [this](const core::DataCentreId& nearest) { return Entry(nearest); }),
+          [this](const core::DataCentreId& nearest) { return Entry(nearest); },
+          hooks_),
       caller_server_({settings.limits.max_body_bytes}, callers_.Routes()),
       upstream_server_({settings.limits.max_body_bytes}, UpstreamRoutes()) {
   for (const std::string& text : settings_.security.upstream_networks) {
--- a/tests/foxquay/daemon/serve_test.cc
+++ b/tests/foxquay/daemon/serve_test.cc
@@ -269,7 +269,8 @@
         (site.Log("desk-1").empty() ? "complete" : "unknown"));
 }
 
-// Guards against bad input that is dispatched, or refused without a reason.
+// Guards against bad input that is dispatched, or refused without a reason or a
+// log line.
 TEST_CASE("bad input gets a 4xx that names the field") {
   struct Row {
     std::string name;
@@ -357,6 +358,7 @@
   REQUIRE(result.reply);
   CHECK(result.reply->status == 400);
   CHECK(site.Log("whole").empty());
+  CHECK(Contains(site.HostLog(), "outcome=not-run tokens=0"));
 }
 
 }  // namespace foxquay::daemon
