--- a/src/foxquay/control/in_force_tracker.cc
+++ b/src/foxquay/control/in_force_tracker.cc
@@ -5,14 +5,12 @@
 #include "foxquay/control/clock.h"
 
 namespace foxquay::control {
-namespace internal {
 
-constexpr core::Duration kLeaseElsewhere = core::WithClockError(kConfigLease);
-
-}  // namespace internal
-
-InForceTracker::InForceTracker(const Config& config, core::Instant now)
-    : start_(now), sequence_(config.sequence()) {
+InForceTracker::InForceTracker(const Config& config, core::Instant now,
+                               core::Duration lease)
+    : start_(now),
+      lease_elsewhere_(core::WithClockError(lease)),
+      sequence_(config.sequence()) {
   for (const auto& [host, record] : config.hosts()) {
     if (record.live) live_[host] = record.incarnation;
   }
@@ -55,14 +53,13 @@
     if (!Applied({host, incarnation}, sequence)) behind.push_back(host);
   }
   for (const auto& [process, ended] : ended_) {
-    if (now - ended < internal::kLeaseElsewhere &&
-        !Applied(process, sequence)) {
+    if (now - ended < lease_elsewhere_ && !Applied(process, sequence)) {
       behind.push_back(process.first);
     }
   }
   // Processes that ended before this leader's time are unknown to it.
-  const bool hosts_known = now - start_ >= internal::kLeaseElsewhere;
-  if (now - CommitTime(sequence) >= internal::kLeaseElsewhere) {
+  const bool hosts_known = now - start_ >= lease_elsewhere_;
+  if (now - CommitTime(sequence) >= lease_elsewhere_) {
     result.in_force = true;
     result.expired = std::move(behind);
   } else {
@@ -88,11 +85,11 @@
 
 void InForceTracker::DropOld(core::Instant now) {
   while (!commits_.empty() &&
-         now - commits_.begin()->second >= 2 * internal::kLeaseElsewhere) {
+         now - commits_.begin()->second >= 2 * lease_elsewhere_) {
     commits_.erase(commits_.begin());
   }
   std::erase_if(ended_, [&](const auto& item) {
-    return now - item.second >= internal::kLeaseElsewhere;
+    return now - item.second >= lease_elsewhere_;
   });
   std::erase_if(applied_, [&](const auto& item) {
     const auto live = live_.find(item.first.first);
--- a/src/foxquay/control/in_force_tracker.h
+++ b/src/foxquay/control/in_force_tracker.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "foxquay/control/clock.h"
 #include "foxquay/control/config.h"
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
@@ -27,8 +28,10 @@
 /// Not thread-safe.
 class InForceTracker {
  public:
-  /// Starts when this replica becomes leader; `config` is its configuration.
-  InForceTracker(const Config& config, core::Instant now);
+  /// Starts when this replica becomes leader; `config` is its configuration
+  /// and `lease` that of all hosts.
+  InForceTracker(const Config& config, core::Instant now,
+                 core::Duration lease = kConfigLease);
 
   /// Notes that the leader applied the next step at `now`.
   void HandleCommit(const schema::ConfigEntry& entry, core::Instant now);
@@ -49,6 +52,7 @@
   void DropOld(core::Instant now);
 
   core::Instant start_;
+  core::Duration lease_elsewhere_;
   std::uint64_t sequence_ = 0;
   std::map<core::HostId, std::uint64_t> live_;
   std::map<Process, core::Instant> ended_;  ///< May still hold a lease.
--- a/src/foxquay/control/observer.cc
+++ b/src/foxquay/control/observer.cc
@@ -13,8 +13,9 @@
 
 }  // namespace internal
 
-Observer::Observer(core::HostId host, std::uint64_t incarnation)
-    : host_(std::move(host)), incarnation_(incarnation) {}
+Observer::Observer(core::HostId host, std::uint64_t incarnation,
+                   core::Duration lease)
+    : host_(std::move(host)), incarnation_(incarnation), lease_(lease) {}
 
 void Observer::SetIncarnation(std::uint64_t incarnation) {
   incarnation_ = incarnation;
@@ -24,7 +25,8 @@
 schema::ConfigPoll Observer::StartPoll(core::Instant now) {
   polls_.emplace_back(next_poll_, now);
   if (polls_.size() > internal::kMaxOpenPolls) polls_.pop_front();
-  return {host_, incarnation_, next_poll_++, config_.sequence()};
+  return {host_, incarnation_, next_poll_++, config_.sequence(),
+          fleet_version_};
 }
 
 bool Observer::HandleReply(const schema::ConfigReply& reply) {
@@ -37,6 +39,7 @@
   polls_.erase(poll);
   const bool changed = Take(reply);
   if (config_.sequence() >= reply.sequence &&
+      fleet_version_ >= reply.fleet_version &&
       reply.age >= core::Duration::zero()) {
     Confirm(sent - core::WithClockError(reply.age));
   }
@@ -51,7 +54,12 @@
   for (const schema::ConfigEntry& entry : reply.entries) {
     if (config_.Apply(entry)) feed_.Append(entry);
   }
-  return config_.sequence() != before;
+  const std::uint64_t fleet_before = fleet_version_;
+  if (reply.fleet_version > fleet_version_ && !reply.fleet.empty()) {
+    fleet_version_ = reply.fleet_version;
+    fleet_ = reply.fleet;
+  }
+  return config_.sequence() != before || fleet_version_ != fleet_before;
 }
 
 void Observer::Confirm(core::Instant at) {
@@ -62,6 +70,7 @@
                     core::Instant now) {
   schema::ConfigPoll poll;
   poll.sequence = config_.sequence();
+  poll.fleet_version = fleet_version_;
   const bool changed =
       Take(state.Answer(poll, age.value_or(core::Duration::zero())));
   if (age) Confirm(now - core::WithClockError(*age));
@@ -71,7 +80,10 @@
 std::optional<schema::ConfigReply> Observer::Answer(
     const schema::ConfigPoll& poll, core::Instant now) const {
   if (!confirmed_) return std::nullopt;
-  return feed_.Answer(config_, poll, now - *confirmed_);
+  schema::ConfigReply reply = feed_.Answer(config_, poll, now - *confirmed_);
+  reply.fleet_version = fleet_version_;
+  if (poll.fleet_version < fleet_version_) reply.fleet = fleet_;
+  return reply;
 }
 
 Admission Observer::Admit(core::Instant now) const {
@@ -85,7 +97,7 @@
 
 std::optional<core::Instant> Observer::LeaseEnd() const noexcept {
   if (!confirmed_) return std::nullopt;
-  return *confirmed_ + kConfigLease;
+  return *confirmed_ + lease_;
 }
 
 }  // namespace foxquay::control
--- a/src/foxquay/control/observer.h
+++ b/src/foxquay/control/observer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "foxquay/control/clock.h"
@@ -36,8 +37,10 @@
 /// Not thread-safe. Performs no I/O and keeps nothing on disk.
 class Observer {
  public:
-  /// Precondition: `incarnation` is larger than any before of this host.
-  Observer(core::HostId host, std::uint64_t incarnation);
+  /// Precondition: `incarnation` is larger than any before of this host; all
+  /// hosts use the same `lease`.
+  Observer(core::HostId host, std::uint64_t incarnation,
+           core::Duration lease = kConfigLease);
 
   /// Adopts a new incarnation, e.g. after this one was ended by mistake;
   /// replies to polls of the old one are ignored.
@@ -67,6 +70,12 @@
   [[nodiscard]] std::optional<core::Instant> LeaseEnd() const noexcept;
 
   [[nodiscard]] const Config& config() const noexcept { return config_; }
+  /// Returns the version of the fleet's configuration; 0 if none is known.
+  [[nodiscard]] std::uint64_t fleet_version() const noexcept {
+    return fleet_version_;
+  }
+  /// Returns the encoded configuration of the fleet; empty if none is known.
+  [[nodiscard]] const std::string& fleet() const noexcept { return fleet_; }
   [[nodiscard]] std::uint64_t incarnation() const noexcept {
     return incarnation_;
   }
@@ -77,6 +86,9 @@
 
   core::HostId host_;
   std::uint64_t incarnation_ = 0;
+  core::Duration lease_;
+  std::uint64_t fleet_version_ = 0;
+  std::string fleet_;
   std::uint64_t next_poll_ = 1;
   std::deque<std::pair<std::uint64_t, core::Instant>> polls_;
   Config config_;
--- a/src/foxquay/control/state.cc
+++ b/src/foxquay/control/state.cc
@@ -212,9 +212,18 @@
                        holder_live);
 }
 
+schema::FleetResult State::Apply(const schema::PutFleet& command) {
+  const bool newer = command.version > fleet_.version;
+  if (newer) fleet_ = command;
+  return {fleet_.version, newer};
+}
+
 schema::ConfigReply State::Answer(const schema::ConfigPoll& poll,
                                   core::Duration age) const {
-  return feed_.Answer(config_, poll, age);
+  schema::ConfigReply reply = feed_.Answer(config_, poll, age);
+  reply.fleet_version = fleet_.version;
+  if (poll.fleet_version < fleet_.version) reply.fleet = fleet_.fleet;
+  return reply;
 }
 
 std::string State::Snapshot() const {
@@ -230,6 +239,7 @@
   snapshot.results.assign(results_.results().begin(), results_.results().end());
   snapshot.claims = claims_.Save();
   snapshot.grants = grants_.Save();
+  snapshot.fleet = fleet_;
   return schema::Encode(snapshot);
 }
 
@@ -261,6 +271,7 @@
   for (schema::StoredGrant& grant : snapshot.grants) {
     state.grants_.Restore(std::move(grant));
   }
+  state.fleet_ = std::move(snapshot.fleet);
   return state;
 }
 
--- a/src/foxquay/control/state.h
+++ b/src/foxquay/control/state.h
@@ -63,6 +63,10 @@
   [[nodiscard]] const ResultLog& results() const noexcept { return results_; }
   [[nodiscard]] const ClaimTable& claims() const noexcept { return claims_; }
   [[nodiscard]] const GrantTable& grants() const noexcept { return grants_; }
+  /// Returns the configuration of the fleet; its version is 0 if there is none.
+  [[nodiscard]] const schema::PutFleet& fleet() const noexcept {
+    return fleet_;
+  }
   /// Returns the index of the last applied entry.
   [[nodiscard]] std::uint64_t index() const noexcept { return index_; }
   /// Returns the latest wall time of an entry.
@@ -86,6 +90,7 @@
   template <class Command>
   schema::ClaimResult ApplyClaim(const Command& command);
   schema::FencingResult Apply(const schema::GrantFencing& command);
+  schema::FleetResult Apply(const schema::PutFleet& command);
   [[nodiscard]] Config ConfigAt(std::uint64_t revision) const;
 
   std::uint64_t index_ = 0;
@@ -97,6 +102,7 @@
   ResultLog results_;
   ClaimTable claims_;
   GrantTable grants_;
+  schema::PutFleet fleet_;
 };
 
 }  // namespace foxquay::control
--- a/src/foxquay/daemon/control_hosts.cc
+++ b/src/foxquay/daemon/control_hosts.cc
@@ -15,7 +15,9 @@
   HostView own;
   own.id = self_;
   own.peer = settings.listeners.peer;
-  own.caller = settings.listeners.caller;
+  const bool entry = std::find(roles.begin(), roles.end(),
+                               schema::Role::kEntry) != roles.end();
+  if (entry) own.caller = settings.listeners.caller;
   own.data_centre = settings.host.data_centre;
   own.region = settings.host.region;
   own.control = std::find(roles.begin(), roles.end(), schema::Role::kControl) !=
@@ -103,6 +105,11 @@
   return forgotten;
 }
 
+bool Hosts::Control(const core::HostId& host) const {
+  const auto found = entries_.find(host);
+  return found != entries_.end() && found->second.view.control;
+}
+
 std::vector<HostView> Hosts::View(core::Instant now) const {
   std::vector<HostView> views;
   for (const core::HostId& id : order_) {
@@ -119,6 +126,7 @@
   std::vector<entry::Host> converted;
   converted.reserve(hosts.size());
   for (const HostView& host : hosts) {
+    if (host.caller.empty()) continue;
     converted.push_back({host.id, host.caller, host.data_centre, host.alive,
                          host.report.draining, host.report.admitting,
                          host.report.free_percent / 100.0});
--- a/src/foxquay/daemon/control_hosts.h
+++ b/src/foxquay/daemon/control_hosts.h
@@ -59,6 +59,9 @@
   /// Sets this host's own report.
   void SetOwn(std::uint64_t incarnation, const schema::HostReport& report);
 
+  /// Returns whether a host has the role control.
+  [[nodiscard]] bool Control(const core::HostId& host) const;
+
   /// Returns all hosts, this one first.
   [[nodiscard]] std::vector<HostView> View(core::Instant now) const;
 
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -35,6 +35,55 @@
   return hosts;
 }
 
+/// Returns the port part of `IP:PORT`, with its colon.
+std::string Port(const std::string& address) {
+  return address.substr(address.rfind(':'));
+}
+
+/// Adds the seeds as peers: a host found through seeds is named by the IP
+/// number of its peer listener.
+schema::Settings WithSeeds(schema::Settings settings) {
+  const std::string port = Port(settings.listeners.peer);
+  for (const std::string& seed : settings.join.seeds) {
+    schema::PeerSettings peer;
+    const std::string ip = seed.substr(0, seed.rfind(':'));
+    peer.id = core::HostId(ip);
+    peer.address = ip + port;
+    peer.data_centre = settings.host.data_centre;
+    peer.region = settings.host.region;
+    peer.control = true;
+    if (peer.id != settings.host.id) settings.peers.push_back(peer);
+  }
+  return settings;
+}
+
+/// Returns the hosts that may form a group; with seeds only at the first start.
+std::vector<core::HostId> Founders(const schema::Settings& settings) {
+  if (settings.join.seeds.empty()) return ControlHosts(settings);
+  std::vector<core::HostId> founders;
+  if (!settings.join.bootstrap) return founders;
+  for (const std::string& seed : settings.join.seeds) {
+    founders.emplace_back(seed.substr(0, seed.rfind(':')));
+  }
+  std::sort(founders.begin(), founders.end());
+  return founders;
+}
+
+/// Nine tenths of the time after which no host may act on a configuration that
+/// was replaced, so that what was admitted last is also sent on in time.
+core::Duration Lease(const schema::Settings& settings) {
+  return settings.limits.revocation * 9 / 10;
+}
+
+/// An upstream that was announced stays usable while the configuration may be
+/// acted on; without seeds the shorter bound of the roster holds.
+roster::Options RosterOptions(const schema::Settings& settings) {
+  roster::Options options;
+  options.announcement_life = settings.limits.upstream_silence;
+  if (!settings.join.seeds.empty()) options.max_feed_age = Lease(settings);
+  return options;
+}
+
 bool HasRole(const schema::Settings& settings, schema::Role role) {
   const auto& roles = settings.host.roles;
   return std::find(roles.begin(), roles.end(), role) != roles.end();
@@ -52,7 +101,7 @@
 
 ControlNode::ControlNode(const schema::Settings& settings, std::string peer_key,
                          std::uint64_t incarnation, ControlSink sink)
-    : settings_(settings),
+    : settings_(internal::WithSeeds(settings)),
       self_(settings.host.id),
       sink_(std::move(sink)),
       incarnation_(incarnation),
@@ -62,10 +111,10 @@
           context_, {self_, incarnation, settings.listeners.peer},
           transport::Seal(settings.security.cluster, std::move(peer_key)),
           [this](schema::Envelope envelope) { Receive(std::move(envelope)); }),
-      observer_(self_, incarnation),
-      roster_(self_, incarnation),
-      hosts_(settings),
-      proposer_(incarnation, internal::ControlHosts(settings),
+      observer_(self_, incarnation, internal::Lease(settings)),
+      roster_(self_, incarnation, internal::RosterOptions(settings)),
+      hosts_(settings_),
+      proposer_(incarnation, internal::ControlHosts(settings_),
                 [this](const core::HostId& to, schema::ProposeRequest request) {
                   SendPropose(to, std::move(request));
                 }) {
@@ -127,8 +176,10 @@
 void ControlNode::StartReplica(consensus::Durable durable) {
   consensus::Options options;
   options.self = disk_->replica();
-  options.founders = internal::ControlHosts(settings_);
-  options.standbys = internal::Standbys(settings_);
+  options.founders = internal::Founders(settings_);
+  options.standbys = settings_.join.seeds.empty()
+                         ? internal::Standbys(settings_)
+                         : internal::ControlHosts(settings_);
   options.seed = std::random_device()();
   ControlReplica::Output output;
   output.send = [this](const core::HostId& to,
@@ -148,7 +199,7 @@
     std::abort();
   };
   replica_.emplace(std::move(options), std::move(durable), std::move(output),
-                   Now());
+                   internal::Lease(settings_), Now());
 }
 
 void ControlNode::Tick() {
@@ -157,6 +208,8 @@
   if (replica_) replica_->Handle(consensus::Tick{}, now);
   proposer_.Tick(now);
   ExpireChecks(now);
+  AnswerReads(now);
+  PublishLeadership();
   if (now >= next_config_poll_) PollConfig(now);
   if (now >= next_roster_poll_) PollRoster(now);
   if (now >= next_spread_) SpreadHosts(now);
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <system_error>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "foxquay/control/in_force_tracker.h"
@@ -58,8 +59,13 @@
   std::function<void(dispatch::PolicyChanged)> set_policy;
   std::function<void(dispatch::AdmissionChanged)> set_admission;
   std::function<void(dispatch::ClaimDecided)> decide_claim;
+  std::function<void(std::uint64_t, const std::string&)> set_fleet;
   std::function<double()> free_capacity;
   std::function<std::size_t()> open_requests;
+  /// Number of known hosts that serve callers, this one included.
+  std::function<void(std::size_t)> set_entry_hosts;
+  /// Whether this host's replica leads, and its term.
+  std::function<void(bool, std::uint64_t)> set_leadership;
 };
 
 /// What an operator sees of a host and of its view of the cluster.
@@ -102,6 +108,18 @@
   /// Stops the thread. Not thread-safe.
   void Stop();
 
+  /// Replaces the configuration of the fleet if its version is higher; `done`
+  /// runs on the control thread and gets kUnavailable if the change is not
+  /// known to be committed within `timeout`.
+  void PutFleet(schema::PutFleet command, core::Duration timeout,
+                std::function<void(core::Result<schema::FleetResult>)> done);
+
+  /// Reads the configuration of the fleet as committed at the call or later;
+  /// `done` runs on the control thread and gets kUnavailable if this host
+  /// cannot be sure within `timeout`.
+  void ReadFleet(core::Duration timeout,
+                 std::function<void(core::Result<std::string>)> done);
+
   void RequestClaim(ClaimRequest request);
   void ReleaseClaim(ClaimRelease release);
   void RecordOutcome(ClaimRecord record);
@@ -150,6 +168,12 @@
     InForceDone done;
   };
 
+  struct FleetRead {
+    core::Instant asked;
+    core::Instant deadline;
+    std::function<void(core::Result<std::string>)> done;
+  };
+
   template <class Function>
   auto Call(Function function);
 
@@ -190,6 +214,8 @@
   void CheckInForce(std::uint64_t sequence, core::Instant now,
                     InForceDone done);
   void ExpireChecks(core::Instant now);
+  void AnswerReads(core::Instant now);
+  void PublishLeadership();
   [[nodiscard]] core::HostId KnownLeader() const;
 
   const schema::Settings settings_;
@@ -228,6 +254,9 @@
   core::Instant led_since_{};
   bool led_ = false;
   std::map<std::uint64_t, InForceCheck> checks_;
+  std::vector<FleetRead> reads_;
+  std::uint64_t published_fleet_ = 0;
+  std::optional<std::pair<bool, std::uint64_t>> published_leadership_;
   std::uint64_t next_check_ = 1;
   std::atomic<std::shared_ptr<const Shared>> shared_;
   std::atomic<bool> stopping_{false};
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -62,6 +62,9 @@
   hosts_.SetOwn(observer_.incarnation(), report);
   const std::string encoded = schema::Encode(schema::PeerMessage(report));
   for (const core::HostId& peer : peers_) {
+    // Among hosts that found each other through seeds only those with the role
+    // control hear announcements and answer callers about hosts.
+    if (!settings_.join.seeds.empty() && !hosts_.Control(peer)) continue;
     links_.SendDatagram(peer, encoded);
     Send(peer, roster_.Poll(now));
   }
@@ -120,6 +123,13 @@
 }
 
 void ControlNode::PublishPolicy() {
+  if (published_fleet_ != observer_.fleet_version()) {
+    published_fleet_ = observer_.fleet_version();
+    log::Write(
+        log::Level::kInfo, "fleet_applied",
+        {{"version", published_fleet_}, {"bytes", observer_.fleet().size()}});
+    if (sink_.set_fleet) sink_.set_fleet(published_fleet_, observer_.fleet());
+  }
   if (published_sequence_ == observer_.config().sequence()) return;
   published_sequence_ = observer_.config().sequence();
   sink_.set_policy(
@@ -161,6 +171,11 @@
   std::vector<HostView> hosts = hosts_.View(now);
   const std::shared_ptr<const Shared> current = shared_.load();
   if (current->hosts == hosts && current->entry_ttl == entry_ttl) return;
+  if (sink_.set_entry_hosts) {
+    sink_.set_entry_hosts(static_cast<std::size_t>(std::count_if(
+        hosts.begin(), hosts.end(),
+        [](const HostView& host) { return !host.caller.empty(); })));
+  }
   auto shared = std::make_shared<Shared>();
   shared->distances = DistancesOf(hosts);
   shared->hosts = std::move(hosts);
--- a/src/foxquay/daemon/control_replica.cc
+++ b/src/foxquay/daemon/control_replica.cc
@@ -15,8 +15,9 @@
 
 ControlReplica::ControlReplica(consensus::Options options,
                                consensus::Durable durable, Output output,
-                               core::Instant now)
+                               core::Duration lease, core::Instant now)
     : output_(std::move(output)),
+      lease_(lease),
       state_(RestoreState(durable).value()),
       replica_(std::move(options), std::move(durable), now) {}
 
@@ -67,7 +68,7 @@
   poll.sequence = before;
   const schema::ConfigReply reply = state_.Answer(poll, {});
   if (reply.snapshot) {
-    tracker_.emplace(state_.config(), now);
+    tracker_.emplace(state_.config(), now, lease_);
     return;
   }
   for (const schema::ConfigEntry& entry : reply.entries) {
@@ -100,7 +101,7 @@
 
 void ControlReplica::Do(consensus::LeaderChanged&&, core::Instant now) {
   tracker_.reset();
-  if (leads()) tracker_.emplace(state_.config(), now);
+  if (leads()) tracker_.emplace(state_.config(), now, lease_);
 }
 
 void ControlReplica::Do(consensus::MembersChanged&&, core::Instant) {}
--- a/src/foxquay/daemon/control_replica.h
+++ b/src/foxquay/daemon/control_replica.h
@@ -38,7 +38,7 @@
   using Done = std::function<void(core::Result<schema::ControlResult>)>;
 
   ControlReplica(consensus::Options options, consensus::Durable durable,
-                 Output output, core::Instant now);
+                 Output output, core::Duration lease, core::Instant now);
 
   /// Feeds an event and carries out what follows from it. An event that arises
   /// on the way is handled after the actions of the current one.
@@ -85,6 +85,7 @@
   void NoteCommits(std::uint64_t before, core::Instant now);
 
   Output output_;
+  core::Duration lease_;
   std::deque<consensus::Event> events_;
   bool handling_ = false;
   control::State state_;
--- /dev/null
+++ b/src/foxquay/daemon/control_server.cc
@@ -0,0 +1,133 @@
+#include "foxquay/daemon/control_server.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+#include <variant>
+
+#include "foxquay/core/finding.h"
+#include "foxquay/fleet/validate.h"
+#include "foxquay/log/log.h"
+#include "foxquay/schema/codec.h"
+
+namespace foxquay::daemon {
+namespace internal {
+
+/// Time for a change or a read; callers move on to another host after a second.
+constexpr core::Duration kCallTimeout = std::chrono::milliseconds(800);
+
+net::Response Empty() {
+  return net::MakeResponse(200, "application/json", "{}");
+}
+
+net::Response Unavailable(const std::string& reason) {
+  return net::MakeResponse(503, "text/plain", reason + "\n");
+}
+
+}  // namespace internal
+
+ControlServer::ControlServer(boost::asio::io_context& context,
+                             ControlNode& node,
+                             const gateway::ControlDialect& dialect,
+                             std::uint32_t max_body_bytes)
+    : context_(context),
+      node_(node),
+      dialect_(dialect),
+      server_(context,
+              {[this](net::ExchangeId exchange, net::Request&& request) {
+                 HandleRequest(exchange, request);
+               },
+               [](net::ExchangeId) {}}) {
+  net::ServerLimits limits;
+  limits.max_body_bytes = max_body_bytes;
+  server_.SetLimits(limits);
+}
+
+std::error_code ControlServer::Listen(const std::string& address) {
+  return server_.Listen(address);
+}
+
+void ControlServer::HandleRequest(net::ExchangeId exchange,
+                                  const net::Request& request) {
+  const gateway::ControlCall call = dialect_.read(request);
+  std::visit([&](const auto& todo) { Do(exchange, todo); }, call);
+}
+
+void ControlServer::RespondLater(net::ExchangeId exchange,
+                                 net::Response response) {
+  boost::asio::post(context_, [this, exchange, response = std::move(response)] {
+    server_.Respond(exchange, response);
+  });
+}
+
+void ControlServer::Do(net::ExchangeId exchange,
+                       const gateway::Announce& call) {
+  node_.Announce(call.announcement);
+  server_.Respond(exchange, internal::Empty());
+}
+
+void ControlServer::Do(net::ExchangeId exchange,
+                       const gateway::Withdraw& call) {
+  log::Write(log::Level::kInfo, "upstream_withdrawn",
+             {{"upstream", call.upstream}});
+  node_.Withdraw(call.upstream);
+  server_.Respond(exchange, internal::Empty());
+}
+
+void ControlServer::Do(net::ExchangeId exchange,
+                       const gateway::ReplaceFleet& call) {
+  const core::Findings findings = fleet::Validate(call.fleet);
+  if (!findings.empty()) {
+    Do(exchange, gateway::Unreadable{400, findings});
+    return;
+  }
+  schema::PutFleet command;
+  command.version = call.fleet.version;
+  command.fleet = schema::Encode(call.fleet);
+  command.source = call.source;
+  node_.PutFleet(
+      std::move(command), internal::kCallTimeout,
+      [this, exchange](const core::Result<schema::FleetResult>& put) {
+        RespondLater(exchange,
+                     put ? internal::Empty()
+                         : internal::Unavailable("not known to be committed"));
+      });
+}
+
+void ControlServer::Do(net::ExchangeId exchange, const gateway::ReadFleet&) {
+  node_.ReadFleet(
+      internal::kCallTimeout,
+      [this, exchange](const core::Result<std::string>& source) {
+        const bool known = source && !source.value().empty();
+        RespondLater(
+            exchange,
+            known ? net::MakeResponse(200, "application/json", source.value())
+                  : internal::Unavailable("not known to be current"));
+      });
+}
+
+void ControlServer::Do(net::ExchangeId exchange,
+                       const gateway::FindEntries& call) {
+  const http::EntryAnswer answer = node_.Entry(call.data_centre);
+  std::vector<std::string> addresses;
+  for (const http::EntryAddress& address : answer.addresses) {
+    addresses.push_back(address.address);
+  }
+  if (addresses.empty()) {
+    server_.Respond(exchange, internal::Unavailable("no host admits requests"));
+    return;
+  }
+  server_.Respond(exchange, dialect_.write_entries(addresses, answer.ttl));
+}
+
+void ControlServer::Do(net::ExchangeId exchange,
+                       const gateway::Unreadable& call) {
+  for (const core::Finding& finding : call.findings) {
+    log::Write(log::Level::kWarn, "call_refused",
+               {{"status", call.status}, {"finding", core::Format(finding)}});
+  }
+  net::Response response = dialect_.write_findings(call.findings);
+  response.status = call.status;
+  server_.Respond(exchange, response);
+}
+
+}  // namespace foxquay::daemon
--- /dev/null
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -0,0 +1,299 @@
+#include "foxquay/daemon/gateway_serve.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "foxquay/daemon/clock.h"
+#include "foxquay/daemon/control_node.h"
+#include "foxquay/daemon/control_server.h"
+#include "foxquay/fleet/table.h"
+#include "foxquay/gateway/placer.h"
+#include "foxquay/gateway/proxy.h"
+#include "foxquay/log/log.h"
+#include "foxquay/metrics/registry.h"
+#include "foxquay/schema/codec.h"
+
+namespace foxquay::daemon {
+namespace internal {
+
+/// Part of the time from SIGTERM to the kill in which new connections are
+/// taken: callers keep an entry answer for its time to live.
+constexpr double kAcceptPart = 0.5;
+
+/// Part after which the process ends though requests are open.
+constexpr double kEndPart = 0.95;
+
+/// Time that a host without callers serves on after SIGTERM, so that what has
+/// arrived is answered.
+constexpr core::Duration kControlLinger = std::chrono::milliseconds(300);
+
+/// Largest configuration of the fleet as sent.
+constexpr std::uint32_t kMaxFleetBytes = 600'000;
+
+bool Plays(const schema::Settings& settings, schema::Role role) {
+  const auto& roles = settings.host.roles;
+  return std::find(roles.begin(), roles.end(), role) != roles.end();
+}
+
+relay::BudgetOptions BudgetOf(const schema::Settings& settings) {
+  relay::BudgetOptions budget;
+  budget.ratio = settings.budget.percent / 100;
+  budget.slack = settings.budget.slack;
+  budget.window = settings.budget.window;
+  return budget;
+}
+
+core::Duration Part(core::Duration whole, double part) {
+  return std::chrono::duration_cast<core::Duration>(whole * part);
+}
+
+/// The process: one thread for traffic and one for control.
+class Process {
+ public:
+  Process(const schema::Settings& settings, const gateway::Dialect& dialect,
+          const gateway::ControlDialect& control)
+      : settings_(settings),
+        entry_(Plays(settings, schema::Role::kEntry)),
+        control_(Plays(settings, schema::Role::kControl)),
+        signals_(context_, SIGTERM, SIGINT, SIGHUP),
+        timer_(context_),
+        ready_(context_,
+               Pages([this](const net::Request&) { return Ready(); })),
+        metrics_(context_, Pages([this](const net::Request&) {
+                   return net::MakeResponse(200, "text/plain; version=0.0.4",
+                                            registry_.Expose());
+                 })),
+        proxy_(context_, dialect, BudgetOf(settings), registry_,
+               std::random_device()()),
+        placer_(context_, dialect),
+        node_(settings, "foxquay", Incarnation(), Sink()),
+        control_server_(context_, node_, control, kMaxFleetBytes) {}
+
+  int Run() {
+    std::signal(SIGPIPE, SIG_IGN);
+    if (!Start()) return EXIT_FAILURE;
+    AwaitSignal();
+    Tick();
+    context_.run();
+    node_.Stop();
+    log::Write(log::Level::kInfo, "stopped",
+               {{"host", settings_.host.id}, {"open", proxy_.open()}});
+    return EXIT_SUCCESS;
+  }
+
+ private:
+  static std::uint64_t Incarnation() {
+    return static_cast<std::uint64_t>(WallNow().time_since_epoch().count());
+  }
+
+  /// Handlers of a server that answers each request at once.
+  net::ServerHandlers Pages(
+      std::function<net::Response(const net::Request&)> answer) {
+    return {[this, answer = std::move(answer)](net::ExchangeId exchange,
+                                               net::Request&& request) {
+              net::Server& server =
+                  request.target == "/metrics" ? metrics_ : ready_;
+              server.Respond(exchange, answer(request));
+            },
+            [](net::ExchangeId) {}};
+  }
+
+  net::Response Ready() const {
+    return proxy_.ready() ? net::MakeResponse(200, "text/plain", "ready\n")
+                          : net::MakeResponse(503, "text/plain", "not ready\n");
+  }
+
+  bool Listen(const char* part, const std::string& address,
+              const std::function<std::error_code()>& listen) {
+    if (address.empty()) return true;
+    const std::error_code error = listen();
+    if (!error) return true;
+    log::Write(
+        log::Level::kError, "start_failed",
+        {{"part", part}, {"address", address}, {"error", error.message()}});
+    return false;
+  }
+
+  bool Start() {
+    const schema::ListenerSettings& listeners = settings_.listeners;
+    bool started =
+        Listen("peer", listeners.peer, [&] { return node_.Start(); });
+    if (entry_) {
+      started = started &&
+                Listen("caller", listeners.caller,
+                       [&] { return proxy_.Listen(listeners.caller); }) &&
+                Listen("ready", listeners.ready,
+                       [&] { return ready_.Listen(listeners.ready); });
+    }
+    if (control_) {
+      started = started && Listen("upstream", listeners.upstream, [&] {
+                  return control_server_.Listen(listeners.upstream);
+                });
+      if (!entry_) {
+        started = started && Listen("caller", listeners.caller, [&] {
+                    return control_server_.Listen(listeners.caller);
+                  });
+      }
+    }
+    started = started && Listen("metrics", listeners.metrics, [&] {
+                return metrics_.Listen(listeners.metrics);
+              });
+    log::Write(log::Level::kInfo, "started",
+               {{"host", settings_.host.id},
+                {"data_centre", settings_.host.data_centre},
+                {"entry", entry_},
+                {"control", control_},
+                {"seeds", settings_.join.seeds.size()},
+                {"bootstrap", settings_.join.bootstrap}});
+    return started;
+  }
+
+  template <class Function>
+  void Post(Function function) {
+    boost::asio::post(context_, std::move(function));
+  }
+
+  ControlSink Sink() {
+    ControlSink sink;
+    sink.set_upstreams = [this](std::vector<schema::Announcement> upstreams) {
+      Post([this, upstreams = std::move(upstreams)] {
+        log::Write(log::Level::kInfo, "upstreams_changed",
+                   {{"count", upstreams.size()}});
+        if (entry_) proxy_.SetUpstreams(upstreams);
+        if (control_) placer_.SetUpstreams(upstreams);
+      });
+    };
+    sink.set_policy = [](const dispatch::PolicyChanged&) {};
+    sink.set_admission = [this](const dispatch::AdmissionChanged& admission) {
+      Post([this, admission] {
+        proxy_.SetAdmission(admission.open
+                                ? std::optional<core::Instant>(admission.until)
+                                : std::nullopt);
+      });
+    };
+    sink.decide_claim = [](const dispatch::ClaimDecided&) {};
+    sink.set_fleet = [this](std::uint64_t, const std::string& encoded) {
+      auto fleet = schema::Decode<schema::Fleet>(encoded);
+      if (!fleet) {
+        log::Write(log::Level::kError, "fleet_malformed",
+                   {{"error", fleet.error().message()}});
+        return;
+      }
+      auto table =
+          std::make_shared<const fleet::Table>(std::move(fleet).value());
+      Post([this, table = std::move(table)] {
+        if (entry_) proxy_.SetFleet(table);
+        if (control_) placer_.SetFleet(table);
+      });
+    };
+    sink.free_capacity = [] { return 1.0; };
+    sink.open_requests = [] { return std::size_t{0}; };
+    sink.set_entry_hosts = [this](std::size_t hosts) {
+      Post([this, hosts] { proxy_.SetHosts(hosts); });
+    };
+    sink.set_leadership = [this](bool leads, std::uint64_t term) {
+      Post([this, leads, term] { placer_.SetLeadership(leads, term); });
+    };
+    return sink;
+  }
+
+  void AwaitSignal() {
+    signals_.async_wait(
+        [this](const boost::system::error_code& error, int signal) {
+          if (error) return;
+          if (signal == SIGHUP) {
+            log::Write(log::Level::kInfo, "reload_requested", {});
+          } else {
+            StartDrain();
+          }
+          AwaitSignal();
+        });
+  }
+
+  void StartDrain() {
+    if (drain_started_) {
+      log::Write(log::Level::kWarn, "stopped_at_once",
+                 {{"open", proxy_.open()}});
+      context_.stop();
+      return;
+    }
+    drain_started_ = Now();
+    log::Write(log::Level::kInfo, "drain_started", {{"open", proxy_.open()}});
+    node_.StartDrain();
+    proxy_.StartDrain();
+  }
+
+  void ReviewDrain(core::Instant now) {
+    if (!drain_started_) return;
+    const core::Duration since = now - *drain_started_;
+    const core::Duration grace = settings_.limits.grace;
+    if (!entry_) {
+      if (since >= kControlLinger) context_.stop();
+      return;
+    }
+    if (since < Part(grace, kAcceptPart)) return;
+    proxy_.StopAccepting();
+    if (proxy_.open() == 0 || since >= Part(grace, kEndPart)) context_.stop();
+  }
+
+  void Tick() {
+    const core::Instant now = Now();
+    if (entry_) proxy_.Review();
+    if (now >= next_slow_) {
+      next_slow_ = now + gateway::kPlacerInterval;
+      if (control_) placer_.Review();
+      control_server_.Sweep(std::chrono::steady_clock::now());
+      ready_.Sweep(std::chrono::steady_clock::now());
+      metrics_.Sweep(std::chrono::steady_clock::now());
+      ReviewDrain(now);
+    }
+    timer_.expires_after(entry_ ? gateway::kReviewInterval
+                                : gateway::kPlacerInterval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) Tick();
+    });
+  }
+
+  const schema::Settings settings_;
+  const bool entry_;
+  const bool control_;
+  boost::asio::io_context context_{1};
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer timer_;
+  metrics::Registry registry_;
+  net::Server ready_;
+  net::Server metrics_;
+  gateway::Proxy proxy_;
+  gateway::Placer placer_;
+  ControlNode node_;
+  ControlServer control_server_;
+  std::optional<core::Instant> drain_started_;
+  core::Instant next_slow_;
+};
+
+}  // namespace internal
+
+int ServeGateway(const schema::Settings& settings,
+                 const gateway::Dialect& dialect,
+                 const gateway::ControlDialect& control) {
+  log::Configure(log::ParseLevel(settings.log.level), settings.log.file);
+  const auto process =
+      std::make_unique<internal::Process>(settings, dialect, control);
+  return process->Run();
+}
+
+}  // namespace foxquay::daemon
--- /dev/null
+++ b/src/foxquay/daemon/gateway_serve.h
@@ -0,0 +1,19 @@
+#ifndef FOXQUAY_DAEMON_GATEWAY_SERVE_H_
+#define FOXQUAY_DAEMON_GATEWAY_SERVE_H_
+
+#include "foxquay/gateway/dialect.h"
+#include "foxquay/schema/settings.h"
+
+namespace foxquay::daemon {
+
+/// Serves callers, upstreams and operators in a dialect until SIGTERM, with
+/// the parts that the host's roles need; returns the exit status.
+///
+/// Not thread-safe; called once.
+[[nodiscard]] int ServeGateway(const schema::Settings& settings,
+                               const gateway::Dialect& dialect,
+                               const gateway::ControlDialect& control);
+
+}  // namespace foxquay::daemon
+
+#endif  // FOXQUAY_DAEMON_GATEWAY_SERVE_H_
--- /dev/null
+++ b/src/foxquay/fleet/validate.cc
@@ -0,0 +1,94 @@
+#include "foxquay/fleet/validate.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace foxquay::fleet {
+namespace internal {
+
+std::string Place(const char* list, std::size_t index, const char* field) {
+  return std::string(list) + "[" + std::to_string(index) + "]." + field;
+}
+
+void CheckServices(const schema::Route& route, std::size_t index,
+                   const std::set<core::ServiceId>& services,
+                   core::Findings& findings) {
+  double total = 0;
+  for (const schema::WeightedService& weighted : route.services) {
+    if (weighted.weight < 0) {
+      findings.push_back(
+          {"", 0, Place("routes", index, "services"), "negative weight"});
+    }
+    total += weighted.weight;
+    if (!services.contains(weighted.service)) {
+      findings.push_back(
+          {"", 0, Place("routes", index, "services"),
+           "unknown service '" + weighted.service.value() + "'"});
+    }
+  }
+  if (!(total > 0)) {
+    findings.push_back(
+        {"", 0, Place("routes", index, "services"), "weights add up to 0"});
+  }
+}
+
+void CheckRoutes(const schema::Fleet& fleet,
+                 const std::set<core::ServiceId>& services,
+                 core::Findings& findings) {
+  std::set<std::pair<std::string, std::string>> places;
+  std::size_t index = 0;
+  for (const schema::Route& route : fleet.routes) {
+    const std::string& prefix = route.path_prefix;
+    if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/') {
+      findings.push_back({"", 0, Place("routes", index, "path_prefix"),
+                          "must begin and end with a slash"});
+    }
+    if (!places.emplace(route.host, prefix).second) {
+      findings.push_back({"", 0, Place("routes", index, "path_prefix"),
+                          "another route has the same host and prefix"});
+    }
+    if (route.timeout <= core::Duration::zero()) {
+      findings.push_back(
+          {"", 0, Place("routes", index, "timeout"), "must be above 0"});
+    }
+    CheckServices(route, index++, services, findings);
+  }
+}
+
+void CheckKeys(const schema::Fleet& fleet, core::Findings& findings) {
+  std::map<std::string, core::WorkspaceId> holders;
+  std::size_t index = 0;
+  for (const schema::Workspace& workspace : fleet.workspaces) {
+    for (const std::string& key : workspace.api_keys) {
+      const auto [holder, added] = holders.emplace(key, workspace.id);
+      if (!added && holder->second != workspace.id) {
+        findings.push_back(
+            {"", 0, Place("workspaces", index, "api_keys"),
+             "shares a key with workspace '" + holder->second.value() + "'"});
+      }
+    }
+    ++index;
+  }
+}
+
+}  // namespace internal
+
+core::Findings Validate(const schema::Fleet& fleet) {
+  core::Findings findings;
+  std::set<core::ServiceId> services;
+  std::size_t index = 0;
+  for (const schema::Service& service : fleet.services) {
+    if (!services.insert(service.id).second) {
+      findings.push_back({"", 0, internal::Place("services", index, "id"),
+                          "another service has the same name"});
+    }
+    ++index;
+  }
+  internal::CheckRoutes(fleet, services, findings);
+  internal::CheckKeys(fleet, findings);
+  return findings;
+}
+
+}  // namespace foxquay::fleet
--- /dev/null
+++ b/src/foxquay/gateway/placer.cc
@@ -0,0 +1,147 @@
+#include "foxquay/gateway/placer.h"
+
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "foxquay/log/log.h"
+
+namespace foxquay::gateway {
+namespace internal {
+
+const char* Name(placement::OrderOutcome outcome) {
+  switch (outcome) {
+    case placement::OrderOutcome::kAccepted:
+      return "accepted";
+    case placement::OrderOutcome::kMismatch:
+      return "mismatch";
+    case placement::OrderOutcome::kFenced:
+      return "fenced";
+    case placement::OrderOutcome::kRefused:
+      return "refused";
+    case placement::OrderOutcome::kUnanswered:
+      return "unanswered";
+  }
+  return "";
+}
+
+}  // namespace internal
+
+Placer::Placer(boost::asio::io_context& context, const Dialect& dialect)
+    : dialect_(dialect),
+      client_(context,
+              {[this](net::CallId id, unsigned status, net::Fields&&) {
+                 calls_.at(id).status = status;
+               },
+               [this](net::CallId id, const std::string& data) {
+                 calls_.at(id).body += data;
+               },
+               [this](net::CallId id) { Finish(id, true); },
+               [this](net::CallId id, net::Failure) { Finish(id, false); }}) {}
+
+void Placer::SetLeadership(bool leads, std::uint64_t term) {
+  leads_ = leads;
+  term_ = term;
+  for (auto& [service, conductor] : conductors_) {
+    conductor.SetLeadership(leads, term, net::SteadyNow());
+  }
+}
+
+void Placer::SetFleet(std::shared_ptr<const fleet::Table> table) {
+  table_ = std::move(table);
+  const core::Instant now = net::SteadyNow();
+  for (const schema::Service& service : table_->fleet().services) {
+    if (!service.engine || service.engine->layers == 0) continue;
+    const auto [found, inserted] = conductors_.try_emplace(service.id);
+    if (inserted) found->second.SetLeadership(leads_, term_, now);
+  }
+  Feed(now);
+}
+
+void Placer::SetUpstreams(std::vector<schema::Announcement> upstreams) {
+  upstreams_ = std::move(upstreams);
+  Feed(net::SteadyNow());
+}
+
+void Placer::Feed(core::Instant now) {
+  if (table_ == nullptr) return;
+  for (auto& [id, conductor] : conductors_) {
+    const schema::Service* service = table_->FindService(id);
+    std::vector<schema::Announcement> own;
+    for (const schema::Announcement& announcement : upstreams_) {
+      if (announcement.service == id) own.push_back(announcement);
+    }
+    conductor.SetUpstreams(
+        own, service == nullptr ? std::nullopt : service->engine, now);
+  }
+}
+
+void Placer::Send(const core::ServiceId& service,
+                  const placement::Action& action, core::Instant now) {
+  std::string address;
+  net::Request request;
+  if (const auto* order = std::get_if<placement::Order>(&action)) {
+    address = order->address;
+    request = dialect_.write_order(*order);
+    log::Write(log::Level::kInfo, "order_sent",
+               {{"upstream", order->upstream},
+                {"first", order->layers.first},
+                {"end", order->layers.end},
+                {"fence", order->fence},
+                {"expected", order->expected}});
+  } else {
+    address = std::get<placement::Inquiry>(action).address;
+    request = dialect_.write_inquiry();
+  }
+  const net::CallId id = client_.Call(address, net::Serialize(request), {});
+  calls_[id] = {service, action, now + kAnswerTimeout, 0, {}};
+}
+
+void Placer::Finish(net::CallId id, bool answered) {
+  const auto node = calls_.extract(id);
+  const Call& call = node.mapped();
+  const core::Instant now = net::SteadyNow();
+  const auto conductor = conductors_.find(call.service);
+  if (conductor == conductors_.end()) return;
+  if (const auto* order = std::get_if<placement::Order>(&call.action)) {
+    const placement::OrderOutcome outcome =
+        answered ? dialect_.read_order(call.status)
+                 : placement::OrderOutcome::kUnanswered;
+    log::Write(log::Level::kInfo, "order_answered",
+               {{"upstream", order->upstream},
+                {"outcome", internal::Name(outcome)},
+                {"status", call.status}});
+    conductor->second.HandleOrder(order->upstream, outcome, now);
+    return;
+  }
+  const auto& inquiry = std::get<placement::Inquiry>(call.action);
+  const auto report = answered && call.status == 200
+                          ? dialect_.read_report(call.body)
+                          : std::nullopt;
+  log::Write(log::Level::kInfo, "inquiry_answered",
+             {{"upstream", inquiry.upstream},
+              {"answered", report.has_value()},
+              {"orders", report ? report->orders : 0},
+              {"busy", report && report->busy}});
+  conductor->second.HandleReport(inquiry.upstream, report, now);
+}
+
+void Placer::Review() {
+  const core::Instant now = net::SteadyNow();
+  client_.Sweep(now);
+  std::vector<net::CallId> late;
+  for (const auto& [id, call] : calls_) {
+    if (now >= call.deadline) late.push_back(id);
+  }
+  for (const net::CallId id : late) {
+    client_.Cancel(id);
+    Finish(id, false);
+  }
+  for (auto& [service, conductor] : conductors_) {
+    for (const placement::Action& action : conductor.Tick(now)) {
+      Send(service, action, now);
+    }
+  }
+}
+
+}  // namespace foxquay::gateway
--- /dev/null
+++ b/src/foxquay/gateway/placer.h
@@ -0,0 +1,71 @@
+#ifndef FOXQUAY_GATEWAY_PLACER_H_
+#define FOXQUAY_GATEWAY_PLACER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "foxquay/core/id.h"
+#include "foxquay/core/time.h"
+#include "foxquay/fleet/table.h"
+#include "foxquay/gateway/dialect.h"
+#include "foxquay/net/client.h"
+#include "foxquay/placement/conductor.h"
+
+namespace foxquay::gateway {
+
+/// Interval at which orders are reviewed.
+inline constexpr core::Duration kPlacerInterval =
+    std::chrono::milliseconds(100);
+
+/// Time after which an upstream's silence on an order or inquiry counts as no
+/// answer.
+inline constexpr core::Duration kAnswerTimeout =
+    std::chrono::milliseconds(1000);
+
+/// Sends the orders of one Conductor for each service with an engine.
+///
+/// Not thread-safe: runs on the thread of the io_context.
+class Placer {
+ public:
+  Placer(boost::asio::io_context& context, const Dialect& dialect);
+
+  void SetLeadership(bool leads, std::uint64_t term);
+  void SetFleet(std::shared_ptr<const fleet::Table> table);
+  void SetUpstreams(std::vector<schema::Announcement> upstreams);
+
+  /// Sends what is due. Called each kPlacerInterval.
+  void Review();
+
+ private:
+  struct Call {
+    core::ServiceId service;
+    placement::Action action;
+    core::Instant deadline;
+    unsigned status = 0;
+    std::string body;
+  };
+
+  void Feed(core::Instant now);
+  void Send(const core::ServiceId& service, const placement::Action& action,
+            core::Instant now);
+  void Finish(net::CallId id, bool answered);
+
+  Dialect dialect_;
+  net::Client client_;
+  std::shared_ptr<const fleet::Table> table_;
+  std::vector<schema::Announcement> upstreams_;
+  std::map<core::ServiceId, placement::Conductor> conductors_;
+  std::unordered_map<net::CallId, Call> calls_;
+  bool leads_ = false;
+  std::uint64_t term_ = 0;
+};
+
+}  // namespace foxquay::gateway
+
+#endif  // FOXQUAY_GATEWAY_PLACER_H_
--- /dev/null
+++ b/src/foxquay/gateway/proxy.cc
@@ -0,0 +1,504 @@
+#include "foxquay/gateway/proxy.h"
+
+#include <time.h>  // NOLINT: clock_gettime is not in <ctime>
+
+#include <algorithm>
+#include <boost/beast/http/field.hpp>
+#include <cstdio>
+#include <utility>
+#include <variant>
+
+#include "foxquay/log/log.h"
+
+namespace foxquay::gateway {
+namespace internal {
+
+/// Part of a caller's patience between two events after which a silent stream
+/// goes on elsewhere; the rest is left for the new prompt.
+constexpr double kStallPart = 0.6;
+
+/// Shortest patience of callers between two events.
+constexpr core::Duration kMinPatience = std::chrono::seconds(2);
+
+/// Interval at which connections are swept.
+constexpr core::Duration kSweepInterval = std::chrono::milliseconds(100);
+
+/// Time to return while this host may not act on its configuration.
+constexpr core::Duration kNoLeaseReturn = std::chrono::milliseconds(300);
+
+core::Duration StallOf(const schema::Route& route) {
+  const core::Duration patience =
+      std::max({kMinPatience, route.target_latency * 4, route.target_gap * 8});
+  return std::chrono::duration_cast<core::Duration>(patience * kStallPart);
+}
+
+double Milliseconds(core::Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+std::string Seconds(core::Duration duration) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                std::chrono::duration<double>(duration).count());
+  return text.data();
+}
+
+std::string Describe(const std::vector<relay::Hop>& hops) {
+  std::string text;
+  for (const relay::Hop& hop : hops) {
+    if (!text.empty()) text += ',';
+    text += hop.address;
+    if (hop.layers.empty()) continue;
+    text += '/' + std::to_string(hop.layers.first) + '-' +
+            std::to_string(hop.layers.end);
+  }
+  return text;
+}
+
+bool IsEventStream(const net::Fields& fields) {
+  const auto type = fields[boost::beast::http::field::content_type];
+  return type.substr(0, 17) == "text/event-stream";
+}
+
+relay::LossKind KindOf(net::Failure failure) {
+  switch (failure) {
+    case net::Failure::kNotSent:
+      return relay::LossKind::kNotSent;
+    case net::Failure::kLost:
+    case net::Failure::kMalformed:
+      return relay::LossKind::kUnanswered;
+    case net::Failure::kCut:
+      return relay::LossKind::kCut;
+  }
+  return relay::LossKind::kUnanswered;
+}
+
+}  // namespace internal
+
+core::Instant LeaseClock() noexcept {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return core::Instant(std::chrono::seconds(time.tv_sec) +
+                       std::chrono::nanoseconds(time.tv_nsec));
+}
+
+Proxy::Proxy(boost::asio::io_context& context, const Dialect& dialect,
+             const relay::BudgetOptions& budget, metrics::Registry& registry,
+             std::uint64_t seed)
+    : dialect_(dialect),
+      server_(context,
+              {[this](net::ExchangeId exchange, net::Request&& request) {
+                 HandleRequest(exchange, std::move(request));
+               },
+               [this](net::ExchangeId exchange) { HandleGone(exchange); }}),
+      client_(context,
+              {[this](net::CallId call, unsigned status, net::Fields&& fields) {
+                 HandleHead(call, status, std::move(fields));
+               },
+               [this](net::CallId call, const std::string& data) {
+                 HandleData(call, data);
+               },
+               [this](net::CallId call) { HandleEnd(call); },
+               [this](net::CallId call, net::Failure failure) {
+                 HandleFailed(call, failure);
+               }}),
+      relay_(budget, seed),
+      registry_(registry),
+      random_(seed) {}
+
+std::error_code Proxy::Listen(const std::string& address) {
+  return server_.Listen(address);
+}
+
+void Proxy::SetFleet(std::shared_ptr<const fleet::Table> table) {
+  const schema::CallerLimits& limits = table->fleet().limits;
+  net::ServerLimits bounds;
+  if (limits.max_header_bytes > 0) {
+    bounds.max_header_bytes = limits.max_header_bytes;
+  }
+  if (limits.max_body_bytes > 0) bounds.max_body_bytes = limits.max_body_bytes;
+  if (limits.header_timeout > core::Duration::zero()) {
+    bounds.header_timeout = limits.header_timeout;
+  }
+  if (limits.idle_timeout > core::Duration::zero()) {
+    bounds.idle_timeout = limits.idle_timeout;
+  }
+  server_.SetLimits(bounds);
+  table_ = std::move(table);
+}
+
+void Proxy::SetUpstreams(const std::vector<schema::Announcement>& upstreams) {
+  relay_.upstreams().Set(upstreams, net::SteadyNow());
+}
+
+void Proxy::SetAdmission(std::optional<core::Instant> until) {
+  admitted_until_ = until;
+}
+
+void Proxy::SetHosts(std::size_t hosts) {
+  relay_.SetHosts(hosts, net::SteadyNow());
+}
+
+void Proxy::StartDrain() {
+  draining_ = true;
+  server_.StartDrain();
+}
+
+void Proxy::StopAccepting() { server_.StopAccepting(); }
+
+bool Proxy::ready() const {
+  return !draining_ && table_ != nullptr && admitted_until_ &&
+         LeaseClock() < *admitted_until_;
+}
+
+void Proxy::HandleRequest(net::ExchangeId exchange, net::Request&& request) {
+  CallerFacts facts = dialect_.read_caller(request);
+  if (table_ == nullptr || !admitted_until_ ||
+      LeaseClock() >= *admitted_until_) {
+    Reject(exchange, facts, 503, internal::kNoLeaseReturn,
+           "configuration is not confirmed");
+    return;
+  }
+  const auto host = request.fields[boost::beast::http::field::host];
+  const schema::Route* route =
+      table_->FindRoute({host.data(), host.size()}, request.target);
+  if (route == nullptr) {
+    Reject(exchange, facts, 404, std::nullopt, "no route");
+    return;
+  }
+  core::WorkspaceId workspace;
+  std::uint32_t rank = route->priority;
+  if (table_->NeedsKey() && !route->open) {
+    const schema::Workspace* holder = table_->FindWorkspace(facts.key);
+    if (holder == nullptr) {
+      Reject(exchange, facts, 401, std::nullopt, "unknown key");
+      return;
+    }
+    workspace = holder->id;
+    rank = holder->priority.value_or(rank);
+  }
+  Admit(exchange, std::move(request), std::move(facts), *route, workspace,
+        rank);
+}
+
+void Proxy::Admit(net::ExchangeId exchange, net::Request&& request,
+                  CallerFacts facts, const schema::Route& route,
+                  const core::WorkspaceId& workspace, std::uint32_t rank) {
+  const core::Instant now = net::SteadyNow();
+  const core::RequestId id(next_request_++);
+  relay::Intake intake;
+  intake.name = facts.id;
+  intake.table = table_;
+  intake.route = &route;
+  std::uniform_real_distribution<double> draw;
+  intake.service =
+      table_->FindService(fleet::PickService(route, draw(random_)));
+  intake.workspace = workspace;
+  intake.rank = rank;
+  intake.work = facts.work;
+  intake.arrived = now;
+  intake.deadline =
+      now + std::min(route.timeout, facts.patience.value_or(route.timeout));
+  intake.resume_after = facts.resume_after;
+  if (intake.service->engine && facts.work.answer_tokens <= 0) {
+    intake.work.prompt_tokens = intake.service->engine->usual_prompt;
+    intake.work.answer_tokens = intake.service->engine->usual_answer;
+  }
+  Job& job = jobs_[id];
+  job.exchange = exchange;
+  job.request = std::move(request);
+  job.stall = internal::StallOf(route);
+  job.arrived = now;
+  job.facts = std::move(facts);
+  by_exchange_[exchange] = id;
+  Follow(id, relay_.Arrive(id, std::move(intake), now));
+}
+
+void Proxy::Reject(net::ExchangeId exchange, const CallerFacts& facts,
+                   unsigned status, std::optional<core::Duration> retry_after,
+                   std::string_view reason) {
+  net::Response response =
+      net::MakeResponse(status, "text/plain", std::string(reason) + "\n");
+  if (!facts.id.empty()) response.fields.set(dialect_.id_field, facts.id);
+  if (retry_after) {
+    response.fields.set(boost::beast::http::field::retry_after,
+                        internal::Seconds(*retry_after));
+  }
+  registry_.Add("foxquay_rejected_total",
+                "status=\"" + std::to_string(status) + "\"");
+  log::Write(log::Level::kInfo, "request_rejected",
+             {{"request", facts.id},
+              {"status", status},
+              {"fleet", table_ ? table_->version() : 0},
+              {"reason", std::string(reason)}});
+  server_.Respond(exchange, response);
+}
+
+void Proxy::Follow(core::RequestId id, const relay::Decision& decision) {
+  std::visit([&](const auto& todo) { Do(id, todo); }, decision);
+}
+
+void Proxy::Do(core::RequestId id, const relay::Send& send) {
+  Job& job = jobs_.at(id);
+  const relay::Intake& intake = relay_.Of(id);
+  const core::Instant now = net::SteadyNow();
+  net::Request request = job.request;
+  net::RemoveHopFields(request.fields);
+  Offer offer;
+  offer.remaining = intake.deadline - now;
+  offer.workspace = intake.workspace;
+  offer.hops = send.hops;
+  offer.resume_after = job.filter ? job.filter->last() : intake.resume_after;
+  dialect_.write_offer(request.fields, offer);
+  job.not_run = false;
+  job.streaming = false;
+  job.fault_address.clear();
+  job.sent = now;
+  job.heard = now;
+  ++job.sends;
+  if (!job.head_sent) job.answer = {};
+  net::CallOptions options;
+  options.reuse = send.reuse_connection;
+  options.echo_field = dialect_.id_field;
+  options.echo_value = job.facts.id;
+  job.call =
+      client_.Call(send.hops.front().address, net::Serialize(request), options);
+  by_call_[*job.call] = id;
+  registry_.Add("foxquay_sends_total",
+                "service=\"" + intake.service->id.value() + "\"");
+  log::Write(log::Level::kInfo, "request_sent",
+             {{"request", job.facts.id},
+              {"attempt", send.attempt},
+              {"service", intake.service->id},
+              {"way", internal::Describe(send.hops)},
+              {"fleet", intake.table->version()},
+              {"left_ms", internal::Milliseconds(offer.remaining)}});
+}
+
+void Proxy::Do(core::RequestId id, const relay::Hold&) {
+  const Job& job = jobs_.at(id);
+  log::Write(log::Level::kInfo, "request_held",
+             {{"request", job.facts.id}, {"waiting", relay_.held()}});
+}
+
+void Proxy::Do(core::RequestId id, const relay::Refuse& refuse) {
+  const auto node = jobs_.extract(id);
+  const Job& job = node.mapped();
+  if (job.call) {
+    client_.Cancel(*job.call);
+    by_call_.erase(*job.call);
+  }
+  by_exchange_.erase(job.exchange);
+  net::Response response =
+      net::MakeResponse(refuse.status, "text/plain", refuse.reason + "\n");
+  response.fields.set(dialect_.id_field, job.facts.id);
+  if (refuse.retry_after) {
+    response.fields.set(boost::beast::http::field::retry_after,
+                        internal::Seconds(*refuse.retry_after));
+  }
+  LogEnd(job, refuse.status, refuse.status == 503 ? "not-run" : "unknown",
+         refuse.reason);
+  server_.Respond(job.exchange, response);
+}
+
+void Proxy::Do(core::RequestId id, const relay::Break& cut) {
+  const auto node = jobs_.extract(id);
+  const Job& job = node.mapped();
+  if (job.call) {
+    client_.Cancel(*job.call);
+    by_call_.erase(*job.call);
+  }
+  by_exchange_.erase(job.exchange);
+  LogEnd(job, job.status, "cut", cut.reason);
+  server_.Abort(job.exchange);
+}
+
+void Proxy::LogEnd(const Job& job, unsigned status, std::string_view outcome,
+                   std::string_view reason) {
+  const core::Duration total = net::SteadyNow() - job.arrived;
+  registry_.Add("foxquay_requests_total",
+                "outcome=\"" + std::string(outcome) + "\"");
+  log::Write(log::Level::kInfo, "request_ended",
+             {{"request", job.facts.id},
+              {"outcome", std::string(outcome)},
+              {"status", status},
+              {"sends", job.sends},
+              {"events", job.filter ? job.filter->passed() : 0},
+              {"total_ms", internal::Milliseconds(total)},
+              {"reason", std::string(reason)}});
+}
+
+void Proxy::HandleGone(net::ExchangeId exchange) {
+  const auto found = by_exchange_.find(exchange);
+  if (found == by_exchange_.end()) return;
+  const core::RequestId id = found->second;
+  by_exchange_.erase(found);
+  const auto node = jobs_.extract(id);
+  const Job& job = node.mapped();
+  if (job.call) {
+    client_.Cancel(*job.call);
+    by_call_.erase(*job.call);
+  }
+  relay_.Abandon(id);
+  LogEnd(job, 0, "caller-gone", "the caller closed its connection");
+}
+
+void Proxy::HandleHead(net::CallId call, unsigned status,
+                       net::Fields&& fields) {
+  Job& job = jobs_.at(by_call_.at(call));
+  const AnswerFacts facts = dialect_.read_answer(status, fields);
+  job.not_run = facts.not_run;
+  job.fault_address = facts.fault_address;
+  job.status = status;
+  job.streaming = status == 200 && internal::IsEventStream(fields);
+  if (job.head_sent) return;
+  net::RemoveHopFields(fields);
+  job.answer.status = status;
+  job.answer.fields = std::move(fields);
+  job.answer.body.clear();
+  if (job.streaming && !job.filter) {
+    job.filter.emplace(job.facts.resume_after);
+  }
+}
+
+void Proxy::HandleData(net::CallId call, const std::string& data) {
+  const core::RequestId id = by_call_.at(call);
+  Job& job = jobs_.at(id);
+  if (!job.streaming) {
+    if (!job.head_sent) job.answer.body += data;
+    return;
+  }
+  const std::string events = job.filter->Put(data);
+  if (job.filter->broken()) {
+    client_.Cancel(call);
+    by_call_.erase(call);
+    job.call.reset();
+    Lose(id, {relay::LossKind::kCut, job.fault_address});
+    return;
+  }
+  if (events.empty()) return;
+  const core::Instant now = net::SteadyNow();
+  job.heard = now;
+  const net::ExchangeId exchange = job.exchange;
+  if (!job.head_sent) {
+    job.head_sent = true;
+    relay_.Begin(id);
+    registry_.Record(metrics::Series::kFirstToken, relay_.Of(id).workspace,
+                     core::TrafficClass{}, now - job.arrived);
+    server_.Start(exchange, job.answer);
+  }
+  server_.Send(exchange, events);
+}
+
+void Proxy::HandleEnd(net::CallId call) {
+  const core::RequestId id = by_call_.at(call);
+  by_call_.erase(call);
+  Job& job = jobs_.at(id);
+  job.call.reset();
+  if (job.not_run) {
+    Lose(id, {relay::LossKind::kNotRun, job.fault_address});
+  } else if (job.streaming) {
+    FinishStream(id);
+  } else if (job.head_sent) {
+    Lose(id, {relay::LossKind::kError, job.fault_address});
+  } else {
+    FinishPlain(id);
+  }
+}
+
+void Proxy::FinishStream(core::RequestId id) {
+  Job& job = jobs_.at(id);
+  if (!job.filter->whole()) {
+    Lose(id, {relay::LossKind::kCut, job.fault_address});
+    return;
+  }
+  relay_.Complete(id);
+  const auto node = jobs_.extract(id);
+  const net::ExchangeId exchange = node.mapped().exchange;
+  by_exchange_.erase(exchange);
+  LogEnd(node.mapped(), node.mapped().status, "complete", "");
+  if (!node.mapped().head_sent) server_.Start(exchange, node.mapped().answer);
+  server_.End(exchange);
+}
+
+void Proxy::FinishPlain(core::RequestId id) {
+  Job& job = jobs_.at(id);
+  const net::ExchangeId exchange = job.exchange;
+  const net::Response answer = std::move(job.answer);
+  if (answer.status >= 500) {
+    // The upstream's own answer is passed on if the request is not sent again.
+    relay::Decision decision = relay_.HandleLoss(
+        id, {relay::LossKind::kError, job.fault_address}, net::SteadyNow());
+    if (!std::holds_alternative<relay::Refuse>(decision)) {
+      Follow(id, decision);
+      return;
+    }
+  } else {
+    relay_.Complete(id);
+  }
+  const auto node = jobs_.extract(id);
+  by_exchange_.erase(exchange);
+  LogEnd(node.mapped(), answer.status,
+         answer.status >= 500 ? "upstream-error" : "complete", "");
+  server_.Respond(exchange, answer);
+}
+
+void Proxy::HandleFailed(net::CallId call, net::Failure failure) {
+  const core::RequestId id = by_call_.at(call);
+  by_call_.erase(call);
+  Job& job = jobs_.at(id);
+  job.call.reset();
+  const relay::LossKind kind =
+      job.not_run ? relay::LossKind::kNotRun : internal::KindOf(failure);
+  Lose(id, {kind, job.fault_address});
+}
+
+void Proxy::Lose(core::RequestId id, const relay::Loss& loss) {
+  Job& job = jobs_.at(id);
+  const core::Instant now = net::SteadyNow();
+  log::Write(log::Level::kInfo, "send_lost",
+             {{"request", job.facts.id},
+              {"loss", relay::Name(loss.kind)},
+              {"way", internal::Describe(relay_.Way(id))},
+              {"fault", loss.fault_address},
+              {"status", job.status},
+              {"after_ms", internal::Milliseconds(now - job.sent)},
+              {"events", job.filter ? job.filter->passed() : 0}});
+  registry_.Add("foxquay_losses_total",
+                "kind=\"" + std::string(relay::Name(loss.kind)) + "\"");
+  if (job.filter) job.filter->Restart();
+  Follow(id, relay_.HandleLoss(id, loss, now));
+}
+
+void Proxy::CancelStalled(core::Instant now) {
+  std::vector<core::RequestId> stalled;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.call || now - job.heard < job.stall) continue;
+    const schema::Route& route = *relay_.Of(id).route;
+    const bool resumable =
+        route.kind == schema::RequestKind::kStream && route.resumable;
+    if (resumable) stalled.push_back(id);
+  }
+  for (const core::RequestId id : stalled) {
+    Job& job = jobs_.at(id);
+    client_.Cancel(*job.call);
+    by_call_.erase(*job.call);
+    job.call.reset();
+    Lose(id, {relay::LossKind::kStalled, ""});
+  }
+}
+
+void Proxy::Review() {
+  const core::Instant now = net::SteadyNow();
+  if (now >= next_sweep_) {
+    next_sweep_ = now + internal::kSweepInterval;
+    client_.Sweep(now);
+    server_.Sweep(now);
+    CancelStalled(now);
+  }
+  for (const auto& [id, decision] : relay_.Review(now)) {
+    if (jobs_.contains(id)) Follow(id, decision);
+  }
+}
+
+}  // namespace foxquay::gateway
--- /dev/null
+++ b/src/foxquay/gateway/proxy.h
@@ -0,0 +1,131 @@
+#ifndef FOXQUAY_GATEWAY_PROXY_H_
+#define FOXQUAY_GATEWAY_PROXY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <unordered_map>
+#include <vector>
+
+#include "foxquay/core/id.h"
+#include "foxquay/core/time.h"
+#include "foxquay/fleet/table.h"
+#include "foxquay/gateway/dialect.h"
+#include "foxquay/metrics/registry.h"
+#include "foxquay/net/client.h"
+#include "foxquay/net/server.h"
+#include "foxquay/relay/events.h"
+#include "foxquay/relay/relay.h"
+
+namespace foxquay::gateway {
+
+/// Interval at which deadlines and held requests are looked at.
+inline constexpr core::Duration kReviewInterval = std::chrono::milliseconds(25);
+
+/// Carries callers' requests to upstreams and their answers back, as a Relay
+/// decides.
+///
+/// Not thread-safe: runs on the thread of the io_context.
+class Proxy {
+ public:
+  Proxy(boost::asio::io_context& context, const Dialect& dialect,
+        const relay::BudgetOptions& budget, metrics::Registry& registry,
+        std::uint64_t seed);
+
+  [[nodiscard]] std::error_code Listen(const std::string& address);
+
+  /// Takes a configuration whose version is higher than the current one.
+  void SetFleet(std::shared_ptr<const fleet::Table> table);
+  void SetUpstreams(const std::vector<schema::Announcement>& upstreams);
+  /// Sets until when the configuration may be acted on; nothing if it may not.
+  void SetAdmission(std::optional<core::Instant> until);
+  void SetHosts(std::size_t hosts);
+  [[nodiscard]] relay::Relay& relay() noexcept { return relay_; }
+
+  /// Asks callers to close their connections from now on.
+  void StartDrain();
+  /// Takes no more connections.
+  void StopAccepting();
+
+  /// Returns whether requests are admitted now.
+  [[nodiscard]] bool ready() const;
+  /// Returns the number of requests being read or answered.
+  [[nodiscard]] std::size_t open() const { return server_.open(); }
+
+  /// Carries out what is due. Called each kReviewInterval.
+  void Review();
+
+ private:
+  struct Job {
+    net::ExchangeId exchange;
+    net::Request request;
+    CallerFacts facts;
+    core::Instant arrived;
+    std::optional<net::CallId> call;
+    core::Instant sent;   ///< Start of the current send.
+    core::Instant heard;  ///< Latest event, or the start of the send.
+    core::Duration stall{};
+    unsigned sends = 0;
+    unsigned status = 0;
+    bool streaming = false;  ///< The current answer is a stream of events.
+    bool head_sent = false;
+    bool not_run = false;
+    std::string fault_address;
+    net::Response answer;  ///< Collected, or the head of a stream.
+    std::optional<relay::EventFilter> filter;
+  };
+
+  void HandleRequest(net::ExchangeId exchange, net::Request&& request);
+  void HandleGone(net::ExchangeId exchange);
+  void HandleHead(net::CallId call, unsigned status, net::Fields&& fields);
+  void HandleData(net::CallId call, const std::string& data);
+  void HandleEnd(net::CallId call);
+  void HandleFailed(net::CallId call, net::Failure failure);
+
+  void Admit(net::ExchangeId exchange, net::Request&& request,
+             CallerFacts facts, const schema::Route& route,
+             const core::WorkspaceId& workspace, std::uint32_t rank);
+  void Reject(net::ExchangeId exchange, const CallerFacts& facts,
+              unsigned status, std::optional<core::Duration> retry_after,
+              std::string_view reason);
+  void Follow(core::RequestId id, const relay::Decision& decision);
+  void Do(core::RequestId id, const relay::Send& send);
+  void Do(core::RequestId id, const relay::Hold& hold);
+  void Do(core::RequestId id, const relay::Refuse& refuse);
+  void Do(core::RequestId id, const relay::Break& cut);
+  void Lose(core::RequestId id, const relay::Loss& loss);
+  void FinishPlain(core::RequestId id);
+  void FinishStream(core::RequestId id);
+  void LogEnd(const Job& job, unsigned status, std::string_view outcome,
+              std::string_view reason);
+  void CancelStalled(core::Instant now);
+
+  Dialect dialect_;
+  net::Server server_;
+  net::Client client_;
+  relay::Relay relay_;
+  metrics::Registry& registry_;
+  std::mt19937_64 random_;
+  std::shared_ptr<const fleet::Table> table_;
+  std::optional<core::Instant> admitted_until_;
+  std::map<core::RequestId, Job> jobs_;
+  std::unordered_map<net::ExchangeId, core::RequestId> by_exchange_;
+  std::unordered_map<net::CallId, core::RequestId> by_call_;
+  std::uint64_t next_request_ = 1;
+  core::Instant next_sweep_;
+  bool draining_ = false;
+};
+
+/// Returns the monotonic clock that leases are measured on. Thread-safe.
+[[nodiscard]] core::Instant LeaseClock() noexcept;
+
+}  // namespace foxquay::gateway
+
+#endif  // FOXQUAY_GATEWAY_PROXY_H_
--- a/src/foxquay/log/log.cc
+++ b/src/foxquay/log/log.cc
@@ -60,7 +60,7 @@
   root.removeAllAppenders();
   log4cplus::SharedAppenderPtr appender;
   if (file.empty()) {
-    appender = new log4cplus::ConsoleAppender(true, true);
+    appender = new log4cplus::ConsoleAppender(false, true);
   } else {
     appender = new log4cplus::FileAppender(file, std::ios_base::app);
   }
--- a/src/foxquay/log/log.h
+++ b/src/foxquay/log/log.h
@@ -35,7 +35,7 @@
   }
 };
 
-/// Sends events of at least `level` to `file`, or to standard error if it is
+/// Sends events of at least `level` to `file`, or to standard output if it is
 /// empty. Call once before other threads write.
 void Configure(Level level, const std::string& file);
 
--- /dev/null
+++ b/src/foxquay/net/client.cc
@@ -0,0 +1,324 @@
+#include "foxquay/net/client.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace foxquay::net {
+namespace internal {
+
+namespace http = boost::beast::http;
+
+/// Time to connect. A few round trips in a region, and below the first resend
+/// of a lost opening packet, after which another upstream is the better choice.
+constexpr std::chrono::milliseconds kConnectTimeout{400};
+
+/// Largest head of an answer.
+constexpr std::uint32_t kMaxHeaderBytes = 65536;
+
+/// Returns half of the time that the peer keeps an idle connection, so that
+/// this side is the first to close; zero if it does not say.
+core::Duration IdleTime(const Fields& fields) {
+  const auto value = fields[http::field::keep_alive];
+  const std::string_view text(value.data(), value.size());
+  const std::size_t at = text.find("timeout=");
+  if (at == std::string_view::npos) return core::Duration::zero();
+  unsigned seconds = 0;
+  const char* begin = text.data() + at + std::string_view("timeout=").size();
+  const auto parsed =
+      std::from_chars(begin, text.data() + text.size(), seconds);
+  if (parsed.ec != std::errc()) return core::Duration::zero();
+  return std::chrono::milliseconds(500) * seconds;
+}
+
+}  // namespace internal
+
+const char* Name(Failure failure) noexcept {
+  switch (failure) {
+    case Failure::kNotSent:
+      return "not-sent";
+    case Failure::kLost:
+      return "lost";
+    case Failure::kMalformed:
+      return "malformed";
+    case Failure::kCut:
+      return "cut";
+  }
+  return "";
+}
+
+Client::Client(boost::asio::io_context& context, ClientHandlers handlers)
+    : context_(context), handlers_(std::move(handlers)) {}
+
+CallId Client::Call(const std::string& address, std::string request,
+                    const CallOptions& options) {
+  const CallId call(next_call_++);
+  std::vector<SocketId>& idle = idle_[address];
+  SocketId id;
+  if (options.reuse && !idle.empty()) {
+    id = idle.back();
+    idle.pop_back();
+  } else {
+    id = SocketId(next_socket_++);
+    Connection& opened = connections_.try_emplace(id, context_).first->second;
+    opened.address = address;
+    ++opened_;
+  }
+  Connection& connection = connections_.at(id);
+  connection.call = call;
+  connection.options = options;
+  connection.out = std::move(request);
+  connection.reported = false;
+  connection.dropping = false;
+  connection.parser.reset();
+  calls_[call] = id;
+  if (!connection.connected) {
+    Connect(id);
+    return call;
+  }
+  boost::asio::post(context_, [this, id] {
+    if (connections_.contains(id)) Flush(id);
+  });
+  return call;
+}
+
+void Client::Connect(SocketId id) {
+  Connection& connection = connections_.at(id);
+  connection.deadline = SteadyNow() + internal::kConnectTimeout;
+  const auto endpoint = ParseEndpoint(connection.address);
+  if (!endpoint) {
+    boost::asio::post(context_, [this, id] {
+      if (connections_.contains(id)) Fail(id, Failure::kNotSent);
+    });
+    return;
+  }
+  connection.socket.async_connect(
+      endpoint.value(), [this, id](const boost::system::error_code& error) {
+        if (connections_.contains(id)) HandleConnected(id, error);
+      });
+}
+
+void Client::HandleConnected(SocketId id,
+                             const boost::system::error_code& error) {
+  if (error) {
+    Fail(id, Failure::kNotSent);
+    return;
+  }
+  Connection& connection = connections_.at(id);
+  connection.connected = true;
+  Prepare(connection.socket);
+  Flush(id);
+}
+
+void Client::Flush(SocketId id) {
+  Connection& connection = connections_.at(id);
+  const Progress progress = Write(connection.socket, connection.out);
+  if (progress == Progress::kFailed) {
+    HandleEnd(id, progress);
+    return;
+  }
+  if (progress == Progress::kWait) WaitWrite(id);
+  WaitRead(id);
+}
+
+void Client::WaitRead(SocketId id) {
+  Connection& connection = connections_.at(id);
+  if (connection.read_waiting) return;
+  connection.read_waiting = true;
+  connection.socket.async_wait(Tcp::socket::wait_read,
+                               [this, id](const boost::system::error_code&) {
+                                 const auto found = connections_.find(id);
+                                 if (found == connections_.end()) return;
+                                 found->second.read_waiting = false;
+                                 HandleReadable(id);
+                               });
+}
+
+void Client::WaitWrite(SocketId id) {
+  Connection& connection = connections_.at(id);
+  if (connection.write_waiting) return;
+  connection.write_waiting = true;
+  connection.socket.async_wait(Tcp::socket::wait_write,
+                               [this, id](const boost::system::error_code&) {
+                                 const auto found = connections_.find(id);
+                                 if (found == connections_.end()) return;
+                                 found->second.write_waiting = false;
+                                 Flush(id);
+                               });
+}
+
+void Client::HandleReadable(SocketId id) {
+  Connection& connection = connections_.at(id);
+  const Progress progress = Read(connection.socket, connection.in);
+  if (!connection.call) {
+    // Nothing is expected on an idle connection but its end.
+    if (progress != Progress::kWait) {
+      Close(id);
+    } else {
+      WaitRead(id);
+    }
+    return;
+  }
+  if (progress == Progress::kClosed || progress == Progress::kFailed) {
+    HandleEnd(id, progress);
+    return;
+  }
+  if (progress == Progress::kDone && !Parse(id)) return;
+  WaitRead(id);
+}
+
+bool Client::Parse(SocketId id) {
+  while (true) {
+    Connection& connection = connections_.at(id);
+    if (connection.in.empty() || !connection.call) return true;
+    if (!connection.parser) {
+      connection.parser.emplace();
+      connection.parser->eager(true);
+      connection.parser->header_limit(internal::kMaxHeaderBytes);
+      connection.parser->body_limit(boost::none);
+    }
+    Parser& parser = *connection.parser;
+    boost::beast::error_code error;
+    const std::size_t used =
+        parser.put(boost::asio::buffer(connection.in), error);
+    connection.in.erase(0, used);
+    if (error && error != internal::http::error::need_more) {
+      Fail(id, connection.reported ? Failure::kCut : Failure::kMalformed);
+      return false;
+    }
+    if (parser.is_header_done() && !HandleHead(id)) return false;
+    if (parser.is_done()) {
+      if (!HandleDone(id)) return false;
+      continue;
+    }
+    if (used == 0 || error) return true;
+  }
+}
+
+bool Client::HandleHead(SocketId id) {
+  Connection& connection = connections_.at(id);
+  const CallId call = *connection.call;
+  auto& message = connection.parser->get();
+  if (!connection.reported && !connection.dropping) {
+    const CallOptions& options = connection.options;
+    const auto echo = options.echo_field.empty() ? boost::beast::string_view()
+                                                 : message[options.echo_field];
+    if (!echo.empty() &&
+        std::string_view(echo.data(), echo.size()) != options.echo_value) {
+      connection.dropping = true;
+    } else {
+      connection.reported = true;
+      connection.idle_time = internal::IdleTime(message.base());
+      Fields fields = message.base();
+      handlers_.head(call, message.result_int(), std::move(fields));
+    }
+  }
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return false;
+  std::string data =
+      std::exchange(connections_.at(id).parser->get().body(), {});
+  if (data.empty() || connections_.at(id).dropping) return true;
+  handlers_.data(call, std::move(data));
+  return calls_.contains(call);
+}
+
+bool Client::HandleDone(SocketId id) {
+  Connection& connection = connections_.at(id);
+  if (connection.dropping) {
+    connection.dropping = false;
+    const bool keep = connection.parser->keep_alive();
+    connection.parser.reset();
+    if (keep) return true;
+    Fail(id, Failure::kLost);
+    return false;
+  }
+  const CallId call = *connection.call;
+  const bool reusable = connection.parser->keep_alive() &&
+                        connection.in.empty() && connection.out.empty() &&
+                        connection.idle_time > core::Duration::zero();
+  calls_.erase(call);
+  connection.call.reset();
+  connection.parser.reset();
+  if (reusable) {
+    Keep(id);
+  } else {
+    Close(id);
+  }
+  handlers_.end(call);
+  return false;
+}
+
+void Client::HandleEnd(SocketId id, Progress progress) {
+  Connection& connection = connections_.at(id);
+  if (!connection.call) {
+    Close(id);
+    return;
+  }
+  const bool started = connection.parser && connection.parser->is_header_done();
+  if (progress == Progress::kClosed && started && !connection.dropping &&
+      connection.parser->need_eof()) {
+    boost::beast::error_code error;
+    connection.parser->put_eof(error);
+    if (!error) {
+      const CallId call = *connection.call;
+      Close(id);
+      handlers_.end(call);
+      return;
+    }
+  }
+  Fail(id, connection.reported ? Failure::kCut : Failure::kLost);
+}
+
+void Client::Fail(SocketId id, Failure failure) {
+  const std::optional<CallId> call = connections_.at(id).call;
+  Close(id);
+  if (call) handlers_.failed(*call, failure);
+}
+
+void Client::Keep(SocketId id) {
+  Connection& connection = connections_.at(id);
+  connection.deadline = SteadyNow() + connection.idle_time;
+  idle_[connection.address].push_back(id);
+  WaitRead(id);
+}
+
+void Client::Cancel(CallId call) {
+  const auto found = calls_.find(call);
+  if (found != calls_.end()) Close(found->second);
+}
+
+void Client::Close(SocketId id) {
+  const auto found = connections_.find(id);
+  Connection& connection = found->second;
+  if (connection.call) {
+    calls_.erase(*connection.call);
+  } else {
+    std::erase(idle_[connection.address], id);
+  }
+  boost::system::error_code ignored;
+  connection.socket.close(ignored);
+  connections_.erase(found);
+}
+
+void Client::Forget(const std::string& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) return;
+  for (const SocketId id : std::vector<SocketId>(found->second)) Close(id);
+  idle_.erase(address);
+}
+
+void Client::Sweep(core::Instant now) {
+  std::vector<SocketId> late;
+  for (const auto& [id, connection] : connections_) {
+    const bool bounded = !connection.connected || !connection.call;
+    if (bounded && now >= connection.deadline) late.push_back(id);
+  }
+  for (const SocketId id : late) {
+    if (connections_.contains(id)) Fail(id, Failure::kNotSent);
+  }
+}
+
+}  // namespace foxquay::net
--- /dev/null
+++ b/src/foxquay/net/server.cc
@@ -0,0 +1,304 @@
+#include "foxquay/net/server.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "foxquay/log/log.h"
+
+namespace foxquay::net {
+namespace internal {
+
+namespace http = boost::beast::http;
+
+/// Connections that wait for accept; a full queue makes callers try again only
+/// after seconds.
+constexpr int kBacklog = 1024;
+
+/// Pause after accept failed for want of descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{20};
+
+/// Unsent bytes of one connection; a caller that lets more wait is cut off.
+constexpr std::size_t kMaxUnsentBytes = std::size_t{4} << 20U;
+
+/// Unread bytes kept while a request is being answered.
+constexpr std::size_t kMaxAheadBytes = 65536;
+
+unsigned StatusOf(const boost::beast::error_code& error) {
+  if (error == http::error::header_limit) return 431;
+  if (error == http::error::body_limit) return 413;
+  return 400;
+}
+
+}  // namespace internal
+
+Server::Server(boost::asio::io_context& context, ServerHandlers handlers)
+    : context_(context),
+      handlers_(std::move(handlers)),
+      accept_pause_(context) {}
+
+std::error_code Server::Listen(const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) return endpoint.error();
+  Tcp::acceptor& acceptor = acceptors_.emplace_back(context_);
+  boost::system::error_code error;
+  acceptor.open(endpoint.value().protocol(), error);
+  if (error) return error;
+  acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (error) return error;
+  acceptor.bind(endpoint.value(), error);
+  if (error) return error;
+  acceptor.listen(internal::kBacklog, error);
+  if (error) return error;
+  Accept(acceptor);
+  return {};
+}
+
+void Server::Accept(Tcp::acceptor& acceptor) {
+  acceptor.async_accept(
+      [this, &acceptor](const boost::system::error_code& error,
+                        Tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) return;
+        if (error) {
+          log::Write(log::Level::kWarn, "accept_failed",
+                     {{"error", error.message()}});
+          accept_pause_.expires_after(internal::kAcceptPause);
+          accept_pause_.async_wait(
+              [this, &acceptor](const boost::system::error_code& ended) {
+                if (!ended && acceptor.is_open()) Accept(acceptor);
+              });
+          return;
+        }
+        Prepare(socket);
+        const SocketId id(next_socket_++);
+        Connection& connection =
+            connections_.try_emplace(id, std::move(socket)).first->second;
+        connection.since = SteadyNow();
+        HandleReadable(id);
+        if (acceptor.is_open()) Accept(acceptor);
+      });
+}
+
+void Server::WaitRead(SocketId id) {
+  Connection& connection = connections_.at(id);
+  if (connection.read_waiting) return;
+  connection.read_waiting = true;
+  connection.socket.async_wait(Tcp::socket::wait_read,
+                               [this, id](const boost::system::error_code&) {
+                                 const auto found = connections_.find(id);
+                                 if (found == connections_.end()) return;
+                                 found->second.read_waiting = false;
+                                 HandleReadable(id);
+                               });
+}
+
+void Server::WaitWrite(SocketId id) {
+  Connection& connection = connections_.at(id);
+  if (connection.write_waiting) return;
+  connection.write_waiting = true;
+  connection.socket.async_wait(Tcp::socket::wait_write,
+                               [this, id](const boost::system::error_code&) {
+                                 const auto found = connections_.find(id);
+                                 if (found == connections_.end()) return;
+                                 found->second.write_waiting = false;
+                                 Flush(id);
+                               });
+}
+
+void Server::HandleReadable(SocketId id) {
+  Connection& connection = connections_.at(id);
+  const Progress progress = Read(connection.socket, connection.in);
+  if (progress == Progress::kClosed || progress == Progress::kFailed) {
+    Leave(id);
+    return;
+  }
+  if (progress == Progress::kDone && !connection.exchange) {
+    Parse(id);
+    if (!connections_.contains(id)) return;
+  }
+  const Connection& read = connections_.at(id);
+  if (read.in.size() < internal::kMaxAheadBytes || !read.exchange) WaitRead(id);
+}
+
+void Server::Parse(SocketId id) {
+  Connection& connection = connections_.at(id);
+  if (connection.close_when_sent) return;
+  if (!connection.parser) {
+    connection.parser.emplace();
+    connection.parser->eager(true);
+    connection.parser->header_limit(limits_.max_header_bytes);
+    connection.parser->body_limit(limits_.max_body_bytes);
+    connection.since = SteadyNow();
+  }
+  Parser& parser = *connection.parser;
+  while (!connection.in.empty() && !parser.is_done()) {
+    boost::beast::error_code error;
+    const std::size_t used =
+        parser.put(boost::asio::buffer(connection.in), error);
+    connection.in.erase(0, used);
+    if (error == internal::http::error::need_more) return;
+    if (error) {
+      Reject(id, internal::StatusOf(error));
+      return;
+    }
+    if (used == 0) return;
+  }
+  if (!parser.is_done()) return;
+  auto message = parser.release();
+  connection.keep_alive = message.keep_alive();
+  connection.parser.reset();
+  const ExchangeId exchange(next_exchange_++);
+  connection.exchange = exchange;
+  exchanges_[exchange] = id;
+  Request request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.body = std::move(message.body());
+  request.fields = std::move(message.base());
+  handlers_.request(exchange, std::move(request));
+}
+
+void Server::Reject(SocketId id, unsigned status) {
+  log::Write(log::Level::kInfo, "request_malformed", {{"status", status}});
+  Connection& connection = connections_.at(id);
+  connection.parser.reset();
+  connection.in.clear();
+  connection.out += Serialize(
+      MakeResponse(status, "text/plain", "malformed request\n"), false);
+  connection.close_when_sent = true;
+  Flush(id);
+}
+
+Server::Connection* Server::Find(ExchangeId exchange, SocketId& id) {
+  const auto found = exchanges_.find(exchange);
+  if (found == exchanges_.end()) return nullptr;
+  id = found->second;
+  return &connections_.at(id);
+}
+
+void Server::Respond(ExchangeId exchange, const Response& response) {
+  SocketId id;
+  Connection* connection = Find(exchange, id);
+  if (connection == nullptr) return;
+  connection->keep_alive = connection->keep_alive && !draining_;
+  connection->out += Serialize(response, connection->keep_alive);
+  Finish(id);
+}
+
+void Server::Start(ExchangeId exchange, const Response& head) {
+  SocketId id;
+  Connection* connection = Find(exchange, id);
+  if (connection == nullptr) return;
+  connection->keep_alive = connection->keep_alive && !draining_;
+  connection->out += SerializeHead(head, connection->keep_alive);
+  Flush(id);
+}
+
+void Server::Send(ExchangeId exchange, const std::string& data) {
+  SocketId id;
+  Connection* connection = Find(exchange, id);
+  if (connection == nullptr || data.empty()) return;
+  connection->out += SerializeChunk(data);
+  Flush(id);
+}
+
+void Server::End(ExchangeId exchange) {
+  SocketId id;
+  Connection* connection = Find(exchange, id);
+  if (connection == nullptr) return;
+  connection->out += "0\r\n\r\n";
+  Finish(id);
+}
+
+void Server::Abort(ExchangeId exchange) {
+  SocketId id;
+  if (Find(exchange, id) != nullptr) Close(id);
+}
+
+void Server::Finish(SocketId id) {
+  Connection& connection = connections_.at(id);
+  exchanges_.erase(*connection.exchange);
+  connection.exchange.reset();
+  connection.since = SteadyNow();
+  if (!connection.keep_alive) connection.close_when_sent = true;
+  Flush(id);
+  if (!connections_.contains(id)) return;
+  if (!connections_.at(id).in.empty()) {
+    // The caller sent its next request early; it is taken up from the loop, so
+    // that a long row of them does not deepen the stack.
+    boost::asio::post(context_, [this, id] {
+      const auto found = connections_.find(id);
+      if (found == connections_.end() || found->second.exchange) return;
+      Parse(id);
+      if (connections_.contains(id)) WaitRead(id);
+    });
+  } else {
+    WaitRead(id);
+  }
+}
+
+void Server::Flush(SocketId id) {
+  Connection& connection = connections_.at(id);
+  const Progress progress = Write(connection.socket, connection.out);
+  if (progress == Progress::kFailed ||
+      connection.out.size() > internal::kMaxUnsentBytes) {
+    Leave(id);
+    return;
+  }
+  if (progress == Progress::kWait) {
+    WaitWrite(id);
+  } else if (connection.close_when_sent) {
+    Close(id);
+  }
+}
+
+void Server::Leave(SocketId id) {
+  const std::optional<ExchangeId> exchange = connections_.at(id).exchange;
+  Close(id);
+  if (exchange) handlers_.gone(*exchange);
+}
+
+void Server::Close(SocketId id) {
+  const auto found = connections_.find(id);
+  if (found->second.exchange) exchanges_.erase(*found->second.exchange);
+  boost::system::error_code ignored;
+  found->second.socket.close(ignored);
+  connections_.erase(found);
+}
+
+void Server::StopAccepting() {
+  boost::system::error_code ignored;
+  for (Tcp::acceptor& acceptor : acceptors_) acceptor.close(ignored);
+  std::vector<SocketId> idle;
+  for (const auto& [id, connection] : connections_) {
+    const bool unused = !connection.exchange && !connection.parser &&
+                        connection.in.empty() && connection.out.empty();
+    if (unused) idle.push_back(id);
+  }
+  for (const SocketId id : idle) Close(id);
+}
+
+void Server::Sweep(core::Instant now) {
+  std::vector<SocketId> expired;
+  for (const auto& [id, connection] : connections_) {
+    if (connection.exchange) continue;
+    const core::Duration limit =
+        connection.parser ? limits_.header_timeout : limits_.idle_timeout;
+    if (now - connection.since > limit) expired.push_back(id);
+  }
+  for (const SocketId id : expired) Close(id);
+}
+
+std::size_t Server::open() const {
+  return static_cast<std::size_t>(std::count_if(
+      connections_.begin(), connections_.end(), [](const auto& item) {
+        const Connection& connection = item.second;
+        return connection.exchange || connection.parser ||
+               !connection.out.empty();
+      }));
+}
+
+}  // namespace foxquay::net
--- /dev/null
+++ b/src/foxquay/net/socket.h
@@ -0,0 +1,49 @@
+#ifndef FOXQUAY_NET_SOCKET_H_
+#define FOXQUAY_NET_SOCKET_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+#include <string_view>
+
+#include "foxquay/core/error.h"
+#include "foxquay/core/time.h"
+
+namespace foxquay::net {
+
+using Tcp = boost::asio::ip::tcp;
+
+/// Time without acknowledgement after which the system gives a connection up.
+/// Below the three seconds in which a peer counts as cut off.
+inline constexpr core::Duration kUnacknowledgedTimeout =
+    std::chrono::milliseconds(2000);
+
+/// Returns the clock that timeouts are measured on. Thread-safe.
+[[nodiscard]] inline core::Instant SteadyNow() noexcept {
+  return std::chrono::steady_clock::now();
+}
+
+/// Parses `IP:PORT`; Error::kInvalid if it is not one. Thread-safe.
+[[nodiscard]] core::Result<Tcp::endpoint> ParseEndpoint(
+    const std::string& address);
+
+/// Makes a connected socket non-blocking and sets the options that all
+/// connections share.
+void Prepare(Tcp::socket& socket);
+
+/// What a non-blocking operation did.
+enum class Progress : std::uint8_t {
+  kDone,    ///< Bytes were moved.
+  kWait,    ///< Nothing is possible now.
+  kClosed,  ///< The peer has ended its direction.
+  kFailed,  ///< The connection is lost.
+};
+
+/// Appends what has arrived to `in`.
+[[nodiscard]] Progress Read(Tcp::socket& socket, std::string& in);
+
+/// Sends from the front of `out` and removes what was sent; kDone if all was.
+[[nodiscard]] Progress Write(Tcp::socket& socket, std::string& out);
+
+}  // namespace foxquay::net
+
+#endif  // FOXQUAY_NET_SOCKET_H_
--- /dev/null
+++ b/src/foxquay/placement/fwd.h
@@ -0,0 +1,16 @@
+#ifndef FOXQUAY_PLACEMENT_FWD_H_
+#define FOXQUAY_PLACEMENT_FWD_H_
+
+namespace foxquay::placement {
+
+struct Range;
+struct Holder;
+struct Assignment;
+struct Candidate;
+struct Stage;
+struct Order;
+class Conductor;
+
+}  // namespace foxquay::placement
+
+#endif  // FOXQUAY_PLACEMENT_FWD_H_
--- /dev/null
+++ b/src/foxquay/relay/budget.h
@@ -0,0 +1,59 @@
+#ifndef FOXQUAY_RELAY_BUDGET_H_
+#define FOXQUAY_RELAY_BUDGET_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+
+#include "foxquay/core/id.h"
+#include "foxquay/core/time.h"
+
+namespace foxquay::relay {
+
+/// Bound on repeated sends to a service, over all hosts.
+struct BudgetOptions {
+  double ratio = 0.1;  ///< Repeats for each request.
+  double slack = 100;  ///< Repeats in a window beyond the ratio, all hosts.
+  core::Duration window = std::chrono::seconds(10);
+};
+
+/// One host's part of the bound, so that no window of all hosts together
+/// exceeds it without a message between them: the ratio applies to the host's
+/// own requests and the slack is divided by the number of hosts.
+///
+/// Not thread-safe.
+class RepeatBudget {
+ public:
+  explicit RepeatBudget(const BudgetOptions& options) : options_(options) {}
+
+  /// Sets the number of hosts that share the slack; a smaller number takes
+  /// effect only a window later, when repeats of hosts that left have aged.
+  void SetHosts(std::size_t hosts, core::Instant now);
+
+  /// Counts the first send of a request.
+  void NoteRequest(const core::ServiceId& service, core::Instant now);
+
+  /// Counts a repeated send and returns true, or returns false if the budget
+  /// has no room.
+  [[nodiscard]] bool TakeRepeat(const core::ServiceId& service,
+                                core::Instant now);
+
+ private:
+  struct Counts {
+    std::deque<core::Instant> requests;
+    std::deque<core::Instant> repeats;
+  };
+
+  void DropOld(Counts& counts, core::Instant now) const;
+
+  BudgetOptions options_;
+  std::map<core::ServiceId, Counts> services_;
+  std::size_t hosts_ = 0;
+  std::size_t fewer_hosts_ = 0;
+  core::Instant fewer_since_;
+};
+
+}  // namespace foxquay::relay
+
+#endif  // FOXQUAY_RELAY_BUDGET_H_
--- /dev/null
+++ b/src/foxquay/relay/fwd.h
@@ -0,0 +1,14 @@
+#ifndef FOXQUAY_RELAY_FWD_H_
+#define FOXQUAY_RELAY_FWD_H_
+
+namespace foxquay::relay {
+
+class Relay;
+class Upstreams;
+class RepeatBudget;
+class EventFilter;
+struct Intake;
+
+}  // namespace foxquay::relay
+
+#endif  // FOXQUAY_RELAY_FWD_H_
--- /dev/null
+++ b/src/foxquay/relay/relay.cc
@@ -0,0 +1,230 @@
+#include "foxquay/relay/relay.h"
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+namespace foxquay::relay {
+namespace internal {
+
+/// Attempts to connect for one request before it is given up.
+constexpr unsigned kMaxMisses = 3;
+
+/// Time to return after a refusal for want of a place. Places come free within
+/// the time of a request.
+constexpr core::Duration kBusyReturn = std::chrono::milliseconds(400);
+
+/// Time to return while layers or upstreams are missing: about the time in
+/// which they are placed again.
+constexpr core::Duration kMissingReturn = std::chrono::milliseconds(1500);
+
+/// Time to return after an upstream turned the request away.
+constexpr core::Duration kTurnedAwayReturn = std::chrono::milliseconds(100);
+
+bool Repeatable(const schema::Route& route) {
+  return route.kind == schema::RequestKind::kRepeatable ||
+         (route.kind == schema::RequestKind::kStream && route.resumable);
+}
+
+}  // namespace internal
+
+const char* Name(LossKind kind) noexcept {
+  switch (kind) {
+    case LossKind::kNotSent:
+      return "not-sent";
+    case LossKind::kNotRun:
+      return "not-run";
+    case LossKind::kUnanswered:
+      return "unanswered";
+    case LossKind::kCut:
+      return "cut";
+    case LossKind::kStalled:
+      return "stalled";
+    case LossKind::kError:
+      return "error";
+  }
+  return "";
+}
+
+Relay::Relay(const BudgetOptions& budget, std::uint64_t seed)
+    : budget_(budget), random_(seed) {}
+
+void Relay::SetHosts(std::size_t hosts, core::Instant now) {
+  upstreams_.SetHosts(std::max<std::size_t>(hosts, 1));
+  budget_.SetHosts(hosts, now);
+}
+
+core::Duration Relay::Spread(core::Duration duration) {
+  std::uniform_real_distribution<double> factor(0.75, 1.25);
+  return std::chrono::duration_cast<core::Duration>(duration * factor(random_));
+}
+
+Decision Relay::Arrive(core::RequestId id, Intake intake, core::Instant now) {
+  State& state = requests_[id];
+  state.intake = std::move(intake);
+  budget_.NoteRequest(state.intake.service->id, now);
+  return Route(id, state, now);
+}
+
+Decision Relay::Route(core::RequestId id, State& state, core::Instant now) {
+  const Intake& intake = state.intake;
+  NoWay why = NoWay::kUnknown;
+  std::vector<Hop> hops =
+      upstreams_.Choose(*intake.service, intake.work, state.tried, now, why);
+  if (!hops.empty()) {
+    if (state.held) --held_;
+    state.held = false;
+    state.hops = std::move(hops);
+    upstreams_.Begin(state.hops, intake.work);
+    const bool reuse = internal::Repeatable(*intake.route);
+    return Send{state.hops, state.sends + state.misses + 1, reuse};
+  }
+  if (why != NoWay::kBusy && !state.held && !state.begun) {
+    return GiveUp(id,
+                  why == NoWay::kNoLayers ? "layers of the model are missing"
+                                          : "no upstream of the service",
+                  internal::kMissingReturn, now);
+  }
+  if (!state.held) {
+    if (held_ >= kMaxHeld) {
+      return GiveUp(id, "too many requests wait", internal::kBusyReturn, now);
+    }
+    state.held = true;
+    ++held_;
+    state.held_until =
+        now + std::min(intake.route->target_latency / 2,
+                       core::Duration((intake.deadline - now) / 4));
+    if (state.begun) state.held_until = now + std::chrono::seconds(1);
+    return Hold{};
+  }
+  if (now < state.held_until) return Hold{};
+  return GiveUp(id, "no upstream has a place", internal::kBusyReturn, now);
+}
+
+bool Relay::MaySendAgain(const State& state, LossKind kind) const {
+  const schema::Route& route = *state.intake.route;
+  if (kind == LossKind::kNotSent) return state.misses < internal::kMaxMisses;
+  if (state.sends >= std::max(1U, route.max_attempts)) return false;
+  return kind == LossKind::kNotRun || internal::Repeatable(route);
+}
+
+Decision Relay::HandleLoss(core::RequestId id, const Loss& loss,
+                           core::Instant now) {
+  State& state = requests_.at(id);
+  const std::vector<Hop> hops = state.hops;
+  Release(state);
+  if (hops.empty()) return Hold{};
+  const auto fault = loss.fault_address.empty()
+                         ? std::nullopt
+                         : upstreams_.At(loss.fault_address);
+  if (loss.kind == LossKind::kNotSent) {
+    ++state.misses;
+    upstreams_.Suspect(hops.front().upstream, now);
+  } else {
+    ++state.sends;
+    state.tried.push_back(hops.front().upstream);
+    if (loss.kind != LossKind::kNotRun) state.may_have_run = true;
+    if (fault) {
+      upstreams_.Suspect(*fault, now);
+    } else if (loss.kind != LossKind::kError &&
+               loss.kind != LossKind::kNotRun) {
+      upstreams_.SuspectAny(hops, now);
+    }
+  }
+  if (!MaySendAgain(state, loss.kind)) {
+    return GiveUp(id, std::string("send ended: ") + Name(loss.kind),
+                  internal::kTurnedAwayReturn, now);
+  }
+  const bool arrived = loss.kind != LossKind::kNotSent;
+  if (arrived && !budget_.TakeRepeat(state.intake.service->id, now)) {
+    return GiveUp(id, "budget of repeated sends is spent",
+                  internal::kBusyReturn, now);
+  }
+  return Route(id, state, now);
+}
+
+Decision Relay::GiveUp(core::RequestId id, const std::string& reason,
+                       core::Duration retry_after, core::Instant) {
+  const State& state = requests_.at(id);
+  Decision decision;
+  if (state.begun) {
+    decision = Break{reason};
+  } else if (state.may_have_run) {
+    decision = Refuse{502, std::nullopt, reason};
+  } else {
+    decision = Refuse{503, Spread(retry_after), reason};
+  }
+  End(id);
+  return decision;
+}
+
+void Relay::Begin(core::RequestId id) {
+  const auto found = requests_.find(id);
+  if (found != requests_.end()) found->second.begun = true;
+}
+
+void Relay::Complete(core::RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  upstreams_.Trust(found->second.hops);
+  End(id);
+}
+
+void Relay::Abandon(core::RequestId id) {
+  if (requests_.contains(id)) End(id);
+}
+
+void Relay::Release(State& state) {
+  upstreams_.End(state.hops, state.intake.work);
+  state.hops.clear();
+}
+
+void Relay::End(core::RequestId id) {
+  State& state = requests_.at(id);
+  Release(state);
+  if (state.held) --held_;
+  requests_.erase(id);
+}
+
+std::vector<std::pair<core::RequestId, Decision>> Relay::Review(
+    core::Instant now) {
+  std::vector<std::pair<core::RequestId, Decision>> decisions;
+  std::vector<std::tuple<std::uint32_t, core::Instant, core::RequestId>> order;
+  std::vector<core::RequestId> late;
+  for (auto& [id, state] : requests_) {
+    if (now >= state.intake.deadline) {
+      late.push_back(id);
+    } else if (state.held) {
+      order.emplace_back(state.intake.rank, state.intake.arrived, id);
+    }
+  }
+  for (const core::RequestId id : late) {
+    State& state = requests_.at(id);
+    const bool sent = !state.hops.empty();
+    if (sent) state.may_have_run = true;
+    Decision decision =
+        GiveUp(id, "deadline passed", internal::kTurnedAwayReturn, now);
+    if (auto* refuse = std::get_if<Refuse>(&decision);
+        refuse != nullptr && refuse->status == 502) {
+      refuse->status = 504;
+    }
+    decisions.emplace_back(id, std::move(decision));
+  }
+  std::sort(order.begin(), order.end());
+  for (const auto& [rank, arrived, id] : order) {
+    Decision decision = Route(id, requests_.at(id), now);
+    if (std::holds_alternative<Hold>(decision)) continue;
+    decisions.emplace_back(id, std::move(decision));
+  }
+  return decisions;
+}
+
+const std::vector<Hop>& Relay::Way(core::RequestId id) const {
+  return requests_.at(id).hops;
+}
+
+const Intake& Relay::Of(core::RequestId id) const {
+  return requests_.at(id).intake;
+}
+
+}  // namespace foxquay::relay
--- /dev/null
+++ b/src/foxquay/relay/upstreams.cc
@@ -0,0 +1,261 @@
+#include "foxquay/relay/upstreams.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "foxquay/placement/conductor.h"
+#include "foxquay/placement/plan.h"
+
+namespace foxquay::relay {
+namespace internal {
+
+/// First time for which an upstream is avoided after a failure; about the time
+/// in which a restarted upstream announces itself again.
+constexpr core::Duration kFirstAvoidance = std::chrono::milliseconds(1000);
+
+/// Longest such time, in doublings of the first.
+constexpr int kMaxDoublings = 3;
+
+/// Time for which each hop of a way is avoided when one of them failed and it
+/// is not known which.
+constexpr core::Duration kSharedAvoidance = std::chrono::milliseconds(700);
+
+/// Part of the memory for requests that is filled before a stage counts as
+/// full; the engine preempts its newest request beyond.
+constexpr double kFullMemory = 0.85;
+
+/// Time that handing a request to another stage takes.
+constexpr core::Duration kHopTime = std::chrono::microseconds(300);
+
+using Seconds = std::chrono::duration<double>;
+
+core::Duration ToDuration(double seconds) {
+  return std::chrono::duration_cast<core::Duration>(Seconds(seconds));
+}
+
+double ToSeconds(core::Duration duration) { return Seconds(duration).count(); }
+
+const schema::Accelerator* Find(const schema::Engine& engine,
+                                const std::string& kind) {
+  const auto found = std::find_if(
+      engine.accelerators.begin(), engine.accelerators.end(),
+      [&kind](const auto& accelerator) { return accelerator.kind == kind; });
+  return found == engine.accelerators.end() ? nullptr : &*found;
+}
+
+}  // namespace internal
+
+void Upstreams::Set(const std::vector<schema::Announcement>& announcements,
+                    core::Instant) {
+  for (auto& [id, entry] : entries_) entry.present = false;
+  for (const schema::Announcement& announcement : announcements) {
+    Entry& entry = entries_[announcement.id];
+    const bool reborn = entry.announcement.born != announcement.born;
+    if (reborn) {
+      entry.failures = 0;
+      entry.avoid_until = {};
+    }
+    entry.announcement = announcement;
+    entry.present = true;
+  }
+  std::erase_if(entries_, [](const auto& item) {
+    return !item.second.present && item.second.running == 0;
+  });
+}
+
+bool Upstreams::Usable(const Entry& entry,
+                       const std::vector<core::UpstreamId>& avoid,
+                       core::Instant now) const {
+  const core::UpstreamId& id = entry.announcement.id;
+  return entry.present && now >= entry.avoid_until &&
+         std::find(avoid.begin(), avoid.end(), id) == avoid.end();
+}
+
+std::vector<Hop> Upstreams::Choose(const schema::Service& service,
+                                   const Work& work,
+                                   const std::vector<core::UpstreamId>& avoid,
+                                   core::Instant now, NoWay& why) {
+  if (service.engine && service.engine->layers > 0) {
+    return ChooseChain(service, work, avoid, now, why);
+  }
+  return ChoosePlain(service, avoid, now, why);
+}
+
+std::vector<Hop> Upstreams::ChoosePlain(
+    const schema::Service& service, const std::vector<core::UpstreamId>& avoid,
+    core::Instant now, NoWay& why) {
+  why = NoWay::kUnknown;
+  const Entry* best = nullptr;
+  std::tuple<std::size_t, bool, std::uint64_t> least;
+  ++turn_;
+  std::uint64_t position = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.present || entry.announcement.service != service.id) continue;
+    why = NoWay::kBusy;
+    ++position;
+    if (!Usable(entry, avoid, now)) continue;
+    const std::size_t slots =
+        std::max<std::size_t>(1, entry.announcement.slots);
+    if (entry.running >= slots) continue;
+    const auto rank = std::make_tuple(
+        entry.running, entry.announcement.data_centre != data_centre_,
+        (position + turn_) % (entries_.size() + 1));
+    if (best == nullptr || rank < least) {
+      best = &entry;
+      least = rank;
+    }
+  }
+  if (best == nullptr) return {};
+  return {{best->announcement.id, best->announcement.address, {}}};
+}
+
+std::optional<placement::Candidate> Upstreams::Price(
+    const Entry& entry, const schema::Engine& engine, const Work& work) const {
+  const schema::Announcement& announcement = entry.announcement;
+  const placement::Range layers = placement::HeldLayers(announcement);
+  const schema::Accelerator* accelerator =
+      internal::Find(engine, announcement.accelerator);
+  if (layers.empty() || accelerator == nullptr) return std::nullopt;
+  const auto hosts = static_cast<double>(hosts_);
+  const double sequences = static_cast<double>(entry.running) * hosts;
+  const double room =
+      placement::TokensThatFit(engine, announcement.accelerator, layers.size());
+  const double taken =
+      entry.tokens * hosts + work.prompt_tokens + work.answer_tokens;
+  // With few requests the assumption that all hosts have as many is too coarse.
+  if (entry.running > 1 && taken > internal::kFullMemory * room) {
+    return std::nullopt;
+  }
+  const double step =
+      accelerator->pace *
+      (internal::ToSeconds(engine.step) +
+       internal::ToSeconds(engine.per_sequence) * (sequences + 1) +
+       internal::ToSeconds(engine.context_per_k) * entry.tokens * hosts / 1000);
+  const double read =
+      accelerator->read_factor / engine.prefill_per_s * work.prompt_tokens;
+  placement::Candidate candidate;
+  candidate.layers = layers;
+  candidate.data_centre = announcement.data_centre;
+  candidate.fixed = internal::kHopTime;
+  candidate.per_layer = internal::ToDuration(
+      (work.answer_tokens * step + read * (1 + sequences / 4)) / engine.layers);
+  return candidate;
+}
+
+std::vector<Hop> Upstreams::ChooseChain(
+    const schema::Service& service, const Work& work,
+    const std::vector<core::UpstreamId>& avoid, core::Instant now, NoWay& why) {
+  const schema::Engine& engine = *service.engine;
+  std::vector<const Entry*> entries;
+  std::vector<placement::Candidate> held;
+  std::vector<placement::Candidate> candidates;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.present || entry.announcement.service != service.id) continue;
+    auto candidate = Price(entry, engine, work);
+    placement::Candidate holder;
+    holder.layers = placement::HeldLayers(entry.announcement);
+    held.push_back(holder);
+    if (!candidate || !Usable(entry, avoid, now)) continue;
+    candidate->upstream = entries.size();
+    entries.push_back(&entry);
+    candidates.push_back(*candidate);
+  }
+  // Prompts cross a pipe that all share; tokens of the answer weigh little.
+  const double bits =
+      8 * engine.activation_bytes * (work.prompt_tokens + work.answer_tokens);
+  const core::Duration crossing =
+      engine.pipe_mbps > 0
+          ? internal::ToDuration(4 * bits / (engine.pipe_mbps * 1e6))
+          : core::Duration::zero();
+  const placement::Chain chain =
+      placement::CheapestChain(candidates, engine.layers, crossing);
+  std::vector<Hop> hops;
+  for (const placement::Stage& stage : chain.stages) {
+    const schema::Announcement& announcement =
+        entries[stage.upstream]->announcement;
+    hops.push_back({announcement.id, announcement.address, stage.layers});
+  }
+  if (hops.empty()) {
+    const bool whole =
+        placement::FirstMissingLayer(held, engine.layers) == engine.layers;
+    why = whole ? NoWay::kBusy
+                : (held.empty() ? NoWay::kUnknown : NoWay::kNoLayers);
+  }
+  return hops;
+}
+
+void Upstreams::Begin(const std::vector<Hop>& hops, const Work& work) {
+  for (const Hop& hop : hops) {
+    const auto found = entries_.find(hop.upstream);
+    if (found == entries_.end()) continue;
+    ++found->second.running;
+    found->second.tokens += work.prompt_tokens + work.answer_tokens;
+  }
+}
+
+void Upstreams::End(const std::vector<Hop>& hops, const Work& work) {
+  for (const Hop& hop : hops) {
+    const auto found = entries_.find(hop.upstream);
+    if (found == entries_.end()) continue;
+    Entry& entry = found->second;
+    if (entry.running > 0) --entry.running;
+    entry.tokens =
+        std::max(0.0, entry.tokens - work.prompt_tokens - work.answer_tokens);
+    if (!entry.present && entry.running == 0) entries_.erase(found);
+  }
+}
+
+void Upstreams::Suspect(const core::UpstreamId& upstream, core::Instant now) {
+  const auto found = entries_.find(upstream);
+  if (found == entries_.end()) return;
+  Entry& entry = found->second;
+  const int doublings = std::min(entry.failures, internal::kMaxDoublings);
+  if (now >= entry.avoid_until) ++entry.failures;
+  entry.avoid_until = std::max(
+      entry.avoid_until, now + internal::kFirstAvoidance * (1 << doublings));
+}
+
+void Upstreams::SuspectAny(const std::vector<Hop>& hops, core::Instant now) {
+  if (hops.size() == 1) {
+    Suspect(hops.front().upstream, now);
+    return;
+  }
+  for (const Hop& hop : hops) {
+    const auto found = entries_.find(hop.upstream);
+    if (found == entries_.end()) continue;
+    found->second.avoid_until =
+        std::max(found->second.avoid_until, now + internal::kSharedAvoidance);
+  }
+}
+
+void Upstreams::Trust(const std::vector<Hop>& hops) {
+  for (const Hop& hop : hops) {
+    const auto found = entries_.find(hop.upstream);
+    if (found != entries_.end()) found->second.failures = 0;
+  }
+}
+
+bool Upstreams::Known(const core::UpstreamId& upstream) const {
+  const auto found = entries_.find(upstream);
+  return found != entries_.end() && found->second.present;
+}
+
+std::optional<core::UpstreamId> Upstreams::At(
+    const std::string& address) const {
+  for (const auto& [id, entry] : entries_) {
+    if (entry.present && entry.announcement.address == address) return id;
+  }
+  return std::nullopt;
+}
+
+std::size_t Upstreams::Count(const core::ServiceId& service) const {
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
+        return item.second.present &&
+               item.second.announcement.service == service;
+      }));
+}
+
+}  // namespace foxquay::relay
--- /dev/null
+++ b/src/foxquay/relay/upstreams.h
@@ -0,0 +1,119 @@
+#ifndef FOXQUAY_RELAY_UPSTREAMS_H_
+#define FOXQUAY_RELAY_UPSTREAMS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "foxquay/core/id.h"
+#include "foxquay/core/time.h"
+#include "foxquay/placement/chain.h"
+#include "foxquay/schema/announcement.h"
+#include "foxquay/schema/fleet.h"
+
+namespace foxquay::relay {
+
+/// Part of a request's way through upstreams, by address.
+struct Hop {
+  core::UpstreamId upstream;
+  std::string address;
+  placement::Range layers;  ///< Empty for a plain service.
+
+  friend bool operator==(const Hop&, const Hop&) = default;
+};
+
+/// Sizes of a request that its cost depends on.
+struct Work {
+  double prompt_tokens = 0;
+  double answer_tokens = 0;
+};
+
+/// Why no way was found.
+enum class NoWay : std::uint8_t {
+  kUnknown,   ///< No upstream of the service is known.
+  kBusy,      ///< All ways are full or avoided for now.
+  kNoLayers,  ///< Some layer of the model is held by none.
+};
+
+/// The upstreams of all services, this host's work at each, and which to avoid.
+///
+/// Not thread-safe; performs no I/O.
+class Upstreams {
+ public:
+  /// Replaces the list of upstreams in use; work at others is kept until it
+  /// ends.
+  void Set(const std::vector<schema::Announcement>& announcements,
+           core::Instant now);
+  /// Sets the number of hosts that send work, at least 1.
+  void SetHosts(std::size_t hosts) { hosts_ = hosts; }
+  void SetDataCentre(core::DataCentreId centre) {
+    data_centre_ = std::move(centre);
+  }
+
+  /// Returns the way for a request that has not been at `avoid`, or why there
+  /// is none.
+  ///
+  /// A plain service's upstream is the one with the least work of this host
+  /// among those that are not suspected. A model's way is the cheapest chain,
+  /// where each stage costs its share of the request's prefill and token steps
+  /// at the work that all hosts are assumed to have there.
+  [[nodiscard]] std::vector<Hop> Choose(
+      const schema::Service& service, const Work& work,
+      const std::vector<core::UpstreamId>& avoid, core::Instant now,
+      NoWay& why);
+
+  /// Counts a request's work at its hops, and ends it.
+  void Begin(const std::vector<Hop>& hops, const Work& work);
+  void End(const std::vector<Hop>& hops, const Work& work);
+
+  /// Avoids an upstream for a time that doubles with each failure in a row.
+  void Suspect(const core::UpstreamId& upstream, core::Instant now);
+  /// Avoids whichever of the hops of a way failed, without knowing which.
+  void SuspectAny(const std::vector<Hop>& hops, core::Instant now);
+  /// Notes that the hops have served a request well.
+  void Trust(const std::vector<Hop>& hops);
+
+  /// Returns whether an upstream is in use.
+  [[nodiscard]] bool Known(const core::UpstreamId& upstream) const;
+  /// Returns the upstream at an address, if one is in use.
+  [[nodiscard]] std::optional<core::UpstreamId> At(
+      const std::string& address) const;
+  /// Returns the upstreams of a service in use.
+  [[nodiscard]] std::size_t Count(const core::ServiceId& service) const;
+
+ private:
+  struct Entry {
+    schema::Announcement announcement;
+    bool present = true;
+    std::size_t running = 0;  ///< Requests of this host there.
+    double tokens = 0;        ///< Their tokens.
+    int failures = 0;         ///< In a row.
+    core::Instant avoid_until;
+  };
+
+  [[nodiscard]] std::vector<Hop> ChoosePlain(
+      const schema::Service& service,
+      const std::vector<core::UpstreamId>& avoid, core::Instant now,
+      NoWay& why);
+  [[nodiscard]] std::vector<Hop> ChooseChain(
+      const schema::Service& service, const Work& work,
+      const std::vector<core::UpstreamId>& avoid, core::Instant now,
+      NoWay& why);
+  [[nodiscard]] std::optional<placement::Candidate> Price(
+      const Entry& entry, const schema::Engine& engine, const Work& work) const;
+  [[nodiscard]] bool Usable(const Entry& entry,
+                            const std::vector<core::UpstreamId>& avoid,
+                            core::Instant now) const;
+
+  std::map<core::UpstreamId, Entry> entries_;
+  std::size_t hosts_ = 1;
+  core::DataCentreId data_centre_;
+  std::uint64_t turn_ = 0;
+};
+
+}  // namespace foxquay::relay
+
+#endif  // FOXQUAY_RELAY_UPSTREAMS_H_
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -23,10 +23,27 @@
   return same != left || LoadStep(left) != LoadStep(right);
 }
 
+/// Drops the older of two upstreams at one address: the address of one that
+/// ended is used again.
+void DropReplaced(
+    std::map<core::UpstreamId, const schema::Announcement*>& all) {
+  std::map<std::string, const schema::Announcement*> latest;
+  for (const auto& [id, announcement] : all) {
+    const schema::Announcement*& current = latest[announcement->address];
+    if (current == nullptr || current->born < announcement->born) {
+      current = announcement;
+    }
+  }
+  std::erase_if(all, [&latest](const auto& item) {
+    return latest.at(item.second->address)->born > item.second->born;
+  });
+}
+
 }  // namespace
 
-Roster::Roster(core::HostId self, std::uint64_t incarnation)
-    : self_(std::move(self)) {
+Roster::Roster(core::HostId self, std::uint64_t incarnation,
+               const Options& options)
+    : self_(std::move(self)), options_(options) {
   Own().incarnation = incarnation;
 }
 
@@ -78,7 +95,7 @@
   }
   Own().confirmed = now;
   for (auto& [id, entry] : Own().entries) {
-    const bool silent = now - entry.heard > kAnnouncementLife;
+    const bool silent = now - entry.heard > options_.announcement_life;
     if (!silent || entry.announcement.leaving) continue;
     schema::Announcement leaving = entry.announcement;
     leaving.leaving = true;
@@ -153,7 +170,11 @@
   const bool restarted = inserted || update.incarnation > feed.incarnation;
   if (restarted && !update.complete) return;
   if (restarted) {
-    feed = Feed{};
+    Feed former = std::exchange(feed, Feed{});
+    for (auto& [id, entry] : former.entries) {
+      feed.inherited.emplace(id, std::move(entry.announcement));
+    }
+    feed.inherited_until = now + options_.announcement_life;
     feed.incarnation = update.incarnation;
     feed.confirmed = confirmed;
   }
@@ -161,6 +182,7 @@
   if (update.complete) feed.entries.clear();
   for (const schema::Announcement& change : update.changes) {
     feed.entries[change.id] = {change, update.version, now};
+    feed.inherited.erase(change.id);
   }
   feed.version = update.version;
   feed.confirmed = std::max(feed.confirmed, confirmed);
@@ -171,9 +193,9 @@
   std::map<core::UpstreamId, const schema::Announcement*> newest;
   std::map<core::UpstreamId, std::uint64_t> departed;
   for (const auto& [host, feed] : feeds_) {
-    const bool fresh = now - feed.confirmed <= kMaxFeedAge;
-    for (const auto& [id, entry] : feed.entries) {
-      const schema::Announcement& announcement = entry.announcement;
+    const bool fresh = now - feed.confirmed <= options_.max_feed_age;
+    const auto add = [&](const core::UpstreamId& id,
+                         const schema::Announcement& announcement) {
       if (announcement.leaving) {
         std::uint64_t& sequence = departed[id];
         sequence = std::max(sequence, announcement.sequence);
@@ -183,14 +205,20 @@
           current = &announcement;
         }
       }
+    };
+    for (const auto& [id, entry] : feed.entries) add(id, entry.announcement);
+    if (now >= feed.inherited_until) continue;
+    for (const auto& [id, announcement] : feed.inherited) {
+      add(id, announcement);
     }
   }
+  std::erase_if(newest, [&departed](const auto& item) {
+    const auto gone = departed.find(item.first);
+    return gone != departed.end() && gone->second >= item.second->sequence;
+  });
+  DropReplaced(newest);
   std::vector<schema::Announcement> usable;
   for (const auto& [id, announcement] : newest) {
-    const auto gone = departed.find(id);
-    if (gone != departed.end() && gone->second >= announcement->sequence) {
-      continue;
-    }
     usable.push_back(*announcement);
   }
   return usable;
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -31,6 +31,12 @@
 /// Interval between two polls of the other hosts.
 inline constexpr core::Duration kPollInterval = std::chrono::milliseconds(200);
 
+/// Times of a Roster.
+struct Options {
+  core::Duration announcement_life = kAnnouncementLife;
+  core::Duration max_feed_age = kMaxFeedAge;
+};
+
 /// Knows which upstreams may get work, from announcements heard by this host
 /// and from the feeds of other hosts.
 ///
@@ -40,7 +46,8 @@
 /// thread-safe; performs no I/O.
 class Roster {
  public:
-  Roster(core::HostId self, std::uint64_t incarnation);
+  Roster(core::HostId self, std::uint64_t incarnation,
+         const Options& options = {});
 
   /// Takes an announcement heard by this host.
   ///
@@ -83,6 +90,9 @@
     std::uint64_t erased = 0;  ///< Newest version of an erased departure.
     core::Instant confirmed;   ///< When the copy was current at the latest.
     std::map<core::UpstreamId, Entry> entries;
+    /// What the host had heard before it restarted and not heard again yet.
+    std::map<core::UpstreamId, schema::Announcement> inherited;
+    core::Instant inherited_until;
   };
 
   void Expire(core::Instant now);
@@ -96,6 +106,7 @@
   Feed& Own() { return feeds_[self_]; }
 
   core::HostId self_;
+  Options options_;
   std::map<core::HostId, Feed> feeds_;
   std::map<std::uint64_t, core::Instant> polls_;
   std::uint64_t next_poll_ = 1;
--- a/src/foxquay/schema/announcement.h
+++ b/src/foxquay/schema/announcement.h
@@ -53,6 +53,11 @@
       false;  ///< Whether it refuses orders with an old fencing number.
   std::uint32_t load = 0;  ///< Streams running, as last reported; lags.
   bool leaving = false;    ///< Whether it takes no new work.
+  bool unplaced = false;   ///< Whether a model upstream holds no layers yet.
+  core::WallTime born =
+      {};  ///< When it started; the later of two upstreams at one address
+           ///< counts. The epoch if it does not say.
+  std::uint64_t weights = 0;  ///< Version of the weights that it holds.
 
   friend bool operator==(const Announcement&, const Announcement&) = default;
 
@@ -74,6 +79,9 @@
     archive(checks_fencing);
     archive(load);
     archive(leaving);
+    archive(unplaced);
+    archive(born);
+    archive(weights);
   }
 };
 
--- a/src/foxquay/schema/control.h
+++ b/src/foxquay/schema/control.h
@@ -277,6 +277,23 @@
   }
 };
 
+/// Replaces the configuration of the fleet if its version is higher than the
+/// current one.
+struct PutFleet {
+  std::uint64_t version = 0;  ///< Version of the configuration.
+  std::string fleet;          ///< An encoded Fleet that has passed validation.
+  std::string source;         ///< The configuration as the operator sent it.
+
+  friend bool operator==(const PutFleet&, const PutFleet&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(version);
+    archive(Bound(fleet, 700000));
+    archive(Bound(source, 700000));
+  }
+};
+
 /// Asks for the next fencing epoch of an upstream.
 struct GrantFencing {
   core::UpstreamId upstream;      ///< Upstream that orders go to.
@@ -396,6 +413,20 @@
   }
 };
 
+/// Result of PutFleet.
+struct FleetResult {
+  std::uint64_t version = 0;  ///< Version in force after the command.
+  bool replaced = false;  ///< Whether the command replaced the configuration.
+
+  friend bool operator==(const FleetResult&, const FleetResult&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(version);
+    archive(replaced);
+  }
+};
+
 /// Result of an entry that does not decode.
 struct MalformedResult {
   friend bool operator==(const MalformedResult&,
@@ -526,6 +557,8 @@
   std::uint64_t incarnation = 0;  ///< Its incarnation.
   std::uint64_t poll = 0;      ///< Number of the poll within the incarnation.
   std::uint64_t sequence = 0;  ///< Sequence that the host has applied.
+  std::uint64_t fleet_version =
+      0;  ///< Version of the fleet's configuration that the host has.
 
   friend bool operator==(const ConfigPoll&, const ConfigPoll&) = default;
 
@@ -535,6 +568,7 @@
     archive(incarnation);
     archive(poll);
     archive(sequence);
+    archive(fleet_version);
   }
 };
 
@@ -549,6 +583,10 @@
       entries;  ///< Missing steps in order; empty if a snapshot is sent.
   std::optional<ConfigSnapshot>
       snapshot;  ///< Sent if the steps are no longer kept or too large.
+  std::uint64_t fleet_version =
+      0;  ///< Version of the fleet's configuration that the sender has.
+  std::string
+      fleet;  ///< The encoded Fleet; empty if the host has this version.
 
   friend bool operator==(const ConfigReply&, const ConfigReply&) = default;
 
@@ -560,6 +598,8 @@
     archive(age);
     archive(Bound(entries, 256));
     archive(snapshot);
+    archive(fleet_version);
+    archive(Bound(fleet, 700000));
   }
 };
 
@@ -646,6 +686,7 @@
   std::vector<StoredResult> results;  ///< Results of changes, oldest first.
   std::vector<StoredClaim> claims;    ///< Claims that have not expired.
   std::vector<StoredGrant> grants;    ///< Fencing grants.
+  PutFleet fleet;  ///< Configuration of the fleet; version 0 if there is none.
 
   friend bool operator==(const ControlSnapshot&,
                          const ControlSnapshot&) = default;
@@ -661,6 +702,7 @@
     archive(Bound(results, 200000));
     archive(Bound(claims, 1000000));
     archive(Bound(grants, 100000));
+    archive(fleet);
   }
 };
 
@@ -668,11 +710,11 @@
 using ControlCommand =
     std::variant<SetDefault, AddException, RemoveException, Rollback,
                  RegisterHost, EndIncarnation, Claim, ReleaseClaim, RecordClaim,
-                 GrantFencing>;
+                 GrantFencing, PutFleet>;
 
 /// Result of a command.
 using ControlResult = std::variant<MalformedResult, ChangeResult, HostResult,
-                                   ClaimResult, FencingResult>;
+                                   ClaimResult, FencingResult, FleetResult>;
 
 }  // namespace foxquay::schema
 
--- a/src/foxquay/schema/peer.h
+++ b/src/foxquay/schema/peer.h
@@ -34,7 +34,7 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(incarnation);
     archive(number);
-    archive(Bound(command, 65536));
+    archive(Bound(command, 1000000));
   }
 };
 
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -37,6 +37,24 @@
   std::string upstream;  ///< Announcements of upstreams.
   std::string admin;     ///< Operators, health and metrics.
   std::string peer;      ///< Other hosts, TCP and UDP on the same port.
+  std::string ready;     ///< Readiness of a host that serves callers.
+  std::string metrics;   ///< Metrics in the Prometheus text format.
+};
+
+/// How a host finds the others when their list is not in its settings.
+struct JoinSettings {
+  std::vector<std::string>
+      seeds;  ///< Hosts with the role control, by any of their addresses; each
+              ///< is reached on this host's peer port.
+  bool bootstrap = false;  ///< Whether the seeds may form a new group; true
+                           ///< only for the first start of a cluster.
+};
+
+/// Bound on sends beyond the first of each request, over all hosts.
+struct BudgetSettings {
+  double percent = 10;        ///< Further sends as a share of requests.
+  std::uint32_t slack = 100;  ///< Further sends in a window beyond that share.
+  core::Duration window = std::chrono::seconds(10);  ///< Length of a window.
 };
 
 /// Another host of the cluster.
@@ -52,11 +70,14 @@
 
 /// Who may do what.
 struct SecuritySettings {
-  std::string cluster;  ///< Identifier that all hosts of a cluster share.
+  std::string cluster;        ///< Identifier that all hosts of a cluster share.
+  std::string peer_key_file;  ///< File with the key of peer messages; mode
+                              ///< 0600. Required unless open is set.
   std::string
-      peer_key_file;  ///< File with the key of peer messages; mode 0600.
-  std::string operator_token_file;  ///< File with the bearer token of
-                                    ///< operators; mode 0600.
+      operator_token_file;  ///< File with the bearer token of operators; mode
+                            ///< 0600. Required unless open is set.
+  bool open = false;  ///< Whether the network alone keeps strangers out; then
+                      ///< hosts and operators present no key.
   std::vector<std::string>
       upstream_networks;  ///< Networks that upstreams may announce from,
                           ///< e.g. 10.0.0.0/8.
@@ -68,13 +89,22 @@
       1048576;  ///< Largest request body; larger ones get status 413.
   core::Duration drain_timeout = std::chrono::seconds(
       600);  ///< Time after which a drain logs the streams still open.
+  core::Duration revocation = std::chrono::milliseconds(
+      2778);  ///< Time after which no host acts on a configuration that was
+              ///< replaced; leases last nine tenths of it.
+  core::Duration upstream_silence = std::chrono::milliseconds(
+      1800);  ///< Silence after which an upstream counts as gone.
+  core::Duration grace = std::chrono::seconds(
+      30);  ///< Time from SIGTERM until the process is killed.
+  core::Duration stall = std::chrono::milliseconds(
+      2000);  ///< Silence of a stream after which its upstream counts as lost.
 };
 
 /// The log.
 struct LogSettings {
   std::string level =
       "info";        ///< Lowest level written: debug, info, warn or error.
-  std::string file;  ///< File to append to; standard error if empty.
+  std::string file;  ///< File to append to; standard output if empty.
 };
 
 /// The whole settings file.
@@ -86,6 +116,8 @@
   SecuritySettings security;  ///< Keys and networks.
   LimitSettings limits;       ///< Bounds of the process.
   LogSettings log;            ///< The log.
+  JoinSettings join;          ///< Finding the other hosts.
+  BudgetSettings budget;      ///< Budget of repeated sends.
 };
 
 }  // namespace foxquay::schema
--- a/src/foxquay/settings/reader.cc
+++ b/src/foxquay/settings/reader.cc
@@ -82,6 +82,19 @@
   return parsed;
 }
 
+void Reader::ReadReal(double& value) {
+  std::string text;
+  if (!ReadScalar(text, "a number")) return;
+  double number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end != text.data() + text.size() || number < 0) {
+    Add("expected a number that is not negative, not '" + text + "'");
+    return;
+  }
+  value = number;
+}
+
 void Reader::ReadString(std::string& value) { ReadScalar(value, "a text"); }
 
 void Reader::ReadPath(std::string& value) { ReadScalar(value, "a path"); }
--- a/src/foxquay/settings/reader.h
+++ b/src/foxquay/settings/reader.h
@@ -37,6 +37,8 @@
   /// Reads a number with the unit `ms` or `s`.
   void ReadDuration(core::Duration& value);
   void ReadBool(bool& value);
+  /// Reads a decimal number that is not negative.
+  void ReadReal(double& value);
 
   template <class Number>
   void ReadNumber(Number& value) {
--- a/src/foxquay/settings/reader_generated.cc
+++ b/src/foxquay/settings/reader_generated.cc
@@ -39,6 +39,8 @@
                               "upstream",
                               "admin",
                               "peer",
+                              "ready",
+                              "metrics",
                           });
   section.Field("caller", Need::kRequired,
                 [&](Reader& child) { child.ReadAddress(value.caller); });
@@ -48,6 +50,38 @@
                 [&](Reader& child) { child.ReadAddress(value.admin); });
   section.Field("peer", Need::kRequired,
                 [&](Reader& child) { child.ReadAddress(value.peer); });
+  section.Field("ready", Need::kOptional,
+                [&](Reader& child) { child.ReadAddress(value.ready); });
+  section.Field("metrics", Need::kOptional,
+                [&](Reader& child) { child.ReadAddress(value.metrics); });
+}
+
+void Read(Reader& reader, schema::JoinSettings& value) {
+  Section section(reader, {
+                              "seeds",
+                              "bootstrap",
+                          });
+  section.Field("seeds", Need::kOptional, [&](Reader& child) {
+    child.ReadList(value.seeds, [](Reader& item, auto& element) {
+      item.ReadAddress(element);
+    });
+  });
+  section.Field("bootstrap", Need::kOptional,
+                [&](Reader& child) { Read(child, value.bootstrap); });
+}
+
+void Read(Reader& reader, schema::BudgetSettings& value) {
+  Section section(reader, {
+                              "percent",
+                              "slack",
+                              "window",
+                          });
+  section.Field("percent", Need::kOptional,
+                [&](Reader& child) { child.ReadReal(value.percent); });
+  section.Field("slack", Need::kOptional,
+                [&](Reader& child) { child.ReadNumber(value.slack); });
+  section.Field("window", Need::kOptional,
+                [&](Reader& child) { child.ReadDuration(value.window); });
 }
 
 void Read(Reader& reader, schema::PeerSettings& value) {
@@ -81,15 +115,18 @@
                               "cluster",
                               "peer_key_file",
                               "operator_token_file",
+                              "open",
                               "upstream_networks",
                           });
   section.Field("cluster", Need::kRequired,
                 [&](Reader& child) { child.ReadString(value.cluster); });
-  section.Field("peer_key_file", Need::kRequired,
+  section.Field("peer_key_file", Need::kOptional,
                 [&](Reader& child) { child.ReadPath(value.peer_key_file); });
-  section.Field("operator_token_file", Need::kRequired, [&](Reader& child) {
+  section.Field("operator_token_file", Need::kOptional, [&](Reader& child) {
     child.ReadPath(value.operator_token_file);
   });
+  section.Field("open", Need::kOptional,
+                [&](Reader& child) { Read(child, value.open); });
   section.Field("upstream_networks", Need::kRequired, [&](Reader& child) {
     child.ReadList(value.upstream_networks, [](Reader& item, auto& element) {
       item.ReadNetwork(element);
@@ -101,12 +138,25 @@
   Section section(reader, {
                               "max_body_bytes",
                               "drain_timeout",
+                              "revocation",
+                              "upstream_silence",
+                              "grace",
+                              "stall",
                           });
   section.Field("max_body_bytes", Need::kOptional,
                 [&](Reader& child) { child.ReadNumber(value.max_body_bytes); });
   section.Field("drain_timeout", Need::kOptional, [&](Reader& child) {
     child.ReadDuration(value.drain_timeout);
   });
+  section.Field("revocation", Need::kOptional,
+                [&](Reader& child) { child.ReadDuration(value.revocation); });
+  section.Field("upstream_silence", Need::kOptional, [&](Reader& child) {
+    child.ReadDuration(value.upstream_silence);
+  });
+  section.Field("grace", Need::kOptional,
+                [&](Reader& child) { child.ReadDuration(value.grace); });
+  section.Field("stall", Need::kOptional,
+                [&](Reader& child) { child.ReadDuration(value.stall); });
 }
 
 void Read(Reader& reader, schema::LogSettings& value) {
@@ -128,6 +178,8 @@
                               "security",
                               "limits",
                               "log",
+                              "join",
+                              "budget",
                           });
   section.Field("host", Need::kRequired,
                 [&](Reader& child) { Read(child, value.host); });
@@ -143,6 +195,10 @@
                 [&](Reader& child) { Read(child, value.limits); });
   section.Field("log", Need::kOptional,
                 [&](Reader& child) { Read(child, value.log); });
+  section.Field("join", Need::kOptional,
+                [&](Reader& child) { Read(child, value.join); });
+  section.Field("budget", Need::kOptional,
+                [&](Reader& child) { Read(child, value.budget); });
 }
 
 }  // namespace foxquay::settings::internal
--- a/src/foxquay/settings/settings.cc
+++ b/src/foxquay/settings/settings.cc
@@ -21,6 +21,7 @@
   void Check() {
     CheckDataFolder();
     CheckControl();
+    CheckSecurity();
     CheckPeers();
     CheckListeners();
     CheckLogLevel();
@@ -52,13 +53,25 @@
     const bool other =
         std::any_of(peers.begin(), peers.end(),
                     [](const schema::PeerSettings& p) { return p.control; });
-    if (!own && !other) {
+    if (!own && !other && loaded_.settings.join.seeds.empty()) {
       Add(root_["host"]["roles"], "host.roles",
-          "no host has the role control: give it to this one or set control: "
-          "true on a peer");
+          "no host has the role control: give it to this one, set control: "
+          "true on a peer or name join.seeds");
     }
   }
 
+  void CheckSecurity() {
+    const schema::SecuritySettings& security = loaded_.settings.security;
+    if (security.open) return;
+    const auto require = [this](const char* key, const std::string& file) {
+      if (!file.empty()) return;
+      Add(root_["security"], std::string("security.") + key,
+          "required unless security.open is true");
+    };
+    require("peer_key_file", security.peer_key_file);
+    require("operator_token_file", security.operator_token_file);
+  }
+
   void CheckPeers() {
     std::set<core::HostId> ids{loaded_.settings.host.id};
     std::set<std::string> addresses{loaded_.settings.listeners.peer};
