--- a/src/foxquay/daemon/control_fleet.cc
+++ b/src/foxquay/daemon/control_fleet.cc
@@ -1,4 +1,5 @@
 // The fleet's configuration and the leadership that orders to upstreams need.
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 #include <variant>
@@ -8,6 +9,12 @@
 #include "foxquay/log/log.h"
 
 namespace foxquay::daemon {
+namespace internal {
+
+/// Pause between two probes of an upstream, above the time of one.
+constexpr core::Duration kProbePause = std::chrono::milliseconds(900);
+
+}  // namespace internal
 
 void ControlNode::PutFleet(
     schema::PutFleet command, core::Duration timeout,
@@ -64,6 +71,43 @@
   reads_ = std::move(waiting);
 }
 
+void ControlNode::ProbeSilent(core::Instant now) {
+  if (!sink_.probe_upstreams) return;
+  std::erase_if(probed_, [now](const auto& item) {
+    return now - item.second > internal::kProbePause;
+  });
+  std::vector<schema::Announcement> due;
+  for (schema::Announcement& silent :
+       roster_.Silent(settings_.limits.upstream_heartbeat * 5 / 4, now)) {
+    if (!probed_.try_emplace(silent.id, now).second) continue;
+    due.push_back(std::move(silent));
+  }
+  if (!due.empty()) sink_.probe_upstreams(due);
+}
+
+void ControlNode::NoteProbe(const schema::Announcement& probed, bool reached) {
+  boost::asio::post(context_, [this, probed, reached] {
+    const core::Instant now = Now();
+    const auto silent =
+        roster_.Silent(settings_.limits.upstream_heartbeat * 5 / 4, now);
+    const bool still = std::any_of(
+        silent.begin(), silent.end(), [&probed](const auto& announcement) {
+          return announcement.id == probed.id &&
+                 announcement.sequence == probed.sequence;
+        });
+    if (!still) return;
+    if (reached) {
+      roster_.Renew(probed.id, now);
+      return;
+    }
+    log::Write(log::Level::kWarn, "upstream_lost",
+               {{"upstream", probed.id},
+                {"address", probed.address},
+                {"reason", "overdue and unreachable"}});
+    if (roster_.Withdraw(probed.id, now)) PublishRoster(now);
+  });
+}
+
 void ControlNode::PublishLeadership() {
   if (!replica_ || !sink_.set_leadership) return;
   const std::pair<bool, std::uint64_t> leadership(replica_->leads(),
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -210,6 +210,7 @@
   ExpireChecks(now);
   AnswerReads(now);
   PublishLeadership();
+  ProbeSilent(now);
   if (now >= next_config_poll_) PollConfig(now);
   if (now >= next_roster_poll_) PollRoster(now);
   if (now >= next_spread_) SpreadHosts(now);
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -62,6 +62,9 @@
   std::function<void(std::uint64_t, const std::string&)> set_fleet;
   std::function<double()> free_capacity;
   std::function<std::size_t()> open_requests;
+  /// Upstreams whose announcements are overdue; each is answered by
+  /// ControlNode::NoteProbe.
+  std::function<void(const std::vector<schema::Announcement>&)> probe_upstreams;
   /// Number of known hosts that serve callers, this one included.
   std::function<void(std::size_t)> set_entry_hosts;
   /// Whether this host's replica leads, and its term.
@@ -125,6 +128,9 @@
   void RecordOutcome(ClaimRecord record);
   void Announce(const schema::Announcement& announcement);
   void Withdraw(const core::UpstreamId& upstream);
+  /// Takes whether an overdue upstream could be reached; one that could not is
+  /// withdrawn unless it was heard since.
+  void NoteProbe(const schema::Announcement& probed, bool reached);
   void StartDrain();
 
   /// Returns the addresses for callers in a data centre without waiting.
@@ -216,6 +222,7 @@
   void ExpireChecks(core::Instant now);
   void AnswerReads(core::Instant now);
   void PublishLeadership();
+  void ProbeSilent(core::Instant now);
   [[nodiscard]] core::HostId KnownLeader() const;
 
   const schema::Settings settings_;
@@ -256,6 +263,7 @@
   std::map<std::uint64_t, InForceCheck> checks_;
   std::vector<FleetRead> reads_;
   std::uint64_t published_fleet_ = 0;
+  std::map<core::UpstreamId, core::Instant> probed_;
   std::optional<std::pair<bool, std::uint64_t>> published_leadership_;
   std::uint64_t next_check_ = 1;
   std::atomic<std::shared_ptr<const Shared>> shared_;
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -35,7 +35,7 @@
 constexpr double kAcceptPart = 0.5;
 
 /// Part after which the process ends though requests are open.
-constexpr double kEndPart = 0.95;
+constexpr double kEndPart = 0.85;
 
 /// Time that a host without callers serves on after SIGTERM, so that what has
 /// arrived is answered.
@@ -205,6 +205,16 @@
     sink.set_entry_hosts = [this](std::size_t hosts) {
       Post([this, hosts] { proxy_.SetHosts(hosts); });
     };
+    sink.probe_upstreams =
+        [this](const std::vector<schema::Announcement>& upstreams) {
+          Post([this, upstreams] {
+            for (const schema::Announcement& upstream : upstreams) {
+              placer_.Probe(upstream, [this, upstream](bool reached) {
+                node_.NoteProbe(upstream, reached);
+              });
+            }
+          });
+        };
     sink.set_leadership = [this](bool leads, std::uint64_t term) {
       Post([this, leads, term] { placer_.SetLeadership(leads, term); });
     };
--- a/src/foxquay/gateway/dialect.h
+++ b/src/foxquay/gateway/dialect.h
@@ -52,7 +52,7 @@
   std::function<AnswerFacts(unsigned status, const net::Fields&)> read_answer;
   std::function<net::Request(const placement::Order&)> write_order;
   std::function<placement::OrderOutcome(unsigned status)> read_order;
-  std::function<net::Request()> write_inquiry;
+  std::function<net::Request(const core::UpstreamId&)> write_inquiry;
   std::function<std::optional<placement::Report>(const std::string& body)>
       read_report;
 };
--- a/src/foxquay/gateway/placer.cc
+++ b/src/foxquay/gateway/placer.cc
@@ -9,6 +9,9 @@
 namespace foxquay::gateway {
 namespace internal {
 
+/// Status of an upstream that is not the one that was asked for.
+constexpr unsigned kMisdirected = 421;
+
 const char* Name(placement::OrderOutcome outcome) {
   switch (outcome) {
     case placement::OrderOutcome::kAccepted:
@@ -31,14 +34,33 @@
     : dialect_(dialect),
       client_(context,
               {[this](net::CallId id, unsigned status, net::Fields&&) {
-                 calls_.at(id).status = status;
+                 const auto probe = probes_.find(id);
+                 if (probe == probes_.end()) {
+                   calls_.at(id).status = status;
+                 } else {
+                   probe->second.status = status;
+                 }
                },
                [this](net::CallId id, const std::string& data) {
-                 calls_.at(id).body += data;
+                 if (!probes_.contains(id)) calls_.at(id).body += data;
                },
                [this](net::CallId id) { Finish(id, true); },
                [this](net::CallId id, net::Failure) { Finish(id, false); }}) {}
 
+void Placer::Probe(const schema::Announcement& upstream,
+                   std::function<void(bool)> done) {
+  const net::CallId id =
+      client_.Call(upstream.address,
+                   net::Serialize(dialect_.write_inquiry(upstream.id)), {});
+  probes_[id] = {std::move(done), net::SteadyNow() + kAnswerTimeout, 0};
+}
+
+void Placer::EndProbe(net::CallId id, bool answered) {
+  const auto node = probes_.extract(id);
+  node.mapped().done(answered &&
+                     node.mapped().status != internal::kMisdirected);
+}
+
 void Placer::SetLeadership(bool leads, std::uint64_t term) {
   leads_ = leads;
   term_ = term;
@@ -90,14 +112,19 @@
                 {"fence", order->fence},
                 {"expected", order->expected}});
   } else {
-    address = std::get<placement::Inquiry>(action).address;
-    request = dialect_.write_inquiry();
+    const auto& inquiry = std::get<placement::Inquiry>(action);
+    address = inquiry.address;
+    request = dialect_.write_inquiry(inquiry.upstream);
   }
   const net::CallId id = client_.Call(address, net::Serialize(request), {});
   calls_[id] = {service, action, now + kAnswerTimeout, 0, {}};
 }
 
 void Placer::Finish(net::CallId id, bool answered) {
+  if (probes_.contains(id)) {
+    EndProbe(id, answered);
+    return;
+  }
   const auto node = calls_.extract(id);
   const Call& call = node.mapped();
   const core::Instant now = net::SteadyNow();
@@ -133,6 +160,9 @@
   for (const auto& [id, call] : calls_) {
     if (now >= call.deadline) late.push_back(id);
   }
+  for (const auto& [id, probe] : probes_) {
+    if (now >= probe.deadline) late.push_back(id);
+  }
   for (const net::CallId id : late) {
     client_.Cancel(id);
     Finish(id, false);
--- a/src/foxquay/gateway/placer.h
+++ b/src/foxquay/gateway/placer.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,6 +40,11 @@
   void SetFleet(std::shared_ptr<const fleet::Table> table);
   void SetUpstreams(std::vector<schema::Announcement> upstreams);
 
+  /// Asks an upstream for its state and calls `done` with whether it answered
+  /// as that upstream.
+  void Probe(const schema::Announcement& upstream,
+             std::function<void(bool)> done);
+
   /// Sends what is due. Called each kPlacerInterval.
   void Review();
 
@@ -51,6 +57,13 @@
     std::string body;
   };
 
+  struct Probing {
+    std::function<void(bool)> done;
+    core::Instant deadline;
+    unsigned status = 0;
+  };
+
+  void EndProbe(net::CallId id, bool answered);
   void Feed(core::Instant now);
   void Send(const core::ServiceId& service, const placement::Action& action,
             core::Instant now);
@@ -62,6 +75,7 @@
   std::vector<schema::Announcement> upstreams_;
   std::map<core::ServiceId, placement::Conductor> conductors_;
   std::unordered_map<net::CallId, Call> calls_;
+  std::unordered_map<net::CallId, Probing> probes_;
   bool leads_ = false;
   std::uint64_t term_ = 0;
 };
--- a/src/foxquay/net/server.cc
+++ b/src/foxquay/net/server.cc
@@ -57,6 +57,11 @@
   return {};
 }
 
+std::string Server::address() const {
+  const Tcp::endpoint local = acceptors_.front().local_endpoint();
+  return local.address().to_string() + ":" + std::to_string(local.port());
+}
+
 void Server::Accept(Tcp::acceptor& acceptor) {
   acceptor.async_accept(
       [this, &acceptor](const boost::system::error_code& error,
--- a/src/foxquay/net/server.h
+++ b/src/foxquay/net/server.h
@@ -50,6 +50,11 @@
   /// Binds `IP:PORT` and starts to accept; may be called for several.
   [[nodiscard]] std::error_code Listen(const std::string& address);
 
+  /// Returns `IP:PORT` of the first listener, e.g. after one with port 0.
+  ///
+  /// Precondition: Listen succeeded.
+  [[nodiscard]] std::string address() const;
+
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
 
   /// Sends a whole answer.
--- a/src/foxquay/placement/plan.cc
+++ b/src/foxquay/placement/plan.cc
@@ -1,6 +1,7 @@
 #include "foxquay/placement/plan.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <cmath>
 #include <map>
@@ -10,9 +11,16 @@
 namespace foxquay::placement {
 namespace internal {
 
-/// Requests of mean size that a stage must have memory for when it takes up
-/// missing layers; with fewer it would hold up the whole chain.
-constexpr double kMinRequests = 8;
+/// Upper end of the search for memory, in tokens.
+constexpr double kMaxTokens = 1e7;
+
+/// Part of the memory that all could keep below which layers are moved though
+/// none is missing; the rest allows for the unevenness of whole layers.
+constexpr double kWorthMoving = 0.5;
+
+/// Parts of the memory that all could keep that are tried in turn when layers
+/// are divided anew; a smaller one leaves more freedom to move little.
+constexpr std::array<double, 4> kKeptParts = {0.8, 0.6, 0.3, 0.0};
 
 /// Steps of the search for the memory that all stages can keep.
 constexpr int kSearchSteps = 40;
@@ -25,10 +33,6 @@
   return found == engine.accelerators.end() ? nullptr : &*found;
 }
 
-double MinTokens(const schema::Engine& engine) {
-  return kMinRequests * (engine.usual_prompt + engine.usual_answer);
-}
-
 using Group = std::vector<Holder*>;
 
 std::uint32_t Capacity(const schema::Engine& engine, const Group& group,
@@ -44,7 +48,7 @@
 /// keep while the group holds all layers.
 double SharedTokens(const schema::Engine& engine, const Group& group) {
   double low = 0;
-  double high = 1e7;
+  double high = kMaxTokens;
   for (int step = 0; step < kSearchSteps; ++step) {
     const double middle = (low + high) / 2;
     const bool fits = Capacity(engine, group, middle) >= engine.layers;
@@ -102,108 +106,116 @@
           static_cast<std::uint32_t>(end - held.begin())};
 }
 
-Holder* LargestEmpty(const schema::Engine& engine, const Group& group,
-                     double tokens) {
-  Holder* best = nullptr;
-  std::uint32_t most = 0;
-  for (Holder* holder : group) {
-    const std::uint32_t fits =
-        LayersThatFit(engine, holder->accelerator, tokens);
-    if (holder->layers.empty() && fits > most) {
-      most = fits;
-      best = holder;
+double Room(const schema::Engine& engine, const Holder& holder) {
+  return TokensThatFit(engine, holder.accelerator, holder.layers.size());
+}
+
+/// Returns the least memory for requests, in tokens, of those that hold layers.
+double LeastRoom(const schema::Engine& engine, const Group& group) {
+  double least = kMaxTokens;
+  for (const Holder* holder : group) {
+    if (!holder->layers.empty()) {
+      least = std::min(least, Room(engine, *holder));
     }
   }
-  return best;
+  return least;
 }
 
-/// Extends the holder beside a gap that can take most of it; returns whether
-/// one could.
-bool ExtendInto(const schema::Engine& engine, const Group& group, Range gap,
-                double tokens) {
-  Holder* best = nullptr;
-  std::uint32_t most = 0;
+/// Returns the group in the order of its layers. Those that hold none come
+/// where layers are missing, the first gap first, or behind the holder with the
+/// least memory for requests.
+Group InOrder(const schema::Engine& engine, const Group& group) {
+  Group order;
+  Group empty;
   for (Holder* holder : group) {
-    if (holder->layers.empty()) continue;
-    const bool beside =
-        holder->layers.end == gap.first || holder->layers.first == gap.end;
-    const std::uint32_t fits =
-        LayersThatFit(engine, holder->accelerator, tokens);
-    if (!beside || fits <= holder->layers.size()) continue;
-    const std::uint32_t room = fits - holder->layers.size();
-    if (room > most) {
-      most = room;
-      best = holder;
-    }
+    (holder->layers.empty() ? empty : order).push_back(holder);
   }
-  if (best == nullptr) return false;
-  const std::uint32_t taken = std::min(most, gap.size());
-  if (best->layers.end == gap.first) {
-    best->layers.end += taken;
-  } else {
-    best->layers.first -= taken;
+  const auto by_layers = [](const Holder* left, const Holder* right) {
+    return std::tie(left->layers.first, left->layers.end) <
+           std::tie(right->layers.first, right->layers.end);
+  };
+  std::stable_sort(order.begin(), order.end(), by_layers);
+  std::stable_sort(empty.begin(), empty.end(),
+                   [&](const Holder* left, const Holder* right) {
+                     return LayersThatFit(engine, left->accelerator, 0) >
+                            LayersThatFit(engine, right->accelerator, 0);
+                   });
+  const Range gap = FirstGap(engine, group);
+  for (Holder* holder : empty) {
+    auto place = std::find_if(
+        order.begin(), order.end(),
+        [&gap](const Holder* other) { return other->layers.first >= gap.end; });
+    if (gap.empty()) {
+      place =
+          std::min_element(order.begin(), order.end(),
+                           [&](const Holder* left, const Holder* right) {
+                             return Room(engine, *left) < Room(engine, *right);
+                           });
+    }
+    order.insert(place, holder);
   }
-  return true;
+  return order;
 }
 
-void FillGaps(const schema::Engine& engine, const Group& group) {
-  for (const double tokens : {MinTokens(engine), MinTokens(engine) / 4}) {
-    for (Range gap = FirstGap(engine, group); !gap.empty();
-         gap = FirstGap(engine, group)) {
-      Holder* empty = LargestEmpty(engine, group, tokens);
-      if (empty != nullptr) {
-        const std::uint32_t fits =
-            LayersThatFit(engine, empty->accelerator, tokens);
-        empty->layers = {gap.first, gap.first + std::min(fits, gap.size())};
-      } else if (!ExtendInto(engine, group, gap, tokens)) {
-        break;
-      }
-    }
-  }
+/// Layers of `range` that are not in `held`.
+std::uint32_t NewLayers(Range range, Range held) {
+  const std::uint32_t first = std::max(range.first, held.first);
+  const std::uint32_t end = std::min(range.end, held.end);
+  return range.size() - (end > first ? end - first : 0);
 }
 
-/// Gives upstreams without layers a second copy of those whose holder has the
-/// least memory for requests.
-void Reinforce(const schema::Engine& engine, const Group& group) {
-  for (Holder* empty : group) {
-    if (!empty->layers.empty()) continue;
-    const Holder* tightest = nullptr;
-    double least = 0;
-    for (const Holder* holder : group) {
-      if (holder->layers.empty()) continue;
-      double room =
-          TokensThatFit(engine, holder->accelerator, holder->layers.size());
-      for (const Holder* other : group) {
-        const bool copy = other != holder && !other->layers.empty() &&
-                          other->layers.first <= holder->layers.first &&
-                          other->layers.end >= holder->layers.end;
-        if (copy) {
-          room +=
-              TokensThatFit(engine, other->accelerator, other->layers.size());
-        }
-      }
-      const bool fits =
-          LayersThatFit(engine, empty->accelerator, MinTokens(engine) / 4) >=
-          holder->layers.size();
-      if (fits && (tightest == nullptr || room < least)) {
-        tightest = holder;
-        least = room;
+/// Divides all layers over an ordered group so that each keeps memory for
+/// `tokens` and the loads are small and even: the time until all layers are
+/// held again is that of the largest load. Dynamic programming over the layer
+/// at which each one ends.
+bool Divide(const schema::Engine& engine, const Group& order, double tokens) {
+  constexpr std::uint64_t kNone = UINT64_MAX;
+  const std::uint32_t layers = engine.layers;
+  std::vector<std::vector<std::uint64_t>> cost(
+      order.size() + 1, std::vector<std::uint64_t>(layers + 1, kNone));
+  std::vector<std::vector<std::uint32_t>> from(
+      order.size() + 1, std::vector<std::uint32_t>(layers + 1, 0));
+  cost[0][0] = 0;
+  for (std::size_t at = 0; at < order.size(); ++at) {
+    const std::uint32_t most =
+        LayersThatFit(engine, order[at]->accelerator, tokens);
+    for (std::uint32_t first = 0; first <= layers; ++first) {
+      if (cost[at][first] == kNone) continue;
+      for (std::uint32_t end = first; end <= std::min(layers, first + most);
+           ++end) {
+        const std::uint64_t loads = NewLayers({first, end}, order[at]->layers);
+        const std::uint64_t total = cost[at][first] + loads * loads;
+        if (total >= cost[at + 1][end]) continue;
+        cost[at + 1][end] = total;
+        from[at + 1][end] = first;
       }
     }
-    if (tightest != nullptr) empty->layers = tightest->layers;
   }
+  if (cost[order.size()][layers] == kNone) return false;
+  std::uint32_t end = layers;
+  for (std::size_t at = order.size(); at-- > 0;) {
+    const std::uint32_t first = from[at + 1][end];
+    order[at]->layers = first == end ? Range{} : Range{first, end};
+    end = first;
+  }
+  return true;
 }
 
 void PlanGroup(const schema::Engine& engine, const Group& group) {
+  if (Capacity(engine, group, 0) < engine.layers) return;
   const bool fresh =
       std::all_of(group.begin(), group.end(),
                   [](const Holder* holder) { return holder->layers.empty(); });
-  if (Capacity(engine, group, 0) < engine.layers) return;
   if (fresh) {
     LayOut(engine, group);
-  } else {
-    FillGaps(engine, group);
-    Reinforce(engine, group);
+    return;
+  }
+  const double shared = SharedTokens(engine, group);
+  const bool whole = FirstGap(engine, group).empty();
+  if (whole && LeastRoom(engine, group) >= kWorthMoving * shared) return;
+  const Group order = InOrder(engine, group);
+  for (const double part : kKeptParts) {
+    if (Divide(engine, order, part * shared)) return;
   }
 }
 
--- a/src/foxquay/placement/plan.h
+++ b/src/foxquay/placement/plan.h
@@ -44,10 +44,9 @@
 /// the loss of one leaves the others whole.
 ///
 /// A data centre where nothing is held is laid out over all its upstreams with
-/// equal memory for requests; elsewhere only layers that are missing are moved,
-/// first to upstreams that hold none, then to the holders beside the gap. An
-/// upstream that is left over takes a second copy of the layers whose holder
-/// has the least memory for requests. Thread-safe.
+/// equal memory for requests. Where layers are missing, or some holder has far
+/// less memory for requests than all could have, all layers are divided anew in
+/// the order in which they are held, with small and even loads. Thread-safe.
 [[nodiscard]] std::vector<Assignment> Plan(const schema::Engine& engine,
                                            std::vector<Holder> holders);
 
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -124,12 +124,7 @@
     ++state.sends;
     state.tried.push_back(hops.front().upstream);
     if (loss.kind != LossKind::kNotRun) state.may_have_run = true;
-    if (fault) {
-      upstreams_.Suspect(*fault, now);
-    } else if (loss.kind != LossKind::kError &&
-               loss.kind != LossKind::kNotRun) {
-      upstreams_.SuspectAny(hops, now);
-    }
+    Blame(loss.kind, fault, hops, now);
   }
   if (!MaySendAgain(state, loss.kind)) {
     return GiveUp(id, std::string("send ended: ") + Name(loss.kind),
@@ -143,6 +138,29 @@
   return Route(id, state, now);
 }
 
+void Relay::Blame(LossKind kind, const std::optional<core::UpstreamId>& fault,
+                  const std::vector<Hop>& hops, core::Instant now) {
+  if (fault) {
+    upstreams_.Suspect(*fault, now);
+    return;
+  }
+  switch (kind) {
+    case LossKind::kStalled:
+      upstreams_.SuspectAny(hops, now);
+      return;
+    case LossKind::kUnanswered:
+    case LossKind::kCut:
+      // Only the first hop's own connection can end at once; a later hop that
+      // is lost shows as a stall.
+      upstreams_.Doubt(hops.front().upstream, now);
+      return;
+    case LossKind::kNotSent:
+    case LossKind::kNotRun:
+    case LossKind::kError:
+      return;
+  }
+}
+
 Decision Relay::GiveUp(core::RequestId id, const std::string& reason,
                        core::Duration retry_after, core::Instant) {
   const State& state = requests_.at(id);
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -77,6 +77,8 @@
   Decision Route(core::RequestId id, State& state, core::Instant now);
   Decision GiveUp(core::RequestId id, const std::string& reason,
                   core::Duration retry_after, core::Instant now);
+  void Blame(LossKind kind, const std::optional<core::UpstreamId>& fault,
+             const std::vector<Hop>& hops, core::Instant now);
   [[nodiscard]] bool MaySendAgain(const State& state, LossKind kind) const;
   void Release(State& state);
   void End(core::RequestId id);
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -217,6 +217,16 @@
       entry.avoid_until, now + internal::kFirstAvoidance * (1 << doublings));
 }
 
+void Upstreams::Doubt(const core::UpstreamId& upstream, core::Instant now) {
+  const auto found = entries_.find(upstream);
+  if (found == entries_.end()) return;
+  if (found->second.failures > 0) {
+    Suspect(upstream, now);
+  } else {
+    ++found->second.failures;
+  }
+}
+
 void Upstreams::SuspectAny(const std::vector<Hop>& hops, core::Instant now) {
   if (hops.size() == 1) {
     Suspect(hops.front().upstream, now);
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -71,6 +71,9 @@
 
   /// Avoids an upstream for a time that doubles with each failure in a row.
   void Suspect(const core::UpstreamId& upstream, core::Instant now);
+  /// Counts a failure that may be a single one, e.g. a garbled answer; avoids
+  /// the upstream from the second in a row on.
+  void Doubt(const core::UpstreamId& upstream, core::Instant now);
   /// Avoids whichever of the hops of a way failed, without knowing which.
   void SuspectAny(const std::vector<Hop>& hops, core::Instant now);
   /// Notes that the hops have served a request well.
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -74,15 +74,47 @@
 
 bool Roster::Withdraw(const core::UpstreamId& upstream, core::Instant now) {
   Expire(now);
-  const auto found = Own().entries.find(upstream);
-  if (found == Own().entries.end()) return false;
-  schema::Announcement leaving = found->second.announcement;
+  const schema::Announcement* newest = nullptr;
+  for (const auto& [host, feed] : feeds_) {
+    const auto found = feed.entries.find(upstream);
+    if (found == feed.entries.end()) continue;
+    const schema::Announcement& known = found->second.announcement;
+    if (newest == nullptr || newest->sequence < known.sequence) {
+      newest = &known;
+    }
+  }
+  if (newest == nullptr) return false;
+  schema::Announcement leaving = *newest;
   leaving.leaving = true;
-  found->second.heard = now;
-  Change(found->second, leaving);
+  Entry& entry = Own().entries[upstream];
+  entry.heard = now;
+  Change(entry, leaving);
   return true;
 }
 
+std::vector<schema::Announcement> Roster::Silent(core::Duration silence,
+                                                 core::Instant now) const {
+  std::vector<schema::Announcement> silent;
+  for (const auto& [id, entry] : feeds_.at(self_).entries) {
+    if (entry.announcement.leaving || now - entry.heard <= silence) continue;
+    const bool heard_elsewhere = std::any_of(
+        feeds_.begin(), feeds_.end(), [&id = id, &entry = entry](auto& item) {
+          const auto found = item.second.entries.find(id);
+          return found != item.second.entries.end() &&
+                 found->second.announcement.sequence >
+                     entry.announcement.sequence;
+        });
+    if (!heard_elsewhere) silent.push_back(entry.announcement);
+  }
+  return silent;
+}
+
+void Roster::Renew(const core::UpstreamId& upstream, core::Instant now) {
+  const auto found = Own().entries.find(upstream);
+  if (found == Own().entries.end()) return;
+  found->second.heard = std::max(found->second.heard, now);
+}
+
 void Roster::Expire(core::Instant now) {
   for (auto& [host, feed] : feeds_) {
     std::erase_if(feed.entries, [now, &feed = feed](const auto& item) {
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -55,7 +55,8 @@
   /// last one heard.
   bool Announce(const schema::Announcement& announcement, core::Instant now);
 
-  /// Takes the withdrawal of an upstream; returns false if it is not known.
+  /// Takes the withdrawal of an upstream, heard by this host or another;
+  /// returns false if it is not known.
   bool Withdraw(const core::UpstreamId& upstream, core::Instant now);
 
   /// Returns the poll to send to another host at `now`.
@@ -68,6 +69,14 @@
   /// Takes a reply; ignored if its poll is unknown or was answered already.
   void Apply(const schema::RosterReply& reply, core::Instant now);
 
+  /// Returns the upstreams that only this host hears and has not heard for
+  /// longer than `silence`.
+  [[nodiscard]] std::vector<schema::Announcement> Silent(
+      core::Duration silence, core::Instant now) const;
+
+  /// Notes that an upstream heard by this host was reached at `now`.
+  void Renew(const core::UpstreamId& upstream, core::Instant now);
+
   /// Returns the upstreams that may get new work, ordered by id.
   [[nodiscard]] std::vector<schema::Announcement> Usable(core::Instant now);
 
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -94,6 +94,8 @@
               ///< replaced; leases last nine tenths of it.
   core::Duration upstream_silence = std::chrono::milliseconds(
       1800);  ///< Silence after which an upstream counts as gone.
+  core::Duration upstream_heartbeat = std::chrono::milliseconds(
+      600);  ///< Interval at which upstreams announce themselves.
   core::Duration grace = std::chrono::seconds(
       30);  ///< Time from SIGTERM until the process is killed.
   core::Duration stall = std::chrono::milliseconds(
--- a/src/foxquay/settings/reader_generated.cc
+++ b/src/foxquay/settings/reader_generated.cc
@@ -140,6 +140,7 @@
                               "drain_timeout",
                               "revocation",
                               "upstream_silence",
+                              "upstream_heartbeat",
                               "grace",
                               "stall",
                           });
@@ -153,6 +154,9 @@
   section.Field("upstream_silence", Need::kOptional, [&](Reader& child) {
     child.ReadDuration(value.upstream_silence);
   });
+  section.Field("upstream_heartbeat", Need::kOptional, [&](Reader& child) {
+    child.ReadDuration(value.upstream_heartbeat);
+  });
   section.Field("grace", Need::kOptional,
                 [&](Reader& child) { child.ReadDuration(value.grace); });
   section.Field("stall", Need::kOptional,
--- /dev/null
+++ b/tests/foxquay/fleet/table_test.cc
@@ -0,0 +1,73 @@
+#include "foxquay/fleet/table.h"
+
+#include <catch2/catch.hpp>
+
+#include "foxquay/fleet/validate.h"
+
+namespace foxquay::fleet {
+namespace {
+
+schema::Route MakeRoute(const std::string& prefix, const std::string& service) {
+  schema::Route route;
+  route.host = "example";
+  route.path_prefix = prefix;
+  route.timeout = std::chrono::seconds(1);
+  route.services.push_back({core::ServiceId(service), 1});
+  return route;
+}
+
+schema::Fleet MakeFleet() {
+  schema::Fleet fleet;
+  fleet.version = 7;
+  fleet.services.push_back({core::ServiceId("a"), 10, std::nullopt});
+  fleet.services.push_back({core::ServiceId("b"), 10, std::nullopt});
+  fleet.routes = {MakeRoute("/x/", "a"), MakeRoute("/x/deep/", "b")};
+  fleet.workspaces.push_back({core::WorkspaceId("w"), {"k1", "k2"}, 3});
+  return fleet;
+}
+
+}  // namespace
+
+TEST_CASE("the longest prefix selects the route") {
+  const Table table(MakeFleet());
+  REQUIRE(table.FindRoute("example", "/x/deep/1") != nullptr);
+  CHECK(table.FindRoute("example", "/x/deep/1")->path_prefix == "/x/deep/");
+  CHECK(table.FindRoute("example:80", "/x/1?q=/x/deep/")->path_prefix == "/x/");
+  CHECK(table.FindRoute("example", "/y/") == nullptr);
+  CHECK(table.FindRoute("other", "/x/1") == nullptr);
+}
+
+TEST_CASE("a key names its workspace and no other text does") {
+  const Table table(MakeFleet());
+  REQUIRE(table.FindWorkspace("k2") != nullptr);
+  CHECK(table.FindWorkspace("k2")->id.value() == "w");
+  CHECK(table.FindWorkspace("") == nullptr);
+  CHECK(table.FindWorkspace("k") == nullptr);
+}
+
+TEST_CASE("services get requests by weight and none at weight 0") {
+  schema::Route route = MakeRoute("/x/", "a");
+  route.services = {{core::ServiceId("z"), 0},
+                    {core::ServiceId("a"), 90},
+                    {core::ServiceId("b"), 10}};
+  CHECK(PickService(route, 0).value() == "a");
+  CHECK(PickService(route, 0.89).value() == "a");
+  CHECK(PickService(route, 0.91).value() == "b");
+  CHECK(PickService(route, 0.999999).value() == "b");
+}
+
+TEST_CASE("all faults of a configuration are found together") {
+  CHECK(Validate(MakeFleet()).empty());
+  schema::Fleet fleet = MakeFleet();
+  fleet.routes[0].services[0].service = core::ServiceId("unknown");
+  fleet.routes[1].path_prefix = "/x/";
+  fleet.routes[1].timeout = {};
+  fleet.routes.push_back(MakeRoute("/no-weight/", "a"));
+  fleet.routes.back().services[0].weight = 0;
+  fleet.routes.push_back(MakeRoute("/no-slash", "a"));
+  fleet.workspaces.push_back(
+      {core::WorkspaceId("thief"), {"k1"}, std::nullopt});
+  CHECK(Validate(fleet).size() == 6);
+}
+
+}  // namespace foxquay::fleet
--- /dev/null
+++ b/tests/foxquay/placement/conductor_test.cc
@@ -0,0 +1,108 @@
+#include "foxquay/placement/conductor.h"
+
+#include <catch2/catch.hpp>
+
+#include "engines.h"
+
+namespace foxquay::placement {
+namespace {
+
+using std::chrono::milliseconds;
+
+core::Instant At(int ms) { return core::Instant(milliseconds(ms)); }
+
+schema::Announcement Empty(const std::string& id) {
+  schema::Announcement announcement;
+  announcement.id = core::UpstreamId(id);
+  announcement.address = id;
+  announcement.kind = "model";
+  announcement.accelerator = "large";
+  announcement.unplaced = true;
+  return announcement;
+}
+
+std::vector<schema::Announcement> Fleet() {
+  std::vector<schema::Announcement> fleet;
+  for (const char* id : {"u1", "u2", "u3", "u4", "u5"}) {
+    fleet.push_back(Empty(id));
+  }
+  return fleet;
+}
+
+std::size_t Orders(const std::vector<Action>& actions) {
+  return static_cast<std::size_t>(
+      std::count_if(actions.begin(), actions.end(), [](const Action& action) {
+        return std::holds_alternative<Order>(action);
+      }));
+}
+
+}  // namespace
+
+TEST_CASE("only a leader that has heard all upstreams gives orders") {
+  Conductor conductor;
+  conductor.SetUpstreams(Fleet(), MakeEngine(), At(0));
+  CHECK(conductor.Tick(At(5000)).empty());
+  conductor.SetLeadership(true, 3, At(5000));
+  CHECK(conductor.Tick(At(5100)).empty());
+  const std::vector<Action> actions = conductor.Tick(At(8000));
+  REQUIRE(Orders(actions) == 5);
+  CHECK(std::get<Order>(actions[0]).fence == 3);
+  CHECK(std::get<Order>(actions[0]).expected == 0);
+  CHECK(conductor.Tick(At(8100)).empty());
+}
+
+// An order without an answer may be carried out seconds later.
+TEST_CASE("an unanswered order is looked into before another is given") {
+  Conductor conductor;
+  conductor.SetLeadership(true, 3, At(0));
+  conductor.SetUpstreams(Fleet(), MakeEngine(), At(0));
+  REQUIRE(Orders(conductor.Tick(At(5000))) == 5);
+  const core::UpstreamId id("u1");
+  conductor.HandleOrder(id, OrderOutcome::kUnanswered, At(6000));
+  const std::vector<Action> actions = conductor.Tick(At(6100));
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<Inquiry>(actions[0]).upstream == id);
+  CHECK(conductor.Tick(At(6200)).empty());
+  SECTION("it was not carried out") {
+    conductor.HandleReport(id, Report{0, {}, false}, At(6300));
+    const std::vector<Action> again = conductor.Tick(At(6400));
+    REQUIRE(Orders(again) == 1);
+    CHECK(std::get<Order>(again[0]).expected == 0);
+  }
+  SECTION("it is being carried out") {
+    conductor.HandleReport(id, Report{1, {}, true}, At(6300));
+    CHECK(conductor.Tick(At(6400)).empty());
+  }
+}
+
+TEST_CASE("an upstream that was born again is told afresh") {
+  Conductor conductor;
+  conductor.SetLeadership(true, 3, At(0));
+  std::vector<schema::Announcement> fleet = Fleet();
+  conductor.SetUpstreams(fleet, MakeEngine(), At(0));
+  for (const Action& action : conductor.Tick(At(5000))) {
+    conductor.HandleOrder(std::get<Order>(action).upstream,
+                          OrderOutcome::kAccepted, At(5100));
+  }
+  CHECK(conductor.Tick(At(5200)).empty());
+  fleet[0].born = core::WallTime(milliseconds(77));
+  conductor.SetUpstreams(fleet, MakeEngine(), At(5300));
+  const std::vector<Action> actions = conductor.Tick(At(5400));
+  REQUIRE(Orders(actions) == 1);
+  CHECK(std::get<Order>(actions[0]).upstream.value() == "u1");
+  CHECK(std::get<Order>(actions[0]).expected == 0);
+}
+
+TEST_CASE("a fenced leader leaves the upstream alone for a while") {
+  Conductor conductor;
+  conductor.SetLeadership(true, 3, At(0));
+  conductor.SetUpstreams(Fleet(), MakeEngine(), At(0));
+  REQUIRE(Orders(conductor.Tick(At(5000))) == 5);
+  conductor.HandleOrder(core::UpstreamId("u1"), OrderOutcome::kFenced,
+                        At(5100));
+  CHECK(Orders(conductor.Tick(At(5200))) == 0);
+  conductor.SetLeadership(false, 4, At(5300));
+  CHECK(conductor.Tick(At(9000)).empty());
+}
+
+}  // namespace foxquay::placement
--- /dev/null
+++ b/tests/foxquay/placement/plan_test.cc
@@ -0,0 +1,105 @@
+#include "foxquay/placement/plan.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "engines.h"
+
+namespace foxquay::placement {
+namespace {
+
+std::vector<Holder> MakeHolders(const std::string& centre, int large,
+                                int small) {
+  std::vector<Holder> holders;
+  const auto add = [&](const std::string& kind, int count) {
+    for (int at = 0; at < count; ++at) {
+      const std::string id = centre + "-" + kind + std::to_string(10 + at);
+      holders.push_back(
+          {core::UpstreamId(id), core::DataCentreId(centre), kind, {}});
+    }
+  };
+  add("large", large);
+  add("small", small);
+  return holders;
+}
+
+void Apply(std::vector<Holder>& holders,
+           const std::vector<Assignment>& changes) {
+  for (const Assignment& change : changes) {
+    const auto found = std::find_if(
+        holders.begin(), holders.end(),
+        [&](const Holder& holder) { return holder.id == change.id; });
+    found->layers = change.layers;
+  }
+}
+
+bool Whole(const std::vector<Holder>& holders, const std::string& centre) {
+  std::vector<bool> held(80, false);
+  for (const Holder& holder : holders) {
+    if (holder.data_centre.value() != centre) continue;
+    for (std::uint32_t at = holder.layers.first; at < holder.layers.end; ++at) {
+      held[at] = true;
+    }
+  }
+  return std::find(held.begin(), held.end(), false) == held.end();
+}
+
+void CheckFits(const std::vector<Holder>& holders) {
+  const schema::Engine engine = MakeEngine();
+  for (const Holder& holder : holders) {
+    CHECK(holder.layers.size() <= LayersThatFit(engine, holder.accelerator, 0));
+  }
+}
+
+std::vector<Holder> Laid() {
+  std::vector<Holder> holders = MakeHolders("a", 2, 8);
+  const std::vector<Holder> other = MakeHolders("b", 1, 10);
+  holders.insert(holders.end(), other.begin(), other.end());
+  Apply(holders, Plan(MakeEngine(), holders));
+  return holders;
+}
+
+}  // namespace
+
+TEST_CASE("each data centre gets a whole copy that fits") {
+  const std::vector<Holder> holders = Laid();
+  CHECK(Whole(holders, "a"));
+  CHECK(Whole(holders, "b"));
+  CheckFits(holders);
+}
+
+TEST_CASE("a plan that is in force changes nothing") {
+  const std::vector<Holder> holders = Laid();
+  CHECK(Plan(MakeEngine(), holders).empty());
+}
+
+// A lost stage makes every chain of its data centre useless.
+TEST_CASE("a lost stage is placed again with its data centre alone moving") {
+  for (std::size_t lost = 0; lost < 10; ++lost) {
+    std::vector<Holder> holders = Laid();
+    holders.erase(holders.begin() + static_cast<std::ptrdiff_t>(lost));
+    const std::vector<Assignment> changes = Plan(MakeEngine(), holders);
+    Apply(holders, changes);
+    CHECK(Whole(holders, "a"));
+    CheckFits(holders);
+    for (const Assignment& change : changes) {
+      CHECK(change.id.value().front() == 'a');
+    }
+  }
+}
+
+TEST_CASE("a restarted upstream takes up the layers that are missing") {
+  std::vector<Holder> holders = Laid();
+  const Range lost = holders[3].layers;
+  holders[3].layers = {};
+  const std::vector<Assignment> changes = Plan(MakeEngine(), holders);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0] == Assignment{holders[3].id, lost});
+}
+
+TEST_CASE("no layers are ordered that cannot make a whole copy") {
+  CHECK(Plan(MakeEngine(), MakeHolders("a", 1, 2)).empty());
+}
+
+}  // namespace foxquay::placement
--- /dev/null
+++ b/tests/foxquay/relay/budget_test.cc
@@ -0,0 +1,65 @@
+#include "foxquay/relay/budget.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace foxquay::relay {
+namespace {
+
+core::Instant At(int ms) {
+  return core::Instant(std::chrono::milliseconds(ms));
+}
+
+}  // namespace
+
+// Many upstreams that fail at once would be flooded by repeats.
+TEST_CASE("repeats of all hosts stay within ratio and slack in every window") {
+  rc::check("sliding windows hold the bound", [] {
+    const BudgetOptions options{0.2, 40, std::chrono::seconds(10)};
+    constexpr std::size_t kHosts = 4;
+    const core::ServiceId service("s");
+    std::vector<RepeatBudget> hosts(kHosts, RepeatBudget(options));
+    for (RepeatBudget& host : hosts) host.SetHosts(kHosts, At(0));
+    std::vector<int> requests;
+    std::vector<int> repeats;
+    const int period = *rc::gen::inRange(5, 200);
+    const int busy_until = *rc::gen::inRange(1000, 30000);
+    for (int ms = 0; ms < 40000; ms += period) {
+      RepeatBudget& host =
+          hosts[static_cast<std::size_t>(ms / period) % kHosts];
+      if (ms < busy_until) {
+        host.NoteRequest(service, At(ms));
+        requests.push_back(ms);
+      }
+      if (host.TakeRepeat(service, At(ms))) repeats.push_back(ms);
+    }
+    const auto in = [](const std::vector<int>& times, int from) {
+      return std::count_if(times.begin(), times.end(), [from](int ms) {
+        return ms > from && ms <= from + 10000;
+      });
+    };
+    for (int from = -10000; from < 30000; from += 500) {
+      const auto most = std::max({in(requests, from), in(requests, from - 5000),
+                                  in(requests, from - 10000)});
+      RC_ASSERT(static_cast<double>(in(repeats, from)) <=
+                0.2 * static_cast<double>(most) + 40);
+    }
+  });
+}
+
+TEST_CASE("a host that stays behind takes over the slack a window later") {
+  RepeatBudget budget({0, 10, std::chrono::seconds(10)});
+  const core::ServiceId service("s");
+  budget.SetHosts(8, At(0));
+  CHECK(budget.TakeRepeat(service, At(1)));
+  CHECK_FALSE(budget.TakeRepeat(service, At(2)));
+  budget.SetHosts(1, At(3));
+  CHECK_FALSE(budget.TakeRepeat(service, At(4)));
+  budget.SetHosts(1, At(10010));
+  CHECK(budget.TakeRepeat(service, At(10011)));
+  CHECK(budget.TakeRepeat(service, At(10012)));
+}
+
+}  // namespace foxquay::relay
--- /dev/null
+++ b/tests/foxquay/relay/relay_test.cc
@@ -0,0 +1,168 @@
+#include "foxquay/relay/relay.h"
+
+#include <catch2/catch.hpp>
+
+namespace foxquay::relay {
+namespace {
+
+using std::chrono::milliseconds;
+
+core::Instant At(int ms) { return core::Instant(milliseconds(ms)); }
+
+schema::Announcement Plain(const std::string& id) {
+  schema::Announcement announcement;
+  announcement.id = core::UpstreamId(id);
+  announcement.address = id + ":1";
+  announcement.kind = "service";
+  announcement.service = core::ServiceId("app");
+  announcement.slots = 6;
+  return announcement;
+}
+
+std::shared_ptr<const fleet::Table> MakeTable(schema::RequestKind kind,
+                                              std::uint32_t max_attempts,
+                                              bool resumable = false) {
+  schema::Fleet fleet;
+  fleet.version = 1;
+  fleet.services.push_back({core::ServiceId("app"), 100, std::nullopt});
+  schema::Route route;
+  route.host = "h";
+  route.path_prefix = "/";
+  route.kind = kind;
+  route.resumable = resumable;
+  route.max_attempts = max_attempts;
+  route.timeout = milliseconds(800);
+  route.target_latency = milliseconds(300);
+  route.services.push_back({core::ServiceId("app"), 1});
+  fleet.routes.push_back(route);
+  return std::make_shared<const fleet::Table>(fleet);
+}
+
+Intake MakeIntake(const std::shared_ptr<const fleet::Table>& table, int now) {
+  Intake intake;
+  intake.name = "r";
+  intake.table = table;
+  intake.route = &table->fleet().routes.front();
+  intake.service = &table->fleet().services.front();
+  intake.arrived = At(now);
+  intake.deadline = At(now + 800);
+  return intake;
+}
+
+Relay MakeRelay(std::vector<schema::Announcement> upstreams) {
+  Relay relay({0.2, 200, std::chrono::seconds(10)}, 1);
+  relay.SetHosts(1, At(0));
+  relay.upstreams().Set(upstreams, At(0));
+  return relay;
+}
+
+const Refuse& Refused(const Decision& decision) {
+  REQUIRE(std::holds_alternative<Refuse>(decision));
+  return std::get<Refuse>(decision);
+}
+
+const core::RequestId kId(1);
+
+}  // namespace
+
+TEST_CASE("what may run once is never sent again after it may have run") {
+  const auto table = MakeTable(schema::RequestKind::kAtMostOnce, 3);
+  for (const LossKind kind :
+       {LossKind::kUnanswered, LossKind::kCut, LossKind::kStalled}) {
+    Relay relay = MakeRelay({Plain("a"), Plain("b")});
+    const Decision sent = relay.Arrive(kId, MakeIntake(table, 0), At(0));
+    REQUIRE(std::holds_alternative<Send>(sent));
+    CHECK_FALSE(std::get<Send>(sent).reuse_connection);
+    const Decision end = relay.HandleLoss(kId, {kind, ""}, At(10));
+    CHECK(Refused(end).status == 502);
+    CHECK_FALSE(Refused(end).retry_after);
+    CHECK(relay.size() == 0);
+  }
+}
+
+TEST_CASE("what may run once goes on if nothing of it has run") {
+  const auto table = MakeTable(schema::RequestKind::kAtMostOnce, 2);
+  Relay relay = MakeRelay({Plain("a"), Plain("b")});
+  const Decision sent = relay.Arrive(kId, MakeIntake(table, 0), At(0));
+  const std::string first = std::get<Send>(sent).hops.front().address;
+  const Decision again = relay.HandleLoss(kId, {LossKind::kNotRun, ""}, At(5));
+  REQUIRE(std::holds_alternative<Send>(again));
+  CHECK(std::get<Send>(again).hops.front().address != first);
+  const Decision end = relay.HandleLoss(kId, {LossKind::kNotRun, ""}, At(9));
+  CHECK(Refused(end).status == 503);
+  CHECK(Refused(end).retry_after);
+}
+
+TEST_CASE("a request that is not sent does not use up an attempt") {
+  const auto table = MakeTable(schema::RequestKind::kAtMostOnce, 1);
+  Relay relay = MakeRelay({Plain("a"), Plain("b")});
+  (void)relay.Arrive(kId, MakeIntake(table, 0), At(0));
+  const Decision again = relay.HandleLoss(kId, {LossKind::kNotSent, ""}, At(5));
+  CHECK(std::holds_alternative<Send>(again));
+}
+
+TEST_CASE("a repeatable request uses its attempts on different upstreams") {
+  const auto table = MakeTable(schema::RequestKind::kRepeatable, 2);
+  Relay relay = MakeRelay({Plain("a"), Plain("b"), Plain("c")});
+  const Decision sent = relay.Arrive(kId, MakeIntake(table, 0), At(0));
+  const Decision again = relay.HandleLoss(kId, {LossKind::kCut, ""}, At(5));
+  REQUIRE(std::holds_alternative<Send>(again));
+  CHECK(std::get<Send>(again).hops != std::get<Send>(sent).hops);
+  CHECK(Refused(relay.HandleLoss(kId, {LossKind::kCut, ""}, At(9))).status ==
+        502);
+}
+
+TEST_CASE("a request without any upstream is refused at once") {
+  const auto table = MakeTable(schema::RequestKind::kRepeatable, 2);
+  Relay relay = MakeRelay({});
+  const Decision end = relay.Arrive(kId, MakeIntake(table, 0), At(0));
+  CHECK(Refused(end).status == 503);
+  CHECK(Refused(end).retry_after);
+}
+
+// A crest fills all places; what waits is served in order of rank as places
+// come free, and refused before the caller's target is out of reach.
+TEST_CASE("held requests are served by rank or refused in time") {
+  const auto table = MakeTable(schema::RequestKind::kRepeatable, 2);
+  Relay relay = MakeRelay({Plain("a")});
+  for (std::uint64_t at = 0; at < 6; ++at) {
+    (void)relay.Arrive(core::RequestId(100 + at), MakeIntake(table, 0), At(0));
+  }
+  Intake late = MakeIntake(table, 1);
+  late.rank = 2;
+  Intake urgent = MakeIntake(table, 2);
+  urgent.rank = 1;
+  CHECK(std::holds_alternative<Hold>(
+      relay.Arrive(core::RequestId(1), late, At(1))));
+  CHECK(std::holds_alternative<Hold>(
+      relay.Arrive(core::RequestId(2), urgent, At(2))));
+  CHECK(relay.Review(At(10)).empty());
+  relay.Complete(core::RequestId(100));
+  const auto decisions = relay.Review(At(20));
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].first == core::RequestId(2));
+  const auto refused = relay.Review(At(300));
+  REQUIRE(refused.size() == 1);
+  CHECK(Refused(refused[0].second).status == 503);
+}
+
+TEST_CASE("past its deadline a request ends by whether it may have run") {
+  const auto table = MakeTable(schema::RequestKind::kRepeatable, 2);
+  Relay relay = MakeRelay({Plain("a")});
+  (void)relay.Arrive(kId, MakeIntake(table, 0), At(0));
+  const auto decisions = relay.Review(At(800));
+  REQUIRE(decisions.size() == 1);
+  CHECK(Refused(decisions[0].second).status == 504);
+  CHECK(relay.size() == 0);
+}
+
+TEST_CASE("an answer that has begun is cut off, not replaced") {
+  const auto table = MakeTable(schema::RequestKind::kStream, 1, true);
+  Relay relay = MakeRelay({Plain("a"), Plain("b")});
+  (void)relay.Arrive(kId, MakeIntake(table, 0), At(0));
+  relay.Begin(kId);
+  CHECK(std::holds_alternative<Break>(
+      relay.HandleLoss(kId, {LossKind::kCut, ""}, At(10))));
+}
+
+}  // namespace foxquay::relay
--- /dev/null
+++ b/tests/platform/codec_test.cc
@@ -0,0 +1,243 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "platform/dialect.h"
+#include "platform/fleet.h"
+#include "platform/json.h"
+#include "platform/upstreams.h"
+
+namespace foxquay::platform {
+namespace {
+
+constexpr const char* kHeartbeat =
+    R"({"service":"llm","address":"10.0.0.9:80","zone":"east","version":"v2",
+        "slots":64,"state":"ready","cold_left_ms":0,"kind":"large","born":1700000000000,
+        "models":[{"name":"m","version":3,"adapters":[]}],
+        "layers":{"from":20,"to":31,"version":3},"seq":4})";
+
+constexpr const char* kFleet =
+    R"({"version":7,
+        "routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"streaming",
+          "timeout_ms":20000,"target_latency_ms":500,"priority":1,
+          "backends":[{"service":"llm","weight":90},{"service":"app","weight":10}],
+          "max_attempts":2,"public":false,"sticky":true,"resumable":true,"target_gap_ms":200},
+         {"name":"s","host":"h","path_prefix":"/q/","kind":"unsafe","timeout_ms":800,
+          "service":"app","max_attempts":1}],
+        "services":[{"name":"llm","health_path":"/h","max_connections":99,
+          "engine":{"slots":64,"kv_token_bytes":426000,"step_ms":0.85,"layers":80,
+            "layer_mb":1750.0,"models":[{"name":"m","load_s":14.0}],
+            "usual":{"prompt":772,"answer":150},
+            "kinds":[{"name":"large","size_mb":36000.0,"pace":3.1,"read_factor":3.2}]}},
+         {"name":"app"}],
+        "limits":{"max_header_bytes":16384,"idle_timeout_ms":15000},
+        "tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1}]})";
+
+std::string Replace(std::string text, const std::string& from,
+                    const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+core::Findings FindingsOf(const std::string& heartbeat) {
+  core::Findings findings;
+  (void)ReadHeartbeat("u", heartbeat, findings);
+  return findings;
+}
+
+}  // namespace
+
+TEST_CASE("a heartbeat names an upstream and what it holds") {
+  core::Findings findings;
+  const schema::Announcement read = ReadHeartbeat("u", kHeartbeat, findings);
+  REQUIRE(findings.empty());
+  CHECK(read.id.value() == "u");
+  CHECK(read.service.value() == "llm");
+  CHECK(read.data_centre.value() == "east");
+  CHECK(read.kind == "model");
+  CHECK(read.accelerator == "large");
+  CHECK(read.layers == schema::LayerRange{20, 30});
+  CHECK(read.weights == 3);
+  CHECK_FALSE(read.unplaced);
+  CHECK_FALSE(read.leaving);
+}
+
+TEST_CASE("a worker without layers or that drains is told apart") {
+  core::Findings findings;
+  const std::string empty =
+      Replace(kHeartbeat, R"({"from":20,"to":31,"version":3})", "[]");
+  CHECK(ReadHeartbeat("u", empty, findings).unplaced);
+  const std::string leaving = Replace(kHeartbeat, "ready", "draining");
+  CHECK(ReadHeartbeat("u", leaving, findings).leaving);
+  CHECK(findings.empty());
+}
+
+// A restart begins to count heartbeats anew.
+TEST_CASE("a heartbeat of a later start is newer than all before it") {
+  core::Findings findings;
+  const auto sequence = [&](const std::string& body) {
+    return ReadHeartbeat("u", body, findings).sequence;
+  };
+  const std::string late = Replace(kHeartbeat, "\"seq\":4", "\"seq\":9999999");
+  const std::string reborn =
+      Replace(Replace(kHeartbeat, "1700000000000", "1700000000001"),
+              "\"seq\":4", "\"seq\":0");
+  CHECK(sequence(kHeartbeat) < sequence(late));
+  CHECK(sequence(late) < sequence(reborn));
+}
+
+TEST_CASE("a heartbeat of another writer is reported and names no upstream") {
+  CHECK_FALSE(FindingsOf("{\"service\":").empty());
+  CHECK_FALSE(FindingsOf("[]").empty());
+  CHECK_FALSE(FindingsOf("null").empty());
+  CHECK_FALSE(FindingsOf(Replace(kHeartbeat, "ready", "asleep")).empty());
+  CHECK_FALSE(
+      FindingsOf(Replace(kHeartbeat, "\"seq\":4", "\"seq\":-4")).empty());
+  CHECK_FALSE(
+      FindingsOf(Replace(kHeartbeat, "\"seq\":4", "\"seq\":\"4\"")).empty());
+  CHECK_FALSE(FindingsOf(Replace(kHeartbeat, "1700000000000", "1.5")).empty());
+  for (const char* field :
+       {"service", "address", "zone", "slots", "state", "seq"}) {
+    const std::string quoted = std::string("\"") + field + "\"";
+    CHECK_FALSE(FindingsOf(Replace(kHeartbeat, quoted, "\"other\"")).empty());
+    Json wrong = Json::parse(kHeartbeat);
+    wrong[field] = Json::array();
+    CHECK_FALSE(FindingsOf(wrong.dump()).empty());
+  }
+}
+
+TEST_CASE("a configuration is read into routes, services and workspaces") {
+  core::Findings findings;
+  const schema::Fleet fleet = ReadFleet(kFleet, findings);
+  REQUIRE(findings.empty());
+  CHECK(fleet.version == 7);
+  REQUIRE(fleet.routes.size() == 2);
+  CHECK(fleet.routes[0].kind == schema::RequestKind::kStream);
+  CHECK(fleet.routes[0].services.size() == 2);
+  CHECK(fleet.routes[0].target_gap == std::chrono::milliseconds(200));
+  CHECK(fleet.routes[1].kind == schema::RequestKind::kAtMostOnce);
+  CHECK(fleet.routes[1].services[0].service.value() == "app");
+  REQUIRE(fleet.services[0].engine);
+  CHECK(fleet.services[0].engine->load == std::chrono::seconds(14));
+  CHECK(fleet.services[0].engine->accelerators[0].memory_mb == 36000);
+  CHECK_FALSE(fleet.services[1].engine);
+  CHECK(fleet.workspaces[0].api_keys.size() == 2);
+}
+
+TEST_CASE("a configuration that cannot be read in full has findings") {
+  const std::string whole = kFleet;
+  for (std::size_t size = 0; size < whole.size(); size += 7) {
+    core::Findings findings;
+    (void)ReadFleet(whole.substr(0, size), findings);
+    CHECK_FALSE(findings.empty());
+  }
+  for (const char* bad :
+       {R"({"version":"7","routes":[],"services":[]})",
+        R"({"routes":[],"services":[]})", R"({"version":7,"services":[]})",
+        R"({"version":7,"routes":[{}],"services":[]})",
+        R"({"version":7,"routes":[1],"services":[]})"}) {
+    core::Findings findings;
+    (void)ReadFleet(bad, findings);
+    CHECK_FALSE(findings.empty());
+  }
+}
+
+TEST_CASE("an offer replaces the key by the workspace and names the way") {
+  const gateway::Dialect dialect = MakeDialect();
+  net::Request request;
+  request.fields.set("Authorization", "Bearer k1");
+  request.fields.set("X-Tenant", "forged");
+  request.fields.set("X-Token-Count", "1460,80");
+  request.fields.set("X-Deadline", "20000");
+  request.fields.set("Last-Event-Id", "12");
+  const gateway::CallerFacts facts = dialect.read_caller(request);
+  CHECK(facts.key == "k1");
+  CHECK(facts.patience == std::chrono::milliseconds(20000));
+  CHECK(facts.work.prompt_tokens == 1460);
+  CHECK(facts.work.answer_tokens == 80);
+  CHECK(facts.resume_after == 12U);
+  gateway::Offer offer;
+  offer.remaining = std::chrono::milliseconds(1500);
+  offer.workspace = core::WorkspaceId("w");
+  offer.hops = {{core::UpstreamId("u1"), "10.0.0.9:80", {0, 20}},
+                {core::UpstreamId("u2"), "10.0.0.3:80", {20, 80}}};
+  offer.resume_after = 14;
+  dialect.write_offer(request.fields, offer);
+  CHECK(request.fields.find("Authorization") == request.fields.end());
+  CHECK(request.fields["X-Tenant"] == "w");
+  CHECK(request.fields["X-Deadline"] == "1500");
+  CHECK(request.fields["X-Expect-Instance"] == "u1");
+  CHECK(request.fields["X-Hop-Count"] == "10.0.0.9:80=0-20,10.0.0.3:80=20-80");
+  CHECK(request.fields["Last-Event-Id"] == "14");
+  offer.workspace = core::WorkspaceId();
+  request.fields.set("X-Tenant", "forged");
+  dialect.write_offer(request.fields, offer);
+  CHECK(request.fields.find("X-Tenant") == request.fields.end());
+}
+
+TEST_CASE("only a statement of the upstream means that nothing has run") {
+  const gateway::Dialect dialect = MakeDialect();
+  net::Fields fields;
+  CHECK_FALSE(dialect.read_answer(503, fields).not_run);
+  CHECK(dialect.read_answer(421, fields).not_run);
+  fields.set("X-Not-Executed", "1");
+  fields.set("At-Server", "10.0.0.3:80");
+  CHECK(dialect.read_answer(503, fields).not_run);
+  CHECK(dialect.read_answer(503, fields).fault_address == "10.0.0.3:80");
+}
+
+TEST_CASE("orders carry the fence and the count that they build on") {
+  const net::Request request =
+      WriteOrder({core::UpstreamId("u"), "10.0.0.9:80", {20, 31}, 5, 2});
+  const auto body = ParseJson(request.body);
+  REQUIRE(body);
+  CHECK(body->at("op") == "place");
+  CHECK(body->at("from") == 20);
+  CHECK(body->at("to") == 31);
+  CHECK(body->at("fence") == 5);
+  CHECK(body->at("expected") == 2);
+  CHECK(ReadOrderStatus(202) == placement::OrderOutcome::kAccepted);
+  CHECK(ReadOrderStatus(409) == placement::OrderOutcome::kMismatch);
+  CHECK(ReadOrderStatus(412) == placement::OrderOutcome::kFenced);
+  CHECK(ReadOrderStatus(500) == placement::OrderOutcome::kUnanswered);
+}
+
+TEST_CASE("a report that cannot be read is none") {
+  CHECK_FALSE(ReadReport("{"));
+  CHECK_FALSE(ReadReport(R"({"seq":"2"})"));
+  const auto report =
+      ReadReport(R"({"seq":2,"busy":true,"layers":[{"from":3,"to":9}]})");
+  REQUIRE(report);
+  CHECK(report->orders == 2);
+  CHECK(report->busy);
+  CHECK(report->layers == placement::Range{3, 9});
+}
+
+TEST_CASE("calls of upstreams, operators and callers are told apart") {
+  const gateway::ControlDialect dialect = MakeControlDialect();
+  const auto read = [&](const char* method, const char* target,
+                        const std::string& body = "") {
+    net::Request request;
+    request.method = method;
+    request.target = target;
+    request.body = body;
+    return dialect.read(request);
+  };
+  CHECK(std::holds_alternative<gateway::Announce>(
+      read("PUT", "/v1/instances/u", kHeartbeat)));
+  CHECK(std::holds_alternative<gateway::Unreadable>(
+      read("PUT", "/v1/instances/u", "{}")));
+  CHECK(std::holds_alternative<gateway::Withdraw>(
+      read("DELETE", "/v1/instances/u")));
+  CHECK(std::holds_alternative<gateway::ReplaceFleet>(
+      read("PUT", "/v1/config", kFleet)));
+  CHECK(std::holds_alternative<gateway::ReadFleet>(read("GET", "/v1/config")));
+  const auto entries = read("GET", "/v1/resolve?name=h&region=r&zone=east");
+  REQUIRE(std::holds_alternative<gateway::FindEntries>(entries));
+  CHECK(std::get<gateway::FindEntries>(entries).data_centre.value() == "east");
+  CHECK(std::get<gateway::Unreadable>(read("GET", "/v1/nothing")).status ==
+        404);
+  const net::Response answer =
+      dialect.write_entries({"10.0.0.1:80"}, std::chrono::seconds(2));
+  CHECK(ParseJson(answer.body)->at("ttl_s") == 2);
+}
+
+}  // namespace foxquay::platform
