--- a/src/foxquay/daemon/control_hosts.h
+++ b/src/foxquay/daemon/control_hosts.h
@@ -59,6 +59,11 @@
   /// Sets this host's own report.
   void SetOwn(std::uint64_t incarnation, const schema::HostReport& report);
 
+  /// Returns whether a host's addresses are known.
+  [[nodiscard]] bool Known(const core::HostId& host) const {
+    return entries_.contains(host);
+  }
+
   /// Returns whether a host has the role control.
   [[nodiscard]] bool Control(const core::HostId& host) const;
 
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <system_error>
 #include <thread>
@@ -198,6 +199,7 @@
   void On(const schema::Envelope& from, const schema::HostReport& report);
   void On(const schema::Envelope& from, const schema::HostList& list);
 
+  void MeetSender(const core::HostId& sender);
   void Send(const core::HostId& to, const schema::PeerMessage& message);
   void SendPropose(const core::HostId& to, schema::ProposeRequest request);
   void AnswerPropose(const core::HostId& to,
@@ -244,6 +246,7 @@
   std::optional<ControlReplica> replica_;
 
   std::vector<core::HostId> peers_;
+  std::set<core::HostId> met_;  ///< Answered before they were known.
   std::size_t next_peer_ = 0;
   core::Instant next_config_poll_{};
   core::Instant next_roster_poll_{};
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -60,10 +60,26 @@
                {{"host", envelope.sender}});
     return;
   }
+  MeetSender(envelope.sender);
   std::visit([&](auto& content) { On(envelope, std::move(content)); },
              message.value());
 }
 
+/// A host that has just started knows none of those that it did not start with;
+/// where hosts are named by their IP number it can answer them all the same.
+void ControlNode::MeetSender(const core::HostId& sender) {
+  if (settings_.join.seeds.empty() || sender == self_) return;
+  if (hosts_.Known(sender) || !met_.insert(sender).second) return;
+  const std::string& own = settings_.listeners.peer;
+  const std::string address = sender.value() + own.substr(own.rfind(':'));
+  if (const std::error_code error = links_.SetPeer(sender, address)) {
+    log::Write(log::Level::kWarn, "peer_unnamed",
+               {{"host", sender}, {"error", error.message()}});
+    return;
+  }
+  Send(sender, hosts_.Heard(Now()));
+}
+
 void ControlNode::On(const schema::Envelope&,
                      schema::ConsensusMessage message) {
   if (!replica_) return;
@@ -165,7 +181,10 @@
     log::Write(log::Level::kInfo, "host_joined",
                {{"host", address.id}, {"address", address.peer}});
   }
-  if (joined) Send(from.sender, hosts_.Heard(now));
+  const bool lists_this = std::any_of(
+      list.hosts.begin(), list.hosts.end(),
+      [this](const schema::HostAddress& host) { return host.id == self_; });
+  if (joined || !lists_this) Send(from.sender, hosts_.Heard(now));
 }
 
 }  // namespace foxquay::daemon
--- a/src/foxquay/transport/links.cc
+++ b/src/foxquay/transport/links.cc
@@ -222,7 +222,7 @@
         connected.connection = Connection::kOpen;
         Write(host);
       });
-  peer.pause.expires_after(kUnacknowledgedTimeout);
+  peer.pause.expires_after(kConnectTimeout);
   peer.pause.async_wait([this, host](const boost::system::error_code& error) {
     if (stopped_ || error) return;
     Peer& waiting = peers_.at(host);
--- a/src/foxquay/transport/links.h
+++ b/src/foxquay/transport/links.h
@@ -32,8 +32,15 @@
 
 /// Time without acknowledgement after which a connection is given up, so that
 /// a silent partition does not hold messages back after it has healed.
+/// Three retransmissions in a region, and with the time to connect again below
+/// the bound in which a change is in force everywhere.
 inline constexpr core::Duration kUnacknowledgedTimeout =
-    std::chrono::milliseconds(1500);
+    std::chrono::milliseconds(700);
+
+/// Time to connect. A lost opening packet is sent again only after a second, so
+/// a new attempt is faster.
+inline constexpr core::Duration kConnectTimeout =
+    std::chrono::milliseconds(300);
 
 /// Pause before the next attempt to connect.
 inline constexpr core::Duration kReconnectPause =
