--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -199,6 +199,8 @@
   void On(const schema::Envelope& from, const schema::HostReport& report);
   void On(const schema::Envelope& from, const schema::HostList& list);
 
+  bool Unheard(const core::HostId& sender, const schema::HostList& list,
+               core::Instant now);
   void MeetSender(const core::HostId& sender);
   void Send(const core::HostId& to, const schema::PeerMessage& message);
   void SendPropose(const core::HostId& to, schema::ProposeRequest request);
@@ -246,6 +248,7 @@
   std::optional<ControlReplica> replica_;
 
   std::vector<core::HostId> peers_;
+  std::map<core::HostId, core::Instant> told_;  ///< Of this host, when.
   std::set<core::HostId> met_;  ///< Answered before they were known.
   std::size_t next_peer_ = 0;
   core::Instant next_config_poll_{};
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -166,6 +166,20 @@
   proposer_.SetLeader(report.leader);
 }
 
+/// Returns whether a control host does not list this one and has not been told
+/// of it lately.
+bool ControlNode::Unheard(const core::HostId& sender,
+                          const schema::HostList& list, core::Instant now) {
+  if (!hosts_.Control(sender)) return false;
+  const bool listed = std::any_of(
+      list.hosts.begin(), list.hosts.end(),
+      [this](const schema::HostAddress& host) { return host.id == self_; });
+  core::Instant& told = told_[sender];
+  if (listed || now - told < kSpreadInterval) return false;
+  told = now;
+  return true;
+}
+
 void ControlNode::On(const schema::Envelope& from,
                      const schema::HostList& list) {
   const core::Instant now = Now();
@@ -181,10 +195,9 @@
     log::Write(log::Level::kInfo, "host_joined",
                {{"host", address.id}, {"address", address.peer}});
   }
-  const bool lists_this = std::any_of(
-      list.hosts.begin(), list.hosts.end(),
-      [this](const schema::HostAddress& host) { return host.id == self_; });
-  if (joined || !lists_this) Send(from.sender, hosts_.Heard(now));
+  if (joined || Unheard(from.sender, list, now)) {
+    Send(from.sender, hosts_.Heard(now));
+  }
 }
 
 }  // namespace foxquay::daemon
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -474,10 +474,9 @@
   std::vector<core::RequestId> stalled;
   for (const auto& [id, job] : jobs_) {
     if (!job.call || now - job.heard < job.stall) continue;
-    const schema::Route& route = *relay_.Of(id).route;
-    const bool resumable =
-        route.kind == schema::RequestKind::kStream && route.resumable;
-    if (resumable) stalled.push_back(id);
+    const bool stream =
+        relay_.Of(id).route->kind == schema::RequestKind::kStream;
+    if (stream && relay_.MayMove(id)) stalled.push_back(id);
   }
   for (const core::RequestId id : stalled) {
     Job& job = jobs_.at(id);
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -108,6 +108,13 @@
   return kind == LossKind::kNotRun || internal::Repeatable(route);
 }
 
+bool Relay::MayMove(core::RequestId id) const {
+  const State& state = requests_.at(id);
+  const schema::Route& route = *state.intake.route;
+  return internal::Repeatable(route) &&
+         state.sends + 1 < std::max(1U, route.max_attempts);
+}
+
 Decision Relay::HandleLoss(core::RequestId id, const Loss& loss,
                            core::Instant now) {
   State& state = requests_.at(id);
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -43,6 +43,9 @@
   /// request has ended.
   [[nodiscard]] Decision HandleLoss(core::RequestId id, const Loss& loss,
                                     core::Instant now);
+  /// Returns whether a request whose current send stalls may be sent again; if
+  /// not, it is better left waiting, as silence is no proof of a loss.
+  [[nodiscard]] bool MayMove(core::RequestId id) const;
   /// Ends a request that was answered completely.
   void Complete(core::RequestId id);
   /// Ends a request whose caller has left.
