Keep spare upstreams and take up missing layers without giving any up

Ruled out: memory for requests as the limit (0 requests preempted), orders refused (answered on the second try, 0.2 s later).

Change: up to three upstreams of a data centre stay empty; they take up missing layers, then the holders beside a gap. A new division remains the last resort.

--- a/src/foxquay/placement/plan.cc
+++ b/src/foxquay/placement/plan.cc
@@ -14,13 +14,20 @@
 /// Upper end of the search for memory, in tokens.
 constexpr double kMaxTokens = 1e7;
 
-/// Part of the memory that all could keep below which layers are moved though
-/// none is missing; the rest allows for the unevenness of whole layers.
-constexpr double kWorthMoving = 0.5;
+/// Part of the memory that all could keep below which a holder's layers are
+/// copied to a spare upstream.
+constexpr double kWorthCopying = 0.5;
 
-/// Parts of the memory that all could keep that are tried in turn when layers
-/// are divided anew; a smaller one leaves more freedom to move little.
-constexpr std::array<double, 4> kKeptParts = {0.8, 0.6, 0.3, 0.0};
+/// Parts of the memory that all could keep that are tried in turn when missing
+/// layers are taken up; with none a chain still serves one request at a time.
+constexpr std::array<double, 4> kKeptParts = {0.6, 0.3, 0.1, 0.0};
+
+/// Upstreams of a data centre that stay empty at most: a disruption takes two
+/// of a dozen at once and the one after that can wait for their return.
+constexpr std::size_t kMaxSpares = 3;
+
+/// Part of the memory for requests that is kept when upstreams stay empty.
+constexpr double kKeptWithSpares = 0.6;
 
 /// Steps of the search for the memory that all stages can keep.
 constexpr int kSearchSteps = 40;
@@ -110,50 +117,83 @@
   return TokensThatFit(engine, holder.accelerator, holder.layers.size());
 }
 
-/// Returns the least memory for requests, in tokens, of those that hold layers.
-double LeastRoom(const schema::Engine& engine, const Group& group) {
-  double least = kMaxTokens;
-  for (const Holder* holder : group) {
-    if (!holder->layers.empty()) {
-      least = std::min(least, Room(engine, *holder));
+Holder* LargestEmpty(const schema::Engine& engine, const Group& group,
+                     double tokens) {
+  Holder* best = nullptr;
+  std::uint32_t most = 0;
+  for (Holder* holder : group) {
+    const std::uint32_t fits =
+        LayersThatFit(engine, holder->accelerator, tokens);
+    if (holder->layers.empty() && fits > most) {
+      most = fits;
+      best = holder;
     }
   }
-  return least;
+  return best;
 }
 
-/// Returns the group in the order of its layers. Those that hold none come
-/// where layers are missing, the first gap first, or behind the holder with the
-/// least memory for requests.
-Group InOrder(const schema::Engine& engine, const Group& group) {
-  Group order;
-  Group empty;
+/// Extends the holder beside a gap that can take most of it; returns whether
+/// one could.
+bool ExtendInto(const schema::Engine& engine, const Group& group, Range gap,
+                double tokens) {
+  Holder* best = nullptr;
+  std::uint32_t most = 0;
   for (Holder* holder : group) {
-    (holder->layers.empty() ? empty : order).push_back(holder);
+    if (holder->layers.empty()) continue;
+    const bool beside =
+        holder->layers.end == gap.first || holder->layers.first == gap.end;
+    const std::uint32_t fits =
+        LayersThatFit(engine, holder->accelerator, tokens);
+    if (!beside || fits <= holder->layers.size()) continue;
+    const std::uint32_t room = fits - holder->layers.size();
+    if (room > most) {
+      most = room;
+      best = holder;
+    }
   }
-  const auto by_layers = [](const Holder* left, const Holder* right) {
-    return std::tie(left->layers.first, left->layers.end) <
-           std::tie(right->layers.first, right->layers.end);
-  };
-  std::stable_sort(order.begin(), order.end(), by_layers);
-  std::stable_sort(empty.begin(), empty.end(),
-                   [&](const Holder* left, const Holder* right) {
-                     return LayersThatFit(engine, left->accelerator, 0) >
-                            LayersThatFit(engine, right->accelerator, 0);
-                   });
-  const Range gap = FirstGap(engine, group);
-  for (Holder* holder : empty) {
-    auto place = std::find_if(
-        order.begin(), order.end(),
-        [&gap](const Holder* other) { return other->layers.first >= gap.end; });
-    if (gap.empty()) {
-      place =
-          std::min_element(order.begin(), order.end(),
-                           [&](const Holder* left, const Holder* right) {
-                             return Room(engine, *left) < Room(engine, *right);
-                           });
+  if (best == nullptr) return false;
+  const std::uint32_t taken = std::min(most, gap.size());
+  if (best->layers.end == gap.first) {
+    best->layers.end += taken;
+  } else {
+    best->layers.first -= taken;
+  }
+  return true;
+}
+
+/// Gives missing layers to upstreams that hold none, then to the holders beside
+/// them. No holder gives layers up: it would take nothing new until all that
+/// passes through it has ended, and the whole chain with it.
+void FillGaps(const schema::Engine& engine, const Group& group) {
+  const double shared = SharedTokens(engine, group);
+  for (const double part : kKeptParts) {
+    const double tokens = part * shared;
+    for (Range gap = FirstGap(engine, group); !gap.empty();
+         gap = FirstGap(engine, group)) {
+      Holder* empty = LargestEmpty(engine, group, tokens);
+      if (empty != nullptr) {
+        const std::uint32_t fits =
+            LayersThatFit(engine, empty->accelerator, tokens);
+        empty->layers = {gap.first, gap.first + std::min(fits, gap.size())};
+      } else if (!ExtendInto(engine, group, gap, tokens)) {
+        break;
+      }
     }
-    order.insert(place, holder);
   }
+}
+
+/// Returns the group in the order of its layers; those that hold none come
+/// where layers are missing.
+Group InOrder(const schema::Engine& engine, const Group& group) {
+  const Range gap = FirstGap(engine, group);
+  const auto first = [&gap](const Holder* holder) {
+    return holder->layers.empty() ? gap.first : holder->layers.first;
+  };
+  Group order = group;
+  std::stable_sort(order.begin(), order.end(),
+                   [&first](const Holder* left, const Holder* right) {
+                     return first(left) < first(right);
+                   });
   return order;
 }
 
@@ -167,7 +207,8 @@
 /// Divides all layers over an ordered group so that each keeps memory for
 /// `tokens` and the loads are small and even: the time until all layers are
 /// held again is that of the largest load. Dynamic programming over the layer
-/// at which each one ends.
+/// at which each one ends. Returns whether a division was found; it takes
+/// layers from holders, so it serves only where nothing less helps.
 bool Divide(const schema::Engine& engine, const Group& order, double tokens) {
   constexpr std::uint64_t kNone = UINT64_MAX;
   const std::uint32_t layers = engine.layers;
@@ -201,22 +242,69 @@
   return true;
 }
 
+/// Gives spare upstreams a second copy of the layers whose holder has far less
+/// memory for requests than the others could have.
+void Reinforce(const schema::Engine& engine, const Group& group) {
+  const double least = kWorthCopying * SharedTokens(engine, group);
+  for (Holder* empty : group) {
+    if (!empty->layers.empty()) continue;
+    const Holder* tightest = nullptr;
+    for (const Holder* holder : group) {
+      if (holder->layers.empty()) continue;
+      const bool copied = std::any_of(
+          group.begin(), group.end(), [holder](const Holder* other) {
+            return other != holder && !other->layers.empty() &&
+                   other->layers.first < holder->layers.end &&
+                   other->layers.end > holder->layers.first;
+          });
+      const double room = Room(engine, *holder);
+      if (copied || room >= least) continue;
+      if (tightest == nullptr || room < Room(engine, *tightest)) {
+        tightest = holder;
+      }
+    }
+    if (tightest == nullptr) return;
+    const std::uint32_t fits = LayersThatFit(engine, empty->accelerator, least);
+    if (fits == 0) continue;
+    const Range range = tightest->layers;
+    empty->layers = {range.first, std::min(range.end, range.first + fits)};
+  }
+}
+
+/// Returns the group without the upstreams that stay empty to replace a lost
+/// one: as many of those with the least memory as leave enough for requests.
+Group WithoutSpares(const schema::Engine& engine, Group group) {
+  std::stable_sort(group.begin(), group.end(),
+                   [&](const Holder* left, const Holder* right) {
+                     return LayersThatFit(engine, left->accelerator, 0) >
+                            LayersThatFit(engine, right->accelerator, 0);
+                   });
+  const double all = SharedTokens(engine, group);
+  for (std::size_t spare = 0; spare < kMaxSpares && group.size() > 1; ++spare) {
+    const Group fewer(group.begin(), group.end() - 1);
+    const bool enough = Capacity(engine, fewer, 0) >= engine.layers &&
+                        SharedTokens(engine, fewer) >= kKeptWithSpares * all;
+    if (!enough) break;
+    group = fewer;
+  }
+  return group;
+}
+
 void PlanGroup(const schema::Engine& engine, const Group& group) {
   if (Capacity(engine, group, 0) < engine.layers) return;
   const bool fresh =
       std::all_of(group.begin(), group.end(),
                   [](const Holder* holder) { return holder->layers.empty(); });
   if (fresh) {
-    LayOut(engine, group);
+    LayOut(engine, WithoutSpares(engine, group));
     return;
   }
-  const double shared = SharedTokens(engine, group);
-  const bool whole = FirstGap(engine, group).empty();
-  if (whole && LeastRoom(engine, group) >= kWorthMoving * shared) return;
-  const Group order = InOrder(engine, group);
-  for (const double part : kKeptParts) {
-    if (Divide(engine, order, part * shared)) return;
+  FillGaps(engine, group);
+  if (!FirstGap(engine, group).empty()) {
+    (void)Divide(engine, InOrder(engine, group), 0);
+    return;
   }
+  Reinforce(engine, group);
 }
 
 /// Groups upstreams by data centre; those whose data centre cannot hold all
--- a/src/foxquay/placement/plan.h
+++ b/src/foxquay/placement/plan.h
@@ -43,10 +43,10 @@
 /// copy of the model, so that prompts need not cross between data centres and
 /// the loss of one leaves the others whole.
 ///
-/// A data centre where nothing is held is laid out over all its upstreams with
-/// equal memory for requests. Where layers are missing, or some holder has far
-/// less memory for requests than all could have, all layers are divided anew in
-/// the order in which they are held, with small and even loads. Thread-safe.
+/// A data centre where nothing is held is laid out with equal memory for
+/// requests, and a few upstreams stay empty. Where layers are missing, these
+/// take them up, then the holders beside the gap; no holder gives layers up.
+/// Thread-safe.
 [[nodiscard]] std::vector<Assignment> Plan(const schema::Engine& engine,
                                            std::vector<Holder> holders);
 
