Count memory by the layers that a request uses and by its expected answer

Also: entry hosts report upstreams on whose way requests stall and the leader probes them; the leader looks at a load when it should have ended and spreads the layers at once; requests on layers that are given up are cut off; what a restarted control host had heard stays usable only where hosts are found through seeds (the roster's own property test refused it elsewhere).

--- a/src/foxquay/daemon/control_fleet.cc
+++ b/src/foxquay/daemon/control_fleet.cc
@@ -73,41 +73,72 @@
 
 void ControlNode::ProbeSilent(core::Instant now) {
   if (!sink_.probe_upstreams) return;
+  Probe(roster_.Silent(settings_.limits.upstream_heartbeat * 5 / 4, now), now);
+}
+
+void ControlNode::Probe(std::vector<schema::Announcement> doubtful,
+                        core::Instant now) {
   std::erase_if(probed_, [now](const auto& item) {
     return now - item.second > internal::kProbePause;
   });
-  std::vector<schema::Announcement> due;
-  for (schema::Announcement& silent :
-       roster_.Silent(settings_.limits.upstream_heartbeat * 5 / 4, now)) {
-    if (!probed_.try_emplace(silent.id, now).second) continue;
-    due.push_back(std::move(silent));
+  std::erase_if(doubtful, [this, now](const auto& announcement) {
+    return !probed_.try_emplace(announcement.id, now).second;
+  });
+  if (!doubtful.empty()) sink_.probe_upstreams(doubtful);
+}
+
+void ControlNode::Doubt(std::vector<core::UpstreamId> upstreams) {
+  boost::asio::post(context_, [this, upstreams = std::move(upstreams)] {
+    const core::HostId leader = KnownLeader();
+    if (!leader.empty()) Send(leader, schema::UpstreamDoubts{upstreams});
+  });
+}
+
+void ControlNode::On(const schema::Envelope& from,
+                     const schema::UpstreamDoubts& doubts) {
+  if (!sink_.probe_upstreams) return;
+  std::vector<schema::Announcement> doubtful;
+  for (const core::UpstreamId& id : doubts.upstreams) {
+    std::optional<schema::Announcement> known = roster_.Newest(id);
+    if (known && !known->leaving) doubtful.push_back(*std::move(known));
   }
-  if (!due.empty()) sink_.probe_upstreams(due);
+  log::Write(log::Level::kInfo, "upstreams_doubted",
+             {{"host", from.sender}, {"count", doubtful.size()}});
+  Probe(std::move(doubtful), Now());
 }
 
 void ControlNode::NoteProbe(const schema::Announcement& probed, bool reached) {
   boost::asio::post(context_, [this, probed, reached] {
     const core::Instant now = Now();
-    const auto silent =
-        roster_.Silent(settings_.limits.upstream_heartbeat * 5 / 4, now);
-    const bool still = std::any_of(
-        silent.begin(), silent.end(), [&probed](const auto& announcement) {
-          return announcement.id == probed.id &&
-                 announcement.sequence == probed.sequence;
-        });
-    if (!still) return;
     if (reached) {
       roster_.Renew(probed.id, now);
       return;
     }
+    const auto newest = roster_.Newest(probed.id);
+    if (!newest || newest->leaving || newest->sequence != probed.sequence) {
+      return;
+    }
     log::Write(log::Level::kWarn, "upstream_lost",
                {{"upstream", probed.id},
                 {"address", probed.address},
-                {"reason", "overdue and unreachable"}});
+                {"reason", "not heard since and unreachable"}});
     if (roster_.Withdraw(probed.id, now)) PublishRoster(now);
   });
 }
 
+void ControlNode::NoteLayers(const core::UpstreamId& upstream,
+                             const std::optional<schema::LayerRange>& layers) {
+  boost::asio::post(context_, [this, upstream, layers] {
+    const core::Instant now = Now();
+    const auto newest = roster_.Newest(upstream);
+    const bool same = newest && newest->unplaced == !layers &&
+                      (!layers || newest->layers == *layers);
+    if (same) return;
+    roster_.Observe(upstream, layers, now);
+    PublishRoster(now);
+  });
+}
+
 void ControlNode::PublishLeadership() {
   if (!replica_ || !sink_.set_leadership) return;
   const std::pair<bool, std::uint64_t> leadership(replica_->leads(),
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -80,7 +80,9 @@
 roster::Options RosterOptions(const schema::Settings& settings) {
   roster::Options options;
   options.announcement_life = settings.limits.upstream_silence;
-  if (!settings.join.seeds.empty()) options.max_feed_age = Lease(settings);
+  if (settings.join.seeds.empty()) return options;
+  options.max_feed_age = Lease(settings);
+  options.inheritance = settings.limits.upstream_silence;
   return options;
 }
 
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -63,7 +63,7 @@
   std::function<void(std::uint64_t, const std::string&)> set_fleet;
   std::function<double()> free_capacity;
   std::function<std::size_t()> open_requests;
-  /// Upstreams whose announcements are overdue; each is answered by
+  /// Upstreams that are overdue or doubtful; each is answered by
   /// ControlNode::NoteProbe.
   std::function<void(const std::vector<schema::Announcement>&)> probe_upstreams;
   /// Number of known hosts that serve callers, this one included.
@@ -129,9 +129,14 @@
   void RecordOutcome(ClaimRecord record);
   void Announce(const schema::Announcement& announcement);
   void Withdraw(const core::UpstreamId& upstream);
-  /// Takes whether an overdue upstream could be reached; one that could not is
-  /// withdrawn unless it was heard since.
+  /// Takes whether an overdue or doubtful upstream could be reached; one that
+  /// could not is withdrawn unless it was heard since.
   void NoteProbe(const schema::Announcement& probed, bool reached);
+  /// Takes the layers that an upstream was seen to hold.
+  void NoteLayers(const core::UpstreamId& upstream,
+                  const std::optional<schema::LayerRange>& layers);
+  /// Tells the leader that a request stalls on its way through these.
+  void Doubt(std::vector<core::UpstreamId> upstreams);
   void StartDrain();
 
   /// Returns the addresses for callers in a data centre without waiting.
@@ -198,6 +203,7 @@
   void On(const schema::Envelope& from, const schema::InForceReply& reply);
   void On(const schema::Envelope& from, const schema::HostReport& report);
   void On(const schema::Envelope& from, const schema::HostList& list);
+  void On(const schema::Envelope& from, const schema::UpstreamDoubts& doubts);
 
   bool Unheard(const core::HostId& sender, const schema::HostList& list,
                core::Instant now);
@@ -227,6 +233,7 @@
   void AnswerReads(core::Instant now);
   void PublishLeadership();
   void ProbeSilent(core::Instant now);
+  void Probe(std::vector<schema::Announcement> doubtful, core::Instant now);
   [[nodiscard]] core::HostId KnownLeader() const;
 
   const schema::Settings settings_;
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -78,8 +78,15 @@
                                             registry_.Expose());
                  })),
         proxy_(context_, dialect, BudgetOf(settings), registry_,
-               std::random_device()()),
-        placer_(context_, dialect),
+               std::random_device()(),
+               [this](std::vector<core::UpstreamId> upstreams) {
+                 node_.Doubt(std::move(upstreams));
+               }),
+        placer_(context_, dialect,
+                [this](const core::UpstreamId& upstream,
+                       const std::optional<schema::LayerRange>& layers) {
+                  node_.NoteLayers(upstream, layers);
+                }),
         node_(settings, "foxquay", Incarnation(), Sink()),
         control_server_(context_, node_, control, kMaxFleetBytes) {}
 
--- a/src/foxquay/gateway/placer.cc
+++ b/src/foxquay/gateway/placer.cc
@@ -30,8 +30,10 @@
 
 }  // namespace internal
 
-Placer::Placer(boost::asio::io_context& context, const Dialect& dialect)
+Placer::Placer(boost::asio::io_context& context, const Dialect& dialect,
+               Seen seen)
     : dialect_(dialect),
+      seen_(std::move(seen)),
       client_(context,
               {[this](net::CallId id, unsigned status, net::Fields&&) {
                  const auto probe = probes_.find(id);
@@ -150,6 +152,13 @@
               {"answered", report.has_value()},
               {"orders", report ? report->orders : 0},
               {"busy", report && report->busy}});
+  if (report && !report->busy) {
+    std::optional<schema::LayerRange> layers;
+    if (!report->layers.empty()) {
+      layers = {report->layers.first, report->layers.end - 1};
+    }
+    seen_(inquiry.upstream, layers);
+  }
   conductor->second.HandleReport(inquiry.upstream, report, now);
 }
 
--- a/src/foxquay/gateway/placer.h
+++ b/src/foxquay/gateway/placer.h
@@ -34,7 +34,11 @@
 /// Not thread-safe: runs on the thread of the io_context.
 class Placer {
  public:
-  Placer(boost::asio::io_context& context, const Dialect& dialect);
+  /// Receives the layers that an upstream was seen to hold.
+  using Seen = std::function<void(const core::UpstreamId&,
+                                  const std::optional<schema::LayerRange>&)>;
+
+  Placer(boost::asio::io_context& context, const Dialect& dialect, Seen seen);
 
   void SetLeadership(bool leads, std::uint64_t term);
   void SetFleet(std::shared_ptr<const fleet::Table> table);
@@ -70,6 +74,7 @@
   void Finish(net::CallId id, bool answered);
 
   Dialect dialect_;
+  Seen seen_;
   net::Client client_;
   std::shared_ptr<const fleet::Table> table_;
   std::vector<schema::Announcement> upstreams_;
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -23,6 +23,15 @@
 /// Interval at which connections are swept.
 constexpr core::Duration kSweepInterval = std::chrono::milliseconds(100);
 
+/// Silence of a stream, between events or before the first, after which its
+/// upstreams are doubted: several times what a step or a prompt takes, and
+/// well below the silence after which it goes on elsewhere.
+constexpr core::Duration kQuietBetweenEvents = std::chrono::milliseconds(250);
+constexpr core::Duration kQuietBeforeEvents = std::chrono::milliseconds(500);
+
+/// Pause before the same upstream is doubted again.
+constexpr core::Duration kDoubtPause = std::chrono::milliseconds(1000);
+
 /// Time to return while this host may not act on its configuration.
 constexpr core::Duration kNoLeaseReturn = std::chrono::milliseconds(300);
 
@@ -84,7 +93,7 @@
 
 Proxy::Proxy(boost::asio::io_context& context, const Dialect& dialect,
              const relay::BudgetOptions& budget, metrics::Registry& registry,
-             std::uint64_t seed)
+             std::uint64_t seed, Doubt doubt)
     : dialect_(dialect),
       server_(context,
               {[this](net::ExchangeId exchange, net::Request&& request) {
@@ -104,6 +113,7 @@
                }}),
       relay_(budget, seed),
       registry_(registry),
+      doubt_(std::move(doubt)),
       random_(seed) {}
 
 std::error_code Proxy::Listen(const std::string& address) {
@@ -464,6 +474,10 @@
               {"status", job.status},
               {"after_ms", internal::Milliseconds(now - job.sent)},
               {"events", job.filter ? job.filter->passed() : 0}});
+  if (loss.kind == relay::LossKind::kNotSent) {
+    const core::UpstreamId& first = relay_.Way(id).front().upstream;
+    if (doubted_.try_emplace(first, now).second) doubt_({first});
+  }
   registry_.Add("foxquay_losses_total",
                 "kind=\"" + std::string(relay::Name(loss.kind)) + "\"");
   if (job.filter) job.filter->Restart();
@@ -487,12 +501,36 @@
   }
 }
 
+void Proxy::ReportStalls(core::Instant now) {
+  std::erase_if(doubted_, [now](const auto& item) {
+    return now - item.second > internal::kDoubtPause;
+  });
+  std::vector<core::UpstreamId> doubts;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.call ||
+        relay_.Of(id).route->kind != schema::RequestKind::kStream) {
+      continue;
+    }
+    const core::Duration quiet = job.streaming && job.filter->passed() > 0
+                                     ? internal::kQuietBetweenEvents
+                                     : internal::kQuietBeforeEvents;
+    if (now - job.heard < quiet) continue;
+    for (const relay::Hop& hop : relay_.Way(id)) {
+      if (doubted_.try_emplace(hop.upstream, now).second) {
+        doubts.push_back(hop.upstream);
+      }
+    }
+  }
+  if (!doubts.empty()) doubt_(std::move(doubts));
+}
+
 void Proxy::Review() {
   const core::Instant now = net::SteadyNow();
   if (now >= next_sweep_) {
     next_sweep_ = now + internal::kSweepInterval;
     client_.Sweep(now);
     server_.Sweep(now);
+    ReportStalls(now);
     CancelStalled(now);
   }
   for (const auto& [id, decision] : relay_.Review(now)) {
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,9 +36,12 @@
 /// Not thread-safe: runs on the thread of the io_context.
 class Proxy {
  public:
+  /// Receives the upstreams on whose way a request stalls.
+  using Doubt = std::function<void(std::vector<core::UpstreamId>)>;
+
   Proxy(boost::asio::io_context& context, const Dialect& dialect,
         const relay::BudgetOptions& budget, metrics::Registry& registry,
-        std::uint64_t seed);
+        std::uint64_t seed, Doubt doubt);
 
   [[nodiscard]] std::error_code Listen(const std::string& address);
 
@@ -106,12 +110,15 @@
   void LogEnd(const Job& job, unsigned status, std::string_view outcome,
               std::string_view reason);
   void CancelStalled(core::Instant now);
+  void ReportStalls(core::Instant now);
 
   Dialect dialect_;
   net::Server server_;
   net::Client client_;
   relay::Relay relay_;
   metrics::Registry& registry_;
+  Doubt doubt_;
+  std::map<core::UpstreamId, core::Instant> doubted_;
   std::mt19937_64 random_;
   std::shared_ptr<const fleet::Table> table_;
   std::optional<core::Instant> admitted_until_;
--- a/src/foxquay/placement/conductor.cc
+++ b/src/foxquay/placement/conductor.cc
@@ -7,9 +7,11 @@
 namespace foxquay::placement {
 namespace internal {
 
-/// Loads that share the store of weights slow one another down; a target counts
-/// as lost only after this many times its own load.
-constexpr int kSharedLoads = 4;
+/// Time by which upstreams' reports lag behind their state, with some margin.
+constexpr core::Duration kReportLag = std::chrono::milliseconds(250);
+
+/// Pause between two inquiries about an order in progress.
+constexpr core::Duration kBusyPause = std::chrono::milliseconds(400);
 
 /// Pause before another order to an upstream that refused one.
 constexpr core::Duration kRefusalPause = std::chrono::seconds(2);
@@ -72,8 +74,7 @@
     case OrderOutcome::kAccepted:
       ++known.orders;
       known.target_until =
-          now + LoadTime(known.target->size()) * internal::kSharedLoads +
-          kOrderPatience;
+          now + LoadTime(known.target->size()) + internal::kReportLag;
       return;
     case OrderOutcome::kMismatch:
     case OrderOutcome::kUnanswered:
@@ -94,13 +95,9 @@
   if (found == upstreams_.end()) return;
   Known& known = found->second;
   known.asking = false;
-  if (!report) {
-    known.target_until = now + kOrderPatience;
-    return;
-  }
-  known.orders = report->orders;
-  if (report->busy) {
-    known.target_until = now + kOrderPatience;
+  if (report) known.orders = report->orders;
+  if (!report || report->busy) {
+    known.target_until = now + internal::kBusyPause;
     return;
   }
   known.target.reset();
@@ -138,11 +135,15 @@
   for (const Assignment& assignment : Plan(*engine_, Holders())) {
     Known& known = upstreams_.at(assignment.id);
     if (known.waiting || known.asking || now < known.retry) continue;
+    const Range held = known.target.value_or(HeldLayers(known.announcement));
+    const bool gives_up =
+        !held.empty() && (held.first < assignment.layers.first ||
+                          held.end > assignment.layers.end);
     known.target = assignment.layers;
     known.waiting = true;
     known.target_until = now + kOrderPatience;
     actions.push_back(Order{assignment.id, known.announcement.address,
-                            assignment.layers, term_, known.orders});
+                            assignment.layers, term_, known.orders, gives_up});
   }
   return actions;
 }
--- a/src/foxquay/placement/conductor.h
+++ b/src/foxquay/placement/conductor.h
@@ -32,6 +32,9 @@
   Range layers;
   std::uint64_t fence = 0;     ///< Term of the leader that gives it.
   std::uint64_t expected = 0;  ///< Orders that the upstream has accepted.
+  /// Whether requests on layers that it gives up are cut off; else it takes
+  /// nothing new there until they have ended.
+  bool cut = false;
 };
 
 /// Asks an upstream for its state.
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -24,7 +24,12 @@
 
 /// Part of the memory for requests that is filled before a stage counts as
 /// full; the engine preempts its newest request beyond.
-constexpr double kFullMemory = 0.85;
+constexpr double kFullMemory = 0.9;
+
+/// Tokens that a request holds in memory on average: its answer grows.
+double Tokens(const Work& work) {
+  return work.prompt_tokens + work.answer_tokens / 2;
+}
 
 /// Time that handing a request to another stage takes.
 constexpr core::Duration kHopTime = std::chrono::microseconds(300);
@@ -191,7 +196,8 @@
     const auto found = entries_.find(hop.upstream);
     if (found == entries_.end()) continue;
     ++found->second.running;
-    found->second.tokens += work.prompt_tokens + work.answer_tokens;
+    found->second.tokens += internal::Tokens(work);
+    found->second.token_layers += internal::Tokens(work) * hop.layers.size();
   }
 }
 
@@ -201,8 +207,9 @@
     if (found == entries_.end()) continue;
     Entry& entry = found->second;
     if (entry.running > 0) --entry.running;
-    entry.tokens =
-        std::max(0.0, entry.tokens - work.prompt_tokens - work.answer_tokens);
+    entry.tokens = std::max(0.0, entry.tokens - internal::Tokens(work));
+    entry.token_layers = std::max(
+        0.0, entry.token_layers - internal::Tokens(work) * hop.layers.size());
     if (!entry.present && entry.running == 0) entries_.erase(found);
   }
 }
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -93,6 +93,7 @@
     bool present = true;
     std::size_t running = 0;  ///< Requests of this host there.
     double tokens = 0;        ///< Their tokens.
+    double token_layers = 0;  ///< Their tokens in each layer that they use.
     int failures = 0;         ///< In a row.
     core::Instant avoid_until;
   };
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -72,8 +72,8 @@
   return true;
 }
 
-bool Roster::Withdraw(const core::UpstreamId& upstream, core::Instant now) {
-  Expire(now);
+std::optional<schema::Announcement> Roster::Newest(
+    const core::UpstreamId& upstream) const {
   const schema::Announcement* newest = nullptr;
   for (const auto& [host, feed] : feeds_) {
     const auto found = feed.entries.find(upstream);
@@ -83,15 +83,34 @@
       newest = &known;
     }
   }
-  if (newest == nullptr) return false;
-  schema::Announcement leaving = *newest;
-  leaving.leaving = true;
+  if (newest == nullptr) return std::nullopt;
+  return *newest;
+}
+
+bool Roster::Withdraw(const core::UpstreamId& upstream, core::Instant now) {
+  Expire(now);
+  std::optional<schema::Announcement> leaving = Newest(upstream);
+  if (!leaving) return false;
+  leaving->leaving = true;
   Entry& entry = Own().entries[upstream];
   entry.heard = now;
-  Change(entry, leaving);
+  Change(entry, *leaving);
   return true;
 }
 
+void Roster::Observe(const core::UpstreamId& upstream,
+                     const std::optional<schema::LayerRange>& layers,
+                     core::Instant now) {
+  std::optional<schema::Announcement> seen = Newest(upstream);
+  if (!seen || seen->leaving) return;
+  seen->sequence += 1;
+  seen->unplaced = !layers;
+  seen->layers = layers.value_or(schema::LayerRange{});
+  Entry& entry = Own().entries[upstream];
+  entry.heard = now;
+  Change(entry, *seen);
+}
+
 std::vector<schema::Announcement> Roster::Silent(core::Duration silence,
                                                  core::Instant now) const {
   std::vector<schema::Announcement> silent;
@@ -206,7 +225,7 @@
     for (auto& [id, entry] : former.entries) {
       feed.inherited.emplace(id, std::move(entry.announcement));
     }
-    feed.inherited_until = now + options_.announcement_life;
+    feed.inherited_until = now + options_.inheritance;
     feed.incarnation = update.incarnation;
     feed.confirmed = confirmed;
   }
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -35,6 +35,9 @@
 struct Options {
   core::Duration announcement_life = kAnnouncementLife;
   core::Duration max_feed_age = kMaxFeedAge;
+  /// Time for which upstreams that a restarted host had heard stay usable until
+  /// it hears them again; lengthens the bound on silent upstreams by as much.
+  core::Duration inheritance{};
 };
 
 /// Knows which upstreams may get work, from announcements heard by this host
@@ -69,6 +72,17 @@
   /// Takes a reply; ignored if its poll is unknown or was answered already.
   void Apply(const schema::RosterReply& reply, core::Instant now);
 
+  /// Returns the newest announcement of an upstream, from any feed.
+  [[nodiscard]] std::optional<schema::Announcement> Newest(
+      const core::UpstreamId& upstream) const;
+
+  /// Takes the layers that an upstream was seen to hold after its newest
+  /// announcement; its next one is newer again. Sequences of announcements are
+  /// therefore at least two apart.
+  void Observe(const core::UpstreamId& upstream,
+               const std::optional<schema::LayerRange>& layers,
+               core::Instant now);
+
   /// Returns the upstreams that only this host hears and has not heard for
   /// longer than `silence`.
   [[nodiscard]] std::vector<schema::Announcement> Silent(
--- a/src/foxquay/schema/peer.h
+++ b/src/foxquay/schema/peer.h
@@ -160,11 +160,25 @@
   }
 };
 
+/// Upstreams on whose way a request stalls; the leader finds out which of them
+/// are lost.
+struct UpstreamDoubts {
+  std::vector<core::UpstreamId> upstreams;  ///< The upstreams.
+
+  friend bool operator==(const UpstreamDoubts&,
+                         const UpstreamDoubts&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(Bound(upstreams, 256));
+  }
+};
+
 /// Any message between hosts.
 using PeerMessage =
     std::variant<ConsensusMessage, ConfigPoll, ConfigReply, RosterPoll,
                  RosterReply, ProposeRequest, ProposeReply, InForceRequest,
-                 InForceReply, HostReport, HostList>;
+                 InForceReply, HostReport, HostList, UpstreamDoubts>;
 
 }  // namespace foxquay::schema
 
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -78,7 +78,7 @@
   };
   const std::string late = Replace(kHeartbeat, "\"seq\":4", "\"seq\":9999999");
   const std::string reborn =
-      Replace(Replace(kHeartbeat, "1700000000000", "1700000000001"),
+      Replace(Replace(kHeartbeat, "1700000000000", "1700000000100"),
               "\"seq\":4", "\"seq\":0");
   CHECK(sequence(kHeartbeat) < sequence(late));
   CHECK(sequence(late) < sequence(reborn));
