--- a/src/foxquay/fleet/table.cc
+++ b/src/foxquay/fleet/table.cc
@@ -58,7 +58,7 @@
     total += weighted.weight;
   }
   assert(total > 0 && "a route has a service with a weight");
-  const schema::WeightedService* last = nullptr;
+  const schema::WeightedService* last = &route.services.front();
   for (const schema::WeightedService& weighted : route.services) {
     if (weighted.weight <= 0) continue;
     last = &weighted;
--- a/src/foxquay/net/server.cc
+++ b/src/foxquay/net/server.cc
@@ -159,8 +159,8 @@
   connection.exchange = exchange;
   exchanges_[exchange] = id;
   Request request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
+  request.method = message.method_string().to_string();
+  request.target = message.target().to_string();
   request.body = std::move(message.body());
   request.fields = std::move(message.base());
   handlers_.request(exchange, std::move(request));
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -93,7 +93,9 @@
     ++held_;
     state.held_until =
         now + std::min(intake.route->target_latency / 2,
-                       core::Duration((intake.deadline - now) / 4));
+                       std::chrono::duration_cast<core::Duration>(
+                           intake.deadline - now) /
+                           4);
     if (state.begun) state.held_until = now + std::chrono::seconds(1);
     return Hold{};
   }
--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -49,7 +49,7 @@
   return intake;
 }
 
-Relay MakeRelay(std::vector<schema::Announcement> upstreams) {
+Relay MakeRelay(const std::vector<schema::Announcement>& upstreams) {
   Relay relay({0.2, 200, std::chrono::seconds(10)}, 1);
   relay.SetHosts(1, At(0));
   relay.upstreams().Set(upstreams, At(0));
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -12,6 +12,6 @@
 if [ "$#" -gt 0 ]; then
   files=("$@")
 else
-  mapfile -t files < <(git ls-files 'src/*.cc' 'tests/*.cc' 'bench/*.cc')
+  mapfile -t files < <(git ls-files 'src/*.cc' 'platform/*.cc' 'tests/*.cc' 'bench/*.cc')
 fi
 printf '%s\n' "${files[@]}" | xargs -r -P "${FOXQUAY_LINT_JOBS:-10}" -n 1 /usr/bin/python3 tools/lint_file.py
