Tell refused callers to return when they can be served

Cause: callers return once.

Change: the times to return are those of what is waited for: an election and its confirmation, a load of lost layers, the length of a stream. Upstreams are published only when their use changes, not with each heartbeat.

--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -14,6 +14,15 @@
 /// Pause between two registrations of this host.
 constexpr core::Duration kRegistrationPause = std::chrono::milliseconds(500);
 
+/// Returns whether two announcements make no difference to where work goes.
+bool SameUse(const schema::Announcement& left,
+             const schema::Announcement& right) {
+  schema::Announcement same = right;
+  same.sequence = left.sequence;
+  same.load = left.load;
+  return same == left;
+}
+
 std::string ReasonOf(control::AdmissionState state) {
   switch (state) {
     case control::AdmissionState::kOpen:
@@ -156,7 +165,10 @@
 
 void ControlNode::PublishRoster(core::Instant now) {
   std::vector<schema::Announcement> usable = roster_.Usable(now);
-  if (usable == published_upstreams_) return;
+  const bool same =
+      std::equal(usable.begin(), usable.end(), published_upstreams_.begin(),
+                 published_upstreams_.end(), internal::SameUse);
+  if (same) return;
   published_upstreams_ = usable;
   sink_.set_upstreams(std::move(usable));
 }
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -32,8 +32,9 @@
 /// Pause before the same upstream is doubted again.
 constexpr core::Duration kDoubtPause = std::chrono::milliseconds(1000);
 
-/// Time to return while this host may not act on its configuration.
-constexpr core::Duration kNoLeaseReturn = std::chrono::milliseconds(300);
+/// Time to return while this host may not act on its configuration: that of an
+/// election and the confirmation after it, with a restart before them.
+constexpr core::Duration kNoLeaseReturn = std::chrono::milliseconds(2000);
 
 core::Duration StallOf(const schema::Route& route) {
   const core::Duration patience =
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -10,16 +10,18 @@
 /// Attempts to connect for one request before it is given up.
 constexpr unsigned kMaxMisses = 3;
 
-/// Time to return after a refusal for want of a place. Places come free within
-/// the time of a request.
-constexpr core::Duration kBusyReturn = std::chrono::milliseconds(400);
+/// Time to return after a refusal for want of a place: a stream lasts about
+/// that long. Callers return once or twice only, so a shorter time would bring
+/// them back to the same crowd.
+constexpr core::Duration kBusyReturn = std::chrono::milliseconds(2000);
 
-/// Time to return while layers or upstreams are missing: about the time in
-/// which they are placed again.
-constexpr core::Duration kMissingReturn = std::chrono::milliseconds(1500);
+/// Time to return while layers or upstreams are missing: the time in which a
+/// loss is found and the layers are loaded elsewhere.
+constexpr core::Duration kMissingReturn = std::chrono::milliseconds(2500);
 
-/// Time to return after an upstream turned the request away.
-constexpr core::Duration kTurnedAwayReturn = std::chrono::milliseconds(100);
+/// Time to return after an upstream turned the request away, in which the list
+/// of upstreams is brought up to date.
+constexpr core::Duration kTurnedAwayReturn = std::chrono::milliseconds(1000);
 
 bool Repeatable(const schema::Route& route) {
   return route.kind == schema::RequestKind::kRepeatable ||
