--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -485,10 +485,21 @@
   Follow(id, relay_.HandleLoss(id, loss, now));
 }
 
+/// A stream that is quiet need not wait out its time once an upstream on its
+/// way is known to be gone.
+core::Duration Proxy::StallOf(core::RequestId id, const Job& job) {
+  const auto& hops = relay_.Way(id);
+  const bool gone =
+      std::any_of(hops.begin(), hops.end(), [this](const relay::Hop& hop) {
+        return !relay_.upstreams().Known(hop.upstream);
+      });
+  return gone ? internal::kQuietBetweenEvents : job.stall;
+}
+
 void Proxy::CancelStalled(core::Instant now) {
   std::vector<core::RequestId> stalled;
   for (const auto& [id, job] : jobs_) {
-    if (!job.call || now - job.heard < job.stall) continue;
+    if (!job.call || now - job.heard < StallOf(id, job)) continue;
     const bool stream =
         relay_.Of(id).route->kind == schema::RequestKind::kStream;
     if (stream && relay_.MayMove(id)) stalled.push_back(id);
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -110,6 +110,7 @@
   void LogEnd(const Job& job, unsigned status, std::string_view outcome,
               std::string_view reason);
   void CancelStalled(core::Instant now);
+  [[nodiscard]] core::Duration StallOf(core::RequestId id, const Job& job);
   void ReportStalls(core::Instant now);
 
   Dialect dialect_;
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -10,6 +10,10 @@
 /// Attempts to connect for one request before it is given up.
 constexpr unsigned kMaxMisses = 3;
 
+/// Sends of one stream that reach an upstream. Going back to one of the
+/// upstreams that it has been at uses up no attempt of its route.
+constexpr unsigned kMaxStreamSends = 5;
+
 /// Time to return after a refusal for want of a place: a stream lasts about
 /// that long. Callers return once or twice only, so a shorter time would bring
 /// them back to the same crowd.
@@ -72,7 +76,7 @@
   const Intake& intake = state.intake;
   NoWay why = NoWay::kUnknown;
   std::vector<Hop> hops =
-      upstreams_.Choose(*intake.service, intake.work, state.tried, now, why);
+      upstreams_.Choose(*intake.service, intake.work, Allowed(state), now, why);
   if (!hops.empty()) {
     if (state.held) --held_;
     state.held = false;
@@ -105,18 +109,50 @@
   return GiveUp(id, "no upstream has a place", internal::kBusyReturn, now);
 }
 
+FirstHops Relay::Allowed(const State& state) const {
+  FirstHops first;
+  if (state.failed) first.avoid.push_back(*state.failed);
+  std::vector<core::UpstreamId> alive;
+  for (const core::UpstreamId& upstream : state.reached) {
+    if (upstreams_.Known(upstream)) alive.push_back(upstream);
+  }
+  if (alive.size() >= std::max(1U, state.intake.route->max_attempts)) {
+    first.only = std::move(alive);
+    const bool none = std::none_of(
+        first.only.begin(), first.only.end(),
+        [&first](const auto& upstream) { return first.Allows(upstream); });
+    if (none) first.avoid.clear();
+  }
+  return first;
+}
+
 bool Relay::MaySendAgain(const State& state, LossKind kind) const {
   const schema::Route& route = *state.intake.route;
   if (kind == LossKind::kNotSent) return state.misses < internal::kMaxMisses;
-  if (state.sends >= std::max(1U, route.max_attempts)) return false;
+  const unsigned most = route.kind == schema::RequestKind::kStream
+                            ? internal::kMaxStreamSends
+                            : std::max(1U, route.max_attempts);
+  if (state.sends >= most) return false;
   return kind == LossKind::kNotRun || internal::Repeatable(route);
 }
 
 bool Relay::MayMove(core::RequestId id) const {
   const State& state = requests_.at(id);
-  const schema::Route& route = *state.intake.route;
-  return internal::Repeatable(route) &&
-         state.sends + 1 < std::max(1U, route.max_attempts);
+  return internal::Repeatable(*state.intake.route) &&
+         state.sends + 1 < internal::kMaxStreamSends;
+}
+
+/// A hop behind the first that is at fault leaves the first one usable.
+void Relay::NoteReached(State& state, LossKind kind,
+                        const core::UpstreamId& first,
+                        const std::optional<core::UpstreamId>& fault) {
+  std::vector<core::UpstreamId>& reached = state.reached;
+  if (std::find(reached.begin(), reached.end(), first) == reached.end()) {
+    reached.push_back(first);
+  }
+  const bool elsewhere = kind == LossKind::kNotRun && fault && *fault != first;
+  state.failed.reset();
+  if (!elsewhere) state.failed = first;
 }
 
 Decision Relay::HandleLoss(core::RequestId id, const Loss& loss,
@@ -133,7 +169,7 @@
     upstreams_.Suspect(hops.front().upstream, now);
   } else {
     ++state.sends;
-    state.tried.push_back(hops.front().upstream);
+    NoteReached(state, loss.kind, hops.front().upstream, fault);
     if (loss.kind != LossKind::kNotRun) state.may_have_run = true;
     Blame(loss.kind, fault, hops, now);
   }
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -68,9 +68,10 @@
   struct State {
     Intake intake;
     std::vector<Hop> hops;
-    std::vector<core::UpstreamId> tried;  ///< First hops that got it.
-    unsigned sends = 0;                   ///< That reached an upstream.
-    unsigned misses = 0;                  ///< That reached none.
+    std::vector<core::UpstreamId> reached;   ///< First hops that got it.
+    std::optional<core::UpstreamId> failed;  ///< The latest of them to fail.
+    unsigned sends = 0;                      ///< That reached an upstream.
+    unsigned misses = 0;                     ///< That reached none.
     bool may_have_run = false;
     bool begun = false;  ///< The caller has a part of the answer.
     bool held = false;
@@ -83,6 +84,10 @@
   void Blame(LossKind kind, const std::optional<core::UpstreamId>& fault,
              const std::vector<Hop>& hops, core::Instant now);
   [[nodiscard]] bool MaySendAgain(const State& state, LossKind kind) const;
+  static void NoteReached(State& state, LossKind kind,
+                          const core::UpstreamId& first,
+                          const std::optional<core::UpstreamId>& fault);
+  [[nodiscard]] FirstHops Allowed(const State& state) const;
   void Release(State& state);
   void End(core::RequestId id);
   [[nodiscard]] core::Duration Spread(core::Duration duration);
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -70,27 +70,29 @@
   });
 }
 
-bool Upstreams::Usable(const Entry& entry,
-                       const std::vector<core::UpstreamId>& avoid,
-                       core::Instant now) const {
-  const core::UpstreamId& id = entry.announcement.id;
-  return entry.present && now >= entry.avoid_until &&
-         std::find(avoid.begin(), avoid.end(), id) == avoid.end();
+bool FirstHops::Allows(const core::UpstreamId& upstream) const {
+  const auto in = [&upstream](const std::vector<core::UpstreamId>& list) {
+    return std::find(list.begin(), list.end(), upstream) != list.end();
+  };
+  return !in(avoid) && (only.empty() || in(only));
+}
+
+bool Upstreams::Usable(const Entry& entry, core::Instant now) {
+  return entry.present && now >= entry.avoid_until;
 }
 
 std::vector<Hop> Upstreams::Choose(const schema::Service& service,
-                                   const Work& work,
-                                   const std::vector<core::UpstreamId>& avoid,
+                                   const Work& work, const FirstHops& first,
                                    core::Instant now, NoWay& why) {
   if (service.engine && service.engine->layers > 0) {
-    return ChooseChain(service, work, avoid, now, why);
+    return ChooseChain(service, work, first, now, why);
   }
-  return ChoosePlain(service, avoid, now, why);
+  return ChoosePlain(service, first, now, why);
 }
 
-std::vector<Hop> Upstreams::ChoosePlain(
-    const schema::Service& service, const std::vector<core::UpstreamId>& avoid,
-    core::Instant now, NoWay& why) {
+std::vector<Hop> Upstreams::ChoosePlain(const schema::Service& service,
+                                        const FirstHops& first,
+                                        core::Instant now, NoWay& why) {
   why = NoWay::kUnknown;
   const Entry* best = nullptr;
   std::tuple<std::size_t, bool, std::uint64_t> least;
@@ -100,7 +102,7 @@
     if (!entry.present || entry.announcement.service != service.id) continue;
     why = NoWay::kBusy;
     ++position;
-    if (!Usable(entry, avoid, now)) continue;
+    if (!Usable(entry, now) || !first.Allows(id)) continue;
     const std::size_t slots =
         std::max<std::size_t>(1, entry.announcement.slots);
     if (entry.running >= slots) continue;
@@ -149,9 +151,10 @@
   return candidate;
 }
 
-std::vector<Hop> Upstreams::ChooseChain(
-    const schema::Service& service, const Work& work,
-    const std::vector<core::UpstreamId>& avoid, core::Instant now, NoWay& why) {
+std::vector<Hop> Upstreams::ChooseChain(const schema::Service& service,
+                                        const Work& work,
+                                        const FirstHops& first,
+                                        core::Instant now, NoWay& why) {
   const schema::Engine& engine = *service.engine;
   std::vector<const Entry*> entries;
   std::vector<placement::Candidate> held;
@@ -162,7 +165,8 @@
     placement::Candidate holder;
     holder.layers = placement::HeldLayers(entry.announcement);
     held.push_back(holder);
-    if (!candidate || !Usable(entry, avoid, now)) continue;
+    if (!candidate || !Usable(entry, now)) continue;
+    if (candidate->layers.first == 0 && !first.Allows(id)) continue;
     candidate->upstream = entries.size();
     entries.push_back(&entry);
     candidates.push_back(*candidate);
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -31,6 +31,14 @@
   double answer_tokens = 0;
 };
 
+/// Which upstreams a way may begin at.
+struct FirstHops {
+  std::vector<core::UpstreamId> avoid;
+  std::vector<core::UpstreamId> only;  ///< Any if empty.
+
+  [[nodiscard]] bool Allows(const core::UpstreamId& upstream) const;
+};
+
 /// Why no way was found.
 enum class NoWay : std::uint8_t {
   kUnknown,   ///< No upstream of the service is known.
@@ -53,17 +61,17 @@
     data_centre_ = std::move(centre);
   }
 
-  /// Returns the way for a request that has not been at `avoid`, or why there
-  /// is none.
+  /// Returns the way for a request that may begin at `first`, or why there is
+  /// none.
   ///
   /// A plain service's upstream is the one with the least work of this host
   /// among those that are not suspected. A model's way is the cheapest chain,
   /// where each stage costs its share of the request's prefill and token steps
   /// at the work that all hosts are assumed to have there.
-  [[nodiscard]] std::vector<Hop> Choose(
-      const schema::Service& service, const Work& work,
-      const std::vector<core::UpstreamId>& avoid, core::Instant now,
-      NoWay& why);
+  [[nodiscard]] std::vector<Hop> Choose(const schema::Service& service,
+                                        const Work& work,
+                                        const FirstHops& first,
+                                        core::Instant now, NoWay& why);
 
   /// Counts a request's work at its hops, and ends it.
   void Begin(const std::vector<Hop>& hops, const Work& work);
@@ -98,19 +106,16 @@
     core::Instant avoid_until;
   };
 
-  [[nodiscard]] std::vector<Hop> ChoosePlain(
-      const schema::Service& service,
-      const std::vector<core::UpstreamId>& avoid, core::Instant now,
-      NoWay& why);
-  [[nodiscard]] std::vector<Hop> ChooseChain(
-      const schema::Service& service, const Work& work,
-      const std::vector<core::UpstreamId>& avoid, core::Instant now,
-      NoWay& why);
+  [[nodiscard]] std::vector<Hop> ChoosePlain(const schema::Service& service,
+                                             const FirstHops& first,
+                                             core::Instant now, NoWay& why);
+  [[nodiscard]] std::vector<Hop> ChooseChain(const schema::Service& service,
+                                             const Work& work,
+                                             const FirstHops& first,
+                                             core::Instant now, NoWay& why);
   [[nodiscard]] std::optional<placement::Candidate> Price(
       const Entry& entry, const schema::Engine& engine, const Work& work) const;
-  [[nodiscard]] bool Usable(const Entry& entry,
-                            const std::vector<core::UpstreamId>& avoid,
-                            core::Instant now) const;
+  [[nodiscard]] static bool Usable(const Entry& entry, core::Instant now);
 
   std::map<core::UpstreamId, Entry> entries_;
   std::size_t hosts_ = 1;
