--- a/src/foxquay/control/observer.cc
+++ b/src/foxquay/control/observer.cc
@@ -82,7 +82,9 @@
   if (!confirmed_) return std::nullopt;
   schema::ConfigReply reply = feed_.Answer(config_, poll, now - *confirmed_);
   reply.fleet_version = fleet_version_;
-  if (poll.fleet_version < fleet_version_) reply.fleet = fleet_;
+  if (poll.fleet_version < fleet_version_ && !reply.snapshot) {
+    reply.fleet = fleet_;
+  }
   return reply;
 }
 
--- a/src/foxquay/control/state.cc
+++ b/src/foxquay/control/state.cc
@@ -222,7 +222,9 @@
                                   core::Duration age) const {
   schema::ConfigReply reply = feed_.Answer(config_, poll, age);
   reply.fleet_version = fleet_.version;
-  if (poll.fleet_version < fleet_.version) reply.fleet = fleet_.fleet;
+  // Both together may exceed a frame; the next poll fetches the rest.
+  const bool behind = poll.fleet_version < fleet_.version;
+  if (behind && !reply.snapshot) reply.fleet = fleet_.fleet;
   return reply;
 }
 
--- a/tests/foxquay/control/state_test.cc
+++ b/tests/foxquay/control/state_test.cc
@@ -145,4 +145,49 @@
   CHECK(schema::Encode(reply).size() < 1'048'576 - 4096);
 }
 
+TEST_CASE("the highest version of the fleet wins and survives a snapshot") {
+  State state;
+  const auto put = [&state](std::uint64_t version, const std::string& source) {
+    return Apply<schema::FleetResult>(
+        state, schema::PutFleet{version, "encoded " + source, source});
+  };
+  CHECK(put(7, "seven").replaced);
+  CHECK(put(9, "nine").replaced);
+  const schema::FleetResult late = put(8, "eight");
+  CHECK_FALSE(late.replaced);
+  CHECK(late.version == 9);
+  CHECK_FALSE(put(9, "other").replaced);
+  CHECK(state.fleet().source == "nine");
+  const auto restored = State::FromSnapshot(state.Snapshot());
+  REQUIRE(restored);
+  CHECK(restored.value().fleet() == state.fleet());
+}
+
+// A host that follows another one must not act on an older fleet.
+TEST_CASE("a lease needs the fleet that the reply names") {
+  using std::chrono::milliseconds;
+  const core::Instant start{};
+  State state;
+  const core::HostId host("entry");
+  Apply<schema::HostResult>(
+      state, schema::RegisterHost{host, 1, core::DataCentreId("a")});
+  Apply<schema::FleetResult>(state, schema::PutFleet{7, "encoded", "source"});
+  Observer observer(host, 1);
+  schema::ConfigReply reply = state.Answer(observer.StartPoll(start), {});
+  CHECK(reply.fleet == "encoded");
+  reply.fleet.clear();
+  observer.HandleReply(reply);
+  CHECK(observer.Admit(start).state == AdmissionState::kNoLease);
+  reply = state.Answer(observer.StartPoll(start), {});
+  CHECK(observer.HandleReply(reply));
+  CHECK(observer.fleet_version() == 7);
+  CHECK(observer.Admit(start).state == AdmissionState::kOpen);
+  reply = state.Answer(observer.StartPoll(start), {});
+  CHECK(reply.fleet.empty());
+  Observer second(core::HostId("other"), 1);
+  const auto passed_on = observer.Answer(second.StartPoll(start), start);
+  REQUIRE(passed_on);
+  CHECK(passed_on->fleet == "encoded");
+}
+
 }  // namespace foxquay::control
--- a/tests/foxquay/roster/roster_test.cc
+++ b/tests/foxquay/roster/roster_test.cc
@@ -259,4 +259,90 @@
   }));
 }
 
+// All control hosts may restart at once, while upstreams announce themselves
+// less often than hosts must know them.
+TEST_CASE("what a restarted host had heard stays usable for the inheritance") {
+  Options options;
+  options.inheritance = milliseconds(500);
+  Roster b(core::HostId("b"), 1, options);
+  Roster old(core::HostId("a"), 1);
+  old.Announce(Worker("kept", 1), At(0));
+  old.Announce(Worker("left", 1), At(0));
+  Pull(b, old, At(10));
+  Roster restarted(core::HostId("a"), 2);
+  Pull(b, restarted, At(100));
+  CHECK(Uses(b, "kept", At(110)));
+  restarted.Announce(Worker("kept", 2), At(300));
+  schema::Announcement left = Worker("left", 2);
+  left.leaving = true;
+  restarted.Announce(left, At(300));
+  Pull(b, restarted, At(310));
+  CHECK_FALSE(Uses(b, "left", At(320)));
+  Pull(b, restarted, At(700));
+  CHECK(Uses(b, "kept", At(710)));
+}
+
+TEST_CASE("an upstream withdrawn at a host that never heard it leaves") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  a.Announce(Worker("gpu", 5), At(0));
+  Pull(b, a, At(10));
+  REQUIRE(b.Withdraw(core::UpstreamId("gpu"), At(20)));
+  CHECK_FALSE(Uses(b, "gpu", At(30)));
+  Pull(a, b, At(40));
+  CHECK_FALSE(Uses(a, "gpu", At(50)));
+  a.Announce(Worker("gpu", 6), At(60));
+  CHECK(Uses(a, "gpu", At(70)));
+}
+
+// The address of an upstream that ended is used again.
+TEST_CASE("of two upstreams at one address the later one counts") {
+  Roster a(core::HostId("a"), 1);
+  schema::Announcement former = Worker("former", 9);
+  former.address = "10.0.0.1:80";
+  former.born = core::WallTime(milliseconds(1000));
+  schema::Announcement later = Worker("later", 1);
+  later.address = former.address;
+  later.born = core::WallTime(milliseconds(2000));
+  a.Announce(later, At(0));
+  a.Announce(former, At(10));
+  CHECK(Uses(a, "later", At(20)));
+  CHECK_FALSE(Uses(a, "former", At(20)));
+}
+
+TEST_CASE("only overdue upstreams that no other host hears are silent") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  a.Announce(Worker("moved", 2), At(0));
+  a.Announce(Worker("mute", 2), At(0));
+  a.Announce(Worker("fresh", 2), At(900));
+  b.Announce(Worker("moved", 4), At(500));
+  Pull(a, b, At(600));
+  const auto silent = a.Silent(milliseconds(750), At(1000));
+  REQUIRE(silent.size() == 1);
+  CHECK(silent[0].id.value() == "mute");
+  a.Renew(core::UpstreamId("mute"), At(1000));
+  CHECK(a.Silent(milliseconds(750), At(1100)).empty());
+}
+
+// The leader sees loaded layers before the upstream announces them.
+TEST_CASE("observed layers hold until the next announcement") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  schema::Announcement worker = Worker("gpu", 4);
+  worker.unplaced = true;
+  a.Announce(worker, At(0));
+  Pull(b, a, At(10));
+  b.Observe(worker.id, schema::LayerRange{3, 8}, At(20));
+  Pull(a, b, At(30));
+  REQUIRE(a.Usable(At(40)).size() == 1);
+  CHECK(a.Usable(At(40))[0].layers == schema::LayerRange{3, 8});
+  CHECK_FALSE(a.Usable(At(40))[0].unplaced);
+  worker.sequence = 6;
+  worker.unplaced = false;
+  worker.layers = {1, 2};
+  a.Announce(worker, At(50));
+  CHECK(a.Usable(At(60))[0].layers == schema::LayerRange{1, 2});
+}
+
 }  // namespace foxquay::roster
