--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <functional>
+#include <iostream>
 #include <memory>
 #include <optional>
 #include <random>
@@ -30,12 +31,13 @@
 namespace foxquay::daemon {
 namespace internal {
 
-/// Part of the time from SIGTERM to the kill in which new connections are
-/// taken: callers keep an entry answer for its time to live.
-constexpr double kAcceptPart = 0.5;
+/// Part of the time from SIGTERM to the kill in which requests are taken:
+/// callers keep an entry answer for its time to live, and what is taken must
+/// have time to end.
+constexpr double kAcceptPart = 0.35;
 
 /// Part after which the process ends though requests are open.
-constexpr double kEndPart = 0.85;
+constexpr double kEndPart = 0.95;
 
 /// Time that a host without callers serves on after SIGTERM, so that what has
 /// arrived is answered.
@@ -310,7 +312,10 @@
   log::Configure(log::ParseLevel(settings.log.level), settings.log.file);
   const auto process =
       std::make_unique<internal::Process>(settings, dialect, control);
-  return process->Run();
+  const int status = process->Run();
+  std::cout.flush();
+  // Threads of the log library may outlive the last line; do not wait for them.
+  _exit(status);
 }
 
 }  // namespace foxquay::daemon
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -32,6 +32,9 @@
 /// Pause before the same upstream is doubted again.
 constexpr core::Duration kDoubtPause = std::chrono::milliseconds(1000);
 
+/// Time to return to another host.
+constexpr core::Duration kElsewhereReturn = std::chrono::milliseconds(50);
+
 /// Time to return while this host may not act on its configuration: that of an
 /// election and the confirmation after it, with a restart before them.
 constexpr core::Duration kNoLeaseReturn = std::chrono::milliseconds(2000);
@@ -155,7 +158,10 @@
   server_.StartDrain();
 }
 
-void Proxy::StopAccepting() { server_.StopAccepting(); }
+void Proxy::StopAccepting() {
+  stopping_ = true;
+  server_.StopAccepting();
+}
 
 bool Proxy::ready() const {
   return !draining_ && table_ != nullptr && admitted_until_ &&
@@ -170,6 +176,10 @@
            "configuration is not confirmed");
     return;
   }
+  if (stopping_) {
+    Reject(exchange, facts, 503, internal::kElsewhereReturn, "host stops");
+    return;
+  }
   const auto host = request.fields[boost::beast::http::field::host];
   const schema::Route* route =
       table_->FindRoute({host.data(), host.size()}, request.target);
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -55,7 +55,7 @@
 
   /// Asks callers to close their connections from now on.
   void StartDrain();
-  /// Takes no more connections.
+  /// Takes no more connections and requests.
   void StopAccepting();
 
   /// Returns whether requests are admitted now.
@@ -129,6 +129,7 @@
   std::uint64_t next_request_ = 1;
   core::Instant next_sweep_;
   bool draining_ = false;
+  bool stopping_ = false;
 };
 
 /// Returns the monotonic clock that leases are measured on. Thread-safe.
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -187,6 +187,10 @@
 
 void Relay::Blame(LossKind kind, const std::optional<core::UpstreamId>& fault,
                   const std::vector<Hop>& hops, core::Instant now) {
+  if (fault && kind == LossKind::kNotRun) {
+    upstreams_.Rest(*fault, now);
+    return;
+  }
   if (fault) {
     upstreams_.Suspect(*fault, now);
     return;
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -22,6 +22,15 @@
 /// is not known which.
 constexpr core::Duration kSharedAvoidance = std::chrono::milliseconds(700);
 
+/// Time for which an upstream that turned work away is avoided: that in which
+/// its changed layers reach this host.
+constexpr core::Duration kRest = std::chrono::milliseconds(400);
+
+/// Factor on the time that a prompt takes between two data centres: each such
+/// prompt holds up all others that cross, and the chains of one data centre
+/// meet the targets by themselves.
+constexpr double kCrossingWeight = 40;
+
 /// Part of the memory for requests that is filled before a stage counts as
 /// full; the engine preempts its newest request beyond.
 constexpr double kFullMemory = 0.9;
@@ -85,7 +94,11 @@
                                    const Work& work, const FirstHops& first,
                                    core::Instant now, NoWay& why) {
   if (service.engine && service.engine->layers > 0) {
-    return ChooseChain(service, work, first, now, why);
+    std::vector<Hop> hops = ChooseChain(service, work, first, false, now, why);
+    if (hops.empty() && why == NoWay::kBusy) {
+      hops = ChooseChain(service, work, first, true, now, why);
+    }
+    return hops;
   }
   return ChoosePlain(service, first, now, why);
 }
@@ -153,7 +166,7 @@
 
 std::vector<Hop> Upstreams::ChooseChain(const schema::Service& service,
                                         const Work& work,
-                                        const FirstHops& first,
+                                        const FirstHops& first, bool doubtful,
                                         core::Instant now, NoWay& why) {
   const schema::Engine& engine = *service.engine;
   std::vector<const Entry*> entries;
@@ -166,6 +179,7 @@
     holder.layers = placement::HeldLayers(entry.announcement);
     held.push_back(holder);
     if (!candidate || !Usable(entry, now)) continue;
+    if (!doubtful && now < entry.doubt_until) continue;
     if (candidate->layers.first == 0 && !first.Allows(id)) continue;
     candidate->upstream = entries.size();
     entries.push_back(&entry);
@@ -176,7 +190,8 @@
       8 * engine.activation_bytes * (work.prompt_tokens + work.answer_tokens);
   const core::Duration crossing =
       engine.pipe_mbps > 0
-          ? internal::ToDuration(4 * bits / (engine.pipe_mbps * 1e6))
+          ? internal::ToDuration(internal::kCrossingWeight * bits /
+                                 (engine.pipe_mbps * 1e6))
           : core::Duration::zero();
   const placement::Chain chain =
       placement::CheapestChain(candidates, engine.layers, crossing);
@@ -228,6 +243,13 @@
       entry.avoid_until, now + internal::kFirstAvoidance * (1 << doublings));
 }
 
+void Upstreams::Rest(const core::UpstreamId& upstream, core::Instant now) {
+  const auto found = entries_.find(upstream);
+  if (found == entries_.end()) return;
+  Entry& entry = found->second;
+  entry.avoid_until = std::max(entry.avoid_until, now + internal::kRest);
+}
+
 void Upstreams::Doubt(const core::UpstreamId& upstream, core::Instant now) {
   const auto found = entries_.find(upstream);
   if (found == entries_.end()) return;
@@ -246,8 +268,7 @@
   for (const Hop& hop : hops) {
     const auto found = entries_.find(hop.upstream);
     if (found == entries_.end()) continue;
-    found->second.avoid_until =
-        std::max(found->second.avoid_until, now + internal::kSharedAvoidance);
+    found->second.doubt_until = now + internal::kSharedAvoidance;
   }
 }
 
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -82,7 +82,11 @@
   /// Counts a failure that may be a single one, e.g. a garbled answer; avoids
   /// the upstream from the second in a row on.
   void Doubt(const core::UpstreamId& upstream, core::Instant now);
-  /// Avoids whichever of the hops of a way failed, without knowing which.
+  /// Avoids an upstream until its next announcement, which says why it turned
+  /// work away.
+  void Rest(const core::UpstreamId& upstream, core::Instant now);
+  /// Avoids all hops of a way, one of which failed, without knowing which; they
+  /// are used all the same if there is no other way.
   void SuspectAny(const std::vector<Hop>& hops, core::Instant now);
   /// Notes that the hops have served a request well.
   void Trust(const std::vector<Hop>& hops);
@@ -104,6 +108,7 @@
     double token_layers = 0;  ///< Their tokens in each layer that they use.
     int failures = 0;         ///< In a row.
     core::Instant avoid_until;
+    core::Instant doubt_until;  ///< Avoided if there is another way.
   };
 
   [[nodiscard]] std::vector<Hop> ChoosePlain(const schema::Service& service,
@@ -112,7 +117,8 @@
   [[nodiscard]] std::vector<Hop> ChooseChain(const schema::Service& service,
                                              const Work& work,
                                              const FirstHops& first,
-                                             core::Instant now, NoWay& why);
+                                             bool doubtful, core::Instant now,
+                                             NoWay& why);
   [[nodiscard]] std::optional<placement::Candidate> Price(
       const Entry& entry, const schema::Engine& engine, const Work& work) const;
   [[nodiscard]] static bool Usable(const Entry& entry, core::Instant now);
--- a/src/foxquay/schema/policy.h
+++ b/src/foxquay/schema/policy.h
@@ -68,7 +68,7 @@
     {PolicyKey::kRetryBudget, "retry.budget", "percent", 0, 100, 10},
     {PolicyKey::kLegMaxTokens, "leg.max_tokens", "tokens", 1, 100000, 64},
     {PolicyKey::kLegTokenTimeout, "leg.token_timeout", "ms", 10, 600000, 2000},
-    {PolicyKey::kEntryTtl, "entry.ttl", "ms", 100, 600000, 5000},
+    {PolicyKey::kEntryTtl, "entry.ttl", "ms", 100, 600000, 2000},
     {PolicyKey::kClaimMaxLife, "claim.max_life", "ms", 1000, 604800000,
      86400000},
 }};
