Withdraw upstreams only where requests stall on them

Change: a probe that fails withdraws an upstream only within 2 s of a doubt of an entry host; otherwise it keeps the whole time of its announcement.

--- a/src/foxquay/daemon/control_fleet.cc
+++ b/src/foxquay/daemon/control_fleet.cc
@@ -14,6 +14,10 @@
 /// Pause between two probes of an upstream, above the time of one.
 constexpr core::Duration kProbePause = std::chrono::milliseconds(900);
 
+/// Time for which a stalled request speaks against the upstreams on its way,
+/// longer than two probes.
+constexpr core::Duration kDoubtLife = std::chrono::milliseconds(2000);
+
 }  // namespace internal
 
 void ControlNode::PutFleet(
@@ -97,14 +101,20 @@
 void ControlNode::On(const schema::Envelope& from,
                      const schema::UpstreamDoubts& doubts) {
   if (!sink_.probe_upstreams) return;
+  const core::Instant now = Now();
+  std::erase_if(doubted_, [now](const auto& item) {
+    return now - item.second > internal::kDoubtLife;
+  });
   std::vector<schema::Announcement> doubtful;
   for (const core::UpstreamId& id : doubts.upstreams) {
     std::optional<schema::Announcement> known = roster_.Newest(id);
-    if (known && !known->leaving) doubtful.push_back(*std::move(known));
+    if (!known || known->leaving) continue;
+    doubted_[id] = now;
+    doubtful.push_back(*std::move(known));
   }
   log::Write(log::Level::kInfo, "upstreams_doubted",
              {{"host", from.sender}, {"count", doubtful.size()}});
-  Probe(std::move(doubtful), Now());
+  Probe(std::move(doubtful), now);
 }
 
 void ControlNode::NoteProbe(const schema::Announcement& probed, bool reached) {
@@ -114,10 +124,15 @@
       roster_.Renew(probed.id, now);
       return;
     }
+    // An upstream that only control hosts cannot reach still serves the others;
+    // without a stalled request it is given its whole time.
+    const auto doubted = doubted_.find(probed.id);
+    const bool stalls = doubted != doubted_.end() &&
+                        now - doubted->second <= internal::kDoubtLife;
     const auto newest = roster_.Newest(probed.id);
-    if (!newest || newest->leaving || newest->sequence != probed.sequence) {
-      return;
-    }
+    const bool renewed =
+        !newest || newest->leaving || newest->sequence != probed.sequence;
+    if (renewed || !stalls) return;
     log::Write(log::Level::kWarn, "upstream_lost",
                {{"upstream", probed.id},
                 {"address", probed.address},
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -277,6 +277,7 @@
   std::vector<FleetRead> reads_;
   std::uint64_t published_fleet_ = 0;
   std::map<core::UpstreamId, core::Instant> probed_;
+  std::map<core::UpstreamId, core::Instant> doubted_;
   std::optional<std::pair<bool, std::uint64_t>> published_leadership_;
   std::uint64_t next_check_ = 1;
   std::atomic<std::shared_ptr<const Shared>> shared_;
--- a/src/foxquay/placement/plan.cc
+++ b/src/foxquay/placement/plan.cc
@@ -360,7 +360,9 @@
   }
   std::vector<Assignment> changes;
   for (std::size_t at = 0; at < holders.size(); ++at) {
-    if (holders[at].layers == before[at].layers) continue;
+    // One that is left without layers keeps those that it has.
+    const Range layers = holders[at].layers;
+    if (layers.empty() || layers == before[at].layers) continue;
     changes.push_back({holders[at].id, holders[at].layers});
   }
   return changes;
--- a/tests/foxquay/placement/plan_test.cc
+++ b/tests/foxquay/placement/plan_test.cc
@@ -98,6 +98,17 @@
   CHECK(changes[0] == Assignment{holders[3].id, lost});
 }
 
+TEST_CASE("no order takes all layers from an upstream") {
+  for (std::size_t first = 0; first < 9; ++first) {
+    std::vector<Holder> holders = Laid();
+    const auto at = holders.begin() + static_cast<std::ptrdiff_t>(first);
+    holders.erase(at, at + 2);
+    for (const Assignment& change : Plan(MakeEngine(), holders)) {
+      CHECK_FALSE(change.layers.empty());
+    }
+  }
+}
+
 TEST_CASE("no layers are ordered that cannot make a whole copy") {
   CHECK(Plan(MakeEngine(), MakeHolders("a", 1, 2)).empty());
 }
