Move stalled streams only where another way can take them

Ruled out: the configuration change beside it (no route changed).

Change: Relay::Move checks attempts, budget and a way before the old send is given up; all upstreams that a request was at count.

--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -506,20 +506,28 @@
   return gone ? internal::kQuietBetweenEvents : job.stall;
 }
 
-void Proxy::CancelStalled(core::Instant now) {
+void Proxy::MoveStalled(core::Instant now) {
   std::vector<core::RequestId> stalled;
   for (const auto& [id, job] : jobs_) {
-    if (!job.call || now - job.heard < StallOf(id, job)) continue;
     const bool stream =
-        relay_.Of(id).route->kind == schema::RequestKind::kStream;
-    if (stream && relay_.MayMove(id)) stalled.push_back(id);
+        job.call && relay_.Of(id).route->kind == schema::RequestKind::kStream;
+    if (stream && now - job.heard >= StallOf(id, job)) stalled.push_back(id);
   }
   for (const core::RequestId id : stalled) {
     Job& job = jobs_.at(id);
+    const std::string former = internal::Describe(relay_.Way(id));
+    const std::optional<relay::Send> send = relay_.Move(id, now);
+    if (!send) continue;
+    log::Write(log::Level::kInfo, "stream_moved",
+               {{"request", job.facts.id},
+                {"from", former},
+                {"quiet_ms", internal::Milliseconds(now - job.heard)},
+                {"events", job.filter ? job.filter->passed() : 0}});
     client_.Cancel(*job.call);
     by_call_.erase(*job.call);
     job.call.reset();
-    Lose(id, {relay::LossKind::kStalled, ""});
+    if (job.filter) job.filter->Restart();
+    Do(id, *send);
   }
 }
 
@@ -553,7 +561,7 @@
     client_.Sweep(now);
     server_.Sweep(now);
     ReportStalls(now);
-    CancelStalled(now);
+    MoveStalled(now);
   }
   for (const auto& [id, decision] : relay_.Review(now)) {
     if (jobs_.contains(id)) Follow(id, decision);
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -109,7 +109,7 @@
   void FinishStream(core::RequestId id);
   void LogEnd(const Job& job, unsigned status, std::string_view outcome,
               std::string_view reason);
-  void CancelStalled(core::Instant now);
+  void MoveStalled(core::Instant now);
   [[nodiscard]] core::Duration StallOf(core::RequestId id, const Job& job);
   void ReportStalls(core::Instant now);
 
--- a/src/foxquay/relay/budget.cc
+++ b/src/foxquay/relay/budget.cc
@@ -46,8 +46,7 @@
   counts.requests.push_back(now);
 }
 
-bool RepeatBudget::TakeRepeat(const core::ServiceId& service,
-                              core::Instant now) {
+bool RepeatBudget::HasRoom(const core::ServiceId& service, core::Instant now) {
   Counts& counts = services_[service];
   DropOld(counts, now);
   const std::size_t hosts = hosts_ == 0 ? internal::kAssumedHosts : hosts_;
@@ -55,8 +54,13 @@
       internal::kUsedPart *
       (options_.ratio * static_cast<double>(counts.requests.size()) +
        options_.slack / static_cast<double>(hosts));
-  if (static_cast<double>(counts.repeats.size()) + 1 > bound) return false;
-  counts.repeats.push_back(now);
+  return static_cast<double>(counts.repeats.size()) + 1 <= bound;
+}
+
+bool RepeatBudget::TakeRepeat(const core::ServiceId& service,
+                              core::Instant now) {
+  if (!HasRoom(service, now)) return false;
+  services_[service].repeats.push_back(now);
   return true;
 }
 
--- a/src/foxquay/relay/budget.h
+++ b/src/foxquay/relay/budget.h
@@ -34,6 +34,9 @@
   /// Counts the first send of a request.
   void NoteRequest(const core::ServiceId& service, core::Instant now);
 
+  /// Returns whether TakeRepeat would return true.
+  [[nodiscard]] bool HasRoom(const core::ServiceId& service, core::Instant now);
+
   /// Counts a repeated send and returns true, or returns false if the budget
   /// has no room.
   [[nodiscard]] bool TakeRepeat(const core::ServiceId& service,
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -112,12 +112,8 @@
 FirstHops Relay::Allowed(const State& state) const {
   FirstHops first;
   if (state.failed) first.avoid.push_back(*state.failed);
-  std::vector<core::UpstreamId> alive;
-  for (const core::UpstreamId& upstream : state.reached) {
-    if (upstreams_.Known(upstream)) alive.push_back(upstream);
-  }
-  if (alive.size() >= std::max(1U, state.intake.route->max_attempts)) {
-    first.only = std::move(alive);
+  if (state.reached.size() >= std::max(1U, state.intake.route->max_attempts)) {
+    first.only = state.reached;
     const bool none = std::none_of(
         first.only.begin(), first.only.end(),
         [&first](const auto& upstream) { return first.Allows(upstream); });
@@ -136,10 +132,31 @@
   return kind == LossKind::kNotRun || internal::Repeatable(route);
 }
 
-bool Relay::MayMove(core::RequestId id) const {
-  const State& state = requests_.at(id);
-  return internal::Repeatable(*state.intake.route) &&
-         state.sends + 1 < internal::kMaxStreamSends;
+std::optional<Send> Relay::Move(core::RequestId id, core::Instant now) {
+  State& state = requests_.at(id);
+  const Intake& intake = state.intake;
+  const bool movable = internal::Repeatable(*intake.route) &&
+                       !state.hops.empty() &&
+                       state.sends + 1 < internal::kMaxStreamSends &&
+                       budget_.HasRoom(intake.service->id, now);
+  if (!movable) return std::nullopt;
+  const std::vector<Hop> former = state.hops;
+  State moved = state;
+  NoteReached(moved, LossKind::kStalled, former.front().upstream, std::nullopt);
+  upstreams_.SuspectAny(former, now);
+  NoWay why = NoWay::kUnknown;
+  std::vector<Hop> hops =
+      upstreams_.Choose(*intake.service, intake.work, Allowed(moved), now, why);
+  const bool same = hops.empty() || hops == former;
+  if (same || !budget_.TakeRepeat(intake.service->id, now)) return std::nullopt;
+  Release(state);
+  state.reached = std::move(moved.reached);
+  state.failed = std::move(moved.failed);
+  state.may_have_run = true;
+  ++state.sends;
+  state.hops = std::move(hops);
+  upstreams_.Begin(state.hops, intake.work);
+  return Send{state.hops, state.sends + state.misses + 1, true};
 }
 
 /// A hop behind the first that is at fault leaves the first one usable.
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -43,9 +43,10 @@
   /// request has ended.
   [[nodiscard]] Decision HandleLoss(core::RequestId id, const Loss& loss,
                                     core::Instant now);
-  /// Returns whether a request whose current send stalls may be sent again; if
-  /// not, it is better left waiting, as silence is no proof of a loss.
-  [[nodiscard]] bool MayMove(core::RequestId id) const;
+  /// Moves a stream whose current send stalls to another way, if one exists and
+  /// the budget has room. If not, nothing changes: silence is no proof of a
+  /// loss, and the stream is better left waiting than cut.
+  [[nodiscard]] std::optional<Send> Move(core::RequestId id, core::Instant now);
   /// Ends a request that was answered completely.
   void Complete(core::RequestId id);
   /// Ends a request whose caller has left.
