--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -45,6 +45,9 @@
 
   [[nodiscard]] std::error_code Listen(const std::string& address);
 
+  /// Returns `IP:PORT` of the listener. Precondition: Listen succeeded.
+  [[nodiscard]] std::string address() const { return server_.address(); }
+
   /// Takes a configuration whose version is higher than the current one.
   void SetFleet(std::shared_ptr<const fleet::Table> table);
   void SetUpstreams(const std::vector<schema::Announcement>& upstreams);
