--- a/tests/foxquay/daemon/process.cc
+++ b/tests/foxquay/daemon/process.cc
@@ -64,6 +64,7 @@
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                    O_CREAT | O_WRONLY | O_APPEND,
                                    S_IRUSR | S_IWUSR);
+  posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
   const int error = posix_spawn(&pid_, arguments.front(), &actions, nullptr,
                                 arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -58,7 +58,7 @@
     echo "security: {cluster: demo, peer_key_file: $folder/peer.key," \
       "operator_token_file: $folder/operator.token, upstream_networks: [127.0.0.0/8]}"
   } > "$folder/host-$host.yaml"
-  "$build/src/foxquayd/foxquayd" --config "$folder/host-$host.yaml" 2> "$folder/host-$host.log" &
+  "$build/src/foxquayd/foxquayd" --config "$folder/host-$host.yaml" > "$folder/host-$host.log" 2>&1 &
   pids+=($!)
 done
 
