Serve the directory on entry hosts too and wait for the configuration

After a restart of all hosts callers whose connection was lost had no retry left and were refused (63 from 32 s on).

Change: entry hosts serve the directory from reports that all hosts send each other; one that is cut off answers none. A request that comes before the configuration is confirmed waits for it for up to 1.6 s.

--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -252,6 +252,7 @@
 http::EntryAnswer ControlNode::Entry(
     const core::DataCentreId& data_centre) const {
   const std::shared_ptr<const Shared> shared = shared_.load();
+  if (!settings_.join.seeds.empty() && !shared->informed) return {};
   const core::DataCentreId& nearest =
       data_centre.empty() ? settings_.host.data_centre : data_centre;
   const entry::Answer chosen = entry::Choose(
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -139,7 +139,8 @@
   void Doubt(std::vector<core::UpstreamId> upstreams);
   void StartDrain();
 
-  /// Returns the addresses for callers in a data centre without waiting.
+  /// Returns the addresses for callers in a data centre without waiting; none
+  /// on a host that found the others through seeds and is cut off from them.
   [[nodiscard]] http::EntryAnswer Entry(
       const core::DataCentreId& data_centre) const;
 
@@ -166,6 +167,9 @@
   /// Immutable data that traffic threads read.
   struct Shared {
     std::vector<HostView> hosts;
+    /// Whether this host hears of the others; one that is cut off would name
+    /// only itself.
+    bool informed = false;
     entry::Distances distances;
     core::Duration entry_ttl{};
   };
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -71,10 +71,10 @@
   hosts_.SetOwn(observer_.incarnation(), report);
   const std::string encoded = schema::Encode(schema::PeerMessage(report));
   for (const core::HostId& peer : peers_) {
+    links_.SendDatagram(peer, encoded);
     // Among hosts that found each other through seeds only those with the role
-    // control hear announcements and answer callers about hosts.
+    // control hear announcements.
     if (!settings_.join.seeds.empty() && !hosts_.Control(peer)) continue;
-    links_.SendDatagram(peer, encoded);
     Send(peer, roster_.Poll(now));
   }
 }
@@ -182,13 +182,19 @@
   const std::chrono::milliseconds entry_ttl(ttl);
   std::vector<HostView> hosts = hosts_.View(now);
   const std::shared_ptr<const Shared> current = shared_.load();
-  if (current->hosts == hosts && current->entry_ttl == entry_ttl) return;
+  const bool informed =
+      replica_ || observer_.Admit(now).state == control::AdmissionState::kOpen;
+  if (current->hosts == hosts && current->entry_ttl == entry_ttl &&
+      current->informed == informed) {
+    return;
+  }
   if (sink_.set_entry_hosts) {
     sink_.set_entry_hosts(static_cast<std::size_t>(std::count_if(
         hosts.begin(), hosts.end(),
         [](const HostView& host) { return !host.caller.empty(); })));
   }
   auto shared = std::make_shared<Shared>();
+  shared->informed = informed;
   shared->distances = DistancesOf(hosts);
   shared->hosts = std::move(hosts);
   shared->entry_ttl = entry_ttl;
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -152,12 +152,10 @@
       started = started && Listen("upstream", listeners.upstream, [&] {
                   return control_server_.Listen(listeners.upstream);
                 });
-      if (!entry_) {
-        started = started && Listen("caller", listeners.caller, [&] {
-                    return control_server_.Listen(listeners.caller);
-                  });
-      }
     }
+    started = started && Listen("directory", listeners.directory, [&] {
+                return control_server_.Listen(listeners.directory);
+              });
     started = started && Listen("metrics", listeners.metrics, [&] {
                 return metrics_.Listen(listeners.metrics);
               });
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -35,6 +35,15 @@
 /// Time to return to another host.
 constexpr core::Duration kElsewhereReturn = std::chrono::milliseconds(50);
 
+/// Time for which a request that came before the configuration is confirmed may
+/// wait for it, e.g. after a restart of all hosts, and below the two seconds in
+/// which callers give a silent host up. Callers whose connection was lost with
+/// the former process have used up their retry.
+constexpr core::Duration kEarlyWait = std::chrono::milliseconds(1600);
+
+/// Requests that wait for the configuration on one host.
+constexpr std::size_t kMaxEarly = 256;
+
 /// Time to return while this host may not act on its configuration: that of an
 /// election and the confirmation after it, with a restart before them.
 constexpr core::Duration kNoLeaseReturn = std::chrono::milliseconds(2000);
@@ -163,19 +172,51 @@
   server_.StopAccepting();
 }
 
-bool Proxy::ready() const {
-  return !draining_ && table_ != nullptr && admitted_until_ &&
+bool Proxy::ready() const { return !draining_ && admitted(); }
+
+bool Proxy::admitted() const {
+  return table_ != nullptr && admitted_until_ &&
          LeaseClock() < *admitted_until_;
 }
 
 void Proxy::HandleRequest(net::ExchangeId exchange, net::Request&& request) {
   CallerFacts facts = dialect_.read_caller(request);
-  if (table_ == nullptr || !admitted_until_ ||
-      LeaseClock() >= *admitted_until_) {
+  if (admitted()) {
+    Decide(exchange, std::move(request), std::move(facts));
+    return;
+  }
+  const core::Duration wait =
+      std::min(internal::kEarlyWait,
+               facts.patience.value_or(internal::kEarlyWait * 4) / 4);
+  if (early_.size() >= internal::kMaxEarly) {
     Reject(exchange, facts, 503, internal::kNoLeaseReturn,
            "configuration is not confirmed");
     return;
   }
+  log::Write(log::Level::kInfo, "request_early",
+             {{"request", facts.id}, {"waiting", early_.size()}});
+  early_[exchange] = {std::move(request), std::move(facts),
+                      net::SteadyNow() + wait};
+}
+
+void Proxy::ReviewEarly(core::Instant now) {
+  const bool open = admitted();
+  std::map<net::ExchangeId, Early> waiting;
+  for (auto& [exchange, early] : std::exchange(early_, {})) {
+    if (open) {
+      Decide(exchange, std::move(early.request), std::move(early.facts));
+    } else if (now >= early.until) {
+      Reject(exchange, early.facts, 503, internal::kNoLeaseReturn,
+             "configuration is not confirmed");
+    } else {
+      waiting.emplace(exchange, std::move(early));
+    }
+  }
+  early_.merge(waiting);
+}
+
+void Proxy::Decide(net::ExchangeId exchange, net::Request&& request,
+                   CallerFacts facts) {
   if (stopping_) {
     Reject(exchange, facts, 503, internal::kElsewhereReturn, "host stops");
     return;
@@ -350,6 +391,7 @@
 }
 
 void Proxy::HandleGone(net::ExchangeId exchange) {
+  early_.erase(exchange);
   const auto found = by_exchange_.find(exchange);
   if (found == by_exchange_.end()) return;
   const core::RequestId id = found->second;
@@ -563,6 +605,7 @@
     ReportStalls(now);
     MoveStalled(now);
   }
+  if (!early_.empty()) ReviewEarly(now);
   for (const auto& [id, decision] : relay_.Review(now)) {
     if (jobs_.contains(id)) Follow(id, decision);
   }
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -63,6 +63,8 @@
 
   /// Returns whether requests are admitted now.
   [[nodiscard]] bool ready() const;
+  /// Returns whether the configuration may be acted on now.
+  [[nodiscard]] bool admitted() const;
   /// Returns the number of requests being read or answered.
   [[nodiscard]] std::size_t open() const { return server_.open(); }
 
@@ -89,7 +91,18 @@
     std::optional<relay::EventFilter> filter;
   };
 
+  /// A request that came before the configuration was confirmed.
+  struct Early {
+    net::Request request;
+    CallerFacts facts;
+    core::Instant until;
+  };
+
   void HandleRequest(net::ExchangeId exchange, net::Request&& request);
+  /// Answers a request that was read while the configuration may be acted on.
+  void Decide(net::ExchangeId exchange, net::Request&& request,
+              CallerFacts facts);
+  void ReviewEarly(core::Instant now);
   void HandleGone(net::ExchangeId exchange);
   void HandleHead(net::CallId call, unsigned status, net::Fields&& fields);
   void HandleData(net::CallId call, const std::string& data);
@@ -129,6 +142,7 @@
   std::map<core::RequestId, Job> jobs_;
   std::unordered_map<net::ExchangeId, core::RequestId> by_exchange_;
   std::unordered_map<net::CallId, core::RequestId> by_call_;
+  std::map<net::ExchangeId, Early> early_;
   std::uint64_t next_request_ = 1;
   core::Instant next_sweep_;
   bool draining_ = false;
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -37,8 +37,10 @@
   std::string upstream;  ///< Announcements of upstreams.
   std::string admin;     ///< Operators, health and metrics.
   std::string peer;      ///< Other hosts, TCP and UDP on the same port.
-  std::string ready;     ///< Readiness of a host that serves callers.
-  std::string metrics;   ///< Metrics in the Prometheus text format.
+  std::string
+      directory;      ///< Callers of a gateway that ask which addresses to use.
+  std::string ready;  ///< Readiness of a host that serves callers.
+  std::string metrics;  ///< Metrics in the Prometheus text format.
 };
 
 /// How a host finds the others when their list is not in its settings.
--- a/src/foxquay/settings/reader_generated.cc
+++ b/src/foxquay/settings/reader_generated.cc
@@ -39,6 +39,7 @@
                               "upstream",
                               "admin",
                               "peer",
+                              "directory",
                               "ready",
                               "metrics",
                           });
@@ -50,6 +51,8 @@
                 [&](Reader& child) { child.ReadAddress(value.admin); });
   section.Field("peer", Need::kRequired,
                 [&](Reader& child) { child.ReadAddress(value.peer); });
+  section.Field("directory", Need::kOptional,
+                [&](Reader& child) { child.ReadAddress(value.directory); });
   section.Field("ready", Need::kOptional,
                 [&](Reader& child) { child.ReadAddress(value.ready); });
   section.Field("metrics", Need::kOptional,
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -288,4 +288,20 @@
   CHECK(world.proxy.open() == 0);
 }
 
+// After a restart of all hosts callers return before the configuration is
+// confirmed, and have no retry left.
+TEST_CASE("a request waits a little for the configuration after a restart") {
+  World world;
+  world.proxy.SetAdmission(std::nullopt);
+  const net::CallId call = world.Send("/safe/1");
+  world.Until([&] { return world.proxy.open() == 1; });
+  CHECK(world.a.requests.empty());
+  CHECK(world.b.requests.empty());
+  world.proxy.SetAdmission(LeaseClock() + std::chrono::hours(1));
+  FakeUpstream& upstream = world.Reached();
+  upstream.server.Respond(upstream.requests[0].first,
+                          net::MakeResponse(200, "text/plain", "ok"));
+  CHECK(world.Finish(call).body == "ok");
+}
+
 }  // namespace foxquay::gateway
