Choose ways by the lag that is observed on them

Change: Pace keeps the average and best time of each first hop; the lag is added to the cost of a way and fades without observations.

--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -317,6 +317,7 @@
   job.fault_address.clear();
   job.sent = now;
   job.heard = now;
+  job.flowing = false;
   ++job.sends;
   if (!job.head_sent) job.answer = {};
   net::CallOptions options;
@@ -441,6 +442,8 @@
   }
   if (events.empty()) return;
   const core::Instant now = net::SteadyNow();
+  if (job.flowing) relay_.NoteTime(id, now - job.heard, now);
+  job.flowing = true;
   job.heard = now;
   const net::ExchangeId exchange = job.exchange;
   if (!job.head_sent) {
@@ -497,6 +500,8 @@
       return;
     }
   } else {
+    const core::Instant now = net::SteadyNow();
+    relay_.NoteTime(id, now - job.sent, now);
     relay_.Complete(id);
   }
   const auto node = jobs_.extract(id);
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -84,6 +84,7 @@
     unsigned sends = 0;
     unsigned status = 0;
     bool streaming = false;  ///< The current answer is a stream of events.
+    bool flowing = false;    ///< The current send has passed on an event.
     bool head_sent = false;
     bool not_run = false;
     std::string fault_address;
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -249,6 +249,13 @@
   if (found != requests_.end()) found->second.begun = true;
 }
 
+void Relay::NoteTime(core::RequestId id, core::Duration time,
+                     core::Instant now) {
+  const State& state = requests_.at(id);
+  if (state.hops.empty()) return;
+  upstreams_.NoteTime(state.hops.front().upstream, time, now);
+}
+
 void Relay::Complete(core::RequestId id) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -39,6 +39,9 @@
                                 core::Instant now);
   /// Notes that the first part of the answer was passed on.
   void Begin(core::RequestId id);
+  /// Takes the time between two events of the request's stream, or until its
+  /// answer.
+  void NoteTime(core::RequestId id, core::Duration time, core::Instant now);
   /// Takes the loss of the request's current send; after Refuse and Break the
   /// request has ended.
   [[nodiscard]] Decision HandleLoss(core::RequestId id, const Loss& loss,
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -40,6 +40,9 @@
   return work.prompt_tokens + work.answer_tokens / 2;
 }
 
+/// Shortest time that tells two upstreams of a plain service apart.
+constexpr core::Duration kUnitTime = std::chrono::milliseconds(20);
+
 /// Time that handing a request to another stage takes.
 constexpr core::Duration kHopTime = std::chrono::microseconds(300);
 
@@ -70,6 +73,7 @@
     if (reborn) {
       entry.failures = 0;
       entry.avoid_until = {};
+      entry.pace = {};
     }
     entry.announcement = announcement;
     entry.present = true;
@@ -108,7 +112,7 @@
                                         core::Instant now, NoWay& why) {
   why = NoWay::kUnknown;
   const Entry* best = nullptr;
-  std::tuple<std::size_t, bool, std::uint64_t> least;
+  std::tuple<core::Duration, bool, std::uint64_t> least;
   ++turn_;
   std::uint64_t position = 0;
   for (const auto& [id, entry] : entries_) {
@@ -119,9 +123,12 @@
     const std::size_t slots =
         std::max<std::size_t>(1, entry.announcement.slots);
     if (entry.running >= slots) continue;
-    const auto rank = std::make_tuple(
-        entry.running, entry.announcement.data_centre != data_centre_,
-        (position + turn_) % (entries_.size() + 1));
+    const core::Duration wait =
+        std::max(entry.pace.Time(now), internal::kUnitTime) *
+        static_cast<std::int64_t>(1 + entry.running);
+    const auto rank =
+        std::make_tuple(wait, entry.announcement.data_centre != data_centre_,
+                        (position + turn_) % (entries_.size() + 1));
     if (best == nullptr || rank < least) {
       best = &entry;
       least = rank;
@@ -180,6 +187,11 @@
     held.push_back(holder);
     if (!candidate || !Usable(entry, now)) continue;
     if (!doubtful && now < entry.doubt_until) continue;
+    if (candidate->layers.first == 0) {
+      candidate->fixed +=
+          entry.pace.Lag(now) *
+          static_cast<std::int64_t>(1 + work.answer_tokens / engine.stride);
+    }
     if (candidate->layers.first == 0 && !first.Allows(id)) continue;
     candidate->upstream = entries.size();
     entries.push_back(&entry);
@@ -243,6 +255,12 @@
       entry.avoid_until, now + internal::kFirstAvoidance * (1 << doublings));
 }
 
+void Upstreams::NoteTime(const core::UpstreamId& upstream, core::Duration time,
+                         core::Instant now) {
+  const auto found = entries_.find(upstream);
+  if (found != entries_.end()) found->second.pace.Note(time, now);
+}
+
 void Upstreams::Rest(const core::UpstreamId& upstream, core::Instant now) {
   const auto found = entries_.find(upstream);
   if (found == entries_.end()) return;
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -11,6 +11,7 @@
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
 #include "foxquay/placement/chain.h"
+#include "foxquay/relay/pace.h"
 #include "foxquay/schema/announcement.h"
 #include "foxquay/schema/fleet.h"
 
@@ -91,6 +92,11 @@
   /// Notes that the hops have served a request well.
   void Trust(const std::vector<Hop>& hops);
 
+  /// Takes the time between two events of a stream, or until an answer, of a
+  /// request that began at an upstream.
+  void NoteTime(const core::UpstreamId& upstream, core::Duration time,
+                core::Instant now);
+
   /// Returns whether an upstream is in use.
   [[nodiscard]] bool Known(const core::UpstreamId& upstream) const;
   /// Returns the upstream at an address, if one is in use.
@@ -107,6 +113,7 @@
     double tokens = 0;        ///< Their tokens.
     double token_layers = 0;  ///< Their tokens in each layer that they use.
     int failures = 0;         ///< In a row.
+    Pace pace;
     core::Instant avoid_until;
     core::Instant doubt_until;  ///< Avoided if there is another way.
   };
--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -236,4 +236,28 @@
   }
 }
 
+// One of three upstreams answers five times slower.
+TEST_CASE("a slow upstream gets less work and regains it") {
+  const auto table = MakeTable(schema::RequestKind::kRepeatable, 2);
+  Relay relay = MakeRelay({Plain("a"), Plain("b"), Plain("c")});
+  std::uint64_t next = 1;
+  const auto share_of_a = [&](int from, int slow_ms) {
+    int of_a = 0;
+    for (int at = 0; at < 300; ++at) {
+      const int now = from + at * 20;
+      const core::RequestId id(next++);
+      const Decision sent = relay.Arrive(id, MakeIntake(table, now), At(now));
+      const bool slow =
+          std::get<Send>(sent).hops.front().upstream.value() == "a";
+      if (slow) ++of_a;
+      relay.NoteTime(id, milliseconds(slow ? slow_ms : 60), At(now));
+      relay.Complete(id);
+    }
+    return of_a;
+  };
+  CHECK(share_of_a(0, 60) > 60);
+  CHECK(share_of_a(6000, 300) < 60);
+  CHECK(share_of_a(60000, 60) > 60);
+}
+
 }  // namespace foxquay::relay
