--- a/src/foxquay/placement/conductor.cc
+++ b/src/foxquay/placement/conductor.cc
@@ -112,7 +112,8 @@
   for (const auto& [id, known] : upstreams_) {
     const schema::Announcement& announcement = known.announcement;
     holders.push_back({id, announcement.data_centre, announcement.accelerator,
-                       known.target.value_or(HeldLayers(announcement))});
+                       known.target.value_or(HeldLayers(announcement)),
+                       slow_.contains(id)});
   }
   return holders;
 }
--- a/src/foxquay/placement/plan.h
+++ b/src/foxquay/placement/plan.h
@@ -16,7 +16,8 @@
   core::UpstreamId id;
   core::DataCentreId data_centre;
   std::string accelerator;
-  Range layers;  ///< Empty if it holds none.
+  Range layers;       ///< Empty if it holds none.
+  bool slow = false;  ///< Whether its layers are better run elsewhere.
 };
 
 /// Layers that an upstream is to hold.
