Take out copies of slow stages on spare upstreams

Tried: the leader probed lagging ways, told all hosts which upstreams state a pace of 1.8 and more, and spare upstreams took copies of their layers.

Conclusion: reverted; the choice by observed lag stays.

--- a/src/foxquay/daemon/control_fleet.cc
+++ b/src/foxquay/daemon/control_fleet.cc
@@ -18,12 +18,6 @@
 /// longer than two probes.
 constexpr core::Duration kDoubtLife = std::chrono::milliseconds(2000);
 
-/// Factor on an upstream's times from which its layers are run elsewhere.
-constexpr double kSlowPace = 1.8;
-
-/// Interval at which the leader looks at slow upstreams and tells of them.
-constexpr core::Duration kPaceInterval = std::chrono::milliseconds(1000);
-
 }  // namespace internal
 
 void ControlNode::PutFleet(
@@ -123,13 +117,11 @@
   Probe(std::move(doubtful), now);
 }
 
-void ControlNode::NoteProbe(const schema::Announcement& probed, bool reached,
-                            double pace) {
-  boost::asio::post(context_, [this, probed, reached, pace] {
+void ControlNode::NoteProbe(const schema::Announcement& probed, bool reached) {
+  boost::asio::post(context_, [this, probed, reached] {
     const core::Instant now = Now();
     if (reached) {
       roster_.Renew(probed.id, now);
-      NotePace(probed.id, pace);
       return;
     }
     // An upstream that only control hosts cannot reach still serves the others;
@@ -149,45 +141,6 @@
   });
 }
 
-void ControlNode::NotePace(const core::UpstreamId& upstream, double pace) {
-  const bool was_slow = slow_.contains(upstream);
-  const bool slow = pace >= internal::kSlowPace;
-  if (slow) {
-    slow_[upstream] = pace;
-  } else {
-    slow_.erase(upstream);
-  }
-  if (slow == was_slow) return;
-  log::Write(log::Level::kInfo, "upstream_pace",
-             {{"upstream", upstream}, {"pace", pace}, {"slow", slow}});
-  next_paces_ = {};
-}
-
-void ControlNode::SpreadPaces(core::Instant now) {
-  const bool leads = replica_ && replica_->leads();
-  if (!leads || now < next_paces_ || !sink_.set_paces) return;
-  next_paces_ = now + internal::kPaceInterval;
-  std::erase_if(slow_, [this](const auto& item) {
-    const auto known = roster_.Newest(item.first);
-    return !known || known->leaving;
-  });
-  schema::UpstreamPaces paces;
-  std::vector<schema::Announcement> again;
-  for (const auto& [upstream, factor] : slow_) {
-    paces.paces.push_back({upstream, factor});
-    again.push_back(*roster_.Newest(upstream));
-  }
-  sink_.set_paces(paces.paces);
-  if (paces.paces.empty()) return;
-  for (const core::HostId& peer : peers_) Send(peer, paces);
-  Probe(std::move(again), now);
-}
-
-void ControlNode::On(const schema::Envelope&,
-                     const schema::UpstreamPaces& paces) {
-  if (sink_.set_paces) sink_.set_paces(paces.paces);
-}
-
 void ControlNode::NoteLayers(const core::UpstreamId& upstream,
                              const std::optional<schema::LayerRange>& layers) {
   boost::asio::post(context_, [this, upstream, layers] {
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -213,7 +213,6 @@
   AnswerReads(now);
   PublishLeadership();
   ProbeSilent(now);
-  SpreadPaces(now);
   if (now >= next_config_poll_) PollConfig(now);
   if (now >= next_roster_poll_) PollRoster(now);
   if (now >= next_spread_) SpreadHosts(now);
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -66,8 +66,6 @@
   /// Upstreams that are overdue or doubtful; each is answered by
   /// ControlNode::NoteProbe.
   std::function<void(const std::vector<schema::Announcement>&)> probe_upstreams;
-  /// Upstreams that are slow now.
-  std::function<void(const std::vector<schema::UpstreamPace>&)> set_paces;
   /// Number of known hosts that serve callers, this one included.
   std::function<void(std::size_t)> set_entry_hosts;
   /// Whether this host's replica leads, and its term.
@@ -133,8 +131,7 @@
   void Withdraw(const core::UpstreamId& upstream);
   /// Takes whether an overdue or doubtful upstream could be reached; one that
   /// could not is withdrawn unless it was heard since.
-  /// `pace` is the factor on its times that it states.
-  void NoteProbe(const schema::Announcement& probed, bool reached, double pace);
+  void NoteProbe(const schema::Announcement& probed, bool reached);
   /// Takes the layers that an upstream was seen to hold.
   void NoteLayers(const core::UpstreamId& upstream,
                   const std::optional<schema::LayerRange>& layers);
@@ -211,7 +208,6 @@
   void On(const schema::Envelope& from, const schema::HostReport& report);
   void On(const schema::Envelope& from, const schema::HostList& list);
   void On(const schema::Envelope& from, const schema::UpstreamDoubts& doubts);
-  void On(const schema::Envelope& from, const schema::UpstreamPaces& paces);
 
   bool Unheard(const core::HostId& sender, const schema::HostList& list,
                core::Instant now);
@@ -241,8 +237,6 @@
   void AnswerReads(core::Instant now);
   void PublishLeadership();
   void ProbeSilent(core::Instant now);
-  void SpreadPaces(core::Instant now);
-  void NotePace(const core::UpstreamId& upstream, double pace);
   void Probe(std::vector<schema::Announcement> doubtful, core::Instant now);
   [[nodiscard]] core::HostId KnownLeader() const;
 
@@ -288,8 +282,6 @@
   std::uint64_t published_fleet_ = 0;
   std::map<core::UpstreamId, core::Instant> probed_;
   std::map<core::UpstreamId, core::Instant> doubted_;
-  std::map<core::UpstreamId, double> slow_;
-  core::Instant next_paces_{};
   std::optional<std::pair<bool, std::uint64_t>> published_leadership_;
   std::uint64_t next_check_ = 1;
   std::atomic<std::shared_ptr<const Shared>> shared_;
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -14,7 +14,6 @@
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -217,23 +216,12 @@
         [this](const std::vector<schema::Announcement>& upstreams) {
           Post([this, upstreams] {
             for (const schema::Announcement& upstream : upstreams) {
-              placer_.Probe(upstream,
-                            [this, upstream](bool reached, double pace) {
-                              node_.NoteProbe(upstream, reached, pace);
-                            });
+              placer_.Probe(upstream, [this, upstream](bool reached) {
+                node_.NoteProbe(upstream, reached);
+              });
             }
           });
         };
-    sink.set_paces = [this](const std::vector<schema::UpstreamPace>& paces) {
-      Post([this, paces] {
-        if (entry_) proxy_.SetPaces(paces);
-        std::set<core::UpstreamId> slow;
-        for (const schema::UpstreamPace& pace : paces) {
-          slow.insert(pace.upstream);
-        }
-        if (control_) placer_.SetSlow(slow);
-      });
-    };
     sink.set_leadership = [this](bool leads, std::uint64_t term) {
       Post([this, leads, term] { placer_.SetLeadership(leads, term); });
     };
--- a/src/foxquay/gateway/placer.cc
+++ b/src/foxquay/gateway/placer.cc
@@ -44,31 +44,23 @@
                  }
                },
                [this](net::CallId id, const std::string& data) {
-                 const auto probe = probes_.find(id);
-                 if (probe == probes_.end()) {
-                   calls_.at(id).body += data;
-                 } else {
-                   probe->second.body += data;
-                 }
+                 if (!probes_.contains(id)) calls_.at(id).body += data;
                },
                [this](net::CallId id) { Finish(id, true); },
                [this](net::CallId id, net::Failure) { Finish(id, false); }}) {}
 
-void Placer::Probe(const schema::Announcement& upstream, Probed done) {
+void Placer::Probe(const schema::Announcement& upstream,
+                   std::function<void(bool)> done) {
   const net::CallId id =
       client_.Call(upstream.address,
                    net::Serialize(dialect_.write_inquiry(upstream.id)), {});
-  probes_[id] = {std::move(done), net::SteadyNow() + kAnswerTimeout, 0, {}};
+  probes_[id] = {std::move(done), net::SteadyNow() + kAnswerTimeout, 0};
 }
 
 void Placer::EndProbe(net::CallId id, bool answered) {
   const auto node = probes_.extract(id);
-  const Probing& probe = node.mapped();
-  // Plain services have no state to tell; they are reached all the same.
-  const auto report =
-      probe.status == 200 ? dialect_.read_report(probe.body) : std::nullopt;
-  probe.done(answered && probe.status != internal::kMisdirected,
-             report ? report->pace : 1);
+  node.mapped().done(answered &&
+                     node.mapped().status != internal::kMisdirected);
 }
 
 void Placer::SetLeadership(bool leads, std::uint64_t term) {
@@ -95,10 +87,6 @@
   Feed(net::SteadyNow());
 }
 
-void Placer::SetSlow(const std::set<core::UpstreamId>& slow) {
-  for (auto& [service, conductor] : conductors_) conductor.SetSlow(slow);
-}
-
 void Placer::Feed(core::Instant now) {
   if (table_ == nullptr) return;
   for (auto& [id, conductor] : conductors_) {
--- a/src/foxquay/gateway/placer.h
+++ b/src/foxquay/gateway/placer.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -45,13 +44,10 @@
   void SetFleet(std::shared_ptr<const fleet::Table> table);
   void SetUpstreams(std::vector<schema::Announcement> upstreams);
 
-  /// Calls `done` with whether an upstream answered as that one, and how much
-  /// slower than its kind it is.
-  using Probed = std::function<void(bool reached, double pace)>;
-  void Probe(const schema::Announcement& upstream, Probed done);
-
-  /// Sets which upstreams are slow.
-  void SetSlow(const std::set<core::UpstreamId>& slow);
+  /// Asks an upstream for its state and calls `done` with whether it answered
+  /// as that upstream.
+  void Probe(const schema::Announcement& upstream,
+             std::function<void(bool)> done);
 
   /// Sends what is due. Called each kPlacerInterval.
   void Review();
@@ -66,10 +62,9 @@
   };
 
   struct Probing {
-    Probed done;
+    std::function<void(bool)> done;
     core::Instant deadline;
     unsigned status = 0;
-    std::string body;
   };
 
   void EndProbe(net::CallId id, bool answered);
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -154,13 +154,6 @@
   relay_.upstreams().Set(upstreams, net::SteadyNow());
 }
 
-void Proxy::SetPaces(const std::vector<schema::UpstreamPace>& paces) {
-  const core::Instant now = net::SteadyNow();
-  for (const schema::UpstreamPace& pace : paces) {
-    relay_.upstreams().SetPace(pace.upstream, pace.factor, now);
-  }
-}
-
 void Proxy::SetAdmission(std::optional<core::Instant> until) {
   admitted_until_ = until;
 }
@@ -598,10 +591,7 @@
     const core::Duration quiet = job.streaming && job.filter->passed() > 0
                                      ? internal::kQuietBetweenEvents
                                      : internal::kQuietBeforeEvents;
-    const core::UpstreamId& first = relay_.Way(id).front().upstream;
-    if (now - job.heard < quiet && !relay_.upstreams().Lags(first, now)) {
-      continue;
-    }
+    if (now - job.heard < quiet) continue;
     for (const relay::Hop& hop : relay_.Way(id)) {
       if (doubted_.try_emplace(hop.upstream, now).second) {
         doubts.push_back(hop.upstream);
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -24,7 +24,6 @@
 #include "foxquay/net/server.h"
 #include "foxquay/relay/events.h"
 #include "foxquay/relay/relay.h"
-#include "foxquay/schema/peer.h"
 
 namespace foxquay::gateway {
 
@@ -52,8 +51,6 @@
   /// Takes a configuration whose version is higher than the current one.
   void SetFleet(std::shared_ptr<const fleet::Table> table);
   void SetUpstreams(const std::vector<schema::Announcement>& upstreams);
-  /// Takes the upstreams that are slow now.
-  void SetPaces(const std::vector<schema::UpstreamPace>& paces);
   /// Sets until when the configuration may be acted on; nothing if it may not.
   void SetAdmission(std::optional<core::Instant> until);
   void SetHosts(std::size_t hosts);
--- a/src/foxquay/placement/conductor.cc
+++ b/src/foxquay/placement/conductor.cc
@@ -112,8 +112,7 @@
   for (const auto& [id, known] : upstreams_) {
     const schema::Announcement& announcement = known.announcement;
     holders.push_back({id, announcement.data_centre, announcement.accelerator,
-                       known.target.value_or(HeldLayers(announcement)),
-                       slow_.contains(id)});
+                       known.target.value_or(HeldLayers(announcement))});
   }
   return holders;
 }
--- a/src/foxquay/placement/conductor.h
+++ b/src/foxquay/placement/conductor.h
@@ -4,9 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -61,7 +59,6 @@
   std::uint64_t orders = 0;  ///< Orders that it has accepted.
   Range layers;
   bool busy = false;  ///< Whether an order is in progress.
-  double pace = 1;    ///< Factor on its times; above 1 it is slow.
 };
 
 /// Gives the orders that place the layers of one service's model.
@@ -79,9 +76,6 @@
                     const std::optional<schema::Engine>& engine,
                     core::Instant now);
 
-  /// Sets which upstreams are slow; spare ones take copies of their layers.
-  void SetSlow(std::set<core::UpstreamId> slow) { slow_ = std::move(slow); }
-
   void HandleOrder(const core::UpstreamId& upstream, OrderOutcome outcome,
                    core::Instant now);
   /// Takes the answer to an inquiry; nothing if there was none.
@@ -111,7 +105,6 @@
   std::optional<core::Instant> settled_;
   std::optional<schema::Engine> engine_;
   std::map<core::UpstreamId, Known> upstreams_;
-  std::set<core::UpstreamId> slow_;
 };
 
 /// Returns the layers that an announcement states. Thread-safe.
--- a/src/foxquay/placement/plan.cc
+++ b/src/foxquay/placement/plan.cc
@@ -117,38 +117,17 @@
   return TokensThatFit(engine, holder.accelerator, holder.layers.size());
 }
 
-/// Returns whether all layers of a holder are held by others too.
-bool Redundant(const Group& group, const Holder& holder) {
-  for (std::uint32_t layer = holder.layers.first; layer < holder.layers.end;
-       ++layer) {
-    const bool elsewhere =
-        std::any_of(group.begin(), group.end(), [&](const Holder* other) {
-          return other != &holder && other->layers.first <= layer &&
-                 other->layers.end > layer;
-        });
-    if (!elsewhere) return false;
-  }
-  return true;
-}
-
-/// Returns the upstream that can take up the most layers, one that holds none
-/// before one whose layers others hold too; null if there is none.
-Holder* LargestSpare(const schema::Engine& engine, const Group& group,
+Holder* LargestEmpty(const schema::Engine& engine, const Group& group,
                      double tokens) {
   Holder* best = nullptr;
   std::uint32_t most = 0;
-  for (const bool empty : {true, false}) {
-    for (Holder* holder : group) {
-      const std::uint32_t fits =
-          LayersThatFit(engine, holder->accelerator, tokens);
-      const bool spare = holder->layers.empty() == empty && !holder->slow &&
-                         Redundant(group, *holder);
-      if (spare && fits > most) {
-        most = fits;
-        best = holder;
-      }
+  for (Holder* holder : group) {
+    const std::uint32_t fits =
+        LayersThatFit(engine, holder->accelerator, tokens);
+    if (holder->layers.empty() && fits > most) {
+      most = fits;
+      best = holder;
     }
-    if (best != nullptr) break;
   }
   return best;
 }
@@ -191,11 +170,11 @@
     const double tokens = part * shared;
     for (Range gap = FirstGap(engine, group); !gap.empty();
          gap = FirstGap(engine, group)) {
-      Holder* spare = LargestSpare(engine, group, tokens);
-      if (spare != nullptr) {
+      Holder* empty = LargestEmpty(engine, group, tokens);
+      if (empty != nullptr) {
         const std::uint32_t fits =
-            LayersThatFit(engine, spare->accelerator, tokens);
-        spare->layers = {gap.first, gap.first + std::min(fits, gap.size())};
+            LayersThatFit(engine, empty->accelerator, tokens);
+        empty->layers = {gap.first, gap.first + std::min(fits, gap.size())};
       } else if (!ExtendInto(engine, group, gap, tokens)) {
         break;
       }
@@ -263,8 +242,8 @@
   return true;
 }
 
-/// Gives spare upstreams a second copy of the layers whose holder is slow or
-/// has far less memory for requests than the others could have.
+/// Gives spare upstreams a second copy of the layers whose holder has far less
+/// memory for requests than the others could have.
 void Reinforce(const schema::Engine& engine, const Group& group) {
   const double least = kWorthCopying * SharedTokens(engine, group);
   for (Holder* empty : group) {
@@ -279,12 +258,10 @@
                    other->layers.end > holder->layers.first;
           });
       const double room = Room(engine, *holder);
-      if (copied || (room >= least && !holder->slow)) continue;
-      const bool better =
-          tightest == nullptr ||
-          std::make_tuple(!holder->slow, room) <
-              std::make_tuple(!tightest->slow, Room(engine, *tightest));
-      if (better) tightest = holder;
+      if (copied || room >= least) continue;
+      if (tightest == nullptr || room < Room(engine, *tightest)) {
+        tightest = holder;
+      }
     }
     if (tightest == nullptr) return;
     const std::uint32_t fits = LayersThatFit(engine, empty->accelerator, least);
--- a/src/foxquay/placement/plan.h
+++ b/src/foxquay/placement/plan.h
@@ -16,8 +16,7 @@
   core::UpstreamId id;
   core::DataCentreId data_centre;
   std::string accelerator;
-  Range layers;       ///< Empty if it holds none.
-  bool slow = false;  ///< Whether its layers are better run elsewhere.
+  Range layers;  ///< Empty if it holds none.
 };
 
 /// Layers that an upstream is to hold.
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -40,9 +40,6 @@
   return work.prompt_tokens + work.answer_tokens / 2;
 }
 
-/// Time for which a stated pace holds: two of its repetitions.
-constexpr core::Duration kPaceLife = std::chrono::milliseconds(2200);
-
 /// Shortest time that tells two upstreams of a plain service apart.
 constexpr core::Duration kUnitTime = std::chrono::milliseconds(20);
 
@@ -142,8 +139,7 @@
 }
 
 std::optional<placement::Candidate> Upstreams::Price(
-    const Entry& entry, const schema::Engine& engine, const Work& work,
-    core::Instant now) const {
+    const Entry& entry, const schema::Engine& engine, const Work& work) const {
   const schema::Announcement& announcement = entry.announcement;
   const placement::Range layers = placement::HeldLayers(announcement);
   const schema::Accelerator* accelerator =
@@ -170,10 +166,8 @@
   candidate.layers = layers;
   candidate.data_centre = announcement.data_centre;
   candidate.fixed = internal::kHopTime;
-  const double factor = now < entry.factor_until ? entry.factor : 1;
   candidate.per_layer = internal::ToDuration(
-      factor * (work.answer_tokens * step + read * (1 + sequences / 4)) /
-      engine.layers);
+      (work.answer_tokens * step + read * (1 + sequences / 4)) / engine.layers);
   return candidate;
 }
 
@@ -187,7 +181,7 @@
   std::vector<placement::Candidate> candidates;
   for (const auto& [id, entry] : entries_) {
     if (!entry.present || entry.announcement.service != service.id) continue;
-    auto candidate = Price(entry, engine, work, now);
+    auto candidate = Price(entry, engine, work);
     placement::Candidate holder;
     holder.layers = placement::HeldLayers(entry.announcement);
     held.push_back(holder);
@@ -267,22 +261,6 @@
   if (found != entries_.end()) found->second.pace.Note(time, now);
 }
 
-void Upstreams::SetPace(const core::UpstreamId& upstream, double factor,
-                        core::Instant now) {
-  const auto found = entries_.find(upstream);
-  if (found == entries_.end()) return;
-  found->second.factor = factor;
-  found->second.factor_until = now + internal::kPaceLife;
-}
-
-bool Upstreams::Lags(const core::UpstreamId& upstream,
-                     core::Instant now) const {
-  const auto found = entries_.find(upstream);
-  if (found == entries_.end()) return false;
-  const Pace& pace = found->second.pace;
-  return pace.Lag(now) * 2 > pace.Time(now);
-}
-
 void Upstreams::Rest(const core::UpstreamId& upstream, core::Instant now) {
   const auto found = entries_.find(upstream);
   if (found == entries_.end()) return;
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -97,15 +97,6 @@
   void NoteTime(const core::UpstreamId& upstream, core::Duration time,
                 core::Instant now);
 
-  /// Sets the factor on an upstream's times for a while; it is stated again as
-  /// long as it holds.
-  void SetPace(const core::UpstreamId& upstream, double factor,
-               core::Instant now);
-  /// Returns whether ways that begin at an upstream lag by more than their best
-  /// time.
-  [[nodiscard]] bool Lags(const core::UpstreamId& upstream,
-                          core::Instant now) const;
-
   /// Returns whether an upstream is in use.
   [[nodiscard]] bool Known(const core::UpstreamId& upstream) const;
   /// Returns the upstream at an address, if one is in use.
@@ -123,8 +114,6 @@
     double token_layers = 0;  ///< Their tokens in each layer that they use.
     int failures = 0;         ///< In a row.
     Pace pace;
-    double factor = 1;  ///< On its times, as it states itself.
-    core::Instant factor_until;
     core::Instant avoid_until;
     core::Instant doubt_until;  ///< Avoided if there is another way.
   };
@@ -138,8 +127,7 @@
                                              bool doubtful, core::Instant now,
                                              NoWay& why);
   [[nodiscard]] std::optional<placement::Candidate> Price(
-      const Entry& entry, const schema::Engine& engine, const Work& work,
-      core::Instant now) const;
+      const Entry& entry, const schema::Engine& engine, const Work& work) const;
   [[nodiscard]] static bool Usable(const Entry& entry, core::Instant now);
 
   std::map<core::UpstreamId, Entry> entries_;
--- a/src/foxquay/schema/peer.h
+++ b/src/foxquay/schema/peer.h
@@ -174,39 +174,11 @@
   }
 };
 
-/// How much slower than its kind an upstream says it is.
-struct UpstreamPace {
-  core::UpstreamId upstream;  ///< The upstream.
-  double factor = 0;          ///< Factor on its times.
-
-  friend bool operator==(const UpstreamPace&, const UpstreamPace&) = default;
-
-  template <class Archive>
-  void serialize([[maybe_unused]] Archive& archive) {
-    archive(upstream);
-    archive(factor);
-  }
-};
-
-/// The upstreams that are slow now, as the leader has found them.
-struct UpstreamPaces {
-  std::vector<UpstreamPace>
-      paces;  ///< One for each; those that are missing are not slow.
-
-  friend bool operator==(const UpstreamPaces&, const UpstreamPaces&) = default;
-
-  template <class Archive>
-  void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(paces, 512));
-  }
-};
-
 /// Any message between hosts.
 using PeerMessage =
     std::variant<ConsensusMessage, ConfigPoll, ConfigReply, RosterPoll,
                  RosterReply, ProposeRequest, ProposeReply, InForceRequest,
-                 InForceReply, HostReport, HostList, UpstreamDoubts,
-                 UpstreamPaces>;
+                 InForceReply, HostReport, HostList, UpstreamDoubts>;
 
 }  // namespace foxquay::schema
 
