--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -75,10 +75,8 @@
         timer_(context_),
         ready_(context_,
                Pages([this](const net::Request&) { return Ready(); })),
-        metrics_(context_, Pages([this](const net::Request&) {
-                   return net::MakeResponse(200, "text/plain; version=0.0.4",
-                                            registry_.Expose());
-                 })),
+        metrics_(context_,
+                 Pages([this](const net::Request&) { return Metrics(); })),
         proxy_(context_, dialect, BudgetOf(settings), registry_,
                std::random_device()(),
                [this](std::vector<core::UpstreamId> upstreams) {
@@ -121,6 +119,17 @@
             [](net::ExchangeId) {}};
   }
 
+  net::Response Metrics() {
+    registry_.Set("foxquay_open_requests", static_cast<double>(proxy_.open()));
+    registry_.Set("foxquay_held_requests",
+                  static_cast<double>(proxy_.relay().held()));
+    registry_.Set("foxquay_ready", proxy_.ready() ? 1 : 0);
+    registry_.Set("foxquay_leads", leads_ ? 1 : 0);
+    registry_.Set("foxquay_upstreams", static_cast<double>(upstreams_));
+    return net::MakeResponse(200, "text/plain; version=0.0.4",
+                             registry_.Expose());
+  }
+
   net::Response Ready() const {
     return proxy_.ready() ? net::MakeResponse(200, "text/plain", "ready\n")
                           : net::MakeResponse(503, "text/plain", "not ready\n");
@@ -180,6 +189,7 @@
       Post([this, upstreams = std::move(upstreams)] {
         log::Write(log::Level::kInfo, "upstreams_changed",
                    {{"count", upstreams.size()}});
+        upstreams_ = upstreams.size();
         if (entry_) proxy_.SetUpstreams(upstreams);
         if (control_) placer_.SetUpstreams(upstreams);
       });
@@ -223,7 +233,10 @@
           });
         };
     sink.set_leadership = [this](bool leads, std::uint64_t term) {
-      Post([this, leads, term] { placer_.SetLeadership(leads, term); });
+      Post([this, leads, term] {
+        leads_ = leads;
+        placer_.SetLeadership(leads, term);
+      });
     };
     return sink;
   }
@@ -299,6 +312,8 @@
   ControlNode node_;
   ControlServer control_server_;
   std::optional<core::Instant> drain_started_;
+  std::size_t upstreams_ = 0;
+  bool leads_ = false;
   core::Instant next_slow_;
 };
 
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -271,6 +271,7 @@
   job.request = std::move(request);
   job.stall = internal::StallOf(route);
   job.arrived = now;
+  job.workspace = workspace;
   job.facts = std::move(facts);
   by_exchange_[exchange] = id;
   Follow(id, relay_.Arrive(id, std::move(intake), now));
@@ -379,6 +380,8 @@
 void Proxy::LogEnd(const Job& job, unsigned status, std::string_view outcome,
                    std::string_view reason) {
   const core::Duration total = net::SteadyNow() - job.arrived;
+  registry_.Record(metrics::Series::kTotal, job.workspace, core::TrafficClass{},
+                   total);
   registry_.Add("foxquay_requests_total",
                 "outcome=\"" + std::string(outcome) + "\"");
   log::Write(log::Level::kInfo, "request_ended",
@@ -449,7 +452,7 @@
   if (!job.head_sent) {
     job.head_sent = true;
     relay_.Begin(id);
-    registry_.Record(metrics::Series::kFirstToken, relay_.Of(id).workspace,
+    registry_.Record(metrics::Series::kFirstToken, job.workspace,
                      core::TrafficClass{}, now - job.arrived);
     server_.Start(exchange, job.answer);
   }
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -76,6 +76,7 @@
     net::ExchangeId exchange;
     net::Request request;
     CallerFacts facts;
+    core::WorkspaceId workspace;
     core::Instant arrived;
     std::optional<net::CallId> call;
     core::Instant sent;   ///< Start of the current send.
--- a/src/foxquay/log/log.cc
+++ b/src/foxquay/log/log.cc
@@ -1,14 +1,17 @@
 #include "foxquay/log/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
 
+#include "foxquay/log/output.h"
+
 namespace foxquay::log {
 namespace internal {
 
@@ -26,6 +29,24 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+/// Passes lines of the log library to standard output.
+class OutputAppender : public log4cplus::Appender {
+ public:
+  OutputAppender() : output_(STDOUT_FILENO) {}
+  ~OutputAppender() override { destructorImpl(); }
+  OutputAppender(const OutputAppender&) = delete;
+  OutputAppender& operator=(const OutputAppender&) = delete;
+  void close() override { closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    output_.Write(formatEvent(event));
+  }
+
+ private:
+  Output output_;
+};
+
 log4cplus::Logger& Root() {
   static log4cplus::Initializer initializer;
   static log4cplus::Logger root = log4cplus::Logger::getRoot();
@@ -60,7 +81,7 @@
   root.removeAllAppenders();
   log4cplus::SharedAppenderPtr appender;
   if (file.empty()) {
-    appender = new log4cplus::ConsoleAppender(false, true);
+    appender = new internal::OutputAppender();
   } else {
     appender = new log4cplus::FileAppender(file, std::ios_base::app);
   }
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -269,6 +269,7 @@
   });
   DropReplaced(newest);
   std::vector<schema::Announcement> usable;
+  usable.reserve(newest.size());
   for (const auto& [id, announcement] : newest) {
     usable.push_back(*announcement);
   }
--- a/tests/foxquay/settings/settings_test.cc
+++ b/tests/foxquay/settings/settings_test.cc
@@ -96,4 +96,31 @@
   CHECK(loaded.findings[0].line > 0);
 }
 
+TEST_CASE("hosts that find each other through seeds need no list of peers") {
+  std::string text = Replace(kGood, "[entry, control]", "[entry]");
+  CHECK(Has(Parse(text, "f").findings, 5, "host.roles"));
+  text += "join:\n  seeds: [10.0.0.1:80, 10.0.0.2:80]\n  bootstrap: true\n";
+  const Loaded loaded = Parse(text, "f");
+  CHECK(loaded.findings.empty());
+  CHECK(loaded.settings.join.seeds.size() == 2);
+  CHECK(loaded.settings.join.bootstrap);
+}
+
+TEST_CASE(
+    "secrets are required unless the network is said to keep strangers out") {
+  std::string text =
+      Replace(kGood, "  peer_key_file: /etc/foxquay/peer.key\n", "");
+  CHECK(Parse(text, "f").findings.size() == 1);
+  text = Replace(text, "  cluster: kellerup\n",
+                 "  cluster: kellerup\n  open: true\n");
+  CHECK(Parse(text, "f").findings.empty());
+}
+
+TEST_CASE("a share is a number that is not negative") {
+  const std::string budget = std::string(kGood) + "budget:\n  percent: ";
+  CHECK(Parse(budget + "12.5\n", "f").settings.budget.percent == 12.5);
+  CHECK_FALSE(Parse(budget + "-1\n", "f").findings.empty());
+  CHECK_FALSE(Parse(budget + "much\n", "f").findings.empty());
+}
+
 }  // namespace foxquay::settings
