Count answers that are cut at one moment as one failure

Ruled out: the upstreams (other hosts used them all the while).

Change: failures at an upstream within 250 ms count once. The test failed before the change.

--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -31,6 +31,10 @@
 /// meet the targets by themselves.
 constexpr double kCrossingWeight = 40;
 
+/// Time within which failures at an upstream count as one: connections of this
+/// host that are reset together say little of the upstream.
+constexpr core::Duration kOneEvent = std::chrono::milliseconds(250);
+
 /// Part of the memory for requests that is filled before a stage counts as
 /// full; the engine preempts its newest request beyond.
 constexpr double kFullMemory = 0.9;
@@ -271,10 +275,13 @@
 void Upstreams::Doubt(const core::UpstreamId& upstream, core::Instant now) {
   const auto found = entries_.find(upstream);
   if (found == entries_.end()) return;
-  if (found->second.failures > 0) {
+  Entry& entry = found->second;
+  if (now - entry.doubted < internal::kOneEvent) return;
+  entry.doubted = now;
+  if (entry.failures > 0) {
     Suspect(upstream, now);
   } else {
-    ++found->second.failures;
+    ++entry.failures;
   }
 }
 
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -114,6 +114,7 @@
     double token_layers = 0;  ///< Their tokens in each layer that they use.
     int failures = 0;         ///< In a row.
     Pace pace;
+    core::Instant doubted;
     core::Instant avoid_until;
     core::Instant doubt_until;  ///< Avoided if there is another way.
   };
--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -260,4 +260,20 @@
   CHECK(share_of_a(60000, 60) > 60);
 }
 
+// A host whose connections are all reset at once must go on using upstreams.
+TEST_CASE("answers that are cut at one moment count as one failure") {
+  const auto table = MakeTable(schema::RequestKind::kStream, 2, true);
+  Relay relay = MakeRelay({Plain("a"), Plain("b")});
+  std::vector<core::RequestId> ids;
+  for (std::uint64_t at = 1; at <= 8; ++at) {
+    ids.emplace_back(at);
+    (void)relay.Arrive(ids.back(), MakeIntake(table, 1000), At(1000));
+    relay.Begin(ids.back());
+  }
+  for (const core::RequestId id : ids) {
+    CHECK(std::holds_alternative<Send>(
+        relay.HandleLoss(id, {LossKind::kCut, ""}, At(1100))));
+  }
+}
+
 }  // namespace foxquay::relay
