Keep one clock, one look-up of accelerators and one end of a job

Found in the last read: the lease clock, the look-up and the cancellation of a job's send stood twice or three times.

--- a/src/foxquay/daemon/clock.h
+++ b/src/foxquay/daemon/clock.h
@@ -1,22 +1,16 @@
 #ifndef FOXQUAY_DAEMON_CLOCK_H_
 #define FOXQUAY_DAEMON_CLOCK_H_
 
-#include <time.h>  // NOLINT: clock_gettime is not in <ctime>
-
 #include <chrono>
 
 #include "foxquay/core/time.h"
+#include "foxquay/net/clock.h"
 
 namespace foxquay::daemon {
 
 /// Returns the monotonic clock including time that the machine was suspended,
 /// so that no lease outlives a suspension. Thread-safe.
-[[nodiscard]] inline core::Instant Now() noexcept {
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return core::Instant(std::chrono::seconds(time.tv_sec) +
-                       std::chrono::nanoseconds(time.tv_nsec));
-}
+[[nodiscard]] inline core::Instant Now() noexcept { return net::LeaseNow(); }
 
 /// Returns the wall clock. Thread-safe.
 [[nodiscard]] inline core::WallTime WallNow() noexcept {
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -1,8 +1,7 @@
 #include "foxquay/gateway/proxy.h"
 
-#include <time.h>  // NOLINT: clock_gettime is not in <ctime>
-
 #include <algorithm>
+#include <array>
 #include <boost/beast/http/field.hpp>
 #include <cstdio>
 #include <utility>
@@ -97,13 +96,6 @@
 
 }  // namespace internal
 
-core::Instant LeaseClock() noexcept {
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return core::Instant(std::chrono::seconds(time.tv_sec) +
-                       std::chrono::nanoseconds(time.tv_nsec));
-}
-
 Proxy::Proxy(boost::asio::io_context& context, const Dialect& dialect,
              const relay::BudgetOptions& budget, metrics::Registry& registry,
              std::uint64_t seed, Doubt doubt)
@@ -176,7 +168,7 @@
 
 bool Proxy::admitted() const {
   return table_ != nullptr && admitted_until_ &&
-         LeaseClock() < *admitted_until_;
+         net::LeaseNow() < *admitted_until_;
 }
 
 void Proxy::HandleRequest(net::ExchangeId exchange, net::Request&& request) {
@@ -345,14 +337,18 @@
              {{"request", job.facts.id}, {"waiting", relay_.held()}});
 }
 
-void Proxy::Do(core::RequestId id, const relay::Refuse& refuse) {
-  const auto node = jobs_.extract(id);
-  const Job& job = node.mapped();
+Proxy::Job Proxy::TakeJob(core::RequestId id) {
+  Job job = std::move(jobs_.extract(id).mapped());
   if (job.call) {
     client_.Cancel(*job.call);
     by_call_.erase(*job.call);
   }
   by_exchange_.erase(job.exchange);
+  return job;
+}
+
+void Proxy::Do(core::RequestId id, const relay::Refuse& refuse) {
+  const Job job = TakeJob(id);
   net::Response response =
       net::MakeResponse(refuse.status, "text/plain", refuse.reason + "\n");
   response.fields.set(dialect_.id_field, job.facts.id);
@@ -366,13 +362,7 @@
 }
 
 void Proxy::Do(core::RequestId id, const relay::Break& cut) {
-  const auto node = jobs_.extract(id);
-  const Job& job = node.mapped();
-  if (job.call) {
-    client_.Cancel(*job.call);
-    by_call_.erase(*job.call);
-  }
-  by_exchange_.erase(job.exchange);
+  const Job job = TakeJob(id);
   LogEnd(job, job.status, "cut", cut.reason);
   server_.Abort(job.exchange);
 }
@@ -399,13 +389,7 @@
   const auto found = by_exchange_.find(exchange);
   if (found == by_exchange_.end()) return;
   const core::RequestId id = found->second;
-  by_exchange_.erase(found);
-  const auto node = jobs_.extract(id);
-  const Job& job = node.mapped();
-  if (job.call) {
-    client_.Cancel(*job.call);
-    by_call_.erase(*job.call);
-  }
+  const Job job = TakeJob(id);
   relay_.Abandon(id);
   LogEnd(job, 0, "caller-gone", "the caller closed its connection");
 }
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -122,6 +122,8 @@
   void Do(core::RequestId id, const relay::Hold& hold);
   void Do(core::RequestId id, const relay::Refuse& refuse);
   void Do(core::RequestId id, const relay::Break& cut);
+  /// Removes a job and cancels its send.
+  Job TakeJob(core::RequestId id);
   void Lose(core::RequestId id, const relay::Loss& loss);
   void FinishPlain(core::RequestId id);
   void FinishStream(core::RequestId id);
@@ -151,9 +153,6 @@
   bool stopping_ = false;
 };
 
-/// Returns the monotonic clock that leases are measured on. Thread-safe.
-[[nodiscard]] core::Instant LeaseClock() noexcept;
-
 }  // namespace foxquay::gateway
 
 #endif  // FOXQUAY_GATEWAY_PROXY_H_
--- a/src/foxquay/net/socket.h
+++ b/src/foxquay/net/socket.h
@@ -7,6 +7,7 @@
 
 #include "foxquay/core/error.h"
 #include "foxquay/core/time.h"
+#include "foxquay/net/clock.h"
 
 namespace foxquay::net {
 
@@ -17,11 +18,6 @@
 inline constexpr core::Duration kUnacknowledgedTimeout =
     std::chrono::milliseconds(2000);
 
-/// Returns the clock that timeouts are measured on. Thread-safe.
-[[nodiscard]] inline core::Instant SteadyNow() noexcept {
-  return std::chrono::steady_clock::now();
-}
-
 /// Parses `IP:PORT`; Error::kInvalid if it is not one. Thread-safe.
 [[nodiscard]] core::Result<Tcp::endpoint> ParseEndpoint(
     const std::string& address);
--- a/src/foxquay/placement/plan.cc
+++ b/src/foxquay/placement/plan.cc
@@ -32,14 +32,6 @@
 /// Steps of the search for the memory that all stages can keep.
 constexpr int kSearchSteps = 40;
 
-const schema::Accelerator* Find(const schema::Engine& engine,
-                                const std::string& kind) {
-  const auto found = std::find_if(
-      engine.accelerators.begin(), engine.accelerators.end(),
-      [&kind](const auto& accelerator) { return accelerator.kind == kind; });
-  return found == engine.accelerators.end() ? nullptr : &*found;
-}
-
 using Group = std::vector<Holder*>;
 
 std::uint32_t Capacity(const schema::Engine& engine, const Group& group,
@@ -65,7 +57,8 @@
 }
 
 double Pace(const schema::Engine& engine, const Holder& holder) {
-  const schema::Accelerator* accelerator = Find(engine, holder.accelerator);
+  const schema::Accelerator* accelerator =
+      FindAccelerator(engine, holder.accelerator);
   return accelerator == nullptr ? 1e9 : accelerator->pace;
 }
 
@@ -313,7 +306,7 @@
                                      std::vector<Holder>& holders) {
   std::map<core::DataCentreId, Group> centres;
   for (Holder& holder : holders) {
-    if (Find(engine, holder.accelerator) == nullptr) continue;
+    if (FindAccelerator(engine, holder.accelerator) == nullptr) continue;
     centres[holder.data_centre].push_back(&holder);
   }
   std::vector<Group> groups;
@@ -331,9 +324,17 @@
 
 }  // namespace internal
 
+const schema::Accelerator* FindAccelerator(const schema::Engine& engine,
+                                           const std::string& kind) {
+  const auto found = std::find_if(
+      engine.accelerators.begin(), engine.accelerators.end(),
+      [&kind](const auto& accelerator) { return accelerator.kind == kind; });
+  return found == engine.accelerators.end() ? nullptr : &*found;
+}
+
 std::uint32_t LayersThatFit(const schema::Engine& engine,
                             const std::string& accelerator, double tokens) {
-  const schema::Accelerator* found = internal::Find(engine, accelerator);
+  const schema::Accelerator* found = FindAccelerator(engine, accelerator);
   if (found == nullptr || engine.layers == 0) return 0;
   const double per_layer =
       engine.layer_mb + tokens * engine.token_memory_mb / engine.layers;
@@ -344,7 +345,7 @@
 double TokensThatFit(const schema::Engine& engine,
                      const std::string& accelerator, std::uint32_t layers) {
   assert(layers > 0 && "tokens are counted beside held layers");
-  const schema::Accelerator* found = internal::Find(engine, accelerator);
+  const schema::Accelerator* found = FindAccelerator(engine, accelerator);
   if (found == nullptr) return 0;
   const double free = found->memory_mb - engine.layer_mb * layers;
   return std::max(0.0, free) /
--- a/src/foxquay/placement/plan.h
+++ b/src/foxquay/placement/plan.h
@@ -27,6 +27,11 @@
   friend bool operator==(const Assignment&, const Assignment&) = default;
 };
 
+/// Returns a kind of accelerator; null if the engine does not know it.
+/// Thread-safe.
+[[nodiscard]] const schema::Accelerator* FindAccelerator(
+    const schema::Engine& engine, const std::string& kind);
+
 /// Returns the layers that an accelerator can hold while it keeps memory for
 /// the requests of `tokens` tokens; 0 for an unknown kind. Thread-safe.
 [[nodiscard]] std::uint32_t LayersThatFit(const schema::Engine& engine,
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -58,14 +58,6 @@
 
 double ToSeconds(core::Duration duration) { return Seconds(duration).count(); }
 
-const schema::Accelerator* Find(const schema::Engine& engine,
-                                const std::string& kind) {
-  const auto found = std::find_if(
-      engine.accelerators.begin(), engine.accelerators.end(),
-      [&kind](const auto& accelerator) { return accelerator.kind == kind; });
-  return found == engine.accelerators.end() ? nullptr : &*found;
-}
-
 }  // namespace internal
 
 void Upstreams::Set(const std::vector<schema::Announcement>& announcements,
@@ -147,7 +139,7 @@
   const schema::Announcement& announcement = entry.announcement;
   const placement::Range layers = placement::HeldLayers(announcement);
   const schema::Accelerator* accelerator =
-      internal::Find(engine, announcement.accelerator);
+      placement::FindAccelerator(engine, announcement.accelerator);
   if (layers.empty() || accelerator == nullptr) return std::nullopt;
   const auto hosts = static_cast<double>(hosts_);
   const double sequences = static_cast<double>(entry.running) * hosts;
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -92,7 +92,7 @@
         {core::WorkspaceId("w"), {"secret"}, std::nullopt});
     REQUIRE_FALSE(proxy.Listen("127.0.0.1:0"));
     proxy.SetFleet(std::make_shared<const fleet::Table>(fleet));
-    proxy.SetAdmission(LeaseClock() + std::chrono::hours(1));
+    proxy.SetAdmission(net::LeaseNow() + std::chrono::hours(1));
     proxy.SetHosts(1);
     proxy.SetUpstreams({Announce("a", a), Announce("b", b)});
   }
@@ -201,7 +201,7 @@
   World world;
   CHECK(world.Finish(world.Send("/none/")).status == 404);
   CHECK(world.Finish(world.Send("/once/1", "wrong")).status == 401);
-  world.proxy.SetAdmission(LeaseClock() - std::chrono::seconds(1));
+  world.proxy.SetAdmission(net::LeaseNow() - std::chrono::seconds(1));
   const Seen& seen = world.Finish(world.Send("/once/1"));
   CHECK(seen.status == 503);
   CHECK(seen.fields.find("Retry-After") != seen.fields.end());
@@ -297,7 +297,7 @@
   world.Until([&] { return world.proxy.open() == 1; });
   CHECK(world.a.requests.empty());
   CHECK(world.b.requests.empty());
-  world.proxy.SetAdmission(LeaseClock() + std::chrono::hours(1));
+  world.proxy.SetAdmission(net::LeaseNow() + std::chrono::hours(1));
   FakeUpstream& upstream = world.Reached();
   upstream.server.Respond(upstream.requests[0].first,
                           net::MakeResponse(200, "text/plain", "ok"));
