Remove a data centre that nothing sets from the choice of upstreams

Found in the last read: SetDataCentre and Count have no caller, so the choice compared every upstream with an empty data centre. Behaviour is the same.

Checked: build, 255 tests, linter on the module, formatter, generated code and layers.

--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -108,7 +108,7 @@
                                         core::Instant now, NoWay& why) {
   why = NoWay::kUnknown;
   const Entry* best = nullptr;
-  std::tuple<core::Duration, bool, std::uint64_t> least;
+  std::tuple<core::Duration, std::uint64_t> least;
   ++turn_;
   std::uint64_t position = 0;
   for (const auto& [id, entry] : entries_) {
@@ -123,8 +123,7 @@
         std::max(entry.pace.Time(now), internal::kUnitTime) *
         static_cast<std::int64_t>(1 + entry.running);
     const auto rank =
-        std::make_tuple(wait, entry.announcement.data_centre != data_centre_,
-                        (position + turn_) % (entries_.size() + 1));
+        std::make_tuple(wait, (position + turn_) % (entries_.size() + 1));
     if (best == nullptr || rank < least) {
       best = &entry;
       least = rank;
@@ -309,12 +308,4 @@
   return std::nullopt;
 }
 
-std::size_t Upstreams::Count(const core::ServiceId& service) const {
-  return static_cast<std::size_t>(
-      std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
-        return item.second.present &&
-               item.second.announcement.service == service;
-      }));
-}
-
 }  // namespace foxquay::relay
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -58,9 +58,6 @@
            core::Instant now);
   /// Sets the number of hosts that send work, at least 1.
   void SetHosts(std::size_t hosts) { hosts_ = hosts; }
-  void SetDataCentre(core::DataCentreId centre) {
-    data_centre_ = std::move(centre);
-  }
 
   /// Returns the way for a request that may begin at `first`, or why there is
   /// none.
@@ -102,8 +99,6 @@
   /// Returns the upstream at an address, if one is in use.
   [[nodiscard]] std::optional<core::UpstreamId> At(
       const std::string& address) const;
-  /// Returns the upstreams of a service in use.
-  [[nodiscard]] std::size_t Count(const core::ServiceId& service) const;
 
  private:
   struct Entry {
@@ -133,7 +128,6 @@
 
   std::map<core::UpstreamId, Entry> entries_;
   std::size_t hosts_ = 1;
-  core::DataCentreId data_centre_;
   std::uint64_t turn_ = 0;
 };
 
