Wait until a stopped test process stands still

The kernel wakes one thread, and the others run on until that one is scheduled. A replica that the test took for stopped acknowledged the claim in these milliseconds, so two of three voters had it, and the call rightly ran.

Process::Signal now waits for the kernel's report of the stop.

--- a/tests/foxquay/daemon/process.cc
+++ b/tests/foxquay/daemon/process.cc
@@ -82,7 +82,11 @@
 }
 
 void Process::Signal(int number) const {
-  if (pid_ > 0) kill(pid_, number);
+  if (pid_ <= 0) return;
+  kill(pid_, number);
+  // The threads of a process stop one after the other, some milliseconds after
+  // kill() has returned.
+  if (number == SIGSTOP) waitpid(pid_, nullptr, WUNTRACED);
 }
 
 std::optional<int> Process::Wait() {
--- a/tests/foxquay/daemon/process.h
+++ b/tests/foxquay/daemon/process.h
@@ -20,6 +20,7 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  /// Sends a signal; of SIGSTOP, returns when every thread stands still.
   void Signal(int number) const;
   [[nodiscard]] pid_t pid() const noexcept { return pid_; }
   /// Returns the exit status, or nothing if the process does not end in time
