--- a/src/foxquay/settings/settings.cc
+++ b/src/foxquay/settings/settings.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <fstream>
+#include <initializer_list>
 #include <set>
 #include <sstream>
 #include <utility>
@@ -12,6 +13,19 @@
 namespace foxquay::settings {
 namespace internal {
 
+/// Returns the node at a path, or its nearest parent that exists.
+YAML::Node Nearest(const YAML::Node& root,
+                   std::initializer_list<const char*> path) {
+  YAML::Node node = root;
+  for (const char* key : path) {
+    if (!node.IsMap()) break;
+    const YAML::Node child = std::as_const(node)[key];
+    if (!child.IsDefined()) break;
+    node.reset(child);
+  }
+  return node;
+}
+
 /// Checks the rules that concern more than one key.
 class Rules {
  public:
@@ -29,9 +43,8 @@
 
  private:
   void Add(const YAML::Node& node, std::string path, std::string message) {
-    const int line = node.IsDefined() ? node.Mark().line + 1 : 0;
     loaded_.findings.push_back(
-        {file_, line, std::move(path), std::move(message)});
+        {file_, node.Mark().line + 1, std::move(path), std::move(message)});
   }
 
   void CheckDataFolder() {
@@ -40,7 +53,7 @@
         std::any_of(host.roles.begin(), host.roles.end(),
                     [](schema::Role r) { return r != schema::Role::kEntry; });
     if (durable && host.data_folder.empty()) {
-      Add(root_["host"], "host.data_folder",
+      Add(Nearest(root_, {"host"}), "host.data_folder",
           "required for the roles control and standby");
     }
   }
@@ -54,7 +67,7 @@
         std::any_of(peers.begin(), peers.end(),
                     [](const schema::PeerSettings& p) { return p.control; });
     if (!own && !other && loaded_.settings.join.seeds.empty()) {
-      Add(root_["host"]["roles"], "host.roles",
+      Add(Nearest(root_, {"host", "roles"}), "host.roles",
           "no host has the role control: give it to this one, set control: "
           "true on a peer or name join.seeds");
     }
@@ -65,7 +78,7 @@
     if (security.open) return;
     const auto require = [this](const char* key, const std::string& file) {
       if (!file.empty()) return;
-      Add(root_["security"], std::string("security.") + key,
+      Add(Nearest(root_, {"security"}), std::string("security.") + key,
           "required unless security.open is true");
     };
     require("peer_key_file", security.peer_key_file);
@@ -80,11 +93,11 @@
       const std::string path = "peers[" + std::to_string(index) + "]";
       const YAML::Node node = root_["peers"][index++];
       if (!ids.insert(peer.id).second) {
-        Add(node["id"], path + ".id",
+        Add(Nearest(node, {"id"}), path + ".id",
             "duplicate host id '" + peer.id.value() + "'");
       }
       if (!addresses.insert(peer.address).second) {
-        Add(node["address"], path + ".address",
+        Add(Nearest(node, {"address"}), path + ".address",
             "duplicate address '" + peer.address + "'");
       }
     }
@@ -100,7 +113,8 @@
     std::set<std::string> seen;
     for (const auto& [name, address] : all) {
       if (!address->empty() && !seen.insert(*address).second) {
-        Add(root_["listeners"][name], std::string("listeners.") + name,
+        Add(Nearest(root_, {"listeners", name}),
+            std::string("listeners.") + name,
             "address is used by another listener");
       }
     }
@@ -110,7 +124,7 @@
     static const std::set<std::string> kLevels{"debug", "info", "warn",
                                                "error"};
     if (!kLevels.contains(loaded_.settings.log.level)) {
-      Add(root_["log"]["level"], "log.level",
+      Add(Nearest(root_, {"log", "level"}), "log.level",
           "expected debug, info, warn or error");
     }
   }
