Read the settings file again on SIGHUP and when it changes

Before, foxquay-platform logged SIGHUP and did nothing, and foxquayd was ended by it (the default action; the new process test failed with the host gone). A file that changed without a signal was never read.

A generated comparison names each key that differs and whether it takes effect in a running host. join.seeds, limits.grace and log.level do; the rest is logged as waiting for a restart. A file with findings, or none, changes nothing.

Budget and revocation were left for a restart: both are bounds that hold over all hosts and windows, and hosts take a file up one after the other.

Tests: keys live and kept, faulty and missing file, SIGHUP at a process.

--- a/src/foxquay/daemon/control_hosts.cc
+++ b/src/foxquay/daemon/control_hosts.cc
@@ -5,12 +5,6 @@
 namespace foxquay::daemon {
 
 Hosts::Hosts(const schema::Settings& settings) : self_(settings.host.id) {
-  const auto add = [this](HostView view) {
-    order_.push_back(view.id);
-    Entry& entry = entries_[view.id];
-    entry.configured = true;
-    entry.view = std::move(view);
-  };
   const auto& roles = settings.host.roles;
   HostView own;
   own.id = self_;
@@ -22,17 +16,24 @@
   own.region = settings.host.region;
   own.control = std::find(roles.begin(), roles.end(), schema::Role::kControl) !=
                 roles.end();
-  add(std::move(own));
-  for (const schema::PeerSettings& peer : settings.peers) {
-    HostView view;
-    view.id = peer.id;
-    view.peer = peer.address;
-    view.caller = peer.caller;
-    view.data_centre = peer.data_centre;
-    view.region = peer.region;
-    view.control = peer.control;
-    add(std::move(view));
-  }
+  order_.push_back(self_);
+  entries_[self_] = {std::move(own), {}, false, true};
+  for (const schema::PeerSettings& peer : settings.peers) Keep(peer);
+}
+
+bool Hosts::Keep(const schema::PeerSettings& peer) {
+  const auto [found, inserted] = entries_.try_emplace(peer.id);
+  Entry& entry = found->second;
+  entry.configured = true;
+  if (!inserted) return false;
+  order_.push_back(peer.id);
+  entry.view.id = peer.id;
+  entry.view.peer = peer.address;
+  entry.view.caller = peer.caller;
+  entry.view.data_centre = peer.data_centre;
+  entry.view.region = peer.region;
+  entry.view.control = peer.control;
+  return true;
 }
 
 void Hosts::HandleReport(const core::HostId& host, std::uint64_t incarnation,
--- a/src/foxquay/daemon/control_hosts.h
+++ b/src/foxquay/daemon/control_hosts.h
@@ -53,6 +53,10 @@
   /// Returns the hosts to pass on: this one and those heard from lately.
   [[nodiscard]] schema::HostList Heard(core::Instant now) const;
 
+  /// Takes a host of the settings, which is never dropped; returns whether it
+  /// is new.
+  bool Keep(const schema::PeerSettings& peer);
+
   /// Drops hosts that are silent and not in the settings; returns them.
   std::vector<core::HostId> Forget(core::Instant now);
 
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -40,19 +40,24 @@
   return address.substr(address.rfind(':'));
 }
 
-/// Adds the seeds as peers: a host found through seeds is named by the IP
+/// Returns a seed as a peer: a host found through seeds is named by the IP
 /// number of its peer listener.
+schema::PeerSettings SeedPeer(const schema::Settings& settings,
+                              const std::string& seed) {
+  schema::PeerSettings peer;
+  const std::string ip = seed.substr(0, seed.rfind(':'));
+  peer.id = core::HostId(ip);
+  peer.address = ip + Port(settings.listeners.peer);
+  peer.data_centre = settings.host.data_centre;
+  peer.region = settings.host.region;
+  peer.control = true;
+  return peer;
+}
+
 schema::Settings WithSeeds(schema::Settings settings) {
-  const std::string port = Port(settings.listeners.peer);
   for (const std::string& seed : settings.join.seeds) {
-    schema::PeerSettings peer;
-    const std::string ip = seed.substr(0, seed.rfind(':'));
-    peer.id = core::HostId(ip);
-    peer.address = ip + port;
-    peer.data_centre = settings.host.data_centre;
-    peer.region = settings.host.region;
-    peer.control = true;
-    if (peer.id != settings.host.id) settings.peers.push_back(peer);
+    schema::PeerSettings peer = SeedPeer(settings, seed);
+    if (peer.id != settings.host.id) settings.peers.push_back(std::move(peer));
   }
   return settings;
 }
@@ -154,6 +159,22 @@
   return {};
 }
 
+void ControlNode::AddSeeds(std::vector<std::string> seeds) {
+  boost::asio::post(context_, [this, seeds = std::move(seeds)] {
+    for (const std::string& seed : seeds) {
+      const schema::PeerSettings peer = internal::SeedPeer(settings_, seed);
+      if (peer.id == self_ || !hosts_.Keep(peer)) continue;
+      if (const auto error = links_.SetPeer(peer.id, peer.address)) {
+        log::Write(log::Level::kWarn, "seed_unusable",
+                   {{"seed", seed}, {"error", error.message()}});
+        continue;
+      }
+      peers_.push_back(peer.id);
+      log::Write(log::Level::kInfo, "seed_added", {{"host", peer.id}});
+    }
+  });
+}
+
 void ControlNode::Flush(core::Duration timeout) {
   const core::Instant deadline = Now() + timeout;
   while (Now() < deadline && !Call([this] { return proposer_.empty(); })) {
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -139,6 +139,10 @@
   void Doubt(std::vector<core::UpstreamId> upstreams);
   void StartDrain();
 
+  /// Adds hosts to those through which this one finds the others; a host that
+  /// is known already stays as it is.
+  void AddSeeds(std::vector<std::string> seeds);
+
   /// Returns the addresses for callers in a data centre without waiting; none
   /// on a host that found the others through seeds and is cut off from them.
   [[nodiscard]] http::EntryAnswer Entry(
--- a/src/foxquay/daemon/fwd.h
+++ b/src/foxquay/daemon/fwd.h
@@ -7,6 +7,7 @@
 class CallerApi;
 class Exchange;
 class Host;
+class Reload;
 class Traffic;
 class Workers;
 struct ControlHooks;
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -21,6 +21,7 @@
 #include "foxquay/daemon/clock.h"
 #include "foxquay/daemon/control_node.h"
 #include "foxquay/daemon/control_server.h"
+#include "foxquay/daemon/reload.h"
 #include "foxquay/fleet/table.h"
 #include "foxquay/gateway/placer.h"
 #include "foxquay/gateway/proxy.h"
@@ -66,9 +67,12 @@
 /// The process: one thread for traffic and one for control.
 class Process {
  public:
-  Process(const schema::Settings& settings, const gateway::Dialect& dialect,
+  Process(const std::string& file, const schema::Settings& settings,
+          const gateway::Dialect& dialect,
           const gateway::ControlDialect& control)
       : settings_(settings),
+        reload_(file, settings),
+        grace_(settings.limits.grace),
         entry_(Plays(settings, schema::Role::kEntry)),
         control_(Plays(settings, schema::Role::kControl)),
         signals_(context_, SIGTERM, SIGINT, SIGHUP),
@@ -246,7 +250,7 @@
         [this](const boost::system::error_code& error, int signal) {
           if (error) return;
           if (signal == SIGHUP) {
-            log::Write(log::Level::kInfo, "reload_requested", {});
+            ReadSettings();
           } else {
             StartDrain();
           }
@@ -254,6 +258,14 @@
         });
   }
 
+  void ReadSettings() {
+    const auto settings = reload_.Read();
+    if (!settings) return;
+    log::SetLevel(log::ParseLevel(settings->log.level));
+    grace_ = settings->limits.grace;
+    node_.AddSeeds(settings->join.seeds);
+  }
+
   void StartDrain() {
     if (drain_started_) {
       log::Write(log::Level::kWarn, "stopped_at_once",
@@ -270,14 +282,13 @@
   void ReviewDrain(core::Instant now) {
     if (!drain_started_) return;
     const core::Duration since = now - *drain_started_;
-    const core::Duration grace = settings_.limits.grace;
     if (!entry_) {
       if (since >= kControlLinger) context_.stop();
       return;
     }
-    if (since < Part(grace, kAcceptPart)) return;
+    if (since < Part(grace_, kAcceptPart)) return;
     proxy_.StopAccepting();
-    if (proxy_.open() == 0 || since >= Part(grace, kEndPart)) context_.stop();
+    if (proxy_.open() == 0 || since >= Part(grace_, kEndPart)) context_.stop();
   }
 
   void Tick() {
@@ -291,6 +302,10 @@
       metrics_.Sweep(std::chrono::steady_clock::now());
       ReviewDrain(now);
     }
+    if (now >= next_settings_) {
+      next_settings_ = now + kSettingsInterval;
+      if (reload_.Changed()) ReadSettings();
+    }
     timer_.expires_after(entry_ ? gateway::kReviewInterval
                                 : gateway::kPlacerInterval);
     timer_.async_wait([this](const boost::system::error_code& error) {
@@ -299,6 +314,8 @@
   }
 
   const schema::Settings settings_;
+  Reload reload_;
+  core::Duration grace_;
   const bool entry_;
   const bool control_;
   boost::asio::io_context context_{1};
@@ -315,16 +332,17 @@
   std::size_t upstreams_ = 0;
   bool leads_ = false;
   core::Instant next_slow_;
+  core::Instant next_settings_;
 };
 
 }  // namespace internal
 
-int ServeGateway(const schema::Settings& settings,
+int ServeGateway(const std::string& file, const schema::Settings& settings,
                  const gateway::Dialect& dialect,
                  const gateway::ControlDialect& control) {
   log::Configure(log::ParseLevel(settings.log.level), settings.log.file);
   const auto process =
-      std::make_unique<internal::Process>(settings, dialect, control);
+      std::make_unique<internal::Process>(file, settings, dialect, control);
   const int status = process->Run();
   std::cout.flush();
   // Threads of the log library may outlive the last line; do not wait for them.
--- a/src/foxquay/daemon/gateway_serve.h
+++ b/src/foxquay/daemon/gateway_serve.h
@@ -1,6 +1,8 @@
 #ifndef FOXQUAY_DAEMON_GATEWAY_SERVE_H_
 #define FOXQUAY_DAEMON_GATEWAY_SERVE_H_
 
+#include <string>
+
 #include "foxquay/gateway/dialect.h"
 #include "foxquay/schema/settings.h"
 
@@ -9,8 +11,12 @@
 /// Serves callers, upstreams and operators in a dialect until SIGTERM, with
 /// the parts that the host's roles need; returns the exit status.
 ///
+/// `file` is read again on SIGHUP and when it changes; `settings` are what it
+/// held at the start.
+///
 /// Not thread-safe; called once.
-[[nodiscard]] int ServeGateway(const schema::Settings& settings,
+[[nodiscard]] int ServeGateway(const std::string& file,
+                               const schema::Settings& settings,
                                const gateway::Dialect& dialect,
                                const gateway::ControlDialect& control);
 
--- /dev/null
+++ b/src/foxquay/daemon/reload.cc
@@ -0,0 +1,56 @@
+#include "foxquay/daemon/reload.h"
+
+#include <algorithm>
+#include <system_error>
+#include <utility>
+
+#include "foxquay/core/finding.h"
+#include "foxquay/log/log.h"
+#include "foxquay/settings/difference.h"
+#include "foxquay/settings/settings.h"
+
+namespace foxquay::daemon {
+
+Reload::Reload(std::string file, schema::Settings running)
+    : file_(std::move(file)), running_(std::move(running)), read_(Written()) {}
+
+Reload::WriteTime Reload::Written() const {
+  std::error_code error;
+  const auto time = std::filesystem::last_write_time(file_, error);
+  return error ? WriteTime() : time;
+}
+
+bool Reload::Changed() const {
+  // A file that is being replaced may be missing for a moment.
+  const WriteTime written = Written();
+  return written && written != read_;
+}
+
+std::optional<schema::Settings> Reload::Read() {
+  read_ = Written();
+  settings::Loaded loaded = settings::Load(file_);
+  for (const core::Finding& finding : loaded.findings) {
+    log::Write(log::Level::kError, "reload_refused",
+               {{"finding", core::Format(finding)}});
+  }
+  if (!loaded.findings.empty()) return std::nullopt;
+  const settings::Differences differences =
+      settings::Compare(running_, loaded.settings);
+  for (const settings::Difference& difference : differences) {
+    log::Write(log::Level::kInfo, "setting_changed",
+               {{"key", difference.path},
+                {"takes_effect", difference.live ? "now" : "on-restart"}});
+  }
+  log::Write(log::Level::kInfo, "settings_read",
+             {{"file", file_}, {"changed", differences.size()}});
+  const bool live = std::any_of(
+      differences.begin(), differences.end(),
+      [](const settings::Difference& difference) { return difference.live; });
+  if (!live) return std::nullopt;
+  running_.join.seeds = loaded.settings.join.seeds;
+  running_.limits.grace = loaded.settings.limits.grace;
+  running_.log.level = loaded.settings.log.level;
+  return running_;
+}
+
+}  // namespace foxquay::daemon
--- a/src/foxquay/daemon/serve.cc
+++ b/src/foxquay/daemon/serve.cc
@@ -18,6 +18,7 @@
 #include "foxquay/daemon/clock.h"
 #include "foxquay/daemon/control_node.h"
 #include "foxquay/daemon/host.h"
+#include "foxquay/daemon/reload.h"
 #include "foxquay/daemon/secret.h"
 #include "foxquay/http/server.h"
 #include "foxquay/log/log.h"
@@ -34,6 +35,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   // SIGUSR1 wakes the main thread when a drain has ended.
   sigaddset(&signals, SIGUSR1);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
@@ -56,14 +58,27 @@
   _exit(EXIT_FAILURE);
 }
 
-void DrainOnSignal(Host& host, const sigset_t& signals) {
-  while (AwaitSignal(signals) == SIGUSR1) {
+void ReadSettings(Reload& reload, ControlNode& control) {
+  const auto settings = reload.Read();
+  if (!settings) return;
+  log::SetLevel(log::ParseLevel(settings->log.level));
+  control.AddSeeds(settings->join.seeds);
+}
+
+void DrainOnSignal(Host& host, ControlNode& control, Reload& reload,
+                   const sigset_t& signals) {
+  int received = 0;
+  while ((received = AwaitSignal(signals)) == SIGUSR1 || received == SIGHUP) {
+    if (received == SIGHUP) ReadSettings(reload, control);
   }
   std::thread drain([&host] {
     host.Drain();
     kill(getpid(), SIGUSR1);
   });
-  if (AwaitSignal(signals) != SIGUSR1) CutOff(host);
+  while ((received = AwaitSignal(signals)) == SIGHUP) {
+    ReadSettings(reload, control);
+  }
+  if (received != SIGUSR1) CutOff(host);
   drain.join();
 }
 
@@ -175,7 +190,7 @@
 
 }  // namespace internal
 
-int Serve(const schema::Settings& settings) {
+int Serve(const std::string& file, const schema::Settings& settings) {
   const sigset_t signals = internal::BlockSignals();
   log::Configure(log::ParseLevel(settings.log.level), settings.log.file);
   const auto secrets = internal::ReadSecrets(settings.security);
@@ -197,7 +212,8 @@
                         admin.Start(settings.listeners.admin)) &&
       !host.Start();
   if (!started) _exit(EXIT_FAILURE);
-  internal::DrainOnSignal(host, signals);
+  Reload reload(file, settings);
+  internal::DrainOnSignal(host, *control, reload, signals);
   admin.Stop();
   control->Flush(internal::kFlushTimeout);
   control->Stop();
--- a/src/foxquay/log/log.cc
+++ b/src/foxquay/log/log.cc
@@ -91,6 +91,10 @@
   root.setLogLevel(internal::Translate(level));
 }
 
+void SetLevel(Level level) {
+  internal::Root().setLogLevel(internal::Translate(level));
+}
+
 Level ParseLevel(std::string_view name) noexcept {
   if (name == "debug") return Level::kDebug;
   if (name == "warn") return Level::kWarn;
--- a/src/foxquay/log/log.h
+++ b/src/foxquay/log/log.h
@@ -39,6 +39,9 @@
 /// empty. Call once before other threads write.
 void Configure(Level level, const std::string& file);
 
+/// Changes the lowest level that is written. Thread-safe.
+void SetLevel(Level level);
+
 /// Returns the level with this name; kInfo for an unknown name.
 [[nodiscard]] Level ParseLevel(std::string_view name) noexcept;
 
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -28,6 +28,8 @@
   std::vector<Role> roles;         ///< Roles: entry, control, standby.
   std::string data_folder;  ///< Folder for durable state; required for control
                             ///< and standby.
+
+  friend bool operator==(const HostSettings&, const HostSettings&) = default;
 };
 
 /// Addresses that this host listens on; callers, upstreams, operators and peers
@@ -41,6 +43,9 @@
       directory;      ///< Callers of a gateway that ask which addresses to use.
   std::string ready;  ///< Readiness of a host that serves callers.
   std::string metrics;  ///< Metrics in the Prometheus text format.
+
+  friend bool operator==(const ListenerSettings&,
+                         const ListenerSettings&) = default;
 };
 
 /// How a host finds the others when their list is not in its settings.
@@ -50,6 +55,8 @@
               ///< is reached on this host's peer port.
   bool bootstrap = false;  ///< Whether the seeds may form a new group; true
                            ///< only for the first start of a cluster.
+
+  friend bool operator==(const JoinSettings&, const JoinSettings&) = default;
 };
 
 /// Bound on sends beyond the first of each request, over all hosts.
@@ -57,6 +64,9 @@
   double percent = 10;        ///< Further sends as a share of requests.
   std::uint32_t slack = 100;  ///< Further sends in a window beyond that share.
   core::Duration window = std::chrono::seconds(10);  ///< Length of a window.
+
+  friend bool operator==(const BudgetSettings&,
+                         const BudgetSettings&) = default;
 };
 
 /// Another host of the cluster.
@@ -68,6 +78,8 @@
   core::RegionId region;           ///< Its region.
   bool control = false;            ///< Whether it holds a replica of the log.
   bool standby = false;            ///< Whether it replaces a lost replica.
+
+  friend bool operator==(const PeerSettings&, const PeerSettings&) = default;
 };
 
 /// Who may do what.
@@ -83,6 +95,9 @@
   std::vector<std::string>
       upstream_networks;  ///< Networks that upstreams may announce from,
                           ///< e.g. 10.0.0.0/8.
+
+  friend bool operator==(const SecuritySettings&,
+                         const SecuritySettings&) = default;
 };
 
 /// Bounds of one process.
@@ -102,6 +117,8 @@
       30);  ///< Time from SIGTERM until the process is killed.
   core::Duration stall = std::chrono::milliseconds(
       2000);  ///< Silence of a stream after which its upstream counts as lost.
+
+  friend bool operator==(const LimitSettings&, const LimitSettings&) = default;
 };
 
 /// The log.
@@ -109,6 +126,8 @@
   std::string level =
       "info";        ///< Lowest level written: debug, info, warn or error.
   std::string file;  ///< File to append to; standard output if empty.
+
+  friend bool operator==(const LogSettings&, const LogSettings&) = default;
 };
 
 /// The whole settings file.
@@ -122,6 +141,8 @@
   LogSettings log;            ///< The log.
   JoinSettings join;          ///< Finding the other hosts.
   BudgetSettings budget;      ///< Budget of repeated sends.
+
+  friend bool operator==(const Settings&, const Settings&) = default;
 };
 
 }  // namespace foxquay::schema
--- a/src/foxquay/settings/fwd.h
+++ b/src/foxquay/settings/fwd.h
@@ -3,6 +3,7 @@
 
 namespace foxquay::settings {
 
+struct Difference;
 struct Loaded;
 
 namespace internal {
--- a/src/foxquayd/main.cc
+++ b/src/foxquayd/main.cc
@@ -66,5 +66,5 @@
   }
   if (!loaded.findings.empty()) return kExitConfig;
   if (options.check) return EXIT_SUCCESS;
-  return foxquay::daemon::Serve(loaded.settings);
+  return foxquay::daemon::Serve(options.config, loaded.settings);
 }
--- a/tests/foxquay/daemon/cluster.h
+++ b/tests/foxquay/daemon/cluster.h
@@ -33,6 +33,10 @@
   void Start(std::size_t host);
   void Kill(std::size_t host);
   void Signal(std::size_t host, int number);
+  /// Returns whether a host has logged a text.
+  [[nodiscard]] bool Logged(std::size_t host, const std::string& text) const {
+    return Contains(Path(host, ".log"), text);
+  }
   /// Deletes the data folder of a host.
   void Wipe(std::size_t host);
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -96,11 +96,15 @@
     views = []
     for struct in schema["structs"]:
         views.append({**struct, "fields": [field_view(f, enums) for f in struct["fields"]]})
-    context = {"schema": schema, "structs": views, "struct_names": structs, "enum_names": enums}
+    nested = {f["type"] for s in schema["structs"] for f in s["fields"]} & structs
+    context = {"schema": schema, "structs": views, "struct_names": structs, "enum_names": enums,
+               "compared": nested | {"Settings"}}
     yield (ROOT / "src/foxquay/schema/settings.h",
            environment.get_template("settings.h.j2").render(**context))
     yield (ROOT / "src/foxquay/settings/reader_generated.cc",
            environment.get_template("reader.cc.j2").render(**context))
+    yield (ROOT / "src/foxquay/settings/difference_generated.cc",
+           environment.get_template("difference.cc.j2").render(**context))
     policy = yaml.safe_load((ROOT / "schema/policy.yaml").read_text())["keys"]
     policy = [{**key, "constant": "k" + camel(key["name"])} for key in policy]
     yield (ROOT / "src/foxquay/schema/policy.h",
