Grow the group of voters to what the tolerated losses need

Cause: the voters were the founders, and the founders the three seeds, so a deployment that is to bear the loss of two hosts had a group that bears one: two disks lost right after an acknowledgement could lose the change.

A leader whose group is smaller than wanted takes up a learner that has caught up, by joint consensus as for a replacement.

--- a/src/foxquay/consensus/members.cc
+++ b/src/foxquay/consensus/members.cc
@@ -1,7 +1,8 @@
-// Membership: a lost voter is replaced by a learner that has caught up, one at
-// a time, by joint consensus (Ongaro and Ousterhout 2014, section 6). Adding
-// and removing in two single steps would leave the group stuck if the new
-// voter, or another one, is lost between them.
+// Membership: a lost voter is replaced by a learner that has caught up, and a
+// group smaller than wanted takes one up, one at a time, by joint consensus
+// (Ongaro and Ousterhout 2014, section 6). Adding and removing in two single
+// steps would leave the group stuck if the new voter, or another one, is lost
+// between them.
 #include <algorithm>
 #include <utility>
 
@@ -27,6 +28,12 @@
     ChangeVoters(joint);
     return;
   }
+  if (current.voters.size() >= options_.voters) return;
+  if (auto learner = ReadyLearner(std::nullopt)) {
+    schema::Configuration joint{current.voters, current.voters};
+    joint.voters.push_back(*std::move(learner));
+    ChangeVoters(joint);
+  }
 }
 
 std::optional<schema::ReplicaId> Replica::State::Successor(
--- a/src/foxquay/consensus/replica.h
+++ b/src/foxquay/consensus/replica.h
@@ -52,10 +52,13 @@
 struct Options {
   schema::ReplicaId self;
   /// Hosts that form a new group together, all with empty disks; the first in
-  /// order of names leads the formation. Also gives the number of voters.
+  /// order of names leads the formation.
   std::vector<core::HostId> founders;
   /// Further hosts that may hold a replica, e.g. standbys.
   std::vector<core::HostId> standbys;
+  /// Voters that the group grows to, as learners catch up; it keeps the number
+  /// of founders if that is larger.
+  std::size_t voters = 0;
   std::uint64_t seed = 1;  ///< Of all random choices; differs per process.
   Timing timing;
   Limits limits;
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -203,6 +203,9 @@
   options.standbys = settings_.join.seeds.empty()
                          ? internal::Standbys(settings_)
                          : internal::ControlHosts(settings_);
+  options.voters = settings_.join.tolerated_losses == 0
+                       ? 0
+                       : 2 * settings_.join.tolerated_losses + 1;
   options.seed = std::random_device()();
   ControlReplica::Output output;
   output.send = [this](const core::HostId& to,
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -53,6 +53,10 @@
   std::vector<std::string>
       seeds;  ///< Hosts with the role control, by any of their addresses; each
               ///< is reached on this host's peer port.
+  std::uint32_t tolerated_losses =
+      0;  ///< Hosts with the role control whose loss at once the group bears;
+          ///< it grows to twice as many voters and one, as far as there are
+          ///< hosts.
   bool bootstrap = false;  ///< Whether the seeds may form a new group; true
                            ///< only for the first start of a cluster.
 
--- a/src/foxquay/settings/difference_generated.cc
+++ b/src/foxquay/settings/difference_generated.cc
@@ -40,6 +40,8 @@
              const schema::JoinSettings& after, const std::string& path,
              Differences& differences) {
   if (before.seeds != after.seeds) Add(differences, path + "seeds", true);
+  if (before.tolerated_losses != after.tolerated_losses)
+    Add(differences, path + "tolerated_losses", false);
   if (before.bootstrap != after.bootstrap)
     Add(differences, path + "bootstrap", false);
 }
--- a/src/foxquay/settings/reader_generated.cc
+++ b/src/foxquay/settings/reader_generated.cc
@@ -62,6 +62,7 @@
 void Read(Reader& reader, schema::JoinSettings& value) {
   Section section(reader, {
                               "seeds",
+                              "tolerated_losses",
                               "bootstrap",
                           });
   section.Field("seeds", Need::kOptional, [&](Reader& child) {
@@ -69,6 +70,9 @@
       item.ReadAddress(element);
     });
   });
+  section.Field("tolerated_losses", Need::kOptional, [&](Reader& child) {
+    child.ReadNumber(value.tolerated_losses);
+  });
   section.Field("bootstrap", Need::kOptional,
                 [&](Reader& child) { Read(child, value.bootstrap); });
 }
--- a/tests/foxquay/consensus/proof_test.cc
+++ b/tests/foxquay/consensus/proof_test.cc
@@ -67,11 +67,13 @@
   int seed_;
 };
 
-bool Holds(std::size_t founders, std::size_t standbys, FaultKind last) {
+bool Holds(std::size_t founders, std::size_t standbys, FaultKind last,
+           std::size_t voters = 0) {
   return rc::check([=] {
     // Close timeouts make elections collide; far ones let candidates wait.
     const int max_election = *rc::gen::element(550, 1000, 2000);
-    World world(founders, standbys, std::chrono::milliseconds(max_election));
+    World world(founders, standbys, std::chrono::milliseconds(max_election),
+                voters);
     world.Run(std::chrono::seconds(8), 1);
     constexpr int kSequences = 3;
     for (int sequence = 0; sequence < kSequences; ++sequence) {
@@ -108,4 +110,10 @@
   REQUIRE(Holds(5, 1, FaultKind::kWipe));
 }
 
+// Guards against a group that stays as small as it was founded, and against
+// growth that loses what the founders committed.
+TEST_CASE("three founders and three standbys grow to five voters", "[fuzz]") {
+  REQUIRE(Holds(3, 3, FaultKind::kWipe, 5));
+}
+
 }  // namespace foxquay::consensus
--- a/tests/foxquay/consensus/world.cc
+++ b/tests/foxquay/consensus/world.cc
@@ -30,7 +30,8 @@
 }  // namespace
 
 World::World(std::size_t founders, std::size_t standbys,
-             core::Duration max_election) {
+             core::Duration max_election, std::size_t voters) {
+  options_.voters = voters;
   options_.timing.max_election = max_election;
   options_.limits.snapshot_entries = 12;
   options_.limits.trailing_entries = 4;
@@ -398,7 +399,7 @@
     if (node.machine.hash != leader->machine.hash) return false;
     if (node.replica->role() != Role::kLearner) ++voters;
   }
-  return voters == options_.founders.size();
+  return voters == std::max(options_.founders.size(), options_.voters);
 }
 
 std::string World::Describe() const {
--- a/tests/foxquay/consensus/world.h
+++ b/tests/foxquay/consensus/world.h
@@ -45,8 +45,9 @@
 /// Replicas, their disks and one bag of messages in flight.
 class World {
  public:
-  World(std::size_t founders, std::size_t standbys,
-        core::Duration max_election);
+  /// The group grows to `voters` if that is more than the founders.
+  World(std::size_t founders, std::size_t standbys, core::Duration max_election,
+        std::size_t voters = 0);
 
   void Inject(const Fault& fault);
   /// Ends each fault with a probability of `percent`.
