Add the fault soak of the platform's program

foxquay-soak runs three control and three entry hosts as processes, with fake upstreams, callers and an operator that speak the platform's protocol on loopback through proxies. It checks while it runs, from what callers, upstreams and the operator see: nothing protected runs twice or after a refusal, answers are whole and the upstream's, requests unchanged, keys refused in time, paths whole, configurations read back as sent and never replaced ones.

Not covered: links between hosts (they name themselves by their own address, so no proxy sits between them), full and slow disks, clock steps.

--- a/tests/foxquay/daemon/process.cc
+++ b/tests/foxquay/daemon/process.cc
@@ -89,6 +89,13 @@
   if (number == SIGSTOP) waitpid(pid_, nullptr, WUNTRACED);
 }
 
+std::optional<int> Process::Ended() {
+  int status = 0;
+  if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
+  pid_ = 0;
+  return status;
+}
+
 std::optional<int> Process::Wait() {
   int status = 0;
   const bool ended =
--- a/tests/foxquay/daemon/process.h
+++ b/tests/foxquay/daemon/process.h
@@ -23,6 +23,8 @@
   /// Sends a signal; of SIGSTOP, returns when every thread stands still.
   void Signal(int number) const;
   [[nodiscard]] pid_t pid() const noexcept { return pid_; }
+  /// Returns the status of waitpid() if the process has ended; does not wait.
+  std::optional<int> Ended();
   /// Returns the exit status, or nothing if the process does not end in time
   /// or was killed by a signal.
   std::optional<int> Wait();
--- /dev/null
+++ b/tests/platform/soak/site.cc
@@ -0,0 +1,128 @@
+#include "platform/soak/site.h"
+
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <stdexcept>
+#include <utility>
+
+namespace foxquay::platform::soak {
+namespace {
+
+std::string PortOf(const std::string& address) {
+  return address.substr(address.rfind(':'));
+}
+
+}  // namespace
+
+Site::Site(boost::asio::io_context& context, std::string binary)
+    : binary_(std::move(binary)),
+      peer_port_(PortOf(daemon::FreeAddress())),
+      port_(PortOf(daemon::FreeAddress())),
+      hosts_(kHosts) {
+  std::string name = "/tmp/foxquay-soak-XXXXXX";
+  if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("mkdtemp");
+  folder_ = name;
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    Host& entry = hosts_[host];
+    entry.ip = "127.0." + std::to_string(host < kControlHosts ? 1 : 2) + "." +
+               std::to_string(host + 1);
+    entry.proxy = &proxies_.emplace_back(context, "127.0.3.1");
+    entry.proxy->SetTarget(entry.ip + port_);
+  }
+  for (std::size_t host = 0; host < kHosts; ++host) Start(host);
+}
+
+Site::~Site() {
+  hosts_.clear();
+  if (!keep_) std::filesystem::remove_all(folder_);
+}
+
+std::string Site::Path(std::size_t host, const std::string& suffix) const {
+  return folder_ + "/h" + std::to_string(host) + suffix;
+}
+
+void Site::WriteSettings(std::size_t host, bool bootstrap,
+                         const std::string& level) const {
+  const bool control = host < kControlHosts;
+  const std::string& ip = hosts_[host].ip;
+  const std::string unused = ip + ":1";
+  std::ofstream out(Path(host, ".new"));
+  out << "host: {id: \"" << ip
+      << "\", data_centre: " << (host % 2 == 0 ? "east" : "west")
+      << ", region: r, roles: [" << (control ? "control" : "entry") << "]"
+      << (control ? ", data_folder: " + Path(host, "-data") : "") << "}\n"
+      << "listeners: {caller: \"" << (control ? unused : ip + port_)
+      << "\", upstream: \"" << (control ? ip + port_ : ip + ":2")
+      << "\", admin: \"127.0.0.1:1\", peer: \"" << ip << peer_port_ << "\"}\n"
+      << "join: {seeds: [";
+  for (std::size_t seed = 0; seed < kControlHosts; ++seed) {
+    out << (seed == 0 ? "" : ", ") << "\"127.0.1." << seed + 1 << port_ << "\"";
+  }
+  out << "], tolerated_losses: 1, bootstrap: " << (bootstrap ? "true" : "false")
+      << "}\nsecurity: {cluster: soak, open: true, "
+      << "upstream_networks: [127.0.0.0/8]}\n"
+      << "limits: {grace: 4s, revocation: 5s, upstream_silence: 3s, "
+      << "upstream_heartbeat: 500ms}\n"
+      << "budget: {percent: 20, slack: 100, window: 10s}\n"
+      << "log: {level: " << level << "}\n";
+  out.close();
+  std::filesystem::rename(Path(host, ".new"), Path(host, ".yaml"));
+}
+
+std::vector<std::string> Site::Addresses(bool control) const {
+  std::vector<std::string> addresses;
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    if ((host < kControlHosts) == control) {
+      addresses.push_back(hosts_[host].proxy->address());
+    }
+  }
+  return addresses;
+}
+
+void Site::Start(std::size_t host) {
+  WriteSettings(host, !std::exchange(hosts_[host].started, true), "info");
+  hosts_[host].process.emplace(
+      std::vector<std::string>{binary_, Path(host, ".yaml")},
+      Path(host, ".log"));
+}
+
+void Site::Kill(std::size_t host) { hosts_[host].process.reset(); }
+
+void Site::Signal(std::size_t host, int number) {
+  if (running(host)) hosts_[host].process->Signal(number);
+}
+
+std::optional<int> Site::Ended(std::size_t host) {
+  if (!running(host)) return std::nullopt;
+  const std::optional<int> status = hosts_[host].process->Ended();
+  if (status) hosts_[host].process.reset();
+  return status;
+}
+
+void Site::Wipe(std::size_t host) {
+  std::filesystem::remove_all(Path(host, "-data"));
+}
+
+void Site::Tear(std::size_t host) {
+  std::optional<std::filesystem::directory_entry> newest;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(Path(host, "-data"))) {
+    const bool log = entry.path().filename().string().starts_with("log-");
+    const bool newer =
+        !newest || entry.last_write_time() > newest->last_write_time();
+    if (log && newer) newest = entry;
+  }
+  if (!newest) return;
+  std::ofstream(newest->path(), std::ios::app | std::ios::binary)
+      << std::string("\x2a\0\0\0torn", 8);
+}
+
+void Site::ChangeSettings(std::size_t host) {
+  WriteSettings(host, false, "debug");
+}
+
+}  // namespace foxquay::platform::soak
