Accept fractions as bounds and take each bound as far as it is given

budget.slack is a number, durations take fractions, budget.ratio replaces budget.percent and comes from the platform, and a bound that is not given leaves the default. limits.stall, which nothing read, is gone.

--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -54,7 +54,7 @@
 
 relay::BudgetOptions BudgetOf(const schema::Settings& settings) {
   relay::BudgetOptions budget;
-  budget.ratio = settings.budget.percent / 100;
+  budget.ratio = settings.budget.ratio;
   budget.slack = settings.budget.slack;
   budget.window = settings.budget.window;
   return budget;
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -65,8 +65,8 @@
 
 /// Bound on sends beyond the first of each request, over all hosts.
 struct BudgetSettings {
-  double percent = 10;        ///< Further sends as a share of requests.
-  std::uint32_t slack = 100;  ///< Further sends in a window beyond that share.
+  double ratio = 0.1;  ///< Further sends for each request.
+  double slack = 100;  ///< Further sends in a window beyond that share.
   core::Duration window = std::chrono::seconds(10);  ///< Length of a window.
 
   friend bool operator==(const BudgetSettings&,
@@ -119,8 +119,6 @@
       600);  ///< Interval at which upstreams announce themselves.
   core::Duration grace = std::chrono::seconds(
       30);  ///< Time from SIGTERM until the process is killed.
-  core::Duration stall = std::chrono::milliseconds(
-      2000);  ///< Silence of a stream after which its upstream counts as lost.
 
   friend bool operator==(const LimitSettings&, const LimitSettings&) = default;
 };
--- a/src/foxquay/settings/difference_generated.cc
+++ b/src/foxquay/settings/difference_generated.cc
@@ -49,8 +49,7 @@
 void Compare(const schema::BudgetSettings& before,
              const schema::BudgetSettings& after, const std::string& path,
              Differences& differences) {
-  if (before.percent != after.percent)
-    Add(differences, path + "percent", false);
+  if (before.ratio != after.ratio) Add(differences, path + "ratio", false);
   if (before.slack != after.slack) Add(differences, path + "slack", false);
   if (before.window != after.window) Add(differences, path + "window", false);
 }
@@ -83,7 +82,6 @@
   if (before.upstream_heartbeat != after.upstream_heartbeat)
     Add(differences, path + "upstream_heartbeat", false);
   if (before.grace != after.grace) Add(differences, path + "grace", true);
-  if (before.stall != after.stall) Add(differences, path + "stall", false);
 }
 
 void Compare(const schema::LogSettings& before,
--- a/src/foxquay/settings/reader.cc
+++ b/src/foxquay/settings/reader.cc
@@ -10,6 +10,9 @@
 namespace foxquay::settings::internal {
 namespace {
 
+/// Largest number of a duration, as many seconds as nanoseconds can count.
+constexpr double kMaxDurationNumber = 4294967295.0;
+
 bool IsPort(std::string_view text) {
   std::uint16_t port = 0;
   const auto [end, error] =
@@ -125,15 +128,20 @@
 void Reader::ReadDuration(core::Duration& value) {
   std::string text;
   if (!ReadScalar(text, "a duration such as 250ms or 10s")) return;
-  std::uint32_t number = 0;
+  double number = 0;
   const auto [end, error] =
       std::from_chars(text.data(), text.data() + text.size(), number);
   const std::string_view unit(
       end, static_cast<std::size_t>(text.data() + text.size() - end));
-  if (error == std::errc() && unit == "ms") {
-    value = std::chrono::milliseconds(number);
-  } else if (error == std::errc() && unit == "s") {
-    value = std::chrono::seconds(number);
+  const bool valid =
+      error == std::errc() && number >= 0 && number <= kMaxDurationNumber;
+  const auto convert = [](auto duration) {
+    return std::chrono::duration_cast<core::Duration>(duration);
+  };
+  if (valid && unit == "ms") {
+    value = convert(std::chrono::duration<double, std::milli>(number));
+  } else if (valid && unit == "s") {
+    value = convert(std::chrono::duration<double>(number));
   } else {
     Add("expected a duration such as 250ms or 10s, not '" + text + "'");
   }
--- a/src/foxquay/settings/reader_generated.cc
+++ b/src/foxquay/settings/reader_generated.cc
@@ -79,14 +79,14 @@
 
 void Read(Reader& reader, schema::BudgetSettings& value) {
   Section section(reader, {
-                              "percent",
+                              "ratio",
                               "slack",
                               "window",
                           });
-  section.Field("percent", Need::kOptional,
-                [&](Reader& child) { child.ReadReal(value.percent); });
+  section.Field("ratio", Need::kOptional,
+                [&](Reader& child) { child.ReadReal(value.ratio); });
   section.Field("slack", Need::kOptional,
-                [&](Reader& child) { child.ReadNumber(value.slack); });
+                [&](Reader& child) { child.ReadReal(value.slack); });
   section.Field("window", Need::kOptional,
                 [&](Reader& child) { child.ReadDuration(value.window); });
 }
@@ -149,7 +149,6 @@
                               "upstream_silence",
                               "upstream_heartbeat",
                               "grace",
-                              "stall",
                           });
   section.Field("max_body_bytes", Need::kOptional,
                 [&](Reader& child) { child.ReadNumber(value.max_body_bytes); });
@@ -166,8 +165,6 @@
   });
   section.Field("grace", Need::kOptional,
                 [&](Reader& child) { child.ReadDuration(value.grace); });
-  section.Field("stall", Need::kOptional,
-                [&](Reader& child) { child.ReadDuration(value.stall); });
 }
 
 void Read(Reader& reader, schema::LogSettings& value) {
