Learn the counts of orders before the first one and after a refused one

The leader now asks every upstream while it waits to hear of all, and looks into a refusal once a report can show its reason.

--- a/src/foxquay/placement/conductor.cc
+++ b/src/foxquay/placement/conductor.cc
@@ -31,6 +31,7 @@
       known.target.reset();
       known.waiting = false;
       known.asking = false;
+      known.counted = false;
     }
   }
   leads_ = leads;
@@ -77,6 +78,10 @@
           now + LoadTime(known.target->size()) + internal::kReportLag;
       return;
     case OrderOutcome::kMismatch:
+      // A report of this moment may still show the state before the one that
+      // the order met.
+      known.target_until = now + internal::kReportLag;
+      return;
     case OrderOutcome::kUnanswered:
       known.target_until = now;
       return;
@@ -117,6 +122,13 @@
   return holders;
 }
 
+void Conductor::CountOrders(std::vector<Action>& actions) {
+  for (auto& [id, known] : upstreams_) {
+    if (std::exchange(known.counted, true)) continue;
+    actions.push_back(Inquiry{id, known.announcement.address});
+  }
+}
+
 void Conductor::ReviewTargets(core::Instant now, std::vector<Action>& actions) {
   for (auto& [id, known] : upstreams_) {
     const bool overdue = known.target && !known.waiting && !known.asking &&
@@ -130,6 +142,7 @@
 std::vector<Action> Conductor::Tick(core::Instant now) {
   std::vector<Action> actions;
   if (!leads_ || !engine_ || engine_->layers == 0) return actions;
+  CountOrders(actions);
   if (!settled_ || now < *settled_) return actions;
   ReviewTargets(now, actions);
   for (const Assignment& assignment : Plan(*engine_, Holders())) {
--- a/src/foxquay/placement/conductor.h
+++ b/src/foxquay/placement/conductor.h
@@ -93,10 +93,14 @@
     core::Instant target_until;   ///< When the target should be announced.
     bool asking = false;
     bool waiting = false;  ///< For the answer to an order.
-    core::Instant retry;   ///< No order before this.
+    /// Whether it was asked how many orders it has accepted from leaders before
+    /// this one.
+    bool counted = true;
+    core::Instant retry;  ///< No order before this.
   };
 
   [[nodiscard]] std::vector<Holder> Holders() const;
+  void CountOrders(std::vector<Action>& actions);
   void ReviewTargets(core::Instant now, std::vector<Action>& actions);
   [[nodiscard]] core::Duration LoadTime(std::uint32_t layers) const;
 
