Hold several copies of a model in a data centre that has the memory

The platform takes 32 at most and refuses longer chains with 400, so requests there were sent again and again; what was served passed 27 to 37 stages, and the slots of three first stages bounded everything. Orders, budgets and the network were ruled out: the refused sends all named chains of over 32 stages.

A data centre is now laid out as as many copies as can each keep the requests that a first stage takes at once, with at most max_stages upstreams each. A stage that is lost is placed again on a spare up to the number of copies of most layers; a chain passes through any copy meanwhile. Spares that could hold a whole copy become one. A chain over the bound is never sent.

The test failed before (one copy).

--- a/src/foxquay/placement/plan.cc
+++ b/src/foxquay/placement/plan.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <cassert>
 #include <cmath>
+#include <iterator>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -22,8 +23,9 @@
 /// layers are taken up; with none a chain still serves one request at a time.
 constexpr std::array<double, 4> kKeptParts = {0.6, 0.3, 0.1, 0.0};
 
-/// Upstreams of a data centre that stay empty at most: a disruption takes two
-/// of a dozen at once and the one after that can wait for their return.
+/// Upstreams that stay empty at most for each copy in a data centre: a
+/// disruption takes two of a dozen at once and the one after that can wait for
+/// their return.
 constexpr std::size_t kMaxSpares = 3;
 
 /// Part of the memory for requests that is kept when upstreams stay empty.
@@ -44,18 +46,27 @@
 }
 
 /// Returns the largest memory for requests, in tokens, that every upstream can
-/// keep while the group holds all layers.
-double SharedTokens(const schema::Engine& engine, const Group& group) {
+/// keep while the group holds all layers `copies` times.
+double SharedTokens(const schema::Engine& engine, const Group& group,
+                    std::size_t copies) {
   double low = 0;
   double high = kMaxTokens;
   for (int step = 0; step < kSearchSteps; ++step) {
     const double middle = (low + high) / 2;
-    const bool fits = Capacity(engine, group, middle) >= engine.layers;
+    const bool fits = Capacity(engine, group, middle) >= copies * engine.layers;
     (fits ? low : high) = middle;
   }
   return low;
 }
 
+/// Returns how many copies of the model fit into a group if each is to keep the
+/// requests that its first stage may take at once. Fewer would leave work
+/// waiting for slots with memory free, and a lost stage would stop more of it.
+std::size_t CopiesThatFit(const schema::Engine& engine, const Group& group) {
+  const double request = engine.usual_prompt + engine.usual_answer / 2;
+  return Capacity(engine, group, engine.slots * request) / engine.layers;
+}
+
 double Pace(const schema::Engine& engine, const Holder& holder) {
   const schema::Accelerator* accelerator =
       FindAccelerator(engine, holder.accelerator);
@@ -70,7 +81,7 @@
                      return std::make_tuple(Pace(engine, *left), left->id) <
                             std::make_tuple(Pace(engine, *right), right->id);
                    });
-  const double tokens = SharedTokens(engine, group);
+  const double tokens = SharedTokens(engine, group, 1);
   std::vector<std::uint32_t> sizes;
   std::uint32_t total = 0;
   for (const Holder* holder : group) {
@@ -91,17 +102,36 @@
   }
 }
 
-/// Returns the first run of layers that no one in the group holds.
-Range FirstGap(const schema::Engine& engine, const Group& group) {
-  std::vector<bool> held(engine.layers, false);
+/// Returns how many in the group hold each layer.
+std::vector<std::size_t> CountHolders(const schema::Engine& engine,
+                                      const Group& group) {
+  std::vector<std::size_t> held(engine.layers, 0);
   for (const Holder* holder : group) {
     for (std::uint32_t layer = holder->layers.first;
          layer < std::min(holder->layers.end, engine.layers); ++layer) {
-      held[layer] = true;
+      ++held[layer];
     }
   }
-  const auto first = std::find(held.begin(), held.end(), false);
-  const auto end = std::find(first, held.end(), true);
+  return held;
+}
+
+/// Returns the copies that a group was laid out with: those of most layers, as
+/// a loss takes some layers only.
+std::size_t CopiesInForce(const schema::Engine& engine, const Group& group) {
+  std::vector<std::size_t> held = CountHolders(engine, group);
+  const auto middle =
+      held.begin() + static_cast<std::ptrdiff_t>(held.size() / 2);
+  std::nth_element(held.begin(), middle, held.end());
+  return *middle;
+}
+
+/// Returns the first run of layers that fewer than `copies` in the group hold.
+Range FirstGap(const schema::Engine& engine, const Group& group,
+               std::size_t copies) {
+  const std::vector<std::size_t> held = CountHolders(engine, group);
+  const auto missing = [copies](std::size_t count) { return count < copies; };
+  const auto first = std::find_if(held.begin(), held.end(), missing);
+  const auto end = std::find_if_not(first, held.end(), missing);
   return {static_cast<std::uint32_t>(first - held.begin()),
           static_cast<std::uint32_t>(end - held.begin())};
 }
@@ -158,11 +188,11 @@
 /// them. No holder gives layers up: it would take nothing new until all that
 /// passes through it has ended, and the whole chain with it.
 void FillGaps(const schema::Engine& engine, const Group& group) {
-  const double shared = SharedTokens(engine, group);
+  const double shared = SharedTokens(engine, group, 1);
   for (const double part : kKeptParts) {
     const double tokens = part * shared;
-    for (Range gap = FirstGap(engine, group); !gap.empty();
-         gap = FirstGap(engine, group)) {
+    for (Range gap = FirstGap(engine, group, 1); !gap.empty();
+         gap = FirstGap(engine, group, 1)) {
       Holder* empty = LargestEmpty(engine, group, tokens);
       if (empty != nullptr) {
         const std::uint32_t fits =
@@ -175,10 +205,27 @@
   }
 }
 
+/// Gives layers that are held less often than there are copies to upstreams
+/// that hold none. What is held once is served, so nothing else moves for it.
+void Restore(const schema::Engine& engine, const Group& group,
+             std::size_t copies) {
+  const double tokens = kKeptWithSpares * SharedTokens(engine, group, copies);
+  for (std::size_t copy = 2; copy <= copies; ++copy) {
+    for (Range gap = FirstGap(engine, group, copy); !gap.empty();
+         gap = FirstGap(engine, group, copy)) {
+      Holder* empty = LargestEmpty(engine, group, tokens);
+      if (empty == nullptr) return;
+      const std::uint32_t fits =
+          LayersThatFit(engine, empty->accelerator, tokens);
+      empty->layers = {gap.first, gap.first + std::min(fits, gap.size())};
+    }
+  }
+}
+
 /// Returns the group in the order of its layers; those that hold none come
 /// where layers are missing.
 Group InOrder(const schema::Engine& engine, const Group& group) {
-  const Range gap = FirstGap(engine, group);
+  const Range gap = FirstGap(engine, group, 1);
   const auto first = [&gap](const Holder* holder) {
     return holder->layers.empty() ? gap.first : holder->layers.first;
   };
@@ -202,7 +249,8 @@
 /// held again is that of the largest load. Dynamic programming over the layer
 /// at which each one ends. Returns whether a division was found; it takes
 /// layers from holders, so it serves only where nothing less helps.
-bool Divide(const schema::Engine& engine, const Group& order, double tokens) {
+bool DivideLayers(const schema::Engine& engine, const Group& order,
+                  double tokens) {
   constexpr std::uint64_t kNone = UINT64_MAX;
   const std::uint32_t layers = engine.layers;
   std::vector<std::vector<std::uint64_t>> cost(
@@ -238,7 +286,7 @@
 /// Gives spare upstreams a second copy of the layers whose holder has far less
 /// memory for requests than the others could have.
 void Reinforce(const schema::Engine& engine, const Group& group) {
-  const double least = kWorthCopying * SharedTokens(engine, group);
+  const double least = kWorthCopying * SharedTokens(engine, group, 1);
   for (Holder* empty : group) {
     if (!empty->layers.empty()) continue;
     const Holder* tightest = nullptr;
@@ -266,38 +314,90 @@
 
 /// Returns the group without the upstreams that stay empty to replace a lost
 /// one: as many of those with the least memory as leave enough for requests.
-Group WithoutSpares(const schema::Engine& engine, Group group) {
+Group WithoutSpares(const schema::Engine& engine, Group group,
+                    std::size_t copies) {
   std::stable_sort(group.begin(), group.end(),
                    [&](const Holder* left, const Holder* right) {
                      return LayersThatFit(engine, left->accelerator, 0) >
                             LayersThatFit(engine, right->accelerator, 0);
                    });
-  const double all = SharedTokens(engine, group);
-  for (std::size_t spare = 0; spare < kMaxSpares && group.size() > 1; ++spare) {
+  const double all = SharedTokens(engine, group, copies);
+  for (std::size_t spare = 0; spare < kMaxSpares * copies && group.size() > 1;
+       ++spare) {
     const Group fewer(group.begin(), group.end() - 1);
-    const bool enough = Capacity(engine, fewer, 0) >= engine.layers &&
-                        SharedTokens(engine, fewer) >= kKeptWithSpares * all;
+    const bool enough =
+        Capacity(engine, fewer, 0) >= copies * engine.layers &&
+        SharedTokens(engine, fewer, copies) >= kKeptWithSpares * all;
     if (!enough) break;
     group = fewer;
   }
   return group;
 }
 
+/// Divides a group into parts of even capacity, the largest first and each to
+/// the part that has least.
+std::vector<Group> DivideGroup(const schema::Engine& engine, Group group,
+                               std::size_t parts) {
+  const auto fits = [&](const Holder* holder) {
+    return LayersThatFit(engine, holder->accelerator, 0);
+  };
+  std::stable_sort(group.begin(), group.end(),
+                   [&](const Holder* left, const Holder* right) {
+                     return fits(left) > fits(right);
+                   });
+  std::vector<Group> divided(parts);
+  for (Holder* holder : group) {
+    const auto least = std::min_element(
+        divided.begin(), divided.end(),
+        [&](const Group& left, const Group& right) {
+          return Capacity(engine, left, 0) < Capacity(engine, right, 0);
+        });
+    const bool full =
+        engine.max_stages > 0 && least->size() >= engine.max_stages;
+    if (!full) least->push_back(holder);
+  }
+  return divided;
+}
+
+/// Lays as many whole copies out over a group that holds none as it can.
+void LayOutCopies(const schema::Engine& engine, const Group& group,
+                  std::size_t copies) {
+  const auto whole = [&engine](const Group& part) {
+    return Capacity(engine, part, 0) >= engine.layers;
+  };
+  for (; copies > 0; --copies) {
+    const std::vector<Group> parts =
+        DivideGroup(engine, WithoutSpares(engine, group, copies), copies);
+    if (!std::all_of(parts.begin(), parts.end(), whole)) continue;
+    for (const Group& part : parts) LayOut(engine, part);
+    return;
+  }
+}
+
 void PlanGroup(const schema::Engine& engine, const Group& group) {
   if (Capacity(engine, group, 0) < engine.layers) return;
   const bool fresh =
       std::all_of(group.begin(), group.end(),
                   [](const Holder* holder) { return holder->layers.empty(); });
   if (fresh) {
-    LayOut(engine, WithoutSpares(engine, group));
+    const std::size_t copies = CopiesThatFit(engine, group);
+    LayOutCopies(engine, group, std::max<std::size_t>(copies, 1));
     return;
   }
   FillGaps(engine, group);
-  if (!FirstGap(engine, group).empty()) {
-    (void)Divide(engine, InOrder(engine, group), 0);
+  if (!FirstGap(engine, group, 1).empty()) {
+    (void)DivideLayers(engine, InOrder(engine, group), 0);
     return;
   }
-  Reinforce(engine, group);
+  Restore(engine, group, CopiesInForce(engine, group));
+  Group empty;
+  std::copy_if(group.begin(), group.end(), std::back_inserter(empty),
+               [](const Holder* holder) { return holder->layers.empty(); });
+  if (const std::size_t copies = CopiesThatFit(engine, empty); copies > 0) {
+    LayOutCopies(engine, empty, copies);
+  } else {
+    Reinforce(engine, group);
+  }
 }
 
 /// Groups upstreams by data centre; those whose data centre cannot hold all
--- a/src/foxquay/placement/plan.h
+++ b/src/foxquay/placement/plan.h
@@ -45,7 +45,8 @@
                                    std::uint32_t layers);
 
 /// Returns the changes that give each data centre that can hold one a whole
-/// copy of the model, so that prompts need not cross between data centres and
+/// copy of the model, or several where there is memory for the requests of
+/// each, so that prompts need not cross between data centres and
 /// the loss of one leaves the others whole.
 ///
 /// A data centre where nothing is held is laid out with equal memory for
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -203,7 +203,10 @@
   const placement::Chain chain =
       placement::CheapestChain(candidates, engine.layers, crossing);
   std::vector<Hop> hops;
+  const bool too_long =
+      engine.max_stages > 0 && chain.stages.size() > engine.max_stages;
   for (const placement::Stage& stage : chain.stages) {
+    if (too_long) break;
     const schema::Announcement& announcement =
         entries[stage.upstream]->announcement;
     hops.push_back({announcement.id, announcement.address, stage.layers});
--- a/src/foxquay/schema/fleet.h
+++ b/src/foxquay/schema/fleet.h
@@ -116,7 +116,9 @@
       0;  ///< Prompt tokens that all layers read in a second.
   core::Duration load = {};  ///< Time to load the weights of all layers.
   std::uint32_t layers =
-      0;                ///< Layers of the model; 0 if upstreams hold it whole.
+      0;  ///< Layers of the model; 0 if upstreams hold it whole.
+  std::uint32_t max_stages =
+      0;  ///< Stages that a chain may have; 0 if there is no bound.
   double layer_mb = 0;  ///< Weights of one layer, in MB.
   double activation_bytes =
       0;  ///< Bytes that one token takes between two stages.
@@ -139,6 +141,7 @@
     archive(prefill_per_s);
     archive(load);
     archive(layers);
+    archive(max_stages);
     archive(layer_mb);
     archive(activation_bytes);
     archive(pipe_mbps);
--- a/tests/foxquay/placement/plan_test.cc
+++ b/tests/foxquay/placement/plan_test.cc
@@ -69,6 +69,44 @@
   CheckFits(holders);
 }
 
+// Guards against one copy spread over so many upstreams that no request may
+// name its way, with memory left for further copies; seen with 35 upstreams in
+// a data centre and a bound of 32 stages.
+TEST_CASE("a large data centre gets several copies of short chains") {
+  schema::Engine engine = MakeEngine();
+  engine.max_stages = 32;
+  std::vector<Holder> holders = MakeHolders("a", 12, 24);
+  Apply(holders, Plan(engine, holders));
+  std::vector<unsigned> held(80, 0);
+  std::size_t starts = 0;
+  for (const Holder& holder : holders) {
+    if (!holder.layers.empty() && holder.layers.first == 0) ++starts;
+    for (std::uint32_t at = holder.layers.first; at < holder.layers.end; ++at) {
+      ++held[at];
+    }
+  }
+  const unsigned copies = *std::min_element(held.begin(), held.end());
+  CHECK(copies > 1);
+  CHECK(starts == copies);
+  CHECK(holders.size() / copies <= engine.max_stages);
+  CheckFits(holders);
+
+  // A lost stage of one copy is placed again on an empty upstream alone.
+  const auto lost = std::find_if(
+      holders.begin(), holders.end(),
+      [](const Holder& holder) { return holder.layers.first > 0; });
+  const Range range = lost->layers;
+  holders.erase(lost);
+  const std::vector<Assignment> changes = Plan(engine, holders);
+  REQUIRE(changes.size() >= 1);
+  for (const Assignment& change : changes) {
+    CHECK(change.layers.first >= range.first);
+    CHECK(change.layers.end <= range.end);
+  }
+  Apply(holders, changes);
+  CHECK(Plan(engine, holders).empty());
+}
+
 TEST_CASE("a plan that is in force changes nothing") {
   const std::vector<Holder> holders = Laid();
   CHECK(Plan(MakeEngine(), holders).empty());
