--- a/tests/foxquay/placement/plan_test.cc
+++ b/tests/foxquay/placement/plan_test.cc
@@ -98,7 +98,7 @@
   const Range range = lost->layers;
   holders.erase(lost);
   const std::vector<Assignment> changes = Plan(engine, holders);
-  REQUIRE(changes.size() >= 1);
+  REQUIRE_FALSE(changes.empty());
   for (const Assignment& change : changes) {
     CHECK(change.layers.first >= range.first);
     CHECK(change.layers.end <= range.end);
--- a/tests/foxquay/settings/mutation_test.cc
+++ b/tests/foxquay/settings/mutation_test.cc
@@ -100,12 +100,12 @@
       for (const std::string& step : path) place += " " + step;
       CAPTURE(place);
       CHECK_NOTHROW(Parse(Mutate(file, path, Remove), file));
-      const auto retyped = [](YAML::Node parent, const std::string& step) {
+      const auto retyped = [](const YAML::Node& parent, const std::string& step) {
         const bool scalar = Child(parent, step).IsScalar();
         YAML::Node other(scalar ? YAML::NodeType::Map
                                 : YAML::NodeType::Undefined);
         if (!scalar) other = "text";
-        Put(std::move(parent), step, other);
+        Put(parent, step, other);
       };
       CHECK_FALSE(Parse(Mutate(file, path, retyped), file).findings.empty());
       const auto misspelt = [](YAML::Node parent, const std::string& step) {
--- a/tests/platform/soak/soak.cc
+++ b/tests/platform/soak/soak.cc
@@ -373,7 +373,7 @@
 
 int main(int argc, const char** argv) {
   char* binary = nullptr;
-  long long seed = 0;
+  std::int64_t seed = 0;
   int seconds = 30;
   int patience = 15;
   const poptOption table[] = {
