Remove three functions of net that nothing calls

Client::Forget, Client::opened and Server::connections had no caller left. Tests of net and gateway pass as before; nothing measured, no path changes.

--- a/src/foxquay/net/client.cc
+++ b/src/foxquay/net/client.cc
@@ -65,7 +65,6 @@
     id = SocketId(next_socket_++);
     Connection& opened = connections_.try_emplace(id, context_).first->second;
     opened.address = address;
-    ++opened_;
   }
   Connection& connection = connections_.at(id);
   connection.call = call;
@@ -303,13 +302,6 @@
   connections_.erase(found);
 }
 
-void Client::Forget(const std::string& address) {
-  const auto found = idle_.find(address);
-  if (found == idle_.end()) return;
-  for (const SocketId id : std::vector<SocketId>(found->second)) Close(id);
-  idle_.erase(address);
-}
-
 void Client::Sweep(core::Instant now) {
   std::vector<SocketId> late;
   for (const auto& [id, connection] : connections_) {
--- a/src/foxquay/net/client.h
+++ b/src/foxquay/net/client.h
@@ -70,11 +70,6 @@
   /// Ends attempts to connect and idle connections whose time is over.
   void Sweep(core::Instant now);
 
-  /// Closes the idle connections to an address.
-  void Forget(const std::string& address);
-
-  [[nodiscard]] std::uint64_t opened() const noexcept { return opened_; }
-
  private:
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -119,7 +114,6 @@
   std::unordered_map<std::string, std::vector<SocketId>> idle_;
   std::uint64_t next_socket_ = 1;
   std::uint64_t next_call_ = 1;
-  std::uint64_t opened_ = 0;
 };
 
 }  // namespace foxquay::net
--- a/src/foxquay/net/server.h
+++ b/src/foxquay/net/server.h
@@ -77,9 +77,6 @@
 
   /// Returns the number of requests being read or answered.
   [[nodiscard]] std::size_t open() const;
-  [[nodiscard]] std::size_t connections() const noexcept {
-    return connections_.size();
-  }
 
  private:
   using Parser =
--- a/tests/foxquay/settings/mutation_test.cc
+++ b/tests/foxquay/settings/mutation_test.cc
@@ -100,7 +100,8 @@
       for (const std::string& step : path) place += " " + step;
       CAPTURE(place);
       CHECK_NOTHROW(Parse(Mutate(file, path, Remove), file));
-      const auto retyped = [](const YAML::Node& parent, const std::string& step) {
+      const auto retyped = [](const YAML::Node& parent,
+                              const std::string& step) {
         const bool scalar = Child(parent, step).IsScalar();
         YAML::Node other(scalar ? YAML::NodeType::Map
                                 : YAML::NodeType::Undefined);
