--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PRESET ?= release
 BUILD := build/$(PRESET)
 
-.PHONY: all build test demo fuzz format lint generate check install-dependencies
+.PHONY: all build test demo fuzz soak format lint generate check install-dependencies
 
 all: build
 
@@ -20,6 +20,9 @@
 	@tools/demo.sh $(BUILD)
 
 # Runs the property tests with many more cases; FUZZ_SEED selects the seed.
+soak: build
+	@tools/soak.sh $(BUILD)
+
 fuzz: build
 	@tools/fuzz.sh $(BUILD)
 
