--- a/tests/platform/soak/soak.cc
+++ b/tests/platform/soak/soak.cc
@@ -4,11 +4,12 @@
 #include <signal.h>  // NOLINT: SIGSTOP is not in <csignal>
 #include <sys/wait.h>
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <cstdlib>
 #include <deque>
-#include <functional>
 #include <iostream>
 #include <map>
 #include <random>
@@ -296,23 +297,19 @@
     for (Proxy& place : places_) Restore(place);
   }
 
-  /// Waits until each kind of request is served again; reports if it is not.
+  /// Waits until ten more requests of each kind are served; reports if they are
+  /// not.
   void Await(const std::string& promise, core::Duration patience) {
+    constexpr std::array kAll{Kind::kRead, Kind::kBook, Kind::kStream};
     const core::Instant end = net::SteadyNow() + patience;
-    std::map<Kind, unsigned> before;
-    const auto each = [&](const std::function<bool(Kind)>& holds) {
-      return holds(Kind::kRead) && holds(Kind::kBook) && holds(Kind::kStream);
-    };
-    crowd_.Stop();
-    crowd_.Start();
-    each([&](Kind kind) {
-      before[kind] = ledger_.served(kind) + 10;
-      return true;
-    });
+    std::map<Kind, unsigned> wanted;
+    for (const Kind kind : kAll) wanted[kind] = ledger_.served(kind) + 10;
     const auto served = [&] {
-      return each(
-          [&](Kind kind) { return ledger_.served(kind) >= before[kind]; });
+      return std::all_of(kAll.begin(), kAll.end(), [&](Kind kind) {
+        return ledger_.served(kind) >= wanted[kind];
+      });
     };
+    crowd_.Start();
     while (!served() && net::SteadyNow() < end) RunFor(kWatch);
     if (!served()) ledger_.Report(promise, "not within the bound");
     crowd_.Stop();
--- a/tests/platform/soak/users.cc
+++ b/tests/platform/soak/users.cc
@@ -237,14 +237,9 @@
       entries_(std::move(entries)),
       random_(seed) {}
 
-void Crowd::Start() {
-  running_ = true;
-  Send();
-}
-
-void Crowd::Send() {
-  if (!running_) return;
-  After(context_, kSendInterval, [this] { Send(); });
+void Crowd::Send(unsigned run) {
+  if (run != run_) return;
+  After(context_, kSendInterval, [this, run] { Send(run); });
   static constexpr const char* kNames[] = {"read", "book", "stream"};
   const auto kind = static_cast<Kind>(random_() % kKinds);
   const std::string id = "r" + std::to_string(next_++);
--- a/tests/platform/soak/users.h
+++ b/tests/platform/soak/users.h
@@ -91,11 +91,12 @@
  public:
   Crowd(boost::asio::io_context& context, Ledger& ledger, Operator& owner,
         std::vector<std::string> entries, std::uint64_t seed);
-  void Start();
-  void Stop() { running_ = false; }
+  void Start() { Send(++run_); }
+  void Stop() { ++run_; }
 
  private:
-  void Send();
+  /// Sends one request and the next ones, until Start or Stop is called again.
+  void Send(unsigned run);
 
   boost::asio::io_context& context_;
   Ledger& ledger_;
@@ -104,7 +105,7 @@
   std::vector<std::string> entries_;
   std::mt19937_64 random_;
   std::uint64_t next_ = 1;
-  bool running_ = false;
+  unsigned run_ = 0;
 };
 
 }  // namespace foxquay::platform::soak
