--- a/src/foxquay/settings/difference_generated.cc
+++ b/src/foxquay/settings/difference_generated.cc
@@ -12,90 +12,138 @@
 void Compare(const schema::HostSettings& before,
              const schema::HostSettings& after, const std::string& path,
              Differences& differences) {
-  if (before.id != after.id) Add(differences, path + "id", false);
-  if (before.data_centre != after.data_centre)
+  if (before.id != after.id) {
+    Add(differences, path + "id", false);
+  }
+  if (before.data_centre != after.data_centre) {
     Add(differences, path + "data_centre", false);
-  if (before.region != after.region) Add(differences, path + "region", false);
-  if (before.roles != after.roles) Add(differences, path + "roles", false);
-  if (before.data_folder != after.data_folder)
+  }
+  if (before.region != after.region) {
+    Add(differences, path + "region", false);
+  }
+  if (before.roles != after.roles) {
+    Add(differences, path + "roles", false);
+  }
+  if (before.data_folder != after.data_folder) {
     Add(differences, path + "data_folder", false);
+  }
 }
 
 void Compare(const schema::ListenerSettings& before,
              const schema::ListenerSettings& after, const std::string& path,
              Differences& differences) {
-  if (before.caller != after.caller) Add(differences, path + "caller", false);
-  if (before.upstream != after.upstream)
+  if (before.caller != after.caller) {
+    Add(differences, path + "caller", false);
+  }
+  if (before.upstream != after.upstream) {
     Add(differences, path + "upstream", false);
-  if (before.admin != after.admin) Add(differences, path + "admin", false);
-  if (before.peer != after.peer) Add(differences, path + "peer", false);
-  if (before.directory != after.directory)
+  }
+  if (before.admin != after.admin) {
+    Add(differences, path + "admin", false);
+  }
+  if (before.peer != after.peer) {
+    Add(differences, path + "peer", false);
+  }
+  if (before.directory != after.directory) {
     Add(differences, path + "directory", false);
-  if (before.ready != after.ready) Add(differences, path + "ready", false);
-  if (before.metrics != after.metrics)
+  }
+  if (before.ready != after.ready) {
+    Add(differences, path + "ready", false);
+  }
+  if (before.metrics != after.metrics) {
     Add(differences, path + "metrics", false);
+  }
 }
 
 void Compare(const schema::JoinSettings& before,
              const schema::JoinSettings& after, const std::string& path,
              Differences& differences) {
-  if (before.seeds != after.seeds) Add(differences, path + "seeds", true);
-  if (before.tolerated_losses != after.tolerated_losses)
+  if (before.seeds != after.seeds) {
+    Add(differences, path + "seeds", true);
+  }
+  if (before.tolerated_losses != after.tolerated_losses) {
     Add(differences, path + "tolerated_losses", false);
-  if (before.bootstrap != after.bootstrap)
+  }
+  if (before.bootstrap != after.bootstrap) {
     Add(differences, path + "bootstrap", false);
+  }
 }
 
 void Compare(const schema::BudgetSettings& before,
              const schema::BudgetSettings& after, const std::string& path,
              Differences& differences) {
-  if (before.ratio != after.ratio) Add(differences, path + "ratio", false);
-  if (before.slack != after.slack) Add(differences, path + "slack", false);
-  if (before.window != after.window) Add(differences, path + "window", false);
+  if (before.ratio != after.ratio) {
+    Add(differences, path + "ratio", false);
+  }
+  if (before.slack != after.slack) {
+    Add(differences, path + "slack", false);
+  }
+  if (before.window != after.window) {
+    Add(differences, path + "window", false);
+  }
 }
 
 void Compare(const schema::SecuritySettings& before,
              const schema::SecuritySettings& after, const std::string& path,
              Differences& differences) {
-  if (before.cluster != after.cluster)
+  if (before.cluster != after.cluster) {
     Add(differences, path + "cluster", false);
-  if (before.peer_key_file != after.peer_key_file)
+  }
+  if (before.peer_key_file != after.peer_key_file) {
     Add(differences, path + "peer_key_file", false);
-  if (before.operator_token_file != after.operator_token_file)
+  }
+  if (before.operator_token_file != after.operator_token_file) {
     Add(differences, path + "operator_token_file", false);
-  if (before.open != after.open) Add(differences, path + "open", false);
-  if (before.upstream_networks != after.upstream_networks)
+  }
+  if (before.open != after.open) {
+    Add(differences, path + "open", false);
+  }
+  if (before.upstream_networks != after.upstream_networks) {
     Add(differences, path + "upstream_networks", false);
+  }
 }
 
 void Compare(const schema::LimitSettings& before,
              const schema::LimitSettings& after, const std::string& path,
              Differences& differences) {
-  if (before.max_body_bytes != after.max_body_bytes)
+  if (before.max_body_bytes != after.max_body_bytes) {
     Add(differences, path + "max_body_bytes", false);
-  if (before.drain_timeout != after.drain_timeout)
+  }
+  if (before.drain_timeout != after.drain_timeout) {
     Add(differences, path + "drain_timeout", false);
-  if (before.revocation != after.revocation)
+  }
+  if (before.revocation != after.revocation) {
     Add(differences, path + "revocation", false);
-  if (before.upstream_silence != after.upstream_silence)
+  }
+  if (before.upstream_silence != after.upstream_silence) {
     Add(differences, path + "upstream_silence", false);
-  if (before.upstream_heartbeat != after.upstream_heartbeat)
+  }
+  if (before.upstream_heartbeat != after.upstream_heartbeat) {
     Add(differences, path + "upstream_heartbeat", false);
-  if (before.grace != after.grace) Add(differences, path + "grace", true);
+  }
+  if (before.grace != after.grace) {
+    Add(differences, path + "grace", true);
+  }
 }
 
 void Compare(const schema::LogSettings& before,
              const schema::LogSettings& after, const std::string& path,
              Differences& differences) {
-  if (before.level != after.level) Add(differences, path + "level", true);
-  if (before.file != after.file) Add(differences, path + "file", false);
+  if (before.level != after.level) {
+    Add(differences, path + "level", true);
+  }
+  if (before.file != after.file) {
+    Add(differences, path + "file", false);
+  }
 }
 
 void Compare(const schema::Settings& before, const schema::Settings& after,
              const std::string& path, Differences& differences) {
   Compare(before.host, after.host, path + "host.", differences);
   Compare(before.listeners, after.listeners, path + "listeners.", differences);
-  if (before.peers != after.peers) Add(differences, path + "peers", false);
+  if (before.peers != after.peers) {
+    Add(differences, path + "peers", false);
+  }
   Compare(before.security, after.security, path + "security.", differences);
   Compare(before.limits, after.limits, path + "limits.", differences);
   Compare(before.log, after.log, path + "log.", differences);
