Call one piece where the change had written several

Found on reading the change again; nothing a caller, upstream or operator sees differs, but for IPv6 addresses in brackets, which net now takes as the settings always have.

- net::ParseEndpoint repeated transport's without the brackets: transport calls net's, its own is gone (layers.yaml names the dependency).
- core::Part was written in gateway_serve, pace and, spelt out, in proxy and relay.
- Hosts set an address in two places and asked twice whether a host is alive: SetAddress, Alive.
- The keys that a reload takes over stood in the schema and in Reload::Read: TakeLive is generated from the schema.

--- a/src/foxquay/core/time.h
+++ b/src/foxquay/core/time.h
@@ -22,6 +22,11 @@
   return duration + duration * kClockErrorPerMille / 1000 + Duration(1);
 }
 
+/// Returns a part of a duration, rounded towards zero. Thread-safe.
+[[nodiscard]] constexpr Duration Part(Duration whole, double part) noexcept {
+  return std::chrono::duration_cast<Duration>(whole * part);
+}
+
 }  // namespace foxquay::core
 
 #endif  // FOXQUAY_CORE_TIME_H_
--- a/src/foxquay/daemon/control_hosts.cc
+++ b/src/foxquay/daemon/control_hosts.cc
@@ -3,6 +3,19 @@
 #include <algorithm>
 
 namespace foxquay::daemon {
+namespace internal {
+
+/// Sets what a host states of itself; its reports stay.
+void SetAddress(HostView& view, const schema::HostAddress& address) {
+  view.id = address.id;
+  view.peer = address.peer;
+  view.caller = address.caller;
+  view.data_centre = address.data_centre;
+  view.region = address.region;
+  view.control = address.control;
+}
+
+}  // namespace internal
 
 Hosts::Hosts(const schema::Settings& settings) : self_(settings.host.id) {
   const auto& roles = settings.host.roles;
@@ -27,12 +40,9 @@
   entry.configured = true;
   if (!inserted) return false;
   order_.push_back(peer.id);
-  entry.view.id = peer.id;
-  entry.view.peer = peer.address;
-  entry.view.caller = peer.caller;
-  entry.view.data_centre = peer.data_centre;
-  entry.view.region = peer.region;
-  entry.view.control = peer.control;
+  internal::SetAddress(entry.view,
+                       {peer.id, 0, peer.address, peer.caller, peer.data_centre,
+                        peer.region, peer.control});
   return true;
 }
 
@@ -72,12 +82,7 @@
   }
   const bool moved = inserted || entry.view.peer != address.peer;
   entry.stated = address.incarnation;
-  entry.view.id = address.id;
-  entry.view.peer = address.peer;
-  entry.view.caller = address.caller;
-  entry.view.data_centre = address.data_centre;
-  entry.view.region = address.region;
-  entry.view.control = address.control;
+  internal::SetAddress(entry.view, address);
   return moved;
 }
 
@@ -116,8 +121,7 @@
   for (const core::HostId& id : order_) {
     const Entry& entry = entries_.at(id);
     HostView view = entry.view;
-    view.alive =
-        id == self_ || (entry.reported && now - entry.heard <= kHostSilence);
+    view.alive = Alive(id, entry, now);
     views.push_back(std::move(view));
   }
   return views;
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -61,10 +61,6 @@
   return budget;
 }
 
-core::Duration Part(core::Duration whole, double part) {
-  return std::chrono::duration_cast<core::Duration>(whole * part);
-}
-
 /// The process: one thread for traffic and one for control.
 class Process {
  public:
@@ -288,9 +284,10 @@
       if (since >= kControlLinger) context_.stop();
       return;
     }
-    if (since < Part(grace_, kAcceptPart)) return;
+    if (since < core::Part(grace_, kAcceptPart)) return;
     proxy_.StopAccepting();
-    if (proxy_.open() == 0 || since >= Part(grace_, kEndPart)) context_.stop();
+    if (proxy_.open() == 0 || since >= core::Part(grace_, kEndPart))
+      context_.stop();
   }
 
   void Tick() {
--- a/src/foxquay/daemon/reload.cc
+++ b/src/foxquay/daemon/reload.cc
@@ -47,9 +47,7 @@
       differences.begin(), differences.end(),
       [](const settings::Difference& difference) { return difference.live; });
   if (!live) return std::nullopt;
-  running_.join.seeds = loaded.settings.join.seeds;
-  running_.limits.grace = loaded.settings.limits.grace;
-  running_.log.level = loaded.settings.log.level;
+  settings::TakeLive(loaded.settings, running_);
   return running_;
 }
 
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -50,7 +50,7 @@
 core::Duration StallOf(const schema::Route& route) {
   const core::Duration patience =
       std::max({kMinPatience, route.target_latency * 4, route.target_gap * 8});
-  return std::chrono::duration_cast<core::Duration>(patience * kStallPart);
+  return core::Part(patience, kStallPart);
 }
 
 double Milliseconds(core::Duration duration) {
--- a/src/foxquay/net/client.cc
+++ b/src/foxquay/net/client.cc
@@ -124,29 +124,15 @@
 }
 
 void Client::WaitRead(SocketId id) {
-  Connection& connection = connections_.at(id);
-  if (connection.read_waiting) return;
-  connection.read_waiting = true;
-  connection.socket.async_wait(Tcp::socket::wait_read,
-                               [this, id](const boost::system::error_code&) {
-                                 const auto found = connections_.find(id);
-                                 if (found == connections_.end()) return;
-                                 found->second.read_waiting = false;
-                                 HandleReadable(id);
-                               });
+  AwaitReady(connections_, id, Tcp::socket::wait_read,
+             &Connection::read_waiting,
+             [this](SocketId ready) { HandleReadable(ready); });
 }
 
 void Client::WaitWrite(SocketId id) {
-  Connection& connection = connections_.at(id);
-  if (connection.write_waiting) return;
-  connection.write_waiting = true;
-  connection.socket.async_wait(Tcp::socket::wait_write,
-                               [this, id](const boost::system::error_code&) {
-                                 const auto found = connections_.find(id);
-                                 if (found == connections_.end()) return;
-                                 found->second.write_waiting = false;
-                                 Flush(id);
-                               });
+  AwaitReady(connections_, id, Tcp::socket::wait_write,
+             &Connection::write_waiting,
+             [this](SocketId ready) { Flush(ready); });
 }
 
 void Client::HandleReadable(SocketId id) {
--- a/src/foxquay/net/socket.cc
+++ b/src/foxquay/net/socket.cc
@@ -24,9 +24,12 @@
   std::uint16_t port = 0;
   const char* end = address.data() + address.size();
   const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+  std::string host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
   boost::system::error_code error;
-  const auto ip =
-      boost::asio::ip::make_address(address.substr(0, colon), error);
+  const auto ip = boost::asio::ip::make_address(host, error);
   if (error || parsed.ec != std::errc() || parsed.ptr != end) {
     return make_error_code(core::Error::kInvalid);
   }
--- a/src/foxquay/relay/pace.cc
+++ b/src/foxquay/relay/pace.cc
@@ -21,10 +21,6 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-core::Duration Part(core::Duration duration, double part) {
-  return std::chrono::duration_cast<core::Duration>(duration * part);
-}
-
 }  // namespace internal
 
 void Pace::Note(core::Duration observed, core::Instant now) {
@@ -32,7 +28,7 @@
     average_ = observed;
     best_ = observed;
   } else {
-    *average_ += internal::Part(observed - *average_, internal::kWeight);
+    *average_ += core::Part(observed - *average_, internal::kWeight);
     best_ = std::min(best_, *average_);
   }
   noted_ = now;
@@ -41,10 +37,10 @@
 core::Duration Pace::Lag(core::Instant now) const {
   if (!average_) return {};
   const core::Duration lag =
-      *average_ - best_ - internal::Part(best_, internal::kVariation);
+      *average_ - best_ - core::Part(best_, internal::kVariation);
   if (lag <= core::Duration::zero()) return {};
   const double idle = internal::Seconds(now - noted_);
-  return internal::Part(lag, std::exp(-idle / internal::kFadeSeconds));
+  return core::Part(lag, std::exp(-idle / internal::kFadeSeconds));
 }
 
 core::Duration Pace::Time(core::Instant now) const {
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -62,7 +62,7 @@
 
 core::Duration Relay::Spread(core::Duration duration) {
   std::uniform_real_distribution<double> factor(0.75, 1.25);
-  return std::chrono::duration_cast<core::Duration>(duration * factor(random_));
+  return core::Part(duration, factor(random_));
 }
 
 Decision Relay::Arrive(core::RequestId id, Intake intake, core::Instant now) {
--- a/src/foxquay/settings/difference.h
+++ b/src/foxquay/settings/difference.h
@@ -23,6 +23,9 @@
 [[nodiscard]] Differences Compare(const schema::Settings& before,
                                   const schema::Settings& after);
 
+/// Takes over the keys that a running host takes up. Thread-safe.
+void TakeLive(const schema::Settings& read, schema::Settings& running);
+
 }  // namespace foxquay::settings
 
 #endif  // FOXQUAY_SETTINGS_DIFFERENCE_H_
--- a/src/foxquay/settings/difference_generated.cc
+++ b/src/foxquay/settings/difference_generated.cc
@@ -161,4 +161,10 @@
   return differences;
 }
 
+void TakeLive(const schema::Settings& read, schema::Settings& running) {
+  running.limits.grace = read.limits.grace;
+  running.log.level = read.log.level;
+  running.join.seeds = read.join.seeds;
+}
+
 }  // namespace foxquay::settings
--- a/src/foxquay/transport/links.cc
+++ b/src/foxquay/transport/links.cc
@@ -6,9 +6,10 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <cassert>
-#include <charconv>
 #include <utility>
 
+#include "foxquay/net/socket.h"
+
 namespace foxquay::transport {
 namespace internal {
 
@@ -34,25 +35,6 @@
 
 }  // namespace internal
 
-core::Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(
-    const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos) return make_error_code(core::Error::kInvalid);
-  std::uint16_t port = 0;
-  const char* end = address.data() + address.size();
-  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-  std::string host = address.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  boost::system::error_code error;
-  const auto ip = boost::asio::ip::make_address(host, error);
-  if (error || parsed.ec != std::errc() || parsed.ptr != end) {
-    return make_error_code(core::Error::kInvalid);
-  }
-  return boost::asio::ip::tcp::endpoint(ip, port);
-}
-
 Links::Links(boost::asio::io_context& context, LinkOptions options, Seal seal,
              Handler handler)
     : context_(context),
@@ -64,7 +46,7 @@
       datagram_buffer_(kMaxSealedBytes, '\0') {}
 
 std::error_code Links::Start() {
-  const auto endpoint = ParseEndpoint(options_.address);
+  const auto endpoint = net::ParseEndpoint(options_.address);
   if (!endpoint) return endpoint.error();
   const Udp::endpoint udp(endpoint.value().address(), endpoint.value().port());
   boost::system::error_code error;
@@ -87,7 +69,7 @@
 
 std::error_code Links::SetPeer(const core::HostId& host,
                                const std::string& address) {
-  const auto endpoint = ParseEndpoint(address);
+  const auto endpoint = net::ParseEndpoint(address);
   if (!endpoint) return endpoint.error();
   Peer& peer = peers_.try_emplace(host, context_).first->second;
   if (peer.endpoint == endpoint.value()) return {};
--- a/src/foxquay/transport/links.h
+++ b/src/foxquay/transport/links.h
@@ -149,10 +149,6 @@
   LinkCounters counters_;
 };
 
-/// Parses `IP:PORT`; Error::kInvalid if it is not one.
-[[nodiscard]] core::Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(
-    const std::string& address);
-
 }  // namespace foxquay::transport
 
 #endif  // FOXQUAY_TRANSPORT_LINKS_H_
--- a/tests/foxquay/transport/links_test.cc
+++ b/tests/foxquay/transport/links_test.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "foxquay/net/socket.h"
+
 namespace foxquay::transport {
 namespace {
 
@@ -92,7 +94,7 @@
 TEST_CASE("an oversized frame closes the connection") {
   Pair pair("c", "key");
   boost::asio::ip::tcp::socket socket(pair.context);
-  socket.connect(ParseEndpoint(pair.b_address).value());
+  socket.connect(net::ParseEndpoint(pair.b_address).value());
   boost::asio::write(socket, boost::asio::buffer(std::string(4, '\xff')));
   pair.RunUntil([&] { return pair.b.counters().rejected == 1; });
   CHECK(pair.b.counters().rejected == 1);
