--- a/src/foxquay/daemon/control_server.cc
+++ b/src/foxquay/daemon/control_server.cc
@@ -20,7 +20,7 @@
 }
 
 net::Response Unavailable(const std::string& reason) {
-  return net::MakeResponse(503, "text/plain", reason + "\n");
+  return net::MakeRefusal(503, reason, std::nullopt);
 }
 
 }  // namespace internal
--- a/src/foxquay/net/message.cc
+++ b/src/foxquay/net/message.cc
@@ -45,6 +45,19 @@
   return response;
 }
 
+Response MakeRefusal(unsigned status, std::string_view reason,
+                     std::optional<core::Duration> retry_after) {
+  Response response =
+      MakeResponse(status, "text/plain", std::string(reason) + "\n");
+  if (retry_after) {
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f",
+                  std::chrono::duration<double>(*retry_after).count());
+    response.fields.set(internal::http::field::retry_after, text.data());
+  }
+  return response;
+}
+
 void RemoveHopFields(Fields& fields) {
   using internal::http::field;
   std::vector<std::string> named;
--- a/src/foxquay/net/message.h
+++ b/src/foxquay/net/message.h
@@ -1,8 +1,11 @@
 #ifndef FOXQUAY_NET_MESSAGE_H_
 #define FOXQUAY_NET_MESSAGE_H_
 
+#include <optional>
 #include <string>
+#include <string_view>
 
+#include "foxquay/core/time.h"
 #include "foxquay/net/fwd.h"
 
 namespace foxquay::net {
@@ -26,6 +29,11 @@
 [[nodiscard]] Response MakeResponse(unsigned status, const std::string& type,
                                     std::string body);
 
+/// Returns a response that says why a request is not served and, if known, when
+/// to return. Thread-safe.
+[[nodiscard]] Response MakeRefusal(unsigned status, std::string_view reason,
+                                   std::optional<core::Duration> retry_after);
+
 /// Removes the fields that concern only one connection, and those that the
 /// field Connection names. Thread-safe.
 void RemoveHopFields(Fields& fields);
--- a/tests/foxquay/settings/difference_test.cc
+++ b/tests/foxquay/settings/difference_test.cc
@@ -24,4 +24,17 @@
   CHECK(Compare({}, after) == expected);
 }
 
+// Guards against a key that is logged as taking effect and is not taken over,
+// or the other way round.
+TEST_CASE("what takes effect at once is what is taken over") {
+  schema::Settings read;
+  read.limits.grace = std::chrono::seconds(1);
+  read.limits.revocation = std::chrono::seconds(1);
+  read.log.level = "debug";
+  read.join.seeds = {"127.0.0.1:1"};
+  schema::Settings running;
+  TakeLive(read, running);
+  CHECK(Compare(running, read) == Differences{{"limits.revocation", false}});
+}
+
 }  // namespace foxquay::settings
