--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -286,8 +286,9 @@
     }
     if (since < core::Part(grace_, kAcceptPart)) return;
     proxy_.StopAccepting();
-    if (proxy_.open() == 0 || since >= core::Part(grace_, kEndPart))
+    if (proxy_.open() == 0 || since >= core::Part(grace_, kEndPart)) {
       context_.stop();
+    }
   }
 
   void Tick() {
