--- a/src/foxquay/control/observer.cc
+++ b/src/foxquay/control/observer.cc
@@ -15,8 +15,11 @@
 }  // namespace internal
 
 Observer::Observer(core::HostId host, std::uint64_t incarnation,
-                   core::Duration lease)
-    : host_(std::move(host)), incarnation_(incarnation), lease_(lease) {}
+                   core::Duration lease, bool requires_registration)
+    : host_(std::move(host)),
+      incarnation_(incarnation),
+      lease_(lease),
+      requires_registration_(requires_registration) {}
 
 void Observer::SetIncarnation(std::uint64_t incarnation) {
   incarnation_ = incarnation;
@@ -92,7 +95,7 @@
 Admission Observer::Admit(core::Instant now) const {
   const std::optional<core::Instant> end = LeaseEnd();
   if (!end || now >= *end) return {AdmissionState::kNoLease, {}};
-  if (!config_.Live(host_, incarnation_)) {
+  if (requires_registration_ && !config_.Live(host_, incarnation_)) {
     return {AdmissionState::kNotRegistered, {}};
   }
   return {AdmissionState::kOpen, *end};
--- a/src/foxquay/control/observer.h
+++ b/src/foxquay/control/observer.h
@@ -39,10 +39,14 @@
 /// Not thread-safe. Performs no I/O and persists nothing.
 class Observer {
  public:
+  /// A host that makes no claims needs no registration: nothing in the
+  /// replicated state refers to its incarnation.
+  ///
   /// Preconditions: `incarnation` is larger than all previous ones of this
   /// host; all hosts use the same `lease`.
   Observer(core::HostId host, std::uint64_t incarnation,
-           core::Duration lease = kConfigLease);
+           core::Duration lease = kConfigLease,
+           bool requires_registration = true);
 
   /// Switches to a new incarnation, for example after the current one was ended
   /// by mistake. Replies to polls of the previous incarnation are ignored.
@@ -98,6 +102,7 @@
   core::HostId host_;
   std::uint64_t incarnation_ = 0;
   core::Duration lease_;
+  bool requires_registration_ = true;
   std::uint64_t fleet_version_ = 0;
   std::string fleet_;
   std::uint64_t next_poll_ = 1;
--- a/src/foxquay/daemon/control_fleet.cc
+++ b/src/foxquay/daemon/control_fleet.cc
@@ -97,8 +97,10 @@
 
 void ControlNode::ReportSuspected(std::vector<core::UpstreamId> upstreams) {
   boost::asio::post(context_, [this, upstreams = std::move(upstreams)] {
-    const core::HostId leader = KnownLeader();
-    if (!leader.empty()) Send(leader, schema::UpstreamDoubts{upstreams});
+    // The parent passes the report on to the leader.
+    const core::HostId to =
+        parent_ ? parent_->parent().value_or(core::HostId()) : KnownLeader();
+    if (!to.empty()) Send(to, schema::UpstreamDoubts{upstreams});
   });
 }
 
@@ -106,6 +108,12 @@
                      const schema::UpstreamDoubts& report) {
   if (!sink_.probe_upstreams) return;
   const core::Instant now = Now();
+  const bool from_follower = follower_requests_.contains(from.sender);
+  const core::HostId leader = KnownLeader();
+  if (from_follower && !leader.empty() && leader != self_) {
+    Send(leader, report);
+    return;
+  }
   std::erase_if(suspected_, [now](const auto& item) {
     return now - item.second > internal::kSuspicionDuration;
   });
--- /dev/null
+++ b/src/foxquay/daemon/control_follow.cc
@@ -0,0 +1,135 @@
+// Hosts that follow a control host, and the states of hosts that result.
+#include <algorithm>
+#include <utility>
+
+#include "foxquay/daemon/clock.h"
+#include "foxquay/daemon/control_node.h"
+#include "foxquay/log/log.h"
+
+namespace foxquay::daemon {
+namespace internal {
+
+/// Age of a confirmation above which a parent does not count as confirmed: one
+/// poll of the leader has failed.
+constexpr core::Duration kMaxConfirmationAge = std::chrono::milliseconds(1000);
+
+/// Age above which a feed is requested from its own host. Well below the age
+/// at which its upstreams are dropped.
+constexpr core::Duration kStaleFeedAge = std::chrono::milliseconds(1500);
+
+}  // namespace internal
+
+schema::HostAddress ControlNode::OwnAddress() const {
+  const HostView own = hosts_.Own();
+  return {self_,           observer_.incarnation(), own.peer,   own.caller,
+          own.data_centre, own.region,              own.control};
+}
+
+void ControlNode::UpdateParentCandidates() {
+  if (!parent_) return;
+  std::vector<membership::ParentCandidate> candidates;
+  std::size_t followers = 0;
+  for (const HostView& view : hosts_.Views(Now())) {
+    if (!view.control) {
+      ++followers;
+      continue;
+    }
+    const bool near = view.data_centre == settings_.host.data_centre;
+    candidates.push_back({view.id, near});
+    if (const auto error = links_.SetPeer(view.id, view.peer)) {
+      log::Write(log::Level::kWarn, "peer_unnamed",
+                 {{"host", view.id}, {"error", error.message()}});
+    }
+  }
+  parent_->SetCandidates(std::move(candidates));
+  parent_->SetFollowers(followers);
+}
+
+void ControlNode::FollowParent(core::Instant now) {
+  const auto former = parent_->parent();
+  const std::vector<core::HostId> due =
+      parent_->Due(roster_.StaleFeeds(internal::kStaleFeedAge, now), now);
+  if (parent_->parent() != former) {
+    log::Write(log::Level::kInfo, "parent_changed",
+               {{"from", former.value_or(core::HostId())},
+                {"to", parent_->parent().value_or(core::HostId())}});
+  }
+  for (const core::HostId& host : due) {
+    schema::FollowerPoll poll;
+    poll.address = OwnAddress();
+    poll.report = OwnReport(now);
+    poll.number = next_report_++;
+    poll.config = observer_.StartPoll(now);
+    poll.roster = roster_.Poll(now);
+    Send(host, poll);
+  }
+}
+
+void ControlNode::On(const schema::Envelope& from,
+                     const schema::FollowerPoll& poll) {
+  if (poll.address.id != from.sender || parent_) return;
+  if (const auto error = links_.SetPeer(from.sender, poll.address.peer)) {
+    log::Write(log::Level::kWarn, "peer_unnamed",
+               {{"host", from.sender}, {"error", error.message()}});
+    return;
+  }
+  const core::Instant now = Now();
+  roster_.HearHost({poll.address, poll.number, poll.report.draining,
+                    poll.report.admitting, false},
+                   now);
+  follower_requests_[from.sender] = {now, poll.report.open_requests};
+  schema::FollowerReply reply;
+  reply.config = AnswerConfig(from.sender, poll.config, now);
+  reply.roster = roster_.Answer(poll.roster, now);
+  reply.open_requests = total_open_;
+  Send(from.sender, std::move(reply));
+}
+
+void ControlNode::On(const schema::Envelope& from,
+                     const schema::FollowerReply& reply) {
+  if (!parent_) return;
+  const core::Instant now = Now();
+  const bool confirmed =
+      reply.config && reply.config->age <= internal::kMaxConfirmationAge;
+  if (reply.config) {
+    if (observer_.HandleReply(*reply.config)) PublishPolicy();
+    PublishAdmission(now);
+  }
+  roster_.Apply(reply.roster, now);
+  PublishRoster(now);
+  const auto former = parent_->parent();
+  parent_->HandleReply(from.sender, confirmed, now);
+  if (parent_->parent() != former) {
+    log::Write(log::Level::kInfo, "parent_changed",
+               {{"from", former.value_or(core::HostId())},
+                {"to", from.sender}});
+  }
+  if (sink_.set_open_requests) sink_.set_open_requests(reply.open_requests);
+}
+
+void ControlNode::FollowHosts(core::Instant now) {
+  const bool changed = followed_changes_ != roster_.changes();
+  if (!changed && now < next_hosts_review_) return;
+  for (const schema::HostState& state : roster_.Hosts(now)) {
+    hosts_.Follow(state, now);
+  }
+  if (!changed) return;
+  followed_changes_ = roster_.changes();
+  next_hosts_review_ = now;
+  UpdateParentCandidates();
+}
+
+void ControlNode::SumOpenRequests(core::Instant now) {
+  const auto sum = [now](std::map<core::HostId, ReportedRequests>& reports) {
+    std::erase_if(reports, [now](const auto& item) {
+      return now - item.second.reported_at > kHostSilence;
+    });
+    std::uint64_t total = 0;
+    for (const auto& [host, report] : reports) total += report.open;
+    return total;
+  };
+  followers_open_ = sum(follower_requests_);
+  total_open_ = followers_open_ + sum(control_requests_);
+}
+
+}  // namespace foxquay::daemon
--- a/src/foxquay/daemon/control_hosts.cc
+++ b/src/foxquay/daemon/control_hosts.cc
@@ -67,8 +67,29 @@
 
 bool Hosts::IsAlive(const core::HostId& id, const Entry& entry,
                     core::Instant now) const {
-  return id == self_ ||
-         (entry.reported && now - entry.last_heard <= kHostSilence);
+  if (id == self_) return true;
+  if (entry.followed) return !entry.silent;
+  return entry.reported && now - entry.last_heard <= kHostSilence;
+}
+
+void Hosts::Follow(const schema::HostState& state, core::Instant now) {
+  const core::HostId& id = state.address.id;
+  if (id == self_) return;
+  if (state.silent && !entries_.contains(id)) return;
+  const auto [found, inserted] = entries_.try_emplace(id, Entry{});
+  Entry& entry = found->second;
+  if (inserted) order_.push_back(id);
+  entry.followed = true;
+  entry.silent = state.silent;
+  if (!state.silent) entry.last_heard = now;
+  if (entry.address_incarnation != state.address.incarnation) {
+    entry.address_incarnation = state.address.incarnation;
+    internal::SetAddress(entry.view, state.address);
+    entry.view.incarnation = state.address.incarnation;
+  }
+  entry.view.report.draining = state.draining;
+  entry.view.report.admitting = state.admitting;
+  entry.view.report.free_percent = 100;
 }
 
 bool Hosts::HandleAddress(const schema::HostAddress& address,
@@ -88,12 +109,13 @@
   return moved;
 }
 
-schema::HostList Hosts::ListAlive(core::Instant now) const {
+schema::HostList Hosts::ListAlive(bool control_only, core::Instant now) const {
   schema::HostList list;
   for (const core::HostId& id : order_) {
     const Entry& entry = entries_.at(id);
     if (!IsAlive(id, entry, now)) continue;
     const HostView& view = entry.view;
+    if (control_only && !view.control) continue;
     list.hosts.push_back({id, view.incarnation, view.peer, view.caller,
                           view.data_centre, view.region, view.control});
   }
--- a/src/foxquay/daemon/control_hosts.h
+++ b/src/foxquay/daemon/control_hosts.h
@@ -10,6 +10,7 @@
 #include "foxquay/core/time.h"
 #include "foxquay/entry/answer.h"
 #include "foxquay/entry/distances.h"
+#include "foxquay/roster/roster.h"
 #include "foxquay/schema/peer.h"
 #include "foxquay/schema/settings.h"
 
@@ -17,7 +18,7 @@
 
 /// Time without a report after which a host no longer counts as alive and is
 /// left out of entry answers.
-inline constexpr core::Duration kHostSilence = std::chrono::milliseconds(1500);
+inline constexpr core::Duration kHostSilence = roster::kHostSilence;
 
 /// Time without a report after which a host that is not in the settings is
 /// removed.
@@ -54,9 +55,15 @@
   /// Returns whether the host is new or its peer address has changed.
   bool HandleAddress(const schema::HostAddress& address, core::Instant now);
 
+  /// Stores the state of a host as the feeds of the control hosts hold it; from
+  /// then on, these decide whether the host is alive. Ignores this host and
+  /// unknown hosts that are silent.
+  void Follow(const schema::HostState& state, core::Instant now);
+
   /// Returns the hosts to announce to others: this one and those that are
-  /// alive.
-  [[nodiscard]] schema::HostList ListAlive(core::Instant now) const;
+  /// alive, with `control_only` only those with the role control.
+  [[nodiscard]] schema::HostList ListAlive(bool control_only,
+                                           core::Instant now) const;
 
   /// Adds a host of the settings, which is never removed; returns whether it is
   /// new. A known host keeps its addresses.
@@ -78,6 +85,9 @@
   /// Returns whether a host has the role control.
   [[nodiscard]] bool IsControl(const core::HostId& host) const;
 
+  /// Returns this host.
+  [[nodiscard]] const HostView& Own() const { return entries_.at(self_).view; }
+
   /// Returns all hosts, this one first.
   [[nodiscard]] std::vector<HostView> Views(core::Instant now) const;
 
@@ -87,6 +97,8 @@
     core::Instant last_heard;
     bool reported = false;
     bool configured = false;  ///< In the settings.
+    bool followed = false;    ///< Known from the feeds of control hosts.
+    bool silent = false;      ///< Silent according to these feeds.
     /// Incarnation that announced the addresses.
     std::uint64_t address_incarnation = 0;
   };
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -122,7 +122,8 @@
           transport::MessageAuthenticator(settings.security.cluster,
                                           std::move(peer_key)),
           [this](schema::Envelope envelope) { Receive(std::move(envelope)); }),
-      observer_(self_, incarnation, internal::LeaseDuration(settings)),
+      observer_(self_, incarnation, internal::LeaseDuration(settings),
+                static_cast<bool>(sink_.decide_claim)),
       roster_(self_, incarnation, internal::RosterOptions(settings)),
       hosts_(settings_),
       proposer_(incarnation, internal::ControlHosts(settings_),
@@ -150,6 +151,10 @@
     }
     StartReplica(std::move(durable).value());
   }
+  if (uses_seeds() && !disk_) {
+    parent_.emplace(self_);
+    UpdateParentCandidates();
+  }
   if (const std::error_code error = links_.Start()) return error;
   for (const schema::PeerSettings& peer : settings_.peers) {
     if (const std::error_code error = links_.SetPeer(peer.id, peer.address)) {
@@ -176,6 +181,7 @@
       peers_.push_back(peer.id);
       log::Write(log::Level::kInfo, "seed_added", {{"host", peer.id}});
     }
+    UpdateParentCandidates();
   });
 }
 
@@ -241,10 +247,15 @@
   AnswerFleetReads(now);
   PublishLeadership();
   ProbeOverdue(now);
-  if (now >= next_config_poll_) PollConfig(now);
-  if (now >= next_roster_poll_) PollRoster(now);
+  if (parent_) {
+    FollowParent(now);
+  } else {
+    if (now >= next_config_poll_) PollConfig(now);
+    if (now >= next_roster_poll_) PollRoster(now);
+  }
   if (now >= next_gossip_) GossipHosts(now);
-  Register(now);
+  if (uses_seeds()) FollowHosts(now);
+  if (sink_.decide_claim) Register(now);
   EndSilentIncarnations(now);
   PublishAdmission(now);
   PublishRoster(now);
@@ -313,7 +324,12 @@
   boost::asio::post(context_, [this] {
     draining_ = true;
     const core::Instant now = Now();
-    PollRoster(now);
+    if (parent_) {
+      FollowParent(now);
+    } else {
+      PollRoster(now);
+    }
+    next_hosts_review_ = now;
     PublishHosts(now);
   });
 }
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -28,6 +28,7 @@
 #include "foxquay/daemon/hooks.h"
 #include "foxquay/dispatch/event.h"
 #include "foxquay/entry/distances.h"
+#include "foxquay/membership/parent_selector.h"
 #include "foxquay/roster/roster.h"
 #include "foxquay/schema/peer.h"
 #include "foxquay/schema/settings.h"
@@ -55,12 +56,13 @@
 inline constexpr core::Duration kIncarnationSilence = std::chrono::seconds(10);
 
 /// Callbacks from the control node to the traffic side. Called on the control
-/// thread. set_fleet, probe_upstreams, set_entry_hosts and set_leadership may
-/// be empty.
+/// thread. set_fleet, probe_upstreams, set_entry_hosts, set_open_requests and
+/// set_leadership may be empty.
 struct ControlSink {
   std::function<void(std::vector<schema::Announcement>)> set_upstreams;
   std::function<void(dispatch::PolicyChanged)> set_policy;
   std::function<void(dispatch::AdmissionChanged)> set_admission;
+  /// Empty on a host that makes no claims, which is not registered then.
   std::function<void(dispatch::ClaimDecided)> decide_claim;
   /// Version of the fleet configuration, and its encoded content.
   std::function<void(std::uint64_t, const std::string&)> set_fleet;
@@ -72,6 +74,8 @@
   std::function<void(const std::vector<schema::Announcement>&)> probe_upstreams;
   /// Number of known hosts that serve callers, this one included.
   std::function<void(std::size_t)> set_entry_hosts;
+  /// Requests that have not ended at any host, as known to the control hosts.
+  std::function<void(std::uint64_t)> set_open_requests;
   /// Whether this host's replica leads, and its term.
   std::function<void(bool, std::uint64_t)> set_leadership;
 };
@@ -229,6 +233,8 @@
   void On(const schema::Envelope& from, const schema::HostReport& report);
   void On(const schema::Envelope& from, const schema::HostList& list);
   void On(const schema::Envelope& from, const schema::UpstreamDoubts& report);
+  void On(const schema::Envelope& from, const schema::FollowerPoll& poll);
+  void On(const schema::Envelope& from, const schema::FollowerReply& reply);
 
   bool NeedsHostList(const core::HostId& sender, const schema::HostList& list,
                      core::Instant now);
@@ -239,6 +245,25 @@
                      const schema::ProposeRequest& request);
   void StartReplica(consensus::PersistentState durable);
   void SyncObserver();
+  /// Returns the reply to a configuration poll, or nothing if this host cannot
+  /// confirm a configuration.
+  [[nodiscard]] std::optional<schema::ConfigReply> AnswerConfig(
+      const core::HostId& sender, const schema::ConfigPoll& poll,
+      core::Instant now);
+  /// Returns whether hosts find each other through seeds. The control hosts then
+  /// talk to each other, and every other host to one of them.
+  [[nodiscard]] bool uses_seeds() const {
+    return !settings_.join.seeds.empty();
+  }
+  [[nodiscard]] schema::HostReport OwnReport(core::Instant now);
+  [[nodiscard]] schema::HostAddress OwnAddress() const;
+  /// Polls the control host that this host follows.
+  void FollowParent(core::Instant now);
+  void UpdateParentCandidates();
+  /// Takes the states of hosts over from the feeds.
+  void FollowHosts(core::Instant now);
+  /// Sums up the open requests that hosts have reported.
+  void SumOpenRequests(core::Instant now);
   void PollConfig(core::Instant now);
   void PollRoster(core::Instant now);
   void GossipHosts(core::Instant now);
@@ -276,9 +301,23 @@
   roster::Roster roster_;
   Hosts hosts_;
   Proposer proposer_;
+  /// Set on a host that follows a control host.
+  std::optional<membership::ParentSelector> parent_;
+  std::uint64_t next_report_ = 1;  ///< Number of the next report.
   std::unique_ptr<ControlDisk> disk_;
   std::optional<ControlReplica> replica_;
 
+  /// Open requests that a host reported, and when.
+  struct ReportedRequests {
+    core::Instant reported_at;
+    std::uint64_t open = 0;
+  };
+
+  std::map<core::HostId, ReportedRequests> follower_requests_;
+  /// Of the followers of other control hosts.
+  std::map<core::HostId, ReportedRequests> control_requests_;
+  std::uint64_t followers_open_ = 0;  ///< Sum over this host's followers.
+  std::uint64_t total_open_ = 0;      ///< Sum over all hosts.
   std::vector<core::HostId> peers_;
   /// When the host list was last sent to a control host that did not list this
   /// host.
@@ -296,6 +335,10 @@
   std::uint64_t published_sequence_ = UINT64_MAX;
   std::optional<dispatch::AdmissionChanged> published_admission_;
   std::vector<schema::Announcement> published_upstreams_;
+  std::uint64_t reviewed_changes_ = UINT64_MAX;  ///< Of the roster's upstreams.
+  core::Instant next_roster_review_{};
+  std::uint64_t followed_changes_ = UINT64_MAX;  ///< Of the roster's hosts.
+  core::Instant next_hosts_review_{};
   std::map<core::RequestId, OpenClaim> claims_;
   /// Last configuration poll of each host, while this host leads.
   std::map<core::HostId, core::Instant> last_config_poll_;
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -14,6 +14,10 @@
 /// Minimum interval between two registrations of this host.
 constexpr core::Duration kRegistrationInterval = std::chrono::milliseconds(500);
 
+/// Interval at which the lists of upstreams and hosts are compared with those
+/// published last; a fraction of the bounds on silent upstreams and hosts.
+constexpr core::Duration kReviewInterval = std::chrono::milliseconds(100);
+
 /// Returns whether two announcements differ in nothing that affects routing,
 /// that is, in sequence and load at most.
 bool EqualForRouting(const schema::Announcement& left,
@@ -55,27 +59,36 @@
   }
 }
 
-void ControlNode::PollRoster(core::Instant now) {
-  next_roster_poll_ = now + roster::kPollInterval;
+schema::HostReport ControlNode::OwnReport(core::Instant now) {
   schema::HostReport report;
   report.draining = draining_;
   report.admitting =
       observer_.Admit(now).state == control::AdmissionState::kOpen;
   report.free_percent = static_cast<std::uint8_t>(
       std::clamp(sink_.free_capacity(), 0.0, 1.0) * 100);
-  report.open_requests = static_cast<std::uint32_t>(sink_.open_requests());
+  report.open_requests = static_cast<std::uint32_t>(
+      followers_open_ + sink_.open_requests());
   report.revision = observer_.config().revision();
   if (replica_) {
     report.leader = replica_->leader();
     report.term = replica_->replica().term();
   }
   hosts_.SetOwnReport(observer_.incarnation(), report);
+  return report;
+}
+
+void ControlNode::PollRoster(core::Instant now) {
+  next_roster_poll_ = now + roster::kPollInterval;
+  SumOpenRequests(now);
+  const schema::HostReport report = OwnReport(now);
+  if (uses_seeds()) {
+    roster_.HearHost({OwnAddress(), next_report_++, report.draining,
+                      report.admitting, false},
+                     now);
+  }
   const std::string encoded = schema::Encode(schema::PeerMessage(report));
   for (const core::HostId& peer : peers_) {
     links_.SendDatagram(peer, encoded);
-    // If hosts find each other through seeds, only those with the role control
-    // receive announcements.
-    if (!settings_.join.seeds.empty() && !hosts_.IsControl(peer)) continue;
     Send(peer, roster_.Poll(now));
   }
 }
@@ -83,9 +96,9 @@
 void ControlNode::GossipHosts(core::Instant now) {
   next_gossip_ = now + kGossipInterval;
   RemoveSilentHosts(now);
-  if (peers_.empty()) return;
+  if (peers_.empty() || parent_) return;
   next_gossip_peer_ = (next_gossip_peer_ + 1) % peers_.size();
-  Send(peers_[next_gossip_peer_], hosts_.ListAlive(now));
+  Send(peers_[next_gossip_peer_], hosts_.ListAlive(uses_seeds(), now));
 }
 
 void ControlNode::RemoveSilentHosts(core::Instant now) {
@@ -165,7 +178,13 @@
 }
 
 void ControlNode::PublishRoster(core::Instant now) {
+  // Without a change, only the age of the feeds can change the result.
+  if (reviewed_changes_ == roster_.changes() && now < next_roster_review_) {
+    return;
+  }
+  next_roster_review_ = now + internal::kReviewInterval;
   std::vector<schema::Announcement> usable = roster_.Usable(now);
+  reviewed_changes_ = roster_.changes();
   const bool same =
       std::equal(usable.begin(), usable.end(), published_upstreams_.begin(),
                  published_upstreams_.end(), internal::EqualForRouting);
@@ -175,6 +194,8 @@
 }
 
 void ControlNode::PublishHosts(core::Instant now) {
+  if (now < next_hosts_review_) return;
+  next_hosts_review_ = now + internal::kReviewInterval;
   control::Subject subject;
   subject.data_centre = settings_.host.data_centre;
   subject.host = self_;
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -60,7 +60,9 @@
                {{"host", envelope.sender}});
     return;
   }
-  ContactUnknownSender(envelope.sender);
+  const bool follows =
+      std::holds_alternative<schema::FollowerPoll>(message.value());
+  if (!follows) ContactUnknownSender(envelope.sender);
   std::visit([&](auto& content) { On(envelope, std::move(content)); },
              message.value());
 }
@@ -69,7 +71,7 @@
 /// only the hosts that it started with. With seeds, the ID of a host is its IP
 /// address, so the address of the sender follows from its ID.
 void ControlNode::ContactUnknownSender(const core::HostId& sender) {
-  if (settings_.join.seeds.empty() || sender == self_) return;
+  if (!uses_seeds() || parent_ || sender == self_) return;
   if (hosts_.Contains(sender) || !contacted_.insert(sender).second) return;
   const std::string& own = settings_.listeners.peer;
   const std::string address = sender.value() + own.substr(own.rfind(':'));
@@ -78,7 +80,7 @@
                {{"host", sender}, {"error", error.message()}});
     return;
   }
-  Send(sender, hosts_.ListAlive(Now()));
+  Send(sender, hosts_.ListAlive(uses_seeds(), Now()));
 }
 
 void ControlNode::On(const schema::Envelope&,
@@ -87,15 +89,21 @@
   replica_->Handle(consensus::Received{std::move(message)}, Now());
 }
 
-void ControlNode::On(const schema::Envelope& from,
-                     const schema::ConfigPoll& poll) {
-  const core::Instant now = Now();
+std::optional<schema::ConfigReply> ControlNode::AnswerConfig(
+    const core::HostId& sender, const schema::ConfigPoll& poll,
+    core::Instant now) {
   std::optional<schema::ConfigReply> reply;
   if (replica_ && replica_->leads()) {
-    last_config_poll_[from.sender] = now;
+    last_config_poll_[sender] = now;
     reply = replica_->Answer(poll, now);
   }
   if (!reply) reply = observer_.Answer(poll, now);
+  return reply;
+}
+
+void ControlNode::On(const schema::Envelope& from,
+                     const schema::ConfigPoll& poll) {
+  auto reply = AnswerConfig(from.sender, poll, Now());
   if (reply) Send(from.sender, *std::move(reply));
 }
 
@@ -159,7 +167,11 @@
 
 void ControlNode::On(const schema::Envelope& from,
                      const schema::HostReport& report) {
-  hosts_.HandleReport(from.sender, from.incarnation, report, Now());
+  const core::Instant now = Now();
+  hosts_.HandleReport(from.sender, from.incarnation, report, now);
+  if (uses_seeds()) {
+    control_requests_[from.sender] = {now, report.open_requests};
+  }
   // Hosts without a replica report no leader, since they could pass on an
   // outdated one. An isolated former leader still reports itself, with its
   // lower term.
@@ -186,9 +198,11 @@
 
 void ControlNode::On(const schema::Envelope& from,
                      const schema::HostList& list) {
+  if (parent_) return;
   const core::Instant now = Now();
   bool joined = false;
   for (const schema::HostAddress& address : list.hosts) {
+    if (uses_seeds() && !address.control) continue;
     const bool known =
         std::find(peers_.begin(), peers_.end(), address.id) != peers_.end();
     if (!hosts_.HandleAddress(address, now)) continue;
@@ -200,7 +214,7 @@
                {{"host", address.id}, {"address", address.peer}});
   }
   if (joined || NeedsHostList(from.sender, list, now)) {
-    Send(from.sender, hosts_.ListAlive(now));
+    Send(from.sender, hosts_.ListAlive(uses_seeds(), now));
   }
 }
 
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -212,7 +213,6 @@
                                 : std::nullopt);
       });
     };
-    sink.decide_claim = [](const dispatch::ClaimDecided&) {};
     sink.set_fleet = [this](std::uint64_t, const std::string& encoded) {
       auto fleet = schema::Decode<schema::Fleet>(encoded);
       if (!fleet) {
@@ -228,7 +228,7 @@
       });
     };
     sink.free_capacity = [] { return 1.0; };
-    sink.open_requests = [] { return std::size_t{0}; };
+    sink.open_requests = [this] { return open_requests_.load(); };
     sink.set_entry_hosts = [this](std::size_t hosts) {
       Post([this, hosts] { proxy_.SetHosts(hosts); });
     };
@@ -303,7 +303,10 @@
 
   void Tick() {
     const core::Instant now = Now();
-    if (has_entry_role_) proxy_.Review();
+    if (has_entry_role_) {
+      proxy_.Review();
+      open_requests_ = proxy_.relay().sent();
+    }
     if (now >= next_maintenance_) {
       next_maintenance_ = now + gateway::kPlacerInterval;
       if (has_control_role_) placer_.Review();
@@ -338,6 +341,8 @@
   gateway::Placer placer_;
   ControlNode node_;
   ControlServer control_server_;
+  /// Read by the control node's thread.
+  std::atomic<std::size_t> open_requests_ = 0;
   std::optional<core::Instant> drain_started_;
   std::size_t upstreams_ = 0;
   bool leads_ = false;
--- a/src/foxquay/membership/fwd.h
+++ b/src/foxquay/membership/fwd.h
@@ -3,11 +3,8 @@
 
 namespace foxquay::membership {
 
-class Detector;
-class MemberTable;
-struct Datagram;
-struct DetectorOptions;
-struct Member;
+class ParentSelector;
+struct ParentCandidate;
 
 }  // namespace foxquay::membership
 
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -77,6 +77,10 @@
   }
   /// Returns the number of requests that have not ended.
   [[nodiscard]] std::size_t size() const noexcept { return requests_.size(); }
+  /// Returns the number of requests that have been sent and have not ended.
+  [[nodiscard]] std::size_t sent() const noexcept {
+    return requests_.size() - held_;
+  }
   /// Returns the number of requests that are held.
   [[nodiscard]] std::size_t held() const noexcept { return held_; }
 
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -26,6 +26,12 @@
   return same != left || QuantizedLoad(left) != QuantizedLoad(right);
 }
 
+/// Orders the reports of one host by age; the largest is the newest.
+std::pair<std::uint64_t, std::uint64_t> ReportOrder(
+    const schema::HostState& state) {
+  return {state.address.incarnation, state.number};
+}
+
 /// Erases all but the latest started of several upstreams at one address, since
 /// the address of an upstream that ended may be reused.
 void DropSuperseded(
@@ -54,6 +60,73 @@
                              const schema::Announcement& announcement) {
   entry.announcement = announcement;
   entry.version = ++OwnFeed().version;
+  ++changes_;
+  CheckExpiryAt(entry.heard_at + (announcement.leaving
+                                      ? kTombstoneTtl
+                                      : options_.announcement_ttl));
+}
+
+void Roster::SetHost(HostEntry& entry, const schema::HostState& state) {
+  entry.state = state;
+  entry.version = ++OwnFeed().version;
+  ++changes_;
+  CheckExpiryAt(entry.heard_at +
+                (state.silent ? kSilentHostRetention : kHostSilence));
+}
+
+void Roster::HearHost(const schema::HostState& state, core::Instant now) {
+  Expire(now);
+  const auto [found, inserted] =
+      OwnFeed().hosts.try_emplace(state.address.id, HostEntry{});
+  HostEntry& entry = found->second;
+  const bool outdated = !inserted && !entry.state.silent &&
+                        ReportOrder(state) < ReportOrder(entry.state);
+  if (outdated) return;
+  entry.heard_at = now;
+  schema::HostState heard = state;
+  heard.silent = false;
+  schema::HostState same = heard;
+  same.number = entry.state.number;
+  if (inserted || same != entry.state) SetHost(entry, heard);
+}
+
+std::vector<schema::HostState> Roster::Hosts(core::Instant now) {
+  Expire(now);
+  struct Newest {
+    const schema::HostState* state = nullptr;
+    bool heard = false;
+  };
+  // A state that is heard counts before all silent ones: a host whose wall
+  // clock was set back restarts with a smaller incarnation than before.
+  std::map<core::HostId, Newest> merged;
+  for (const auto& [host, feed] : feeds_) {
+    const bool fresh = now - feed.confirmed_at <= kMaxHostFeedAge;
+    for (const auto& [id, entry] : feed.hosts) {
+      const bool heard = fresh && !entry.state.silent;
+      Newest& known = merged[id];
+      const bool newer =
+          known.state == nullptr ||
+          std::make_pair(known.heard, ReportOrder(*known.state)) <
+              std::make_pair(heard, ReportOrder(entry.state));
+      if (newer) known = {&entry.state, heard};
+    }
+  }
+  std::vector<schema::HostState> hosts;
+  hosts.reserve(merged.size());
+  for (const auto& [id, known] : merged) {
+    hosts.push_back(*known.state);
+    hosts.back().silent = !known.heard;
+  }
+  return hosts;
+}
+
+std::vector<core::HostId> Roster::StaleFeeds(core::Duration age,
+                                             core::Instant now) const {
+  std::vector<core::HostId> stale;
+  for (const auto& [host, feed] : feeds_) {
+    if (host != self_ && now - feed.confirmed_at > age) stale.push_back(host);
+  }
+  return stale;
 }
 
 bool Roster::Announce(const schema::Announcement& announcement,
@@ -139,25 +212,60 @@
 }
 
 void Roster::Expire(core::Instant now) {
+  OwnFeed().confirmed_at = now;
+  if (now < next_expiry_) return;
+  next_expiry_ = core::Instant::max();
   for (auto& [host, feed] : feeds_) {
-    std::erase_if(feed.entries, [now, &feed = feed](const auto& item) {
+    std::erase_if(feed.entries, [this, now, &feed = feed](const auto& item) {
       const Entry& entry = item.second;
-      const bool expired =
-          entry.announcement.leaving && now - entry.heard_at > kTombstoneTtl;
-      if (expired) feed.gc_version = std::max(feed.gc_version, entry.version);
+      if (!entry.announcement.leaving) return false;
+      const bool expired = now - entry.heard_at > kTombstoneTtl;
+      if (expired) {
+        feed.gc_version = std::max(feed.gc_version, entry.version);
+      } else {
+        CheckExpiryAt(entry.heard_at + kTombstoneTtl);
+      }
       return expired;
     });
+    ExpireHosts(feed, host == self_, now);
   }
-  OwnFeed().confirmed_at = now;
   for (auto& [id, entry] : OwnFeed().entries) {
-    const bool silent = now - entry.heard_at > options_.announcement_ttl;
-    if (!silent || entry.announcement.leaving) continue;
+    if (entry.announcement.leaving) continue;
+    if (now - entry.heard_at <= options_.announcement_ttl) {
+      CheckExpiryAt(entry.heard_at + options_.announcement_ttl);
+      continue;
+    }
     schema::Announcement leaving = entry.announcement;
     leaving.leaving = true;
     SetAnnouncement(entry, leaving);
   }
 }
 
+void Roster::ExpireHosts(Feed& feed, bool own, core::Instant now) {
+  std::erase_if(feed.hosts, [this, now, &feed](const auto& item) {
+    const HostEntry& entry = item.second;
+    if (!entry.state.silent) return false;
+    const bool expired = now - entry.heard_at > kSilentHostRetention;
+    if (expired) {
+      feed.gc_version = std::max(feed.gc_version, entry.version);
+    } else {
+      CheckExpiryAt(entry.heard_at + kSilentHostRetention);
+    }
+    return expired;
+  });
+  if (!own) return;
+  for (auto& [id, entry] : feed.hosts) {
+    if (entry.state.silent) continue;
+    if (now - entry.heard_at <= kHostSilence) {
+      CheckExpiryAt(entry.heard_at + kHostSilence);
+      continue;
+    }
+    schema::HostState silent = entry.state;
+    silent.silent = true;
+    SetHost(entry, silent);
+  }
+}
+
 schema::RosterPoll Roster::Poll(core::Instant now) {
   schema::RosterPoll poll;
   poll.incarnation = OwnFeed().incarnation;
@@ -188,9 +296,13 @@
   }
   update.complete = known == 0 || known < feed.gc_version;
   if (update.complete) known = 0;
+  if (known == feed.version && !update.complete) return update;
   for (const auto& [id, entry] : feed.entries) {
     if (entry.version > known) update.changes.push_back(entry.announcement);
   }
+  for (const auto& [id, entry] : feed.hosts) {
+    if (entry.version > known) update.hosts.push_back(entry.state);
+  }
   return update;
 }
 
@@ -235,10 +347,21 @@
     feed.confirmed_at = confirmed_at;
   }
   if (update.version < feed.version) return;
-  if (update.complete) feed.entries.clear();
+  if (restarted || update.complete || update.version > feed.version) {
+    ++changes_;
+  }
+  if (update.complete) {
+    feed.entries.clear();
+    feed.hosts.clear();
+  }
   for (const schema::Announcement& change : update.changes) {
     feed.entries[change.id] = {change, update.version, now};
     feed.pre_restart.erase(change.id);
+    if (change.leaving) CheckExpiryAt(now + kTombstoneTtl);
+  }
+  for (const schema::HostState& state : update.hosts) {
+    feed.hosts[state.address.id] = {state, update.version, now};
+    if (state.silent) CheckExpiryAt(now + kSilentHostRetention);
   }
   feed.version = update.version;
   feed.confirmed_at = std::max(feed.confirmed_at, confirmed_at);
@@ -284,7 +407,8 @@
 }
 
 void Roster::RemoveFeed(const core::HostId& host) {
-  if (host != self_) feeds_.erase(host);
+  if (host == self_ || feeds_.erase(host) == 0) return;
+  ++changes_;
 }
 
 std::size_t Roster::size() const noexcept {
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -1,6 +1,7 @@
 #ifndef FOXQUAY_ROSTER_ROSTER_H_
 #define FOXQUAY_ROSTER_ROSTER_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -31,6 +32,19 @@
 /// than an announcement of the upstream can stay usable on any other host.
 inline constexpr core::Duration kTombstoneTtl = std::chrono::seconds(10);
 
+/// Time since the last report of a host after which the host that received it
+/// marks it as silent, so that callers are no longer directed to it.
+inline constexpr core::Duration kHostSilence = std::chrono::milliseconds(1500);
+
+/// Age above which the hosts of a feed count as silent. Longer than a follower
+/// needs to find another control host, so that the loss of one control host
+/// does not take its followers out of service.
+inline constexpr core::Duration kMaxHostFeedAge =
+    std::chrono::milliseconds(2500);
+
+/// Time for which a feed retains a silent host.
+inline constexpr core::Duration kSilentHostRetention = std::chrono::seconds(60);
+
 /// Interval at which a host polls the other hosts.
 inline constexpr core::Duration kPollInterval = std::chrono::milliseconds(200);
 
@@ -44,11 +58,12 @@
   core::Duration restart_grace{};
 };
 
-/// Registry of the upstreams that may be given work, from the announcements
-/// that this host receives and from the feeds of other hosts.
+/// Registry of the upstreams that may be given work and of the hosts of the
+/// cluster, from what this host receives and from the feeds of other hosts.
 ///
-/// A feed holds the announcements that one host received, and a version that
-/// increases with each change. Hosts poll each other for feeds, and the age of
+/// A feed holds the announcements and host reports that one host received, and
+/// a version that increases with each change. What has not changed is not sent
+/// again, so that the cost of a poll does not grow with the cluster. Hosts poll each other for feeds, and the age of
 /// a copy counts from when the poll was sent, so that it does not depend on how
 /// long the reply was in transit. Not thread-safe; performs no I/O.
 class Roster {
@@ -108,6 +123,23 @@
   /// Returns the upstreams that may be given new work, ordered by id.
   [[nodiscard]] std::vector<schema::Announcement> Usable(core::Instant now);
 
+  /// Applies the report of a host that this host received at `now`.
+  void HearHost(const schema::HostState& state, core::Instant now);
+
+  /// Returns the hosts in all feeds, ordered by id: the newest state of each,
+  /// which is silent unless a feed that is not too old holds it as heard.
+  [[nodiscard]] std::vector<schema::HostState> Hosts(core::Instant now);
+
+  /// Returns the hosts whose feeds were confirmed longer than `age` ago, except
+  /// this host's own.
+  [[nodiscard]] std::vector<core::HostId> StaleFeeds(core::Duration age,
+                                                     core::Instant now) const;
+
+  /// Returns the number of changes of any feed since the start, from which
+  /// callers see that the results of Usable and Hosts may differ. They may also
+  /// differ by the time that has passed.
+  [[nodiscard]] std::uint64_t changes() const noexcept { return changes_; }
+
   /// Removes the feed of a host that is permanently dead or was replaced; this
   /// host's own feed is not removed.
   void RemoveFeed(const core::HostId& host);
@@ -124,6 +156,13 @@
     core::Instant heard_at;
   };
 
+  /// A host in a feed.
+  struct HostEntry {
+    schema::HostState state;
+    std::uint64_t version = 0;  ///< Version of the feed with the last change.
+    core::Instant heard_at;     ///< As in Entry.
+  };
+
   /// Feed of this host, or a copy of another host's feed.
   struct Feed {
     std::uint64_t incarnation = 0;
@@ -133,21 +172,28 @@
     std::uint64_t gc_version = 0;
     core::Instant confirmed_at;  ///< Latest time when it was known as current.
     std::map<core::UpstreamId, Entry> entries;
+    std::map<core::HostId, HostEntry> hosts;
     /// Announcements that the host received before its restart and has not
     /// received again since.
     std::map<core::UpstreamId, schema::Announcement> pre_restart;
     core::Instant restart_grace_end;
   };
 
-  /// Erases expired tombstones from all feeds, and marks the upstreams in this
-  /// host's feed that have been silent for too long as leaving.
+  /// Erases expired tombstones from all feeds, and marks the upstreams and hosts
+  /// in this host's feed that have been silent for too long.
   void Expire(core::Instant now);
+  void ExpireHosts(Feed& feed, bool own, core::Instant now);
+  /// Makes the next call of Expire at `time` or later check all entries.
+  void CheckExpiryAt(core::Instant time) {
+    next_expiry_ = std::min(next_expiry_, time);
+  }
   /// Returns the changes of `feed`, which belongs to `host`, for a reply to
   /// `poll`.
   [[nodiscard]] static schema::FeedUpdate MakeUpdate(
       const core::HostId& host, const Feed& feed,
       const schema::RosterPoll& poll, core::Instant now);
   void SetAnnouncement(Entry& entry, const schema::Announcement& announcement);
+  void SetHost(HostEntry& entry, const schema::HostState& state);
   /// Applies the changes of another host's feed, which was current at
   /// `confirmed_at`.
   void ApplyFeed(const schema::FeedUpdate& update, core::Instant confirmed_at,
@@ -159,6 +205,9 @@
   std::map<core::HostId, Feed> feeds_;
   std::map<std::uint64_t, core::Instant> polls_;  ///< Send times by number.
   std::uint64_t next_poll_ = 1;
+  std::uint64_t changes_ = 0;
+  /// No entry of any feed expires before this time.
+  core::Instant next_expiry_ = core::Instant::max();
 };
 
 }  // namespace foxquay::roster
--- a/src/foxquay/schema/peer.h
+++ b/src/foxquay/schema/peer.h
@@ -99,31 +99,6 @@
   }
 };
 
-/// Addresses and location of a host as stated by itself.
-struct HostAddress {
-  core::HostId id;  ///< Name of the host.
-  std::uint64_t incarnation =
-      0;  ///< Incarnation that stated it; 0 if it comes from settings.
-  std::string peer;                ///< Peer listener.
-  std::string caller;              ///< Caller listener.
-  core::DataCentreId data_centre;  ///< Its data centre.
-  core::RegionId region;           ///< Its region.
-  bool control = false;            ///< Whether it holds a replica of the log.
-
-  friend bool operator==(const HostAddress&, const HostAddress&) = default;
-
-  template <class Archive>
-  void serialize([[maybe_unused]] Archive& archive) {
-    archive(id);
-    archive(incarnation);
-    archive(Bound(peer, 64));
-    archive(Bound(caller, 64));
-    archive(data_centre);
-    archive(region);
-    archive(control);
-  }
-};
-
 /// Hosts that the sender has heard from recently, itself first; lets hosts join
 /// that are not in the settings of others.
 struct HostList {
@@ -141,8 +116,10 @@
 struct HostReport {
   bool draining = false;   ///< Whether callers are no longer directed to it.
   bool admitting = false;  ///< Whether it accepts requests.
-  std::uint8_t free_percent = 0;    ///< Share of its capacity that is free.
-  std::uint32_t open_requests = 0;  ///< Requests that have not ended.
+  std::uint8_t free_percent = 0;  ///< Share of its capacity that is free.
+  std::uint32_t open_requests =
+      0;  ///< Requests that have not ended; of a host that others follow, those
+          ///< of its followers.
   std::uint64_t revision = 0;  ///< Configuration revision that it has applied.
   core::HostId leader;         ///< Leader known to its replica; empty if none.
   std::uint64_t term = 0;      ///< Term of that leader; 0 without a replica.
@@ -175,11 +152,52 @@
   }
 };
 
+/// Sent by a host to the control host that it follows; reports its state and
+/// requests everything that it needs to serve callers.
+struct FollowerPoll {
+  HostAddress address;       ///< Addresses of the sender.
+  HostReport report;         ///< State of the sender.
+  std::uint64_t number = 0;  ///< Number of the report within the incarnation.
+  ConfigPoll
+      config;  ///< Requests the configuration and the renewal of its lease.
+  RosterPoll roster;  ///< Requests the feeds of upstreams and hosts.
+
+  friend bool operator==(const FollowerPoll&, const FollowerPoll&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(address);
+    archive(report);
+    archive(number);
+    archive(config);
+    archive(roster);
+  }
+};
+
+/// Answers a FollowerPoll.
+struct FollowerReply {
+  std::optional<ConfigReply>
+      config;  ///< Not set if the sender cannot confirm its configuration.
+  RosterReply roster;  ///< The feeds.
+  std::uint64_t open_requests =
+      0;  ///< Requests that have not ended at any host.
+
+  friend bool operator==(const FollowerReply&, const FollowerReply&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(config);
+    archive(roster);
+    archive(open_requests);
+  }
+};
+
 /// Any message between hosts.
 using PeerMessage =
     std::variant<ConsensusMessage, ConfigPoll, ConfigReply, RosterPoll,
                  RosterReply, ProposeRequest, ProposeReply, InForceRequest,
-                 InForceReply, HostReport, HostList, UpstreamDoubts>;
+                 InForceReply, HostReport, HostList, UpstreamDoubts,
+                 FollowerPoll, FollowerReply>;
 
 }  // namespace foxquay::schema
 
--- a/src/foxquay/schema/roster.h
+++ b/src/foxquay/schema/roster.h
@@ -36,6 +36,52 @@
   }
 };
 
+/// Addresses and location of a host as stated by itself.
+struct HostAddress {
+  core::HostId id;  ///< Name of the host.
+  std::uint64_t incarnation =
+      0;  ///< Incarnation that stated it; 0 if it comes from settings.
+  std::string peer;                ///< Peer listener.
+  std::string caller;              ///< Caller listener.
+  core::DataCentreId data_centre;  ///< Its data centre.
+  core::RegionId region;           ///< Its region.
+  bool control = false;            ///< Whether it holds a replica of the log.
+
+  friend bool operator==(const HostAddress&, const HostAddress&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(id);
+    archive(incarnation);
+    archive(Bound(peer, 64));
+    archive(Bound(caller, 64));
+    archive(data_centre);
+    archive(region);
+    archive(control);
+  }
+};
+
+/// State of a host as heard by the host whose feed holds it.
+struct HostState {
+  HostAddress address;       ///< Its addresses and incarnation.
+  std::uint64_t number = 0;  ///< Number of the report that stated it; the
+                             ///< highest of an incarnation is the newest.
+  bool draining = false;     ///< Whether callers are no longer directed to it.
+  bool admitting = false;    ///< Whether it accepts requests.
+  bool silent = false;       ///< Whether it has not reported for some time.
+
+  friend bool operator==(const HostState&, const HostState&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(address);
+    archive(number);
+    archive(draining);
+    archive(admitting);
+    archive(silent);
+  }
+};
+
 /// Changes of one feed.
 struct FeedUpdate {
   core::HostId host;  ///< Host that receives the announcements of this feed.
@@ -46,6 +92,7 @@
   bool complete = false;  ///< Whether the changes replace the whole feed.
   std::vector<Announcement> changes;  ///< Upstreams that changed; those that
                                       ///< have left are marked as leaving.
+  std::vector<HostState> hosts;       ///< Hosts that changed.
 
   friend bool operator==(const FeedUpdate&, const FeedUpdate&) = default;
 
@@ -57,6 +104,7 @@
     archive(age);
     archive(complete);
     archive(Bound(changes, 4096));
+    archive(Bound(hosts, 4096));
   }
 };
 
--- /dev/null
+++ b/tests/foxquay/membership/parent_selector_test.cc
@@ -0,0 +1,211 @@
+#include "foxquay/membership/parent_selector.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "foxquay/core/time.h"
+
+namespace foxquay::membership {
+namespace {
+
+using std::chrono::milliseconds;
+
+core::Instant At(int ms) { return core::Instant(milliseconds(ms)); }
+
+core::HostId Control(int index) {
+  return core::HostId("control-" + std::to_string(index));
+}
+
+/// Followers and control hosts that answer after a fixed time.
+class SimulatedCluster {
+ public:
+  SimulatedCluster(int followers, int controls) : controls_(controls) {
+    std::vector<ParentCandidate> candidates;
+    for (int index = 0; index < controls; ++index) {
+      candidates.push_back({Control(index), false});
+    }
+    for (int index = 0; index < followers; ++index) {
+      selectors_.emplace_back(core::HostId("host-" + std::to_string(index)));
+      selectors_.back().SetCandidates(candidates);
+      selectors_.back().SetFollowers(static_cast<std::size_t>(followers));
+    }
+    last_reply_.resize(selectors_.size());
+  }
+
+  /// Sets whether a control host answers, and whether with a confirmation.
+  void Set(int control, bool answers, bool confirms) {
+    answers_[Control(control)] = answers;
+    confirms_[Control(control)] = confirms;
+  }
+
+  /// Runs the hosts in steps of 25 ms and counts the polls of each control
+  /// host.
+  void Run(int from, int until) {
+    polls_.clear();
+    longest_gap_ = {};
+    for (int ms = from; ms < until; ms += 25) Step(At(ms));
+  }
+
+  [[nodiscard]] int polls(int control) { return polls_[Control(control)]; }
+  [[nodiscard]] int max_polls() const {
+    int most = 0;
+    for (const auto& [host, count] : polls_) most = std::max(most, count);
+    return most;
+  }
+  /// Returns the longest time that any host had no confirmed reply.
+  [[nodiscard]] core::Duration longest_gap() const { return longest_gap_; }
+
+  [[nodiscard]] int followers_of(int control) const {
+    return static_cast<int>(std::count_if(
+        selectors_.begin(), selectors_.end(), [&](const auto& selector) {
+          return selector.parent() == Control(control);
+        }));
+  }
+
+ private:
+  struct Reply {
+    core::HostId from;
+    core::Instant due;
+  };
+
+  void Step(core::Instant now) {
+    for (std::size_t index = 0; index < selectors_.size(); ++index) {
+      ParentSelector& selector = selectors_[index];
+      std::vector<Reply>& replies = replies_[index];
+      for (const Reply& reply : std::exchange(replies, {})) {
+        if (reply.due > now) {
+          replies.push_back(reply);
+          continue;
+        }
+        const bool confirms = Get(confirms_, reply.from);
+        selector.HandleReply(reply.from, confirms, now);
+        if (confirms) last_reply_[index] = now;
+      }
+      for (const core::HostId& host : selector.Due({}, now)) {
+        ++polls_[host];
+        if (Get(answers_, host)) replies.push_back({host, now + kDelay});
+      }
+      longest_gap_ = std::max(longest_gap_, now - last_reply_[index]);
+    }
+  }
+
+  static bool Get(const std::map<core::HostId, bool>& flags,
+                  const core::HostId& host) {
+    const auto found = flags.find(host);
+    return found == flags.end() || found->second;
+  }
+
+  static constexpr core::Duration kDelay = milliseconds(20);
+
+  int controls_;
+  std::vector<ParentSelector> selectors_;
+  std::map<std::size_t, std::vector<Reply>> replies_;
+  std::map<core::HostId, bool> answers_;
+  std::map<core::HostId, bool> confirms_;
+  std::map<core::HostId, int> polls_;
+  std::vector<core::Instant> last_reply_;
+  core::Duration longest_gap_{};
+};
+
+}  // namespace
+
+// Guards against control traffic that grows with the number of hosts.
+TEST_CASE("the polls of one control host are bounded at any number of hosts") {
+  for (const int followers : {8, 300, 1000}) {
+    SimulatedCluster cluster(followers, 5);
+    cluster.Run(0, 10000);
+    // Rendezvous hashing spreads unevenly; a host has at most half more than
+    // its share.
+    CHECK(cluster.max_polls() <= 10 * kMaxFollowerPollRate * 1.5);
+    CHECK(cluster.longest_gap() < milliseconds(2000));
+  }
+}
+
+TEST_CASE("the followers of a lost control host spread over the others") {
+  SimulatedCluster cluster(300, 5);
+  cluster.Run(0, 3000);
+  const int before = cluster.followers_of(0);
+  REQUIRE(before > 0);
+  cluster.Set(0, false, false);
+  cluster.Run(3000, 6000);
+  CHECK(cluster.followers_of(0) == 0);
+  CHECK(cluster.longest_gap() < milliseconds(2000));
+  for (int control = 1; control < 5; ++control) {
+    CHECK(cluster.followers_of(control) < 120);
+  }
+}
+
+// A control host on the minority side of a partition answers, but cannot
+// confirm that its configuration is current.
+TEST_CASE("a parent that cannot confirm its configuration is left") {
+  SimulatedCluster cluster(60, 5);
+  cluster.Run(0, 2000);
+  cluster.Set(1, true, false);
+  cluster.Run(2000, 6000);
+  CHECK(cluster.followers_of(1) == 0);
+  CHECK(cluster.longest_gap() < milliseconds(3500));
+}
+
+TEST_CASE("a control host that is back gets its followers back") {
+  SimulatedCluster cluster(300, 5);
+  cluster.Run(0, 2000);
+  const int before = cluster.followers_of(2);
+  cluster.Set(2, false, false);
+  cluster.Run(2000, 6000);
+  cluster.Set(2, true, true);
+  cluster.Run(6000, 20000);
+  CHECK(cluster.followers_of(2) == before);
+}
+
+// Guards against a storm of polls while no control host can answer.
+TEST_CASE("a cluster without control hosts polls no faster than before") {
+  SimulatedCluster cluster(300, 5);
+  for (int control = 0; control < 5; ++control) {
+    cluster.Set(control, false, false);
+  }
+  cluster.Run(0, 10000);
+  CHECK(cluster.max_polls() <= 10 * kMaxFollowerPollRate);
+  for (int control = 0; control < 5; ++control) cluster.Set(control, true, true);
+  cluster.Run(10000, 15000);
+  CHECK(cluster.longest_gap() < milliseconds(15000));
+  cluster.Run(15000, 20000);
+  CHECK(cluster.longest_gap() < milliseconds(1500));
+}
+
+TEST_CASE("a near control host is preferred") {
+  ParentSelector selector(core::HostId("a"));
+  selector.SetCandidates({{Control(0), false},
+                          {Control(1), false},
+                          {Control(2), true},
+                          {Control(3), false}});
+  CHECK(selector.Due({}, At(0)) == std::vector{Control(2)});
+}
+
+TEST_CASE("a host asks a control host whose feed its parent lacks") {
+  ParentSelector selector(core::HostId("a"));
+  selector.SetCandidates({{Control(0), true}, {Control(1), false}});
+  const std::vector stale{Control(1)};
+  CHECK(selector.Due(stale, At(0)) == std::vector{Control(0), Control(1)});
+  selector.HandleReply(Control(0), true, At(10));
+  selector.HandleReply(Control(1), true, At(10));
+  CHECK(selector.parent() == Control(0));
+  CHECK(selector.Due(stale, At(100)).empty());
+  const auto due = selector.Due(stale, At(500));
+  CHECK(std::count(due.begin(), due.end(), Control(1)) == 1);
+}
+
+TEST_CASE("without candidates nothing is polled") {
+  ParentSelector selector(core::HostId("a"));
+  CHECK(selector.Due({}, At(0)).empty());
+  selector.SetCandidates({{Control(0), true}});
+  CHECK(selector.Due({}, At(0)).size() == 1);
+  selector.SetCandidates({});
+  CHECK(selector.Due({}, At(25)).empty());
+  CHECK_FALSE(selector.parent());
+}
+
+}  // namespace foxquay::membership
--- a/tests/foxquay/roster/roster_test.cc
+++ b/tests/foxquay/roster/roster_test.cc
@@ -351,4 +351,99 @@
   CHECK(a.Usable(At(60))[0].layers == schema::LayerRange{1, 2});
 }
 
+schema::HostState MakeHost(const std::string& id, std::uint64_t incarnation,
+                           std::uint64_t number) {
+  schema::HostState state;
+  state.address.id = core::HostId(id);
+  state.address.incarnation = incarnation;
+  state.number = number;
+  state.admitting = true;
+  return state;
+}
+
+const schema::HostState* Find(const std::vector<schema::HostState>& hosts,
+                              const std::string& id) {
+  for (const schema::HostState& host : hosts) {
+    if (host.address.id.value() == id) return &host;
+  }
+  return nullptr;
+}
+
+TEST_CASE("a host is silent everywhere once it stops reporting") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  a.HearHost(MakeHost("h", 1, 1), At(0));
+  PollFrom(b, a, At(100));
+  REQUIRE(Find(b.Hosts(At(100)), "h") != nullptr);
+  CHECK_FALSE(Find(b.Hosts(At(100)), "h")->silent);
+  PollFrom(b, a, At(1600));
+  CHECK(Find(b.Hosts(At(1600)), "h")->silent);
+  PollFrom(b, a, At(62000));
+  CHECK(Find(b.Hosts(At(62000)), "h") == nullptr);
+}
+
+// Guards against a host that is taken out of service while it moves to another
+// control host, and against its state before the move.
+TEST_CASE("a host that reports to another control host stays in service") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  a.HearHost(MakeHost("h", 1, 5), At(0));
+  schema::HostState draining = MakeHost("h", 1, 9);
+  draining.draining = true;
+  b.HearHost(draining, At(1400));
+  for (const int ms : {1450, 1600, 2000}) {
+    b.HearHost(draining, At(ms));
+    PollFrom(a, b, At(ms));
+    const auto hosts = a.Hosts(At(ms));
+    CHECK_FALSE(Find(hosts, "h")->silent);
+    CHECK(Find(hosts, "h")->draining);
+  }
+}
+
+TEST_CASE("the hosts of a control host that is cut off become silent") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  a.HearHost(MakeHost("h", 1, 1), At(0));
+  PollFrom(b, a, At(0));
+  CHECK_FALSE(Find(b.Hosts(At(2400)), "h")->silent);
+  CHECK(Find(b.Hosts(At(2600)), "h")->silent);
+  CHECK(b.StaleFeeds(milliseconds(1500), At(2600)) ==
+        std::vector{core::HostId("a")});
+}
+
+// The incarnation of a host is its wall clock at the start, which may be set
+// back.
+TEST_CASE("a host that restarts with a smaller incarnation is heard again") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  a.HearHost(MakeHost("h", 9, 1), At(0));
+  PollFrom(b, a, At(0));
+  b.HearHost(MakeHost("h", 3, 1), At(1700));
+  PollFrom(b, a, At(1700));
+  const auto hosts = b.Hosts(At(1700));
+  CHECK_FALSE(Find(hosts, "h")->silent);
+  CHECK(Find(hosts, "h")->address.incarnation == 3);
+}
+
+// Guards against traffic that grows with the cluster while nothing changes.
+TEST_CASE("reports without a change are not sent again") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  for (int index = 0; index < 300; ++index) {
+    a.HearHost(MakeHost("h" + std::to_string(index), 1, 1), At(0));
+  }
+  const auto first = a.Answer(b.Poll(At(0)), At(0));
+  CHECK(first.feeds.front().hosts.size() == 300);
+  b.Apply(first, At(0));
+  for (int index = 0; index < 300; ++index) {
+    a.HearHost(MakeHost("h" + std::to_string(index), 1, 2), At(250));
+  }
+  const std::uint64_t changes = b.changes();
+  const auto second = a.Answer(b.Poll(At(250)), At(250));
+  CHECK(second.feeds.front().hosts.empty());
+  CHECK(second.feeds.front().changes.empty());
+  b.Apply(second, At(250));
+  CHECK(b.changes() == changes);
+}
+
 }  // namespace foxquay::roster
