Spread requests over a mix of chains

Cause: a host estimated the load of a stage as its own requests times the number of hosts.

Change: hosts report their open requests to the control host they follow, and learn the sum over all. Each host distributes this load over chains (48 parts, each on the cheapest chain under the parts before it), draws two chains at random and takes the cheaper one with its own requests counted exactly. A host without others chooses the cheapest chain as before.

--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -229,6 +229,9 @@
     };
     sink.free_capacity = [] { return 1.0; };
     sink.open_requests = [this] { return open_requests_.load(); };
+    sink.set_open_requests = [this](std::uint64_t open) {
+      Post([this, open] { proxy_.SetOpenRequests(open); });
+    };
     sink.set_entry_hosts = [this](std::size_t hosts) {
       Post([this, hosts] { proxy_.SetHosts(hosts); });
     };
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -62,6 +62,9 @@
   void SetAdmission(std::optional<core::Instant> until);
   /// Sets the number of hosts that serve callers; 0 counts as 1.
   void SetHosts(std::size_t hosts);
+  /// Sets the number of requests that have not ended at any host, this one
+  /// included.
+  void SetOpenRequests(std::uint64_t open) { relay_.SetOpenRequests(open); }
   /// Returns the relay, for settings and figures of its own.
   [[nodiscard]] relay::Relay& relay() noexcept { return relay_; }
 
--- a/src/foxquay/placement/chain.h
+++ b/src/foxquay/placement/chain.h
@@ -38,9 +38,10 @@
 /// in order; a chain without stages if there is none.
 ///
 /// `crossing_cost` is added for each pair of consecutive stages in different
-/// data centres. Computed as a shortest path over the candidates sorted by
-/// their last layer, in time quadratic in their number. Thread-safe.
-[[nodiscard]] Chain CheapestChain(std::vector<Candidate> candidates,
+/// data centres. Computed as a shortest path over the layers; the time grows
+/// with the number of candidates times the layers that each holds. Candidates
+/// that hold layers beyond `layers` are left out. Thread-safe.
+[[nodiscard]] Chain CheapestChain(const std::vector<Candidate>& candidates,
                                   std::uint32_t layers,
                                   core::Duration crossing_cost);
 
--- /dev/null
+++ b/src/foxquay/relay/chain_mix.h
@@ -0,0 +1,44 @@
+#ifndef FOXQUAY_RELAY_CHAIN_MIX_H_
+#define FOXQUAY_RELAY_CHAIN_MIX_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "foxquay/core/time.h"
+#include "foxquay/placement/chain.h"
+#include "foxquay/relay/stage_cost.h"
+
+namespace foxquay::relay {
+
+/// Parts into which the load of all hosts is divided to compute a mix. More
+/// parts than any fleet here has chains, so that the load of two equal chains
+/// differs little.
+inline constexpr std::size_t kMixParts = 48;
+
+/// An upstream that may be a stage.
+struct MixStage {
+  explicit MixStage(const StageCost& stage_cost) : cost(stage_cost) {}
+
+  placement::Candidate candidate;  ///< `per_layer` is ignored.
+  StageCost cost;
+  StageLoad load;  ///< Set by SpreadLoad.
+};
+
+/// Distributes the load of all hosts over chains and returns the chain of each
+/// part, which is fewer than kMixParts if there is no memory for more. Sets the
+/// load of the stages that results.
+///
+/// Each part in turn takes the cheapest chain under the load of the parts
+/// before it (incremental assignment, as for traffic on roads: Dafermos and
+/// Sparrow, 1969), so that all chains in use cost about the same. Answers
+/// hundreds of hosts with few requests each: if each chose the cheapest chain
+/// from the same old load, all would choose the same one. Each host computes the
+/// same mix and draws chains from it at random. Thread-safe.
+[[nodiscard]] std::vector<placement::Chain> SpreadLoad(
+    std::vector<MixStage>& stages, std::uint32_t layers,
+    core::Duration crossing_cost, const Work& work, double requests);
+
+}  // namespace foxquay::relay
+
+#endif  // FOXQUAY_RELAY_CHAIN_MIX_H_
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -57,7 +57,7 @@
 }
 
 Relay::Relay(const BudgetOptions& budget, std::uint64_t seed)
-    : budget_(budget), random_(seed) {}
+    : upstreams_(seed), budget_(budget), random_(seed) {}
 
 void Relay::SetHosts(std::size_t hosts, core::Instant now) {
   upstreams_.SetHosts(std::max<std::size_t>(hosts, 1));
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -39,6 +39,12 @@
   /// Sets the number of hosts that serve callers; 0 counts as 1.
   void SetHosts(std::size_t hosts, core::Instant now);
 
+  /// Sets the number of requests that all hosts have sent and that have not
+  /// ended, this host's included.
+  void SetOpenRequests(std::uint64_t open) {
+    upstreams_.SetOpenRequests(static_cast<double>(open));
+  }
+
   /// Decides on a new request. Precondition: the id is new.
   [[nodiscard]] Decision Arrive(core::RequestId id, RequestContext context,
                                 core::Instant now);
--- /dev/null
+++ b/src/foxquay/relay/stage_cost.cc
@@ -0,0 +1,50 @@
+#include "foxquay/relay/stage_cost.h"
+
+#include "foxquay/placement/plan.h"
+
+namespace foxquay::relay {
+namespace internal {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Fraction of the memory for requests above which a stage counts as full.
+/// Beyond it, the engine preempts its newest request.
+constexpr double kMaxMemoryFraction = 0.9;
+
+/// Requests in a stage that delay the reading of a prompt by once its time.
+constexpr double kSequencesPerRead = 4;
+
+}  // namespace internal
+
+StageCost::StageCost(const schema::Engine& engine,
+                     const schema::Accelerator& accelerator,
+                     placement::Range layers)
+    : step_(accelerator.pace * internal::Seconds(engine.step).count()),
+      per_sequence_(accelerator.pace *
+                    internal::Seconds(engine.per_sequence).count()),
+      per_token_(accelerator.pace *
+                 internal::Seconds(engine.context_per_k).count() / 1000),
+      read_(accelerator.read_factor / engine.prefill_per_s),
+      layers_(engine.layers),
+      token_capacity_(
+          internal::kMaxMemoryFraction *
+          placement::TokensThatFit(engine, accelerator.kind, layers.size())) {}
+
+core::Duration StageCost::PerLayer(const Work& work,
+                                   const StageLoad& load) const {
+  const double step = step_ + per_sequence_ * (load.sequences + 1) +
+                      per_token_ * load.tokens;
+  const double read = read_ * work.prompt_tokens *
+                      (1 + load.sequences / internal::kSequencesPerRead);
+  return std::chrono::duration_cast<core::Duration>(
+      internal::Seconds((work.answer_tokens * step + read) / layers_));
+}
+
+bool StageCost::Fits(const Work& work, const StageLoad& load) const {
+  // A stage always takes one request.
+  if (load.sequences < 1) return true;
+  const double demand = load.tokens + work.prompt_tokens + work.answer_tokens;
+  return demand <= token_capacity_;
+}
+
+}  // namespace foxquay::relay
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -1,6 +1,7 @@
 #include "foxquay/relay/upstreams.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -35,15 +36,11 @@
 /// host that are reset together say little about the upstream.
 constexpr core::Duration kFailureMergeWindow = std::chrono::milliseconds(250);
 
-/// Fraction of the memory for requests above which a stage counts as full.
-/// Beyond it, the engine preempts its newest request.
-constexpr double kMaxMemoryFraction = 0.9;
+/// Age at which a mix is computed anew; about the age of the load reports.
+constexpr core::Duration kMixLifetime = std::chrono::milliseconds(500);
 
-/// Returns the tokens that a request holds in memory on average: its answer
-/// grows from zero to its full length.
-double MeanTokens(const Work& work) {
-  return work.prompt_tokens + work.answer_tokens / 2;
-}
+/// Relative change of the load at which a mix is computed anew.
+constexpr double kMixLoadChange = 0.25;
 
 /// Latency below which two upstreams of a plain service count as equally fast.
 constexpr core::Duration kMinLatency = std::chrono::milliseconds(20);
@@ -57,12 +54,21 @@
   return std::chrono::duration_cast<core::Duration>(Seconds(seconds));
 }
 
-double ToSeconds(core::Duration duration) { return Seconds(duration).count(); }
+/// Returns the cost of passing a request between two data centres. All traffic
+/// between them shares one link. Prompts dominate it; the tokens of an answer
+/// add little.
+core::Duration CrossingCost(const schema::Engine& engine, const Work& work) {
+  if (engine.pipe_mbps <= 0) return core::Duration::zero();
+  const double bits =
+      8 * engine.activation_bytes * (work.prompt_tokens + work.answer_tokens);
+  return ToDuration(kCrossingWeight * bits / (engine.pipe_mbps * 1e6));
+}
 
 }  // namespace internal
 
 void Upstreams::Set(const std::vector<schema::Announcement>& announcements,
                     core::Instant) {
+  ++changes_;
   for (auto& [id, entry] : entries_) entry.present = false;
   for (const schema::Announcement& announcement : announcements) {
     Entry& entry = entries_[announcement.id];
@@ -135,38 +141,46 @@
   return {{best->announcement.id, best->announcement.address, {}}};
 }
 
-std::optional<placement::Candidate> Upstreams::EstimateCost(
-    const Entry& entry, const schema::Engine& engine, const Work& work) const {
+double Upstreams::TotalRequests() const {
+  if (open_requests_) return std::max(*open_requests_, own_requests_);
+  return own_requests_ * static_cast<double>(hosts_);
+}
+
+StageLoad Upstreams::EstimateLoad(const Entry& entry) const {
+  const double total = TotalRequests();
+  const double others = total > 0 ? 1 - own_requests_ / total : 0;
+  return {entry.mixed.sequences * others +
+              static_cast<double>(entry.in_flight),
+          entry.mixed.tokens * others + entry.tokens};
+}
+
+std::optional<MixStage> Upstreams::MakeStage(const Entry& entry,
+                                             const schema::Service& service,
+                                             const Work& work,
+                                             bool include_deprioritized,
+                                             core::Instant now) const {
   const schema::Announcement& announcement = entry.announcement;
+  const schema::Engine& engine = *service.engine;
+  if (!Usable(entry, now) || announcement.service != service.id) {
+    return std::nullopt;
+  }
+  if (!include_deprioritized && now < entry.deprioritized_until) {
+    return std::nullopt;
+  }
   const placement::Range layers = placement::HeldLayers(announcement);
   const schema::Accelerator* accelerator =
       placement::FindAccelerator(engine, announcement.accelerator);
   if (layers.empty() || accelerator == nullptr) return std::nullopt;
-  const auto hosts = static_cast<double>(hosts_);
-  const double sequences = static_cast<double>(entry.in_flight) * hosts;
-  const double capacity =
-      placement::TokensThatFit(engine, announcement.accelerator, layers.size());
-  const double demand =
-      entry.tokens * hosts + work.prompt_tokens + work.answer_tokens;
-  // With at most one request here, the assumption that every host has as many
-  // is too coarse.
-  if (entry.in_flight > 1 && demand > internal::kMaxMemoryFraction * capacity) {
-    return std::nullopt;
+  MixStage stage(StageCost(engine, *accelerator, layers));
+  stage.candidate.layers = layers;
+  stage.candidate.data_centre = announcement.data_centre;
+  stage.candidate.fixed = internal::kHandoffTime;
+  if (layers.first == 0) {
+    stage.candidate.fixed +=
+        entry.latency.Slowdown(now) *
+        static_cast<std::int64_t>(1 + work.answer_tokens / engine.stride);
   }
-  const double step =
-      accelerator->pace *
-      (internal::ToSeconds(engine.step) +
-       internal::ToSeconds(engine.per_sequence) * (sequences + 1) +
-       internal::ToSeconds(engine.context_per_k) * entry.tokens * hosts / 1000);
-  const double read =
-      accelerator->read_factor / engine.prefill_per_s * work.prompt_tokens;
-  placement::Candidate candidate;
-  candidate.layers = layers;
-  candidate.data_centre = announcement.data_centre;
-  candidate.fixed = internal::kHandoffTime;
-  candidate.per_layer = internal::ToDuration(
-      (work.answer_tokens * step + read * (1 + sequences / 4)) / engine.layers);
-  return candidate;
+  return stage;
 }
 
 std::vector<Hop> Upstreams::ChooseChain(const schema::Service& service,
@@ -174,39 +188,130 @@
                                         const FirstHops& first,
                                         bool include_deprioritized,
                                         core::Instant now, NoPath& reason) {
+  const bool shared = TotalRequests() >= own_requests_ + 1;
+  if (shared && !include_deprioritized) {
+    std::vector<Hop> hops = ChooseFromMix(service, work, first, now);
+    if (!hops.empty()) return hops;
+  }
+  return ChooseCheapest(service, work, first, include_deprioritized, now,
+                        reason);
+}
+
+const Upstreams::Mix& Upstreams::UpdateMix(const schema::Service& service,
+                                           core::Instant now) {
+  const schema::Engine& engine = *service.engine;
+  Mix& mix = mixes_[service.id];
+  const double requests = TotalRequests();
+  const bool current =
+      mix.changes == changes_ && now - mix.computed_at < internal::kMixLifetime &&
+      std::abs(requests - mix.requests) <=
+          internal::kMixLoadChange * std::max(1.0, mix.requests);
+  if (current && !mix.chains.empty()) return mix;
+  const Work usual{engine.usual_prompt, engine.usual_answer};
+  std::vector<Entry*> entries;
+  std::vector<MixStage> stages;
+  for (auto& [id, entry] : entries_) {
+    if (entry.announcement.service != service.id) continue;
+    entry.mixed = {};
+    auto stage = MakeStage(entry, service, usual, false, now);
+    if (!stage) continue;
+    entries.push_back(&entry);
+    stages.push_back(*std::move(stage));
+  }
+  const std::vector<placement::Chain> chains =
+      SpreadLoad(stages, engine.layers, internal::CrossingCost(engine, usual),
+                 usual, requests);
+  for (std::size_t index = 0; index < stages.size(); ++index) {
+    entries[index]->mixed = stages[index].load;
+  }
+  mix = {{}, now, requests, changes_};
+  for (const placement::Chain& chain : chains) {
+    if (engine.max_stages > 0 && chain.stages.size() > engine.max_stages) {
+      continue;
+    }
+    std::vector<Hop>& hops = mix.chains.emplace_back();
+    for (const placement::Stage& stage : chain.stages) {
+      const schema::Announcement& announcement =
+          entries[stage.upstream]->announcement;
+      hops.push_back({announcement.id, announcement.address, stage.layers});
+    }
+  }
+  return mix;
+}
+
+bool Upstreams::ChainUsable(const std::vector<Hop>& hops,
+                            const FirstHops& first, core::Instant now) const {
+  if (!first.Allows(hops.front().upstream)) return false;
+  return std::all_of(hops.begin(), hops.end(), [&](const Hop& hop) {
+    const auto found = entries_.find(hop.upstream);
+    return found != entries_.end() && Usable(found->second, now) &&
+           now >= found->second.deprioritized_until;
+  });
+}
+
+core::Duration Upstreams::ChainCost(const schema::Engine& engine,
+                                    const std::vector<Hop>& hops,
+                                    const Work& work, core::Instant now) const {
+  core::Duration cost{};
+  for (const Hop& hop : hops) {
+    const Entry& entry = entries_.at(hop.upstream);
+    const schema::Accelerator* accelerator =
+        placement::FindAccelerator(engine, entry.announcement.accelerator);
+    const placement::Range held = placement::HeldLayers(entry.announcement);
+    if (accelerator == nullptr || held.empty()) continue;
+    const StageCost stage(engine, *accelerator, held);
+    cost += stage.PerLayer(work, EstimateLoad(entry)) *
+            static_cast<std::int64_t>(hop.layers.size());
+  }
+  return cost + entries_.at(hops.front().upstream).latency.Slowdown(now) *
+                    static_cast<std::int64_t>(
+                        1 + work.answer_tokens / engine.stride);
+}
+
+std::vector<Hop> Upstreams::ChooseFromMix(const schema::Service& service,
+                                          const Work& work,
+                                          const FirstHops& first,
+                                          core::Instant now) {
+  const Mix& mix = UpdateMix(service, now);
+  std::vector<const std::vector<Hop>*> usable;
+  for (const std::vector<Hop>& hops : mix.chains) {
+    if (ChainUsable(hops, first, now)) usable.push_back(&hops);
+  }
+  if (usable.empty()) return {};
+  std::uniform_int_distribution<std::size_t> draw(0, usable.size() - 1);
+  const std::vector<Hop>* chosen = usable[draw(random_)];
+  const std::vector<Hop>* other = usable[draw(random_)];
+  const schema::Engine& engine = *service.engine;
+  if (ChainCost(engine, *other, work, now) <
+      ChainCost(engine, *chosen, work, now)) {
+    chosen = other;
+  }
+  return *chosen;
+}
+
+std::vector<Hop> Upstreams::ChooseCheapest(const schema::Service& service,
+                                           const Work& work,
+                                           const FirstHops& first,
+                                           bool include_deprioritized,
+                                           core::Instant now, NoPath& reason) {
   const schema::Engine& engine = *service.engine;
   std::vector<const Entry*> entries;
-  std::vector<placement::Candidate> announced;
   std::vector<placement::Candidate> candidates;
   for (const auto& [id, entry] : entries_) {
-    if (!entry.present || entry.announcement.service != service.id) continue;
-    auto candidate = EstimateCost(entry, engine, work);
-    placement::Candidate layers_only;
-    layers_only.layers = placement::HeldLayers(entry.announcement);
-    announced.push_back(layers_only);
-    if (!candidate || !Usable(entry, now)) continue;
-    if (!include_deprioritized && now < entry.deprioritized_until) continue;
-    if (candidate->layers.first == 0) {
-      candidate->fixed +=
-          entry.latency.Slowdown(now) *
-          static_cast<std::int64_t>(1 + work.answer_tokens / engine.stride);
-    }
-    if (candidate->layers.first == 0 && !first.Allows(id)) continue;
-    candidate->upstream = entries.size();
+    const auto stage =
+        MakeStage(entry, service, work, include_deprioritized, now);
+    if (!stage) continue;
+    placement::Candidate candidate = stage->candidate;
+    if (candidate.layers.first == 0 && !first.Allows(id)) continue;
+    const StageLoad load = EstimateLoad(entry);
+    if (!stage->cost.Fits(work, load)) continue;
+    candidate.per_layer = stage->cost.PerLayer(work, load);
+    candidate.upstream = entries.size();
     entries.push_back(&entry);
-    candidates.push_back(*candidate);
+    candidates.push_back(std::move(candidate));
   }
-  // All traffic between two data centres shares one link. Prompts dominate it;
-  // the tokens of an answer add little.
-  const double bits =
-      8 * engine.activation_bytes * (work.prompt_tokens + work.answer_tokens);
-  const core::Duration crossing =
-      engine.pipe_mbps > 0
-          ? internal::ToDuration(internal::kCrossingWeight * bits /
-                                 (engine.pipe_mbps * 1e6))
-          : core::Duration::zero();
-  const placement::Chain chain =
-      placement::CheapestChain(candidates, engine.layers, crossing);
+  const placement::Chain chain = placement::CheapestChain(
+      candidates, engine.layers, internal::CrossingCost(engine, work));
   std::vector<Hop> hops;
   const bool too_long =
       engine.max_stages > 0 && chain.stages.size() > engine.max_stages;
@@ -216,25 +321,37 @@
         entries[stage.upstream]->announcement;
     hops.push_back({announcement.id, announcement.address, stage.layers});
   }
-  if (hops.empty()) {
-    const bool complete =
-        placement::FirstMissingLayer(announced, engine.layers) == engine.layers;
-    reason = complete ? NoPath::kBusy
-                      : (announced.empty() ? NoPath::kNoUpstream
-                                           : NoPath::kNoLayers);
-  }
+  if (hops.empty()) reason = ReasonWithoutChain(service);
   return hops;
 }
 
+NoPath Upstreams::ReasonWithoutChain(const schema::Service& service) const {
+  std::vector<placement::Candidate> announced;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.present || entry.announcement.service != service.id) continue;
+    placement::Candidate candidate;
+    candidate.layers = placement::HeldLayers(entry.announcement);
+    announced.push_back(std::move(candidate));
+  }
+  const std::uint32_t layers = service.engine->layers;
+  if (placement::FirstMissingLayer(announced, layers) == layers) {
+    return NoPath::kBusy;
+  }
+  return announced.empty() ? NoPath::kNoUpstream : NoPath::kNoLayers;
+}
+
+bool Upstreams::IsChain(const std::vector<Hop>& hops) {
+  return !hops.empty() && !hops.front().layers.empty();
+}
+
 void Upstreams::Begin(const std::vector<Hop>& hops, const Work& work) {
   for (const Hop& hop : hops) {
     const auto found = entries_.find(hop.upstream);
     if (found == entries_.end()) continue;
     ++found->second.in_flight;
-    found->second.tokens += internal::MeanTokens(work);
-    found->second.token_layers +=
-        internal::MeanTokens(work) * hop.layers.size();
+    found->second.tokens += work.MeanTokens();
   }
+  if (IsChain(hops)) ++own_requests_;
 }
 
 void Upstreams::End(const std::vector<Hop>& hops, const Work& work) {
@@ -243,12 +360,10 @@
     if (found == entries_.end()) continue;
     Entry& entry = found->second;
     if (entry.in_flight > 0) --entry.in_flight;
-    entry.tokens = std::max(0.0, entry.tokens - internal::MeanTokens(work));
-    entry.token_layers =
-        std::max(0.0, entry.token_layers -
-                          internal::MeanTokens(work) * hop.layers.size());
+    entry.tokens = std::max(0.0, entry.tokens - work.MeanTokens());
     if (!entry.present && entry.in_flight == 0) entries_.erase(found);
   }
+  if (IsChain(hops)) own_requests_ = std::max(0.0, own_requests_ - 1);
 }
 
 void Upstreams::RecordFailure(const core::UpstreamId& upstream,
@@ -259,6 +374,7 @@
   const int doublings =
       std::min(entry.consecutive_failures, internal::kMaxDoublings);
   if (now >= entry.avoid_until) ++entry.consecutive_failures;
+  ++changes_;
   entry.avoid_until = std::max(
       entry.avoid_until, now + internal::kInitialAvoidance * (1 << doublings));
 }
@@ -274,6 +390,7 @@
   const auto found = entries_.find(upstream);
   if (found == entries_.end()) return;
   Entry& entry = found->second;
+  ++changes_;
   entry.avoid_until =
       std::max(entry.avoid_until, now + internal::kRejectionAvoidance);
 }
@@ -298,6 +415,7 @@
     RecordFailure(hops.front().upstream, now);
     return;
   }
+  ++changes_;
   for (const Hop& hop : hops) {
     const auto found = entries_.find(hop.upstream);
     if (found == entries_.end()) continue;
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -5,13 +5,16 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
 #include "foxquay/placement/chain.h"
+#include "foxquay/relay/chain_mix.h"
 #include "foxquay/relay/latency_tracker.h"
+#include "foxquay/relay/stage_cost.h"
 #include "foxquay/schema/announcement.h"
 #include "foxquay/schema/fleet.h"
 
@@ -26,12 +29,6 @@
   friend bool operator==(const Hop&, const Hop&) = default;
 };
 
-/// Token counts of a request, from which its cost is estimated.
-struct Work {
-  double prompt_tokens = 0;
-  double answer_tokens = 0;  ///< Expected number.
-};
-
 /// The upstreams that may be the first hop of a path.
 struct FirstHops {
   std::vector<core::UpstreamId> avoid;  ///< Excluded.
@@ -53,6 +50,10 @@
 /// Not thread-safe; performs no I/O.
 class Upstreams {
  public:
+  /// `seed` initializes the random choice among chains, which differs between
+  /// hosts.
+  explicit Upstreams(std::uint64_t seed = 0) : random_(seed) {}
+
   /// Replaces the list of upstreams in use. Upstreams that left the list are
   /// kept until their requests have ended.
   void Set(const std::vector<schema::Announcement>& announcements,
@@ -60,14 +61,19 @@
   /// Sets the number of hosts that send requests. Precondition: at least 1.
   void SetHosts(std::size_t hosts) { hosts_ = hosts; }
 
+  /// Sets the number of requests that all hosts have sent and that have not
+  /// ended. Until it is set, every host is assumed to have as many as this one.
+  void SetOpenRequests(double requests) { open_requests_ = requests; }
+
   /// Returns the path for a request whose first hop must be allowed by `first`.
   /// If there is none, the path is empty and `reason` is set.
   ///
   /// For a plain service, this is the upstream with the lowest expected latency
   /// under this host's requests, among those that are not avoided. For a model,
-  /// it is the cheapest chain: each stage costs its share of the prefill and
-  /// token steps under the load of all hosts, each assumed to send as much as
-  /// this one.
+  /// it is the cheaper of two chains drawn from the mix over which the requests
+  /// of all hosts are spread, under the load of the mix and this host's own
+  /// requests. If there are no other hosts or none of these chains may be used,
+  /// it is the cheapest chain.
   [[nodiscard]] std::vector<Hop> ChoosePath(const schema::Service& service,
                                             const Work& work,
                                             const FirstHops& first,
@@ -110,7 +116,7 @@
     bool present = true;        ///< Whether it is in use.
     std::size_t in_flight = 0;  ///< Requests of this host.
     double tokens = 0;          ///< Tokens of these requests.
-    double token_layers = 0;    ///< Their tokens times the layers they use.
+    StageLoad mixed;  ///< Load from all hosts according to the mix.
     int consecutive_failures = 0;
     LatencyTracker latency;
     core::Instant last_possible_failure;
@@ -130,14 +136,59 @@
                                              const FirstHops& first,
                                              bool include_deprioritized,
                                              core::Instant now, NoPath& reason);
-  /// Returns an upstream as a candidate stage, or nothing if it holds no layers
-  /// or has no memory left for the request.
-  [[nodiscard]] std::optional<placement::Candidate> EstimateCost(
-      const Entry& entry, const schema::Engine& engine, const Work& work) const;
+  /// The chains over which the requests of all hosts for a service are spread.
+  struct Mix {
+    std::vector<std::vector<Hop>> chains;  ///< One for each part of the load.
+    core::Instant computed_at;
+    double requests = 0;         ///< Load for which it was computed.
+    std::uint64_t changes = 0;   ///< Value of `changes_` at that time.
+  };
+
+  /// Returns an upstream as a candidate stage, without its cost; nothing if it
+  /// may not be used or holds no layers of the model.
+  [[nodiscard]] std::optional<MixStage> MakeStage(
+      const Entry& entry, const schema::Service& service, const Work& work,
+      bool include_deprioritized, core::Instant now) const;
+  /// Returns the cheapest chain under the estimated load of all hosts.
+  [[nodiscard]] std::vector<Hop> ChooseCheapest(const schema::Service& service,
+                                                const Work& work,
+                                                const FirstHops& first,
+                                                bool include_deprioritized,
+                                                core::Instant now,
+                                                NoPath& reason);
+  /// Draws a chain from the mix; empty if none of its chains may be used.
+  [[nodiscard]] std::vector<Hop> ChooseFromMix(const schema::Service& service,
+                                               const Work& work,
+                                               const FirstHops& first,
+                                               core::Instant now);
+  /// Returns the mix of a service, computed anew if it is out of date.
+  [[nodiscard]] const Mix& UpdateMix(const schema::Service& service,
+                                     core::Instant now);
+  /// Returns whether a chain of the mix may take a request.
+  [[nodiscard]] bool ChainUsable(const std::vector<Hop>& hops,
+                                 const FirstHops& first,
+                                 core::Instant now) const;
+  /// Returns the time that a request takes on a chain.
+  [[nodiscard]] core::Duration ChainCost(const schema::Engine& engine,
+                                         const std::vector<Hop>& hops,
+                                         const Work& work,
+                                         core::Instant now) const;
+  /// Returns the load of all hosts on an upstream: that of the mix with this
+  /// host's share replaced by its own requests.
+  [[nodiscard]] StageLoad EstimateLoad(const Entry& entry) const;
+  /// Returns the requests that all hosts have sent and that have not ended.
+  [[nodiscard]] double TotalRequests() const;
+  [[nodiscard]] NoPath ReasonWithoutChain(const schema::Service& service) const;
+  [[nodiscard]] static bool IsChain(const std::vector<Hop>& hops);
   [[nodiscard]] static bool Usable(const Entry& entry, core::Instant now);
 
   std::map<core::UpstreamId, Entry> entries_;
   std::size_t hosts_ = 1;
+  std::optional<double> open_requests_;
+  double own_requests_ = 0;  ///< Requests of this host on chains.
+  std::map<core::ServiceId, Mix> mixes_;
+  std::uint64_t changes_ = 0;  ///< Changes of the upstreams that may be used.
+  std::mt19937_64 random_;
   std::uint64_t rotation_ = 0;  ///< Rotates the choice among equal upstreams.
 };
 
--- /dev/null
+++ b/tests/foxquay/relay/chain_mix_test.cc
@@ -0,0 +1,177 @@
+#include "foxquay/relay/chain_mix.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "foxquay/relay/upstreams.h"
+
+namespace foxquay::relay {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Work kWork{772, 150};
+
+schema::Engine MakeEngine() {
+  schema::Engine engine;
+  engine.slots = 192;
+  engine.layers = 80;
+  engine.layer_mb = 1750;
+  engine.token_memory_mb = 0.426;
+  engine.step = std::chrono::microseconds(850);
+  engine.per_sequence = std::chrono::nanoseconds(2760);
+  engine.context_per_k = std::chrono::nanoseconds(3700);
+  engine.stride = 2;
+  engine.prefill_per_s = 272000;
+  engine.usual_prompt = kWork.prompt_tokens;
+  engine.usual_answer = kWork.answer_tokens;
+  engine.pipe_mbps = 4700;
+  engine.activation_bytes = 21300;
+  engine.accelerators = {{"fast", 36000, 3.1, 3.2}, {"slow", 21600, 16, 8.2}};
+  return engine;
+}
+
+schema::Service MakeService() {
+  return {core::ServiceId("model"), 2000, MakeEngine()};
+}
+
+/// Returns upstreams that hold `copies` copies of the model in a data centre,
+/// each in stages of ten layers.
+std::vector<schema::Announcement> MakeCopies(int copies,
+                                             const std::string& kind) {
+  std::vector<schema::Announcement> upstreams;
+  for (int copy = 0; copy < copies; ++copy) {
+    for (std::uint32_t first = 0; first < 80; first += 10) {
+      schema::Announcement upstream;
+      const std::string name =
+          kind + std::to_string(copy) + "-" + std::to_string(first);
+      upstream.id = core::UpstreamId(name);
+      upstream.address = name;
+      upstream.data_centre = core::DataCentreId(std::to_string(copy));
+      upstream.service = core::ServiceId("model");
+      upstream.kind = "model";
+      upstream.accelerator = kind;
+      upstream.slots = 192;
+      upstream.layers = {first, first + 9};
+      upstreams.push_back(upstream);
+    }
+  }
+  return upstreams;
+}
+
+/// Hosts that send requests to the same upstreams and know the total number of
+/// open ones, as the control hosts report it.
+class Hosts {
+ public:
+  Hosts(std::size_t count, const std::vector<schema::Announcement>& upstreams) {
+    for (std::size_t index = 0; index < count; ++index) {
+      hosts_.emplace_back(index + 1);
+      hosts_.back().SetHosts(count);
+      hosts_.back().Set(upstreams, core::Instant());
+    }
+  }
+
+  /// Lets every host send one request and returns how many requests each first
+  /// stage got.
+  std::map<core::UpstreamId, int> SendOne(double open, core::Instant now) {
+    std::map<core::UpstreamId, int> counts;
+    for (Upstreams& host : hosts_) {
+      host.SetOpenRequests(open);
+      NoPath reason{};
+      const auto hops =
+          host.ChoosePath(service_, kWork, FirstHops(), now, reason);
+      REQUIRE(!hops.empty());
+      host.Begin(hops, kWork);
+      ++counts[hops.front().upstream];
+    }
+    return counts;
+  }
+
+ private:
+  schema::Service service_ = MakeService();
+  std::vector<Upstreams> hosts_;
+};
+
+int Largest(const std::map<core::UpstreamId, int>& counts) {
+  int largest = 0;
+  for (const auto& [id, count] : counts) largest = std::max(largest, count);
+  return largest;
+}
+
+}  // namespace
+
+// Guards against hosts that act on the same reports and all choose the chain
+// that was the cheapest.
+TEST_CASE("hundreds of hosts with one request each use all chains") {
+  Hosts hosts(300, MakeCopies(5, "slow"));
+  const auto counts = hosts.SendOne(300, core::Instant(milliseconds(1)));
+  CHECK(counts.size() == 5);
+  CHECK(Largest(counts) < 90);
+}
+
+TEST_CASE("a faster chain gets more requests, not all") {
+  auto upstreams = MakeCopies(1, "slow");
+  for (schema::Announcement& fast : MakeCopies(1, "fast")) {
+    fast.data_centre = core::DataCentreId("other");
+    upstreams.push_back(fast);
+  }
+  Hosts hosts(300, upstreams);
+  const auto counts = hosts.SendOne(900, core::Instant(milliseconds(1)));
+  CHECK(counts.at(core::UpstreamId("fast0-0")) >
+        counts.at(core::UpstreamId("slow0-0")));
+  CHECK(counts.at(core::UpstreamId("slow0-0")) > 0);
+}
+
+// A single host knows its load exactly and alternates.
+TEST_CASE("a host on its own uses equal chains in turn") {
+  Hosts hosts(1, MakeCopies(4, "slow"));
+  std::map<core::UpstreamId, int> counts;
+  for (int request = 0; request < 8; ++request) {
+    for (const auto& [id, count] :
+         hosts.SendOne(request, core::Instant(milliseconds(1)))) {
+      counts[id] += count;
+    }
+  }
+  CHECK(counts.size() == 4);
+  CHECK(Largest(counts) == 2);
+}
+
+TEST_CASE("a mix leaves out failed upstreams at once") {
+  const schema::Service service = MakeService();
+  Upstreams upstreams(7);
+  upstreams.SetHosts(300);
+  upstreams.Set(MakeCopies(2, "slow"), core::Instant());
+  upstreams.SetOpenRequests(300);
+  const core::Instant now(milliseconds(10));
+  NoPath reason{};
+  (void)upstreams.ChoosePath(service, kWork, FirstHops(), now, reason);
+  const core::UpstreamId lost("slow0-40");
+  upstreams.RecordFailure(lost, now);
+  for (int request = 0; request < 50; ++request) {
+    const auto hops =
+        upstreams.ChoosePath(service, kWork, FirstHops(), now, reason);
+    REQUIRE(hops.size() == 8);
+    for (const Hop& hop : hops) CHECK(hop.upstream != lost);
+  }
+}
+
+TEST_CASE("the load that exceeds the memory of all stages is left out") {
+  const schema::Engine engine = MakeEngine();
+  std::vector<MixStage> stages;
+  for (std::uint32_t first = 0; first < 80; first += 10) {
+    MixStage stage(
+        StageCost(engine, engine.accelerators[1], {first, first + 10}));
+    stage.candidate.layers = {first, first + 10};
+    stages.push_back(stage);
+  }
+  CHECK(SpreadLoad(stages, 80, {}, kWork, 40).size() == kMixParts);
+  const std::size_t placed = SpreadLoad(stages, 80, {}, kWork, 400).size();
+  CHECK(placed > 0);
+  CHECK(placed < kMixParts);
+}
+
+}  // namespace foxquay::relay
