Replace connections to the previous process of a restarted host

Cause: a host that restarts after a loss of power polls its control host, whose reply goes into the connection to the process before and is lost.

Change: a message from a new incarnation of a host closes the open connection to it, so that the reply opens a new one. The test fails without the change (the first message to the restarted host never arrives).

--- a/src/foxquay/transport/peer_transport.cc
+++ b/src/foxquay/transport/peer_transport.cc
@@ -144,9 +144,27 @@
   }
   ++counters_.received_messages;
   counters_.received_bytes += signed_message.size();
+  NoteIncarnation(envelope.value().sender, envelope.value().incarnation);
   handler_(std::move(envelope).value());
 }
 
+void PeerTransport::NoteIncarnation(const core::HostId& host,
+                                    std::uint64_t incarnation) {
+  const auto found = peers_.find(host);
+  if (found == peers_.end()) return;
+  Peer& peer = found->second;
+  const std::uint64_t former = std::exchange(peer.incarnation, incarnation);
+  const bool restarted = former != 0 && former != incarnation;
+  const bool connected = peer.connection == Connection::kOpen ||
+                         peer.connection == Connection::kWriting;
+  if (!restarted || !connected) return;
+  // A pending write ends with an error and must not affect the next connection.
+  boost::system::error_code ignored;
+  peer.socket.shutdown(Tcp::socket::shutdown_both, ignored);
+  if (peer.connection == Connection::kWriting) return;
+  Disconnect(host);
+}
+
 void PeerTransport::Send(const core::HostId& host, std::string payload) {
   const auto found = peers_.find(host);
   std::string frame = internal::EncodeFrame(authenticator_.Sign(
--- a/src/foxquay/transport/peer_transport.h
+++ b/src/foxquay/transport/peer_transport.h
@@ -120,6 +120,7 @@
     Connection connection = Connection::kIdle;
     std::deque<std::string> queue;
     std::size_t queued_bytes = 0;
+    std::uint64_t incarnation = 0;  ///< Latest that a message came from.
   };
 
   struct InboundConnection {
@@ -138,6 +139,9 @@
   void Connect(const core::HostId& host);
   void Write(const core::HostId& host);
   void Disconnect(const core::HostId& host);
+  /// Closes a connection to a previous process of a host that has restarted
+  /// without closing it, such as after a loss of power.
+  void NoteIncarnation(const core::HostId& host, std::uint64_t incarnation);
 
   boost::asio::io_context& context_;
   PeerTransportOptions options_;
--- a/tests/foxquay/transport/peer_transport_test.cc
+++ b/tests/foxquay/transport/peer_transport_test.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -124,4 +125,39 @@
   restarted.Stop();
 }
 
+// Guards against a reply that is lost in the connection to the process that ran
+// on a host before it lost power.
+TEST_CASE("the first message to a restarted host arrives") {
+  Pair pair("c", "key");
+  const core::HostId host("h");
+  const std::string address = FreeAddress(pair.context);
+  REQUIRE_FALSE(pair.b.SetPeer(host, address));
+  int received = 0;
+  const auto start = [&](std::uint64_t incarnation) {
+    auto process = std::make_unique<PeerTransport>(
+        pair.context, PeerTransportOptions{host, incarnation, address},
+        MessageAuthenticator("c", "key"),
+        [&](const schema::Envelope&) { ++received; });
+    REQUIRE_FALSE(process->Start());
+    REQUIRE_FALSE(process->SetPeer(core::HostId("b"), pair.b_address));
+    return process;
+  };
+  const auto exchange = [&](PeerTransport& process) {
+    const std::size_t before = pair.received.size();
+    process.Send(core::HostId("b"), "poll");
+    pair.RunUntil([&] { return pair.received.size() > before; });
+    pair.b.Send(host, "reply");
+  };
+  const auto former = start(1);
+  exchange(*former);
+  pair.RunUntil([&] { return received == 1; });
+  REQUIRE(received == 1);
+  former->Stop();
+  const auto restarted = start(2);
+  exchange(*restarted);
+  pair.RunUntil([&] { return received == 2; });
+  CHECK(received == 2);
+  restarted->Stop();
+}
+
 }  // namespace foxquay::transport
