Let hosts that follow one control host share their retries

Cause: each host had its equal share of the retry budget.

Change: followers report requests and retries of the window with each poll. The control host adds up their shares (relay::RetryPool) and grants each what it has used and a part of what is left, never more than the pool holds beyond the grants still valid. A host without a valid grant keeps 0.4 of its share. After a restart the reduced slack applies as before, and the pool counts what the previous process may have used for one window.

--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -61,6 +61,10 @@
     poll.number = next_report_++;
     poll.config = observer_.StartPoll(now);
     poll.roster = roster_.Poll(now);
+    // A host counts in the pool of its parent only.
+    if (sink_.retry_usage && parent_->parent() == host) {
+      poll.retries = sink_.retry_usage();
+    }
     Send(host, poll);
   }
 }
@@ -82,6 +86,8 @@
   reply.config = AnswerConfig(from.sender, poll.config, now);
   reply.roster = roster_.Answer(poll.roster, now);
   reply.open_requests = total_open_;
+  reply.retries = retry_pool_.Grant({from.sender, from.incarnation},
+                                    poll.retries, entry_hosts_, now);
   Send(from.sender, std::move(reply));
 }
 
@@ -105,6 +111,11 @@
                 {"to", from.sender}});
   }
   if (sink_.set_open_requests) sink_.set_open_requests(reply.open_requests);
+  // Another control host answers only for its own followers.
+  const bool from_parent = parent_->parent() == from.sender;
+  if (from_parent && sink_.set_retry_allowances) {
+    sink_.set_retry_allowances(reply.retries);
+  }
 }
 
 void ControlNode::FollowHosts(core::Instant now) {
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -129,7 +129,9 @@
       proposer_(incarnation, internal::ControlHosts(settings_),
                 [this](const core::HostId& to, schema::ProposeRequest request) {
                   SendPropose(to, std::move(request));
-                }) {
+                }),
+      retry_pool_({settings.budget.ratio, settings.budget.slack,
+                   settings.budget.window}) {
   shared_.store(std::make_shared<const Shared>());
 }
 
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -29,6 +29,7 @@
 #include "foxquay/dispatch/event.h"
 #include "foxquay/entry/distances.h"
 #include "foxquay/membership/parent_selector.h"
+#include "foxquay/relay/retry_pool.h"
 #include "foxquay/roster/roster.h"
 #include "foxquay/schema/peer.h"
 #include "foxquay/schema/settings.h"
@@ -76,6 +77,11 @@
   std::function<void(std::size_t)> set_entry_hosts;
   /// Requests that have not ended at any host, as known to the control hosts.
   std::function<void(std::uint64_t)> set_open_requests;
+  /// Returns the use of this host's retry budgets. May be empty.
+  std::function<std::vector<schema::RetryUsage>()> retry_usage;
+  /// Retries that this host may send. May be empty.
+  std::function<void(const std::vector<schema::RetryAllowance>&)>
+      set_retry_allowances;
   /// Whether this host's replica leads, and its term.
   std::function<void(bool, std::uint64_t)> set_leadership;
 };
@@ -304,6 +310,8 @@
   /// Set on a host that follows a control host.
   std::optional<membership::ParentSelector> parent_;
   std::uint64_t next_report_ = 1;  ///< Number of the next report.
+  relay::RetryPool retry_pool_;    ///< Of the hosts that follow this one.
+  std::size_t entry_hosts_ = 1;    ///< Known hosts that serve callers.
   std::unique_ptr<ControlDisk> disk_;
   std::optional<ControlReplica> replica_;
 
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -210,11 +210,11 @@
       current->connected == connected) {
     return;
   }
-  if (sink_.set_entry_hosts) {
-    sink_.set_entry_hosts(static_cast<std::size_t>(std::count_if(
-        hosts.begin(), hosts.end(),
-        [](const HostView& host) { return !host.caller.empty(); })));
-  }
+  entry_hosts_ = static_cast<std::size_t>(
+      std::count_if(hosts.begin(), hosts.end(), [](const HostView& host) {
+        return !host.caller.empty();
+      }));
+  if (sink_.set_entry_hosts) sink_.set_entry_hosts(entry_hosts_);
   auto shared = std::make_shared<Shared>();
   shared->connected = connected;
   shared->distances = NominalDistances(hosts);
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -229,6 +229,19 @@
     };
     sink.free_capacity = [] { return 1.0; };
     sink.open_requests = [this] { return open_requests_.load(); };
+    sink.retry_usage = [this] {
+      const auto usage = retry_usage_.load();
+      return usage ? *usage : std::vector<schema::RetryUsage>();
+    };
+    sink.set_retry_allowances =
+        [this](const std::vector<schema::RetryAllowance>& allowances) {
+          Post([this, allowances] {
+            for (const schema::RetryAllowance& allowance : allowances) {
+              proxy_.relay().budget().SetAllowance(
+                  allowance.service, allowance.retries, net::SteadyNow());
+            }
+          });
+        };
     sink.set_open_requests = [this](std::uint64_t open) {
       Post([this, open] { proxy_.SetOpenRequests(open); });
     };
@@ -309,6 +322,8 @@
     if (has_entry_role_) {
       proxy_.Review();
       open_requests_ = proxy_.relay().sent();
+      retry_usage_ = std::make_shared<const std::vector<schema::RetryUsage>>(
+          proxy_.relay().budget().Usage(net::SteadyNow()));
     }
     if (now >= next_maintenance_) {
       next_maintenance_ = now + gateway::kPlacerInterval;
@@ -346,6 +361,8 @@
   ControlServer control_server_;
   /// Read by the control node's thread.
   std::atomic<std::size_t> open_requests_ = 0;
+  std::atomic<std::shared_ptr<const std::vector<schema::RetryUsage>>>
+      retry_usage_;
   std::optional<core::Instant> drain_started_;
   std::size_t upstreams_ = 0;
   bool leads_ = false;
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -45,6 +45,9 @@
     upstreams_.SetOpenRequests(static_cast<double>(open));
   }
 
+  /// Returns the retry budget of this host.
+  [[nodiscard]] RetryBudget& budget() noexcept { return budget_; }
+
   /// Decides on a new request. Precondition: the id is new.
   [[nodiscard]] Decision Arrive(core::RequestId id, RequestContext context,
                                 core::Instant now);
--- a/src/foxquay/relay/retry_budget.cc
+++ b/src/foxquay/relay/retry_budget.cc
@@ -5,13 +5,9 @@
 namespace foxquay::relay {
 namespace internal {
 
-/// Fraction of the limit that is used. The margin keeps the sum within the
-/// limit when requests have left the window and their retries have not.
-constexpr double kUsableFraction = 0.8;
-
 /// Fraction of the slack that is used in the first window after a start. The
 /// previous process may have used the other fraction in the same window.
-constexpr double kSlackFractionAfterStart = 1 - kUsableFraction;
+constexpr double kSlackFractionAfterStart = 1 - relay::kUsableFraction;
 
 /// Time after a start within which a host learns of all other hosts.
 constexpr core::Duration kDiscoveryTime = std::chrono::seconds(3);
@@ -55,22 +51,58 @@
 
 double RetryBudget::SlackFraction(core::Instant now) const {
   if (!started_ || now - *started_ >= options_.window) {
-    return internal::kUsableFraction;
+    return kUsableFraction;
   }
   return now - *started_ < internal::kDiscoveryTime
              ? 0
              : internal::kSlackFractionAfterStart;
 }
 
+double ShareOfLimit(const BudgetOptions& options, std::size_t requests,
+                    std::size_t hosts) {
+  return kUsableFraction *
+         (options.ratio * static_cast<double>(requests) +
+          options.slack / static_cast<double>(std::max<std::size_t>(1, hosts)));
+}
+
+double RetryBudget::Limit(const Counts& counts, core::Instant now) const {
+  const std::size_t hosts = hosts_ == 0 ? internal::kAssumedHosts : hosts_;
+  const double fraction = SlackFraction(now);
+  if (fraction < kUsableFraction) {
+    return kUsableFraction * options_.ratio *
+               static_cast<double>(counts.requests.size()) +
+           fraction * options_.slack / static_cast<double>(hosts);
+  }
+  const double share = ShareOfLimit(options_, counts.requests.size(), hosts);
+  if (!counts.has_had_allowance) return share;
+  const double base = kBaseFraction * share;
+  return now < counts.allowance_end ? std::max(base, counts.allowance) : base;
+}
+
+void RetryBudget::SetAllowance(const core::ServiceId& service, double retries,
+                               core::Instant now) {
+  Counts& counts = services_[service];
+  counts.allowance = retries;
+  counts.allowance_end = now + kAllowanceLifetime;
+  counts.has_had_allowance = true;
+}
+
+std::vector<schema::RetryUsage> RetryBudget::Usage(core::Instant now) {
+  std::vector<schema::RetryUsage> usage;
+  for (auto& [service, counts] : services_) {
+    DropExpired(counts, now);
+    usage.push_back({service,
+                     static_cast<std::uint32_t>(counts.requests.size()),
+                     static_cast<std::uint32_t>(counts.retries.size()),
+                     now < counts.allowance_end ? counts.allowance : 0});
+  }
+  return usage;
+}
+
 bool RetryBudget::CanRetry(const core::ServiceId& service, core::Instant now) {
   Counts& counts = services_[service];
   DropExpired(counts, now);
-  const std::size_t hosts = hosts_ == 0 ? internal::kAssumedHosts : hosts_;
-  const double bound =
-      internal::kUsableFraction * options_.ratio *
-          static_cast<double>(counts.requests.size()) +
-      SlackFraction(now) * options_.slack / static_cast<double>(hosts);
-  return static_cast<double>(counts.retries.size()) + 1 <= bound;
+  return static_cast<double>(counts.retries.size()) + 1 <= Limit(counts, now);
 }
 
 bool RetryBudget::TakeRetry(const core::ServiceId& service, core::Instant now) {
--- a/src/foxquay/relay/retry_budget.h
+++ b/src/foxquay/relay/retry_budget.h
@@ -6,9 +6,11 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
+#include "foxquay/schema/peer.h"
 
 namespace foxquay::relay {
 
@@ -19,9 +21,27 @@
   core::Duration window = std::chrono::seconds(10);  ///< Sliding window.
 };
 
-/// One host's share of the limit. The ratio applies to the host's own requests
-/// and the slack is divided by the number of hosts, so that all hosts together
-/// stay within the limit in every window without exchanging messages.
+/// Fraction of the limit that is used. The margin keeps the sum within the
+/// limit when requests have left the window and their retries have not.
+inline constexpr double kUsableFraction = 0.8;
+
+/// Fraction of its share that a host may use without an allowance, once it has
+/// had one. The rest is at the disposal of the control host that it follows.
+inline constexpr double kBaseFraction = 0.4;
+
+/// Time for which an allowance is valid; several intervals between polls.
+inline constexpr core::Duration kAllowanceLifetime = std::chrono::seconds(2);
+
+/// Returns the retries within one window that are one host's share of the
+/// limit. Thread-safe.
+[[nodiscard]] double ShareOfLimit(const BudgetOptions& options,
+                                  std::size_t requests, std::size_t hosts);
+
+/// One host's part of the limit. Its share is the ratio on its own requests and
+/// the slack divided by the number of hosts, so that all hosts together stay
+/// within the limit in every window. A host that follows a control host uses an
+/// allowance instead, which moves unused shares to where retries are needed
+/// (RetryPool).
 ///
 /// Not thread-safe.
 class RetryBudget {
@@ -44,6 +64,14 @@
   [[nodiscard]] bool CanRetry(const core::ServiceId& service,
                               core::Instant now);
 
+  /// Sets the retries that may be sent within a window; valid for
+  /// kAllowanceLifetime.
+  void SetAllowance(const core::ServiceId& service, double retries,
+                    core::Instant now);
+
+  /// Returns the use of the budget of each service.
+  [[nodiscard]] std::vector<schema::RetryUsage> Usage(core::Instant now);
+
   /// Counts a retry and returns true, or returns false if the budget is used
   /// up.
   [[nodiscard]] bool TakeRetry(const core::ServiceId& service,
@@ -54,10 +82,15 @@
   struct Counts {
     std::deque<core::Instant> requests;
     std::deque<core::Instant> retries;
+    double allowance = 0;
+    core::Instant allowance_end;
+    bool has_had_allowance = false;
   };
 
   /// Removes times that have left the window.
   void DropExpired(Counts& counts, core::Instant now) const;
+  /// Returns the retries that may be sent within the window.
+  [[nodiscard]] double Limit(const Counts& counts, core::Instant now) const;
   /// Returns the fraction of the slack that may be used at `now`.
   [[nodiscard]] double SlackFraction(core::Instant now) const;
 
--- a/src/foxquay/schema/peer.h
+++ b/src/foxquay/schema/peer.h
@@ -152,6 +152,40 @@
   }
 };
 
+/// Use of the retry budget of one service by one host.
+struct RetryUsage {
+  core::ServiceId service;     ///< The service.
+  std::uint32_t requests = 0;  ///< Requests for it within the window.
+  std::uint32_t retries = 0;   ///< Retries within the window.
+  double allowance = 0;  ///< Retries within the window that the host holds
+                         ///< leave for; 0 if none.
+
+  friend bool operator==(const RetryUsage&, const RetryUsage&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(service);
+    archive(requests);
+    archive(retries);
+    archive(allowance);
+  }
+};
+
+/// Retries that a host may send within the window of its budget.
+struct RetryAllowance {
+  core::ServiceId service;  ///< The service.
+  double retries = 0;       ///< Their number.
+
+  friend bool operator==(const RetryAllowance&,
+                         const RetryAllowance&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(service);
+    archive(retries);
+  }
+};
+
 /// Sent by a host to the control host that it follows; reports its state and
 /// requests everything that it needs to serve callers.
 struct FollowerPoll {
@@ -161,6 +195,7 @@
   ConfigPoll
       config;  ///< Requests the configuration and the renewal of its lease.
   RosterPoll roster;  ///< Requests the feeds of upstreams and hosts.
+  std::vector<RetryUsage> retries;  ///< Use of the retry budgets.
 
   friend bool operator==(const FollowerPoll&, const FollowerPoll&) = default;
 
@@ -171,6 +206,7 @@
     archive(number);
     archive(config);
     archive(roster);
+    archive(Bound(retries, 1024));
   }
 };
 
@@ -181,6 +217,7 @@
   RosterReply roster;  ///< The feeds.
   std::uint64_t open_requests =
       0;  ///< Requests that have not ended at any host.
+  std::vector<RetryAllowance> retries;  ///< The sender's leave for retries.
 
   friend bool operator==(const FollowerReply&, const FollowerReply&) = default;
 
@@ -189,6 +226,7 @@
     archive(config);
     archive(roster);
     archive(open_requests);
+    archive(Bound(retries, 1024));
   }
 };
 
