Keep a control host running on a full disk

Change: a write that fails only for want of room is repeated every 200 ms. The records stay queued, an incomplete end of the segment is cut off first, and nothing is acknowledged meanwhile, so that the replica neither votes nor confirms entries while the others go on. The log says disk_full and disk_has_room, the metrics foxquay_disk_full. A process that starts on a full disk still ends. The test limits the size of files, so that writes fail in the middle.

--- a/src/foxquay/daemon/control_disk.cc
+++ b/src/foxquay/daemon/control_disk.cc
@@ -4,11 +4,15 @@
 #include <utility>
 
 #include "foxquay/core/finding.h"
+#include "foxquay/core/time.h"
 #include "foxquay/log/log.h"
 
 namespace foxquay::daemon {
 namespace internal {
 
+/// Interval at which a write is repeated on a full disk.
+constexpr core::Duration kRoomCheckInterval = std::chrono::milliseconds(200);
+
 [[noreturn]] void AbortAfterFailedWrite(std::error_code error) {
   log::Write(log::Level::kError, "disk_write_failed",
              {{"error", error.message()},
@@ -71,22 +75,47 @@
     if (queue_.empty()) return;
     const std::deque<Write> writes = std::exchange(queue_, {});
     lock.unlock();
-    persisted_(WriteAndSync(writes));
+    const auto write_id = WriteAndSync(writes);
+    if (!write_id) return;
+    persisted_(*write_id);
     lock.lock();
   }
 }
 
-consensus::WriteId ControlDisk::WriteAndSync(const std::deque<Write>& writes) {
+bool ControlDisk::AwaitRoom(std::error_code error) {
+  if (!storage::IsOutOfSpace(error)) internal::AbortAfterFailedWrite(error);
+  if (!full_.exchange(true)) {
+    log::Write(log::Level::kError, "disk_full",
+               {{"folder", folder_},
+                {"effect", "this replica confirms nothing until there is room"},
+                {"remedy", "free space on the disk"}});
+  }
+  std::unique_lock lock(mutex_);
+  wake_.wait_for(lock, internal::kRoomCheckInterval,
+                 [this] { return stopping_; });
+  return !stopping_;
+}
+
+std::optional<consensus::WriteId> ControlDisk::WriteAndSync(
+    const std::deque<Write>& writes) {
   for (const Write& write : writes) {
     if (const auto* record = std::get_if<consensus::Persist>(&write)) {
       store_->Write(*record);
       continue;
     }
-    const auto error = store_->Write(std::get<consensus::SaveSnapshot>(write));
-    if (error) internal::AbortAfterFailedWrite(error);
+    const auto& snapshot = std::get<consensus::SaveSnapshot>(write);
+    while (const auto error = store_->Write(snapshot)) {
+      if (!AwaitRoom(error)) return std::nullopt;
+    }
+  }
+  auto write_id = store_->Sync();
+  while (!write_id) {
+    if (!AwaitRoom(write_id.error())) return std::nullopt;
+    write_id = store_->Sync();
+  }
+  if (full_.exchange(false)) {
+    log::Write(log::Level::kInfo, "disk_has_room", {{"folder", folder_}});
   }
-  const auto write_id = store_->Sync();
-  if (!write_id) internal::AbortAfterFailedWrite(write_id.error());
   return write_id.value();
 }
 
--- a/src/foxquay/daemon/control_disk.h
+++ b/src/foxquay/daemon/control_disk.h
@@ -1,6 +1,7 @@
 #ifndef FOXQUAY_DAEMON_CONTROL_DISK_H_
 #define FOXQUAY_DAEMON_CONTROL_DISK_H_
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
@@ -8,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <variant>
 
@@ -22,8 +24,10 @@
 /// Writes a replica's records and snapshots on a thread of its own, so that a
 /// slow sync does not hold up heartbeats.
 ///
-/// A failed write aborts the process, because nothing may be acknowledged after
-/// it.
+/// Writes that fail for want of room are repeated until there is some; until
+/// then nothing is acknowledged, so that the replica neither votes nor confirms
+/// entries. Any other failed write aborts the process, because nothing may be
+/// acknowledged after it.
 class ControlDisk {
  public:
   /// `folder` is the path of the data folder of `host`. `persisted` is called
@@ -51,7 +55,11 @@
   /// Queues a write. Thread-safe.
   void SaveSnapshot(consensus::SaveSnapshot&& action);
 
-  /// Completes the queued writes and stops the disk thread.
+  /// Returns whether writes wait for room on the disk. Thread-safe.
+  [[nodiscard]] bool full() const noexcept { return full_; }
+
+  /// Completes the queued writes and stops the disk thread. Writes that wait
+  /// for room are given up.
   void Stop();
 
  private:
@@ -59,8 +67,12 @@
 
   void Enqueue(Write write);
   void Run();
-  [[nodiscard]] consensus::WriteId WriteAndSync(
+  /// Writes `writes` and returns the ID of the last one; nothing if the disk is
+  /// full until the end.
+  [[nodiscard]] std::optional<consensus::WriteId> WriteAndSync(
       const std::deque<Write>& writes);
+  /// Handles a failed write; returns whether to repeat it.
+  [[nodiscard]] bool AwaitRoom(std::error_code error);
 
   core::HostId host_;
   std::string folder_;
@@ -71,6 +83,7 @@
   std::condition_variable wake_;
   std::deque<Write> queue_;
   bool stopping_ = false;
+  std::atomic<bool> full_{false};
   std::thread thread_;
 };
 
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -188,6 +188,9 @@
       std::uint64_t sequence, core::Duration timeout);
 
   [[nodiscard]] ControlStatus Status();
+  /// Returns whether the disk of this host's replica is full. Does not block.
+  /// Precondition: Start was called.
+  [[nodiscard]] bool DiskFull() const { return disk_ && disk_->full(); }
   /// Returns the configuration that this host has applied.
   [[nodiscard]] control::Config Configuration();
   /// Returns the retained configuration entries, newest last; empty without a
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -135,6 +135,7 @@
                   static_cast<double>(proxy_.relay().held()));
     registry_.Set("foxquay_ready", proxy_.ready() ? 1 : 0);
     registry_.Set("foxquay_leads", leads_ ? 1 : 0);
+    registry_.Set("foxquay_disk_full", node_.DiskFull() ? 1 : 0);
     registry_.Set("foxquay_upstreams", static_cast<double>(upstreams_));
     return net::MakeResponse(200, "text/plain; version=0.0.4",
                              registry_.Expose());
--- a/src/foxquay/storage/file.cc
+++ b/src/foxquay/storage/file.cc
@@ -57,6 +57,12 @@
   return ToErrorCode(flock(descriptor_, LOCK_EX | LOCK_NB));
 }
 
+bool IsOutOfSpace(std::error_code error) noexcept {
+  return error == std::errc::no_space_on_device ||
+         error == std::errc::file_too_large ||
+         error == std::error_code(EDQUOT, std::generic_category());
+}
+
 core::Result<std::string> ReadFile(const std::filesystem::path& path) {
   std::ifstream in(path, std::ios::binary);
   std::ostringstream out;
--- a/src/foxquay/storage/file.h
+++ b/src/foxquay/storage/file.h
@@ -46,6 +46,10 @@
   int descriptor_ = -1;
 };
 
+/// Returns whether a write failed only for want of room, so that the same write
+/// may succeed once there is some. Thread-safe.
+[[nodiscard]] bool IsOutOfSpace(std::error_code error) noexcept;
+
 /// Returns the contents of a file; Error::kNotFound if it cannot be read.
 [[nodiscard]] core::Result<std::string> ReadFile(
     const std::filesystem::path& path);
--- a/src/foxquay/storage/store.cc
+++ b/src/foxquay/storage/store.cc
@@ -104,10 +104,20 @@
   return {};
 }
 
-core::Result<consensus::WriteId> Store::Sync() {
-  if (queued_.empty()) return last_write_id_;
+std::error_code Store::AppendQueued() {
+  if (incomplete_) {
+    if (auto error = log_.Truncate(offset_)) return error;
+  }
+  incomplete_ = true;
   if (auto error = log_.Append(queued_)) return error;
   if (auto error = log_.Sync()) return error;
+  incomplete_ = false;
+  return {};
+}
+
+core::Result<consensus::WriteId> Store::Sync() {
+  if (queued_.empty()) return last_write_id_;
+  if (auto error = AppendQueued()) return error;
   offset_ += queued_.size();
   queued_.clear();
   return last_write_id_;
@@ -133,6 +143,7 @@
   log_ = std::move(log.value());
   ++segment_;
   offset_ = bytes.size();
+  incomplete_ = false;
   return {};
 }
 
--- a/src/foxquay/storage/store.h
+++ b/src/foxquay/storage/store.h
@@ -19,8 +19,10 @@
 /// Persistent storage of one replica in one data folder: its identity, the
 /// latest snapshot and the log after it.
 ///
-/// Not thread-safe. After an error the caller must acknowledge nothing more and
-/// end the process: a failed sync may have lost writes without a trace.
+/// Not thread-safe. If a write fails for want of room (IsOutOfSpace), the caller
+/// acknowledges nothing and repeats it later. After any other error it must
+/// acknowledge nothing more and end the process: a failed sync may have lost
+/// writes without a trace.
 class Store {
  public:
   /// Opens or creates a data folder and locks it against other processes.
@@ -42,7 +44,7 @@
   /// records, and removes older files. Blocks until the data is on disk.
   [[nodiscard]] std::error_code Write(const consensus::SaveSnapshot& save);
   /// Writes all queued records and blocks until they are on disk, with one
-  /// sync.
+  /// sync. If there is no room for them, they stay queued.
   ///
   /// Returns the id of the last write, to be reported with
   /// consensus::Persisted: all writes up to it are on disk.
@@ -60,6 +62,8 @@
   [[nodiscard]] std::error_code StartSegment(
       std::uint64_t snapshot, const std::vector<schema::LogRecord>& records);
   void RemoveOldFiles(std::uint64_t snapshot) const;
+  /// Appends the queued records to the log and syncs it.
+  [[nodiscard]] std::error_code AppendQueued();
 
   std::filesystem::path folder_;
   File lock_;
@@ -69,6 +73,7 @@
   std::uint64_t segment_ = 0;  ///< Number of the current log segment.
   std::uint64_t offset_ = 0;   ///< Synced size of that segment.
   std::string queued_;         ///< Frames to be appended by the next Sync.
+  bool incomplete_ = false;    ///< The segment may end with a part of them.
   consensus::WriteId last_write_id_;
 };
 
--- a/tests/foxquay/storage/store_test.cc
+++ b/tests/foxquay/storage/store_test.cc
@@ -1,8 +1,10 @@
 #include "foxquay/storage/store.h"
 
 #include <rapidcheck.h>
+#include <sys/resource.h>
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -281,4 +283,63 @@
   CHECK(recovered.snapshot.data == "state");
 }
 
+// Limits the size of files while it exists, so that longer writes fail as on a
+// full disk, also in the middle.
+class FullDisk {
+ public:
+  explicit FullDisk(std::uint64_t bytes) {
+    std::signal(SIGXFSZ, SIG_IGN);
+    getrlimit(RLIMIT_FSIZE, &former_);
+    const rlimit limit{bytes, former_.rlim_max};
+    setrlimit(RLIMIT_FSIZE, &limit);
+  }
+  ~FullDisk() { setrlimit(RLIMIT_FSIZE, &former_); }
+  FullDisk(const FullDisk&) = delete;
+  FullDisk& operator=(const FullDisk&) = delete;
+
+ private:
+  rlimit former_{};
+};
+
+// Guards against a control host that ends, and then cannot start, because its
+// disk is full.
+TEST_CASE("records wait on a full disk and are written once there is room") {
+  TempFolder folder;
+  Store store = MustOpen(folder.path());
+  const auto entry = [](std::uint64_t index) {
+    schema::LogEntry made;
+    made.term = 1;
+    made.payload = std::string(1000, static_cast<char>('a' + index));
+    return made;
+  };
+  store.Write(consensus::Persist{consensus::WriteId(1), {1, {}, 1, {entry(1)}}});
+  REQUIRE(store.Sync());
+  const auto size = fs::file_size(CurrentSegment(folder.path()));
+  {
+    const FullDisk full(size + 300);
+    store.Write(
+        consensus::Persist{consensus::WriteId(2), {1, {}, 2, {entry(2)}}});
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      const auto synced = store.Sync();
+      REQUIRE_FALSE(synced);
+      CHECK(IsOutOfSpace(synced.error()));
+    }
+    consensus::SaveSnapshot save;
+    save.write_id = consensus::WriteId(3);
+    save.snapshot.data = std::string(100000, 's');
+    CHECK(IsOutOfSpace(store.Write(save)));
+  }
+  store.Write(consensus::Persist{consensus::WriteId(2), {1, {}, 2, {entry(2)}}});
+  const auto synced = store.Sync();
+  REQUIRE(synced);
+  CHECK(synced.value() == consensus::WriteId(2));
+  Store former = std::move(store);
+  const auto copy = folder.path() / "copy";
+  fs::copy(folder.path(), copy);
+  Store again = MustOpen(copy);
+  const auto recovered = again.TakeRecovered();
+  REQUIRE(recovered.persistent_state.entries.size() == 2);
+  CHECK(recovered.persistent_state.entries[1].payload == entry(2).payload);
+}
+
 }  // namespace foxquay::storage
