Wake followers and idle entry hosts half as often

Change: the control thread of a follower ticks every 50 ms, the traffic thread every 50 ms while no request waits for a path or for the configuration.

--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -262,7 +262,7 @@
   PublishAdmission(now);
   PublishRoster(now);
   PublishHosts(now);
-  timer_.expires_after(kControlTick);
+  timer_.expires_after(parent_ ? kFollowerTick : kControlTick);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) Tick();
   });
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -40,6 +40,10 @@
 /// Interval of the control thread's periodic work.
 inline constexpr core::Duration kControlTick = std::chrono::milliseconds(25);
 
+/// As kControlTick, on a host that follows a control host: nothing there has to
+/// happen sooner than a fifth of the interval between two polls.
+inline constexpr core::Duration kFollowerTick = membership::kFollowInterval / 5;
+
 /// Interval between two polls of the configuration.
 inline constexpr core::Duration kConfigPollInterval =
     std::chrono::milliseconds(250);
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -318,6 +318,12 @@
     }
   }
 
+  core::Duration TickInterval() const {
+    if (!has_entry_role_) return gateway::kPlacerInterval;
+    return proxy_.has_waiting() ? gateway::kReviewInterval
+                                : gateway::kIdleReviewInterval;
+  }
+
   void Tick() {
     const core::Instant now = Now();
     if (has_entry_role_) {
@@ -338,8 +344,7 @@
       next_settings_check_ = now + kSettingsPollInterval;
       if (reloader_.Changed()) ReloadSettings();
     }
-    timer_.expires_after(has_entry_role_ ? gateway::kReviewInterval
-                                         : gateway::kPlacerInterval);
+    timer_.expires_after(TickInterval());
     timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) Tick();
     });
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -30,6 +30,11 @@
 /// Interval at which Proxy::Review must be called.
 inline constexpr core::Duration kReviewInterval = std::chrono::milliseconds(25);
 
+/// As kReviewInterval while no request waits; a fraction of the silence after
+/// which a stream counts as stalled.
+inline constexpr core::Duration kIdleReviewInterval =
+    std::chrono::milliseconds(50);
+
 /// Reverse proxy: forwards callers' requests to upstreams and the responses
 /// back. A Relay decides where a request is sent and whether it is retried,
 /// held or refused.
@@ -78,13 +83,18 @@
   [[nodiscard]] bool ready() const;
   /// Returns whether there is a configuration with a valid lease.
   [[nodiscard]] bool can_admit() const;
+  /// Returns whether a request waits for a path or for the configuration.
+  [[nodiscard]] bool has_waiting() const {
+    return relay_.held() > 0 || !pending_.empty();
+  }
   /// Returns the number of requests that are being received or answered.
   [[nodiscard]] std::size_t open_requests() const {
     return server_.open_requests();
   }
 
   /// Handles deadlines, held and waiting requests and stalled streams. Must be
-  /// called every kReviewInterval.
+  /// called every kReviewInterval, or every kIdleReviewInterval while no request
+  /// waits.
   void Review();
 
  private:
