Drop direct polls of silent control hosts

A control host freezes from 2.5 to 9.4 s. Its feed turns old at every host, and each of the 291 asked it for the feed directly every 0.5 s: 582 polls a second, which it could answer neither while frozen nor afterwards, so that its feed stayed old and the polls went on. At 15 s it still had no confirmed configuration.

Change: hosts poll only the control host that they follow (and, every 4 s, their first choice). The polls answered one case, upstreams that announce themselves to a control host on the smaller side of a partition. Such a host, once it has confirmed nothing for 2 s, now refuses announcements, so that these upstreams turn to another one within a heartbeat.

--- a/src/foxquay/control/observer.h
+++ b/src/foxquay/control/observer.h
@@ -82,6 +82,12 @@
   /// configuration has never been confirmed.
   [[nodiscard]] std::optional<core::Instant> LeaseEnd() const noexcept;
 
+  /// Returns the latest time at which the configuration is known to have been
+  /// current, or nothing if it has never been confirmed.
+  [[nodiscard]] const std::optional<core::Instant>& confirmed() const noexcept {
+    return confirmed_;
+  }
+
   [[nodiscard]] const Config& config() const noexcept { return config_; }
   /// Returns the version of the fleet configuration; 0 if none is known.
   [[nodiscard]] std::uint64_t fleet_version() const noexcept {
--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -13,16 +13,17 @@
 /// poll of the leader has failed.
 constexpr core::Duration kMaxConfirmationAge = std::chrono::milliseconds(1000);
 
-/// Age above which a feed is requested from its own host. Well below the age
-/// at which its upstreams are dropped.
-constexpr core::Duration kStaleFeedAge = std::chrono::milliseconds(1500);
+/// Time without a confirmation of the configuration after which a control host
+/// refuses announcements. Longer than an election.
+constexpr core::Duration kMaxUnconfirmed = std::chrono::milliseconds(2000);
 
 }  // namespace internal
 
 schema::HostAddress ControlNode::OwnAddress() const {
   const HostView own = hosts_.Own();
-  return {self_,           observer_.incarnation(), own.peer,   own.caller,
-          own.data_centre, own.region,              own.control};
+  return {self_,      observer_.incarnation(), own.peer,
+          own.caller, own.data_centre,         own.region,
+          own.control};
 }
 
 void ControlNode::UpdateParentCandidates() {
@@ -47,8 +48,7 @@
 
 void ControlNode::FollowParent(core::Instant now) {
   const auto former = parent_->parent();
-  const std::vector<core::HostId> due =
-      parent_->Due(roster_.StaleFeeds(internal::kStaleFeedAge, now), now);
+  const std::vector<core::HostId> due = parent_->Due(now);
   if (parent_->parent() != former) {
     log::Write(log::Level::kInfo, "parent_changed",
                {{"from", former.value_or(core::HostId())},
@@ -106,9 +106,9 @@
   const auto former = parent_->parent();
   parent_->HandleReply(from.sender, confirmed, now);
   if (parent_->parent() != former) {
-    log::Write(log::Level::kInfo, "parent_changed",
-               {{"from", former.value_or(core::HostId())},
-                {"to", from.sender}});
+    log::Write(
+        log::Level::kInfo, "parent_changed",
+        {{"from", former.value_or(core::HostId())}, {"to", from.sender}});
   }
   if (sink_.set_open_requests) sink_.set_open_requests(reply.open_requests);
   // Another control host answers only for its own followers.
@@ -118,6 +118,13 @@
   }
 }
 
+void ControlNode::ReviewConfirmation(core::Instant now) {
+  // Before the first confirmation, announcements are kept for the others.
+  const auto& confirmed = observer_.confirmed();
+  const bool lost = confirmed && now - *confirmed > internal::kMaxUnconfirmed;
+  if (uses_seeds()) accepts_announcements_ = !lost;
+}
+
 void ControlNode::FollowHosts(core::Instant now) {
   const bool changed = followed_changes_ != roster_.changes();
   if (!changed && now < next_hosts_review_) return;
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -257,6 +257,7 @@
   }
   if (now >= next_gossip_) GossipHosts(now);
   if (uses_seeds()) FollowHosts(now);
+  ReviewConfirmation(now);
   if (sink_.decide_claim) Register(now);
   EndSilentIncarnations(now);
   PublishAdmission(now);
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -151,6 +151,12 @@
   void RequestClaim(ClaimRequest request);
   void ReleaseClaim(ClaimRelease release);
   void RecordOutcome(ClaimRecord record);
+  /// Returns whether announcements and withdrawals reach the other hosts. A
+  /// control host that has lost contact with the majority refuses them, so that
+  /// upstreams turn to another one. Does not block.
+  [[nodiscard]] bool AcceptsAnnouncements() const noexcept {
+    return accepts_announcements_;
+  }
   void Announce(const schema::Announcement& announcement);
   void Withdraw(const core::UpstreamId& upstream);
   /// Handles the result of a probe; `probed` is the announcement of the
@@ -263,8 +269,8 @@
   [[nodiscard]] std::optional<schema::ConfigReply> AnswerConfig(
       const core::HostId& sender, const schema::ConfigPoll& poll,
       core::Instant now);
-  /// Returns whether hosts find each other through seeds. The control hosts then
-  /// talk to each other, and every other host to one of them.
+  /// Returns whether hosts find each other through seeds. The control hosts
+  /// then talk to each other, and every other host to one of them.
   [[nodiscard]] bool uses_seeds() const {
     return !settings_.join.seeds.empty();
   }
@@ -275,6 +281,8 @@
   void UpdateParentCandidates();
   /// Takes the states of hosts over from the feeds.
   void FollowHosts(core::Instant now);
+  /// Updates whether announcements are accepted.
+  void ReviewConfirmation(core::Instant now);
   /// Sums up the open requests that hosts have reported.
   void SumOpenRequests(core::Instant now);
   void PollConfig(core::Instant now);
@@ -368,6 +376,7 @@
   std::optional<std::pair<bool, std::uint64_t>> published_leadership_;
   std::uint64_t next_in_force_check_ = 1;
   std::atomic<std::shared_ptr<const Shared>> shared_;
+  std::atomic<bool> accepts_announcements_{true};
   std::atomic<bool> stopping_{false};
   std::thread thread_;
 };
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -66,8 +66,8 @@
       observer_.Admit(now).state == control::AdmissionState::kOpen;
   report.free_percent = static_cast<std::uint8_t>(
       std::clamp(sink_.free_capacity(), 0.0, 1.0) * 100);
-  report.open_requests = static_cast<std::uint32_t>(
-      followers_open_ + sink_.open_requests());
+  report.open_requests =
+      static_cast<std::uint32_t>(followers_open_ + sink_.open_requests());
   report.revision = observer_.config().revision();
   if (replica_) {
     report.leader = replica_->leader();
@@ -211,9 +211,8 @@
     return;
   }
   entry_hosts_ = static_cast<std::size_t>(
-      std::count_if(hosts.begin(), hosts.end(), [](const HostView& host) {
-        return !host.caller.empty();
-      }));
+      std::count_if(hosts.begin(), hosts.end(),
+                    [](const HostView& host) { return !host.caller.empty(); }));
   if (sink_.set_entry_hosts) sink_.set_entry_hosts(entry_hosts_);
   auto shared = std::make_shared<Shared>();
   shared->connected = connected;
--- a/src/foxquay/daemon/control_server.cc
+++ b/src/foxquay/daemon/control_server.cc
@@ -16,6 +16,9 @@
 /// try another host.
 constexpr core::Duration kCallTimeout = std::chrono::milliseconds(800);
 
+/// Why an announcement or a withdrawal is refused.
+constexpr const char* kCutOff = "this host is cut off from the others";
+
 net::Response Empty() {
   return net::MakeResponse(200, "application/json", "{}");
 }
@@ -62,12 +65,20 @@
 
 void ControlServer::Handle(net::ExchangeId exchange,
                            const gateway::Announce& call) {
+  if (!node_.AcceptsAnnouncements()) {
+    server_.Respond(exchange, internal::Unavailable(internal::kCutOff));
+    return;
+  }
   node_.Announce(call.announcement);
   server_.Respond(exchange, internal::Empty());
 }
 
 void ControlServer::Handle(net::ExchangeId exchange,
                            const gateway::Withdraw& call) {
+  if (!node_.AcceptsAnnouncements()) {
+    server_.Respond(exchange, internal::Unavailable(internal::kCutOff));
+    return;
+  }
   log::Write(log::Level::kInfo, "upstream_withdrawn",
              {{"upstream", call.upstream}});
   node_.Withdraw(call.upstream);
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -93,8 +93,8 @@
   }
 
   /// Handles deadlines, held and waiting requests and stalled streams. Must be
-  /// called every kReviewInterval, or every kIdleReviewInterval while no request
-  /// waits.
+  /// called every kReviewInterval, or every kIdleReviewInterval while no
+  /// request waits.
   void Review();
 
  private:
--- a/src/foxquay/membership/parent_selector.cc
+++ b/src/foxquay/membership/parent_selector.cc
@@ -40,16 +40,16 @@
   const double polls_per_second =
       kMaxFollowerPollRate *
       static_cast<double>(std::max<std::size_t>(1, candidates_.size()));
-  const auto shared = std::chrono::duration_cast<core::Duration>(
-      std::chrono::duration<double>(static_cast<double>(followers_) /
-                                    polls_per_second));
+  const auto shared =
+      std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(
+          static_cast<double>(followers_) / polls_per_second));
   return std::max(kFollowInterval, shared);
 }
 
 core::Duration ParentSelector::ReplyTimeout() const {
   const int doublings = std::min(
-      consecutive_failures_ / static_cast<int>(std::max<std::size_t>(
-                                  1, candidates_.size())),
+      consecutive_failures_ /
+          static_cast<int>(std::max<std::size_t>(1, candidates_.size())),
       kMaxParentDoublings);
   return std::max(kReplyTimeout, Interval() * 2) * (1 << doublings);
 }
@@ -86,8 +86,7 @@
   Choose(now);
 }
 
-std::vector<core::HostId> ParentSelector::Due(
-    const std::vector<core::HostId>& stale, core::Instant now) {
+std::vector<core::HostId> ParentSelector::Due(core::Instant now) {
   std::vector<core::HostId> due;
   if (!parent_) Choose(now);
   if (!parent_) return due;
@@ -101,7 +100,6 @@
     due.push_back(*parent_);
   }
   AddPreferred(due, now);
-  AddStale(stale, due, now);
   return due;
 }
 
@@ -114,22 +112,6 @@
   due.push_back(preferred);
 }
 
-void ParentSelector::AddStale(const std::vector<core::HostId>& stale,
-                              std::vector<core::HostId>& due,
-                              core::Instant now) {
-  for (const core::HostId& host : stale) {
-    const auto found = records_.find(host);
-    const bool polled =
-        std::find(due.begin(), due.end(), host) != due.end() ||
-        host == *parent_;
-    if (found == records_.end() || polled) continue;
-    Record& record = found->second;
-    if (now < record.next_direct_poll) continue;
-    record.next_direct_poll = now + kDirectPollInterval;
-    due.push_back(host);
-  }
-}
-
 void ParentSelector::HandleReply(const core::HostId& from, bool confirmed,
                                  core::Instant now) {
   if (!parent_ || candidates_.empty()) return;
@@ -141,8 +123,8 @@
     records_.at(from).failures = 0;
     return;
   }
-  const bool preferred = from == candidates_.front().host &&
-                         now >= records_.at(from).avoid_until;
+  const bool preferred =
+      from == candidates_.front().host && now >= records_.at(from).avoid_until;
   if (!confirmed || !preferred) return;
   Follow(from, now);
   records_.at(from).failures = 0;
--- a/src/foxquay/membership/parent_selector.h
+++ b/src/foxquay/membership/parent_selector.h
@@ -40,11 +40,6 @@
 /// asks whether that one serves again.
 inline constexpr core::Duration kReturnInterval = std::chrono::seconds(4);
 
-/// Interval between polls of control hosts whose feeds the parent does not pass
-/// on. A fraction of the age at which the upstreams of a feed are dropped.
-inline constexpr core::Duration kDirectPollInterval =
-    std::chrono::milliseconds(500);
-
 /// A control host that may be followed.
 struct ParentCandidate {
   core::HostId host;
@@ -76,10 +71,8 @@
   void SetFollowers(std::size_t followers) { followers_ = followers; }
 
   /// Returns the control hosts to poll at `now`, each of which counts as polled
-  /// from then on. `stale` are those whose feeds do not arrive through the
-  /// parent.
-  [[nodiscard]] std::vector<core::HostId> Due(
-      const std::vector<core::HostId>& stale, core::Instant now);
+  /// from then on.
+  [[nodiscard]] std::vector<core::HostId> Due(core::Instant now);
 
   /// Records a reply to a poll; `confirmed` tells whether the sender could
   /// confirm its configuration as current.
@@ -98,7 +91,6 @@
   struct Record {
     int failures = 0;
     core::Instant avoid_until;
-    core::Instant next_direct_poll;
   };
 
   /// Chooses the best candidate that is not avoided, or the one whose avoidance
@@ -110,9 +102,6 @@
   [[nodiscard]] core::Duration ReplyTimeout() const;
   /// Adds the preferred candidate if it is time to ask it again.
   void AddPreferred(std::vector<core::HostId>& due, core::Instant now);
-  /// Adds the control hosts of `stale` that are due.
-  void AddStale(const std::vector<core::HostId>& stale,
-                std::vector<core::HostId>& due, core::Instant now);
 
   core::HostId self_;
   std::vector<ParentCandidate> candidates_;  ///< Best first.
--- a/src/foxquay/placement/chain.cc
+++ b/src/foxquay/placement/chain.cc
@@ -87,11 +87,10 @@
     const Range& held = candidates[index].layers;
     if (!held.empty() && held.end <= layers) order.push_back(index);
   }
-  std::stable_sort(order.begin(), order.end(),
-                   [&](std::size_t left, std::size_t right) {
-                     return candidates[left].layers.end <
-                            candidates[right].layers.end;
-                   });
+  std::stable_sort(
+      order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        return candidates[left].layers.end < candidates[right].layers.end;
+      });
   std::size_t centres = 0;
   const std::vector<std::size_t> centre_of =
       internal::NumberCentres(candidates, centres);
--- a/src/foxquay/relay/chain_mix.h
+++ b/src/foxquay/relay/chain_mix.h
@@ -33,8 +33,8 @@
 /// before it (incremental assignment, as for traffic on roads: Dafermos and
 /// Sparrow, 1969), so that all chains in use cost about the same. Answers
 /// hundreds of hosts with few requests each: if each chose the cheapest chain
-/// from the same old load, all would choose the same one. Each host computes the
-/// same mix and draws chains from it at random. Thread-safe.
+/// from the same old load, all would choose the same one. Each host computes
+/// the same mix and draws chains from it at random. Thread-safe.
 [[nodiscard]] std::vector<placement::Chain> SpreadLoad(
     std::vector<MixStage>& stages, std::uint32_t layers,
     core::Duration crossing_cost, const Work& work, double requests);
--- a/src/foxquay/relay/retry_pool.cc
+++ b/src/foxquay/relay/retry_pool.cc
@@ -79,8 +79,8 @@
     Report(account, follower, report, hosts, now);
     const double allowed = Allow(accounts, follower.host, now);
     if (allowed < account.granted && now < account.granted_until) {
-      account.former = std::max(
-          now < account.former_until ? account.former : 0, account.granted);
+      account.former = std::max(now < account.former_until ? account.former : 0,
+                                account.granted);
       account.former_until = account.granted_until;
     }
     account.granted = allowed;
--- a/src/foxquay/relay/stage_cost.cc
+++ b/src/foxquay/relay/stage_cost.cc
@@ -32,8 +32,8 @@
 
 core::Duration StageCost::PerLayer(const Work& work,
                                    const StageLoad& load) const {
-  const double step = step_ + per_sequence_ * (load.sequences + 1) +
-                      per_token_ * load.tokens;
+  const double step =
+      step_ + per_sequence_ * (load.sequences + 1) + per_token_ * load.tokens;
   const double read = read_ * work.prompt_tokens *
                       (1 + load.sequences / internal::kSequencesPerRead);
   return std::chrono::duration_cast<core::Duration>(
--- a/src/foxquay/relay/stage_cost.h
+++ b/src/foxquay/relay/stage_cost.h
@@ -41,11 +41,11 @@
   [[nodiscard]] bool Fits(const Work& work, const StageLoad& load) const;
 
  private:
-  double step_ = 0;           ///< Seconds of a token step without load.
-  double per_sequence_ = 0;   ///< Added seconds for each request.
-  double per_token_ = 0;      ///< Added seconds for each token of context.
-  double read_ = 0;           ///< Seconds to read a prompt token.
-  double layers_ = 1;         ///< Layers of the model.
+  double step_ = 0;          ///< Seconds of a token step without load.
+  double per_sequence_ = 0;  ///< Added seconds for each request.
+  double per_token_ = 0;     ///< Added seconds for each token of context.
+  double read_ = 0;          ///< Seconds to read a prompt token.
+  double layers_ = 1;        ///< Layers of the model.
   double token_capacity_ = 0;
 };
 
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -149,8 +149,7 @@
 StageLoad Upstreams::EstimateLoad(const Entry& entry) const {
   const double total = TotalRequests();
   const double others = total > 0 ? 1 - own_requests_ / total : 0;
-  return {entry.mixed.sequences * others +
-              static_cast<double>(entry.in_flight),
+  return {entry.mixed.sequences * others + static_cast<double>(entry.in_flight),
           entry.mixed.tokens * others + entry.tokens};
 }
 
@@ -203,7 +202,8 @@
   Mix& mix = mixes_[service.id];
   const double requests = TotalRequests();
   const bool current =
-      mix.changes == changes_ && now - mix.computed_at < internal::kMixLifetime &&
+      mix.changes == changes_ &&
+      now - mix.computed_at < internal::kMixLifetime &&
       std::abs(requests - mix.requests) <=
           internal::kMixLoadChange * std::max(1.0, mix.requests);
   if (current && !mix.chains.empty()) return mix;
@@ -263,9 +263,9 @@
     cost += stage.PerLayer(work, EstimateLoad(entry)) *
             static_cast<std::int64_t>(hop.layers.size());
   }
-  return cost + entries_.at(hops.front().upstream).latency.Slowdown(now) *
-                    static_cast<std::int64_t>(
-                        1 + work.answer_tokens / engine.stride);
+  return cost +
+         entries_.at(hops.front().upstream).latency.Slowdown(now) *
+             static_cast<std::int64_t>(1 + work.answer_tokens / engine.stride);
 }
 
 std::vector<Hop> Upstreams::ChooseFromMix(const schema::Service& service,
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -116,7 +116,7 @@
     bool present = true;        ///< Whether it is in use.
     std::size_t in_flight = 0;  ///< Requests of this host.
     double tokens = 0;          ///< Tokens of these requests.
-    StageLoad mixed;  ///< Load from all hosts according to the mix.
+    StageLoad mixed;            ///< Load from all hosts according to the mix.
     int consecutive_failures = 0;
     LatencyTracker latency;
     core::Instant last_possible_failure;
@@ -140,8 +140,8 @@
   struct Mix {
     std::vector<std::vector<Hop>> chains;  ///< One for each part of the load.
     core::Instant computed_at;
-    double requests = 0;         ///< Load for which it was computed.
-    std::uint64_t changes = 0;   ///< Value of `changes_` at that time.
+    double requests = 0;        ///< Load for which it was computed.
+    std::uint64_t changes = 0;  ///< Value of `changes_` at that time.
   };
 
   /// Returns an upstream as a candidate stage, without its cost; nothing if it
@@ -150,12 +150,9 @@
       const Entry& entry, const schema::Service& service, const Work& work,
       bool include_deprioritized, core::Instant now) const;
   /// Returns the cheapest chain under the estimated load of all hosts.
-  [[nodiscard]] std::vector<Hop> ChooseCheapest(const schema::Service& service,
-                                                const Work& work,
-                                                const FirstHops& first,
-                                                bool include_deprioritized,
-                                                core::Instant now,
-                                                NoPath& reason);
+  [[nodiscard]] std::vector<Hop> ChooseCheapest(
+      const schema::Service& service, const Work& work, const FirstHops& first,
+      bool include_deprioritized, core::Instant now, NoPath& reason);
   /// Draws a chain from the mix; empty if none of its chains may be used.
   [[nodiscard]] std::vector<Hop> ChooseFromMix(const schema::Service& service,
                                                const Work& work,
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -120,15 +120,6 @@
   return hosts;
 }
 
-std::vector<core::HostId> Roster::StaleFeeds(core::Duration age,
-                                             core::Instant now) const {
-  std::vector<core::HostId> stale;
-  for (const auto& [host, feed] : feeds_) {
-    if (host != self_ && now - feed.confirmed_at > age) stale.push_back(host);
-  }
-  return stale;
-}
-
 bool Roster::Announce(const schema::Announcement& announcement,
                       core::Instant now) {
   Expire(now);
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -63,9 +63,10 @@
 ///
 /// A feed holds the announcements and host reports that one host received, and
 /// a version that increases with each change. What has not changed is not sent
-/// again, so that the cost of a poll does not grow with the cluster. Hosts poll each other for feeds, and the age of
-/// a copy counts from when the poll was sent, so that it does not depend on how
-/// long the reply was in transit. Not thread-safe; performs no I/O.
+/// again, so that the cost of a poll does not grow with the cluster. Hosts poll
+/// each other for feeds, and the age of a copy counts from when the poll was
+/// sent, so that it does not depend on how long the reply was in transit. Not
+/// thread-safe; performs no I/O.
 class Roster {
  public:
   /// `self` is this host. Precondition: `incarnation` is larger than all
@@ -130,11 +131,6 @@
   /// which is silent unless a feed that is not too old holds it as heard.
   [[nodiscard]] std::vector<schema::HostState> Hosts(core::Instant now);
 
-  /// Returns the hosts whose feeds were confirmed longer than `age` ago, except
-  /// this host's own.
-  [[nodiscard]] std::vector<core::HostId> StaleFeeds(core::Duration age,
-                                                     core::Instant now) const;
-
   /// Returns the number of changes of any feed since the start, from which
   /// callers see that the results of Usable and Hosts may differ. They may also
   /// differ by the time that has passed.
@@ -179,8 +175,8 @@
     core::Instant restart_grace_end;
   };
 
-  /// Erases expired tombstones from all feeds, and marks the upstreams and hosts
-  /// in this host's feed that have been silent for too long.
+  /// Erases expired tombstones from all feeds, and marks the upstreams and
+  /// hosts in this host's feed that have been silent for too long.
   void Expire(core::Instant now);
   void ExpireHosts(Feed& feed, bool own, core::Instant now);
   /// Makes the next call of Expire at `time` or later check all entries.
--- a/src/foxquay/storage/store.h
+++ b/src/foxquay/storage/store.h
@@ -19,10 +19,10 @@
 /// Persistent storage of one replica in one data folder: its identity, the
 /// latest snapshot and the log after it.
 ///
-/// Not thread-safe. If a write fails for want of room (IsOutOfSpace), the caller
-/// acknowledges nothing and repeats it later. After any other error it must
-/// acknowledge nothing more and end the process: a failed sync may have lost
-/// writes without a trace.
+/// Not thread-safe. If a write fails for want of room (IsOutOfSpace), the
+/// caller acknowledges nothing and repeats it later. After any other error it
+/// must acknowledge nothing more and end the process: a failed sync may have
+/// lost writes without a trace.
 class Store {
  public:
   /// Opens or creates a data folder and locks it against other processes.
