Let requests wait for a retry before they are given up

Change: a request whose next send needs a retry that the budget doesn't have waits like one without a path, a begun stream for a second, others for half of their target at most. The control host grants more within the interval of the polls. A test aborts at once without the change.

--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -79,6 +79,10 @@
 
 Decision Relay::Route(core::RequestId id, State& state, core::Instant now) {
   const RequestContext& context = state.context;
+  if (state.awaits_budget && !budget_.TakeRetry(context.service->id, now)) {
+    return HoldOrGiveUp(id, state, "budget of repeated sends is spent", now);
+  }
+  state.awaits_budget = false;
   NoPath reason = NoPath::kNoUpstream;
   std::vector<Hop> hops = upstreams_.ChoosePath(
       *context.service, context.work, AllowedFirstHops(state), now, reason);
@@ -97,6 +101,12 @@
                       : "no upstream of the service",
                   internal::kUnavailableRetryAfter, now);
   }
+  return HoldOrGiveUp(id, state, "no upstream has a place", now);
+}
+
+Decision Relay::HoldOrGiveUp(core::RequestId id, State& state,
+                             const std::string& reason, core::Instant now) {
+  const RequestContext& context = state.context;
   if (!state.held) {
     if (held_ >= kMaxHeld) {
       return GiveUp(id, "too many requests wait", internal::kBusyRetryAfter,
@@ -113,7 +123,7 @@
     return Hold{};
   }
   if (now < state.hold_deadline) return Hold{};
-  return GiveUp(id, "no upstream has a place", internal::kBusyRetryAfter, now);
+  return GiveUp(id, reason, internal::kBusyRetryAfter, now);
 }
 
 FirstHops Relay::AllowedFirstHops(const State& state) const {
@@ -202,11 +212,7 @@
     return GiveUp(id, std::string("send ended: ") + Name(loss.kind),
                   internal::kFailedSendRetryAfter, now);
   }
-  const bool arrived = loss.kind != LossKind::kNotSent;
-  if (arrived && !budget_.TakeRetry(state.context.service->id, now)) {
-    return GiveUp(id, "budget of repeated sends is spent",
-                  internal::kBusyRetryAfter, now);
-  }
+  state.awaits_budget = loss.kind != LossKind::kNotSent;
   return Route(id, state, now);
 }
 
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -103,13 +103,19 @@
     unsigned unsent = 0;          ///< Sends that reached none.
     bool may_have_run = false;    ///< An upstream may have run it.
     bool answer_begun = false;    ///< The caller has received a part.
-    bool held = false;            ///< It waits for a path.
+    bool held = false;            ///< It waits for a path or a retry.
+    bool awaits_budget = false;   ///< Its next send needs a retry.
     core::Instant hold_deadline;  ///< When a held request is given up.
   };
 
   /// Sends the request along a path, or holds it or gives it up if there is
   /// none.
   Decision Route(core::RequestId id, State& state, core::Instant now);
+  /// Keeps the request waiting, or gives it up for `reason` if it has waited
+  /// for too long. A retry is worth a wait: the control host that this host
+  /// follows grants more within the interval of its polls.
+  Decision HoldOrGiveUp(core::RequestId id, State& state,
+                        const std::string& reason, core::Instant now);
   /// Ends the request: aborts an answer that has begun, else refuses it with
   /// 502 if it may have run and with 503 if not.
   Decision GiveUp(core::RequestId id, const std::string& reason,
--- a/tests/foxquay/membership/parent_selector_test.cc
+++ b/tests/foxquay/membership/parent_selector_test.cc
@@ -25,9 +25,11 @@
  public:
   SimulatedCluster(int followers, int controls) : controls_(controls) {
     std::vector<ParentCandidate> candidates;
+    candidates.reserve(static_cast<std::size_t>(controls));
     for (int index = 0; index < controls; ++index) {
       candidates.push_back({Control(index), false});
     }
+    selectors_.reserve(static_cast<std::size_t>(followers));
     for (int index = 0; index < followers; ++index) {
       selectors_.emplace_back(core::HostId("host-" + std::to_string(index)));
       selectors_.back().SetCandidates(candidates);
@@ -169,8 +171,9 @@
   }
   cluster.Run(0, 10000);
   CHECK(cluster.max_polls() <= 10 * kMaxFollowerPollRate);
-  for (int control = 0; control < 5; ++control)
+  for (int control = 0; control < 5; ++control) {
     cluster.Set(control, true, true);
+  }
   cluster.Run(10000, 15000);
   CHECK(cluster.longest_gap() < milliseconds(15000));
   cluster.Run(15000, 20000);
--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -278,4 +278,28 @@
   }
 }
 
+// Guards against streams that are aborted for want of retries when a stage is
+// lost under many of them, although more retries are granted moments later.
+TEST_CASE("a stream without retries left waits for an allowance") {
+  const auto table = MakeTable(schema::RequestKind::kStream, 2, true);
+  for (const bool granted : {true, false}) {
+    Relay relay({0, 0, std::chrono::seconds(10)}, 1);
+    relay.SetHosts(1, At(0));
+    relay.upstreams().Set({Plain("a"), Plain("b")}, At(0));
+    RequestContext context = MakeContext(table, 0);
+    context.deadline = At(20000);
+    (void)relay.Arrive(kId, std::move(context), At(0));
+    relay.BeginAnswer(kId);
+    const Decision lost = relay.HandleLoss(kId, {LossKind::kCut, ""}, At(100));
+    CHECK(std::holds_alternative<Hold>(lost));
+    CHECK(relay.Review(At(300)).empty());
+    if (granted)
+      relay.budget().SetAllowance(core::ServiceId("app"), 5, At(350));
+    const auto later = relay.Review(At(granted ? 400 : 1200));
+    REQUIRE(later.size() == 1);
+    CHECK(std::holds_alternative<Send>(later.front().second) == granted);
+    CHECK(std::holds_alternative<Abort>(later.front().second) == !granted);
+  }
+}
+
 }  // namespace foxquay::relay
