--- a/tests/foxquay/membership/parent_selector_test.cc
+++ b/tests/foxquay/membership/parent_selector_test.cc
@@ -23,7 +23,7 @@
 /// Followers and control hosts that answer after a fixed time.
 class SimulatedCluster {
  public:
-  SimulatedCluster(int followers, int controls) : controls_(controls) {
+  SimulatedCluster(int followers, int controls) {
     std::vector<ParentCandidate> candidates;
     candidates.reserve(static_cast<std::size_t>(controls));
     for (int index = 0; index < controls; ++index) {
@@ -103,7 +103,6 @@
 
   static constexpr core::Duration kDelay = milliseconds(20);
 
-  int controls_;
   std::vector<ParentSelector> selectors_;
   std::map<std::size_t, std::vector<Reply>> replies_;
   std::map<core::HostId, bool> answers_;
--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -293,8 +293,9 @@
     const Decision lost = relay.HandleLoss(kId, {LossKind::kCut, ""}, At(100));
     CHECK(std::holds_alternative<Hold>(lost));
     CHECK(relay.Review(At(300)).empty());
-    if (granted)
+    if (granted) {
       relay.budget().SetAllowance(core::ServiceId("app"), 5, At(350));
+    }
     const auto later = relay.Review(At(granted ? 400 : 1200));
     REQUIRE(later.size() == 1);
     CHECK(std::holds_alternative<Send>(later.front().second) == granted);
