Count the prompts of all requests in a stage

The estimate let the prompts of four requests delay a prompt by once its time, so that 250 requests went to the chains of the fast kind before any went to the slow one; both kinds read prompts about as fast, and the stages of the fast chains were busy with them.

Change: while a request runs, each other request in the stage is replaced about once and its successor's prompt is read in between, so each counts once.

--- a/src/foxquay/relay/stage_cost.cc
+++ b/src/foxquay/relay/stage_cost.cc
@@ -11,9 +11,6 @@
 /// Beyond it, the engine preempts its newest request.
 constexpr double kMaxMemoryFraction = 0.9;
 
-/// Requests in a stage that delay the reading of a prompt by once its time.
-constexpr double kSequencesPerRead = 4;
-
 }  // namespace internal
 
 StageCost::StageCost(const schema::Engine& engine,
@@ -34,8 +31,9 @@
                                    const StageLoad& load) const {
   const double step =
       step_ + per_sequence_ * (load.sequences + 1) + per_token_ * load.tokens;
-  const double read = read_ * work.prompt_tokens *
-                      (1 + load.sequences / internal::kSequencesPerRead);
+  // While a request runs, each of the others is replaced about once, and the
+  // prompt of its successor is read between the steps.
+  const double read = read_ * work.prompt_tokens * (1 + load.sequences);
   return std::chrono::duration_cast<core::Duration>(
       internal::Seconds((work.answer_tokens * step + read) / layers_));
 }
