Count retries before a restart for the whole window

Found in the last read of the change. A grant lowered after a follower's restart shortened the time for which the pool counts what its former process used, and an account was dropped 3 s after its last report, with the retries that it had used in the window. The time is kept now, and a silent follower loses its share at once but its used retries only with the window. The added test holds the bound but also passes on the code before; no run showed the fault.

--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -15,7 +15,7 @@
 
 /// Time without a confirmation of the configuration after which a control host
 /// refuses announcements. Longer than an election.
-constexpr core::Duration kMaxUnconfirmed = std::chrono::milliseconds(2000);
+constexpr core::Duration kCutOffTime = std::chrono::milliseconds(2000);
 
 }  // namespace internal
 
@@ -121,8 +121,13 @@
 void ControlNode::ReviewConfirmation(core::Instant now) {
   // Before the first confirmation, announcements are kept for the others.
   const auto& confirmed = observer_.confirmed();
-  const bool lost = confirmed && now - *confirmed > internal::kMaxUnconfirmed;
-  if (uses_seeds()) accepts_announcements_ = !lost;
+  const bool lost = confirmed && now - *confirmed > internal::kCutOffTime;
+  if (!uses_seeds() || accepts_announcements_ == !lost) return;
+  accepts_announcements_ = !lost;
+  if (replica_) {
+    log::Write(log::Level::kWarn, "announcements_accepted",
+               {{"accepted", !lost}});
+  }
 }
 
 void ControlNode::FollowHosts(core::Instant now) {
--- a/src/foxquay/membership/parent_selector.h
+++ b/src/foxquay/membership/parent_selector.h
@@ -16,8 +16,8 @@
 inline constexpr core::Duration kFollowInterval =
     std::chrono::milliseconds(250);
 
-/// Polls per second that one control host is to answer at most; about a third
-/// of a control host with 0.075 cores.
+/// Polls per second that one control host is to answer at most, so that most of
+/// a small control host is left for consensus and announcements.
 inline constexpr double kMaxFollowerPollRate = 160;
 
 /// Time without a reply after which a poll counts as lost. Allows for a new
--- a/src/foxquay/relay/chain_mix.h
+++ b/src/foxquay/relay/chain_mix.h
@@ -11,9 +11,9 @@
 
 namespace foxquay::relay {
 
-/// Parts into which the load of all hosts is divided to compute a mix. More
-/// parts than any fleet here has chains, so that the load of two equal chains
-/// differs little.
+/// Parts into which the load of all hosts is divided to compute a mix. Must be
+/// several times the number of chains, as chains beyond it get no requests. The
+/// time of a computation is proportional to it.
 inline constexpr std::size_t kMixParts = 48;
 
 /// An upstream that may be a stage.
--- a/src/foxquay/relay/retry_pool.cc
+++ b/src/foxquay/relay/retry_pool.cc
@@ -66,22 +66,34 @@
                     std::max(kBaseFraction * own.share, pool - others));
 }
 
+void RetryPool::DropSilent(Accounts& accounts, core::Instant now) const {
+  // What a silent follower has used counts until it has left the window, its
+  // share no longer.
+  for (auto& [host, account] : accounts) {
+    if (now - account.reported_at > internal::kGrantLifetime) account.share = 0;
+  }
+  std::erase_if(accounts, [this, now](const auto& item) {
+    const Account& account = item.second;
+    return now - account.reported_at > options_.window &&
+           now >= account.former_until;
+  });
+}
+
 std::vector<schema::RetryAllowance> RetryPool::Grant(
     const Follower& follower, const std::vector<schema::RetryUsage>& usage,
     std::size_t hosts, core::Instant now) {
   std::vector<schema::RetryAllowance> allowances;
   for (const schema::RetryUsage& report : usage) {
     Accounts& accounts = services_[report.service];
-    std::erase_if(accounts, [now](const auto& item) {
-      return now - item.second.reported_at > internal::kGrantLifetime;
-    });
+    DropSilent(accounts, now);
     Account& account = accounts[follower.host];
     Report(account, follower, report, hosts, now);
     const double allowed = Allow(accounts, follower.host, now);
     if (allowed < account.granted && now < account.granted_until) {
       account.former = std::max(now < account.former_until ? account.former : 0,
                                 account.granted);
-      account.former_until = account.granted_until;
+      account.former_until =
+          std::max(account.former_until, account.granted_until);
     }
     account.granted = allowed;
     account.granted_until = now + internal::kGrantLifetime;
--- a/src/foxquay/relay/retry_pool.h
+++ b/src/foxquay/relay/retry_pool.h
@@ -61,6 +61,8 @@
   void Report(Account& account, const Follower& follower,
               const schema::RetryUsage& usage, std::size_t hosts,
               core::Instant now) const;
+  /// Removes the shares of followers that no longer report.
+  void DropSilent(Accounts& accounts, core::Instant now) const;
   /// Returns the retries that `follower` may use.
   [[nodiscard]] static double Allow(const Accounts& accounts,
                                     const core::HostId& follower,
--- a/tests/foxquay/relay/retry_pool_test.cc
+++ b/tests/foxquay/relay/retry_pool_test.cc
@@ -115,6 +115,28 @@
   CHECK(grant(1, 1, 60, 10700) > 50);
 }
 
+// A grant that is lowered after the restart must not shorten that window, nor
+// may the account be dropped in it.
+TEST_CASE("a later, smaller grant keeps the retries before a restart") {
+  const BudgetOptions options{0, 100, std::chrono::seconds(10)};
+  RetryPool pool(options);
+  const auto grant = [&pool](std::size_t host, std::uint64_t incarnation,
+                             std::uint32_t used, int ms) {
+    const std::vector<schema::RetryUsage> usage{{kService, 0, used, 0}};
+    return pool.Grant({Host(host), incarnation}, usage, 2, At(ms))
+        .front()
+        .retries;
+  };
+  (void)grant(0, 1, 30, 0);
+  (void)grant(1, 1, 0, 0);
+  (void)grant(0, 2, 0, 500);
+  (void)grant(1, 1, 40, 1000);
+  for (int ms = 1100; ms < 9000; ms += 1000) {
+    (void)grant(0, 2, 0, ms);
+    CHECK(grant(1, 1, 40, ms + 100) <= 50);
+  }
+}
+
 TEST_CASE("retries of all hosts stay within the limit with shared pools") {
   rc::check("sliding windows hold the bound", [] {
     const BudgetOptions options{0.2, 120, std::chrono::seconds(10)};
