Log the parts of a prompt and how far an answer had come when it broke

Change: request_sent and send_lost state workspace and parts, send_lost also the time since the head and whether an event had come; a counter for answers that break before their first event. No decision changes.

--- a/src/foxquay/core/fwd.h
+++ b/src/foxquay/core/fwd.h
@@ -16,6 +16,7 @@
 struct WorkspaceTag;
 struct UpstreamTag;
 struct ModelTag;
+struct PromptPartTag;
 struct ServiceTag;
 struct RequestTag;
 struct LegTag;
@@ -32,6 +33,8 @@
 using UpstreamId = StringId<UpstreamTag>;
 /// Identifies a model.
 using ModelId = StringId<ModelTag>;
+/// Identifies a part of a prompt that requests may share.
+using PromptPartId = StringId<PromptPartTag>;
 /// Identifies a service.
 using ServiceId = StringId<ServiceTag>;
 /// Identifies a request within one process.
--- a/src/foxquay/gateway/protocol.h
+++ b/src/foxquay/gateway/protocol.h
@@ -26,6 +26,8 @@
   std::optional<core::Duration> timeout;  ///< How long the caller waits.
   relay::Work work;
   std::optional<std::uint64_t> resume_after;  ///< Id of the last event it has.
+  /// Parts of the prompt in order; the last one is the request's own.
+  std::vector<core::PromptPartId> prompt_parts;
 };
 
 /// Information that is added to a caller's request when it is forwarded.
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -112,6 +112,8 @@
     unsigned sends = 0;
     unsigned status = 0;     ///< Of the last response head; 0 before the first.
     bool streaming = false;  ///< The response is a stream of events.
+    /// When the head of the current send's response arrived.
+    std::optional<core::Instant> head_at;
     bool event_received = false;  ///< The current send has yielded an event.
     bool head_sent = false;       ///< A head was sent to the caller.
     bool not_run = false;         ///< The upstream did not run the request.
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -43,6 +43,20 @@
   return text;
 }
 
+/// Parts of a prompt that a log line shows at most.
+constexpr std::size_t kLoggedParts = 8;
+
+/// Formats the parts of a prompt for logs; the last one is the request's own.
+std::string FormatParts(const std::vector<core::PromptPartId>& parts) {
+  std::string text;
+  for (std::size_t index = 0; index < parts.size(); ++index) {
+    if (index == kLoggedParts) return text + ",...";
+    if (index > 0) text += ',';
+    text += parts[index].value();
+  }
+  return text;
+}
+
 bool IsEventStream(const net::Fields& fields) {
   const auto type = fields[boost::beast::http::field::content_type];
   return type.substr(0, 17) == "text/event-stream";
@@ -85,6 +99,7 @@
   job.sent = now;
   job.last_event = now;
   job.event_received = false;
+  job.head_at.reset();
   ++job.sends;
   if (!job.head_sent) job.response = {};
   net::CallOptions options;
@@ -100,6 +115,8 @@
              {{"request", job.caller.id},
               {"attempt", send.attempt},
               {"service", context.service->id},
+              {"workspace", context.workspace},
+              {"parts", internal::FormatParts(job.caller.prompt_parts)},
               {"way", internal::FormatPath(send.hops)},
               {"fleet", context.table->version()},
               {"left_ms", internal::Milliseconds(offer.remaining)}});
@@ -171,6 +188,7 @@
   job.not_run = info.not_run;
   job.fault_address = info.fault_address;
   job.status = status;
+  job.head_at = net::SteadyNow();
   job.streaming = status == 200 && internal::IsEventStream(fields);
   if (job.head_sent) return;
   net::RemoveHopByHopFields(fields);
@@ -287,7 +305,13 @@
               {"way", internal::FormatPath(relay_.Path(id))},
               {"fault", loss.fault_address},
               {"status", job.status},
+              {"workspace", job.workspace},
+              {"parts", internal::FormatParts(job.caller.prompt_parts)},
               {"after_ms", internal::Milliseconds(now - job.sent)},
+              {"after_head_ms",
+               job.head_at ? internal::Milliseconds(now - *job.head_at) : 0},
+              {"begun", job.head_at.has_value()},
+              {"event_received", job.event_received},
               {"events", job.filter ? job.filter->passed() : 0}});
   if (loss.kind == relay::LossKind::kNotSent) {
     const core::UpstreamId& first = relay_.Path(id).front().upstream;
@@ -295,6 +319,9 @@
   }
   registry_.Add("foxquay_losses_total",
                 "kind=\"" + std::string(relay::Name(loss.kind)) + "\"");
+  if (job.head_at && !job.event_received) {
+    registry_.Add("foxquay_losses_before_first_event_total", "");
+  }
   if (job.filter) job.filter->Restart();
   Apply(id, relay_.HandleLoss(id, loss, now));
 }
