Close the sockets that child processes of tests inherit

Cause: a host that a test starts inherits the test's sockets. A listener that the test closes, such as that of a fake upstream that crashes, then stays open in the host, and its address cannot be bound again (EADDRINUSE seen in the new scenario after all hosts restarted). Change: children are started with standard streams only.

--- a/tests/foxquay/daemon/process.cc
+++ b/tests/foxquay/daemon/process.cc
@@ -68,6 +68,9 @@
                                    O_CREAT | O_WRONLY | O_APPEND,
                                    S_IRUSR | S_IWUSR);
   posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+  // Sockets of the test that a child inherits stay open when the test closes
+  // them.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error = posix_spawn(&pid_, arguments.front(), &actions, nullptr,
                                 arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
