--- /dev/null
+++ b/tests/platform/scenarios/crashing_part_test.cc
@@ -0,0 +1,70 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "foxquay/net/clock.h"
+#include "platform/scenarios/scenario.h"
+
+namespace foxquay::platform::scenarios {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Requests that a part may send to upstreams once it is known.
+constexpr std::size_t kMaxLateRequests = 3;
+constexpr std::size_t kKnownAfterCrashes = 5;
+
+/// Sends sound streams that share their first part and their workspace with
+/// streams that crash upstreams.
+void SendMixedLoad(Scenario& scenario) {
+  scenario.Repeat(milliseconds(40),
+                  [&scenario] { scenario.SendStream("0a:40,0b:60"); });
+  scenario.Repeat(milliseconds(400),
+                  [&scenario] { scenario.SendStream("0a:40,dead:60"); });
+}
+
+}  // namespace
+
+// Each request with the part ended the upstream that began to answer it, and
+// was then sent to the next one.
+TEST_CASE("requests with a part that crashes upstreams stop reaching them") {
+  Scenario scenario("dead");
+  scenario.AwaitServing();
+  SendMixedLoad(scenario);
+  scenario.RunUntil(
+      [&] { return scenario.crashes().size() >= kKnownAfterCrashes; },
+      seconds(10));
+  scenario.RunFor(kContactBound);
+  const core::Instant known = net::SteadyNow();
+  scenario.RunFor(kContactBound);
+  const unsigned served = scenario.served();
+  scenario.RunFor(seconds(4));
+  CHECK(scenario.ReachedAfter(known) <= kMaxLateRequests);
+  // 100 sound streams are sent in this time.
+  CHECK(scenario.served() - served >= 50);
+  CHECK(scenario.violations().empty());
+}
+
+TEST_CASE("a part that crashes upstreams stays known after all hosts restart") {
+  Scenario scenario("dead");
+  scenario.AwaitServing();
+  SendMixedLoad(scenario);
+  scenario.RunUntil(
+      [&] { return scenario.crashes().size() >= kKnownAfterCrashes; },
+      seconds(10));
+  scenario.RunFor(kContactBound);
+  const core::Instant known = net::SteadyNow();
+  for (std::size_t host = 0; host < soak::kHosts; ++host) {
+    scenario.cluster().Kill(host);
+  }
+  for (std::size_t host = 0; host < soak::kHosts; ++host) {
+    scenario.cluster().Start(host);
+  }
+  const unsigned served = scenario.served();
+  CHECK(scenario.RunUntil([&] { return scenario.served() > served + 50; },
+                          seconds(30)));
+  CHECK(scenario.ReachedAfter(known) <= kMaxLateRequests);
+  CHECK(scenario.violations().empty());
+}
+
+}  // namespace foxquay::platform::scenarios
--- /dev/null
+++ b/tests/platform/scenarios/scenario.h
@@ -0,0 +1,96 @@
+#ifndef FOXQUAY_TESTS_PLATFORM_SCENARIOS_SCENARIO_H_
+#define FOXQUAY_TESTS_PLATFORM_SCENARIOS_SCENARIO_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "platform/soak/clients.h"
+#include "platform/soak/cluster.h"
+#include "platform/soak/fake_upstream.h"
+#include "platform/soak/invariant_checker.h"
+
+namespace foxquay::platform::scenarios {
+
+/// Bound of the site files on the time in which hosts reach each other.
+inline constexpr core::Duration kContactBound = std::chrono::seconds(3);
+
+/// A cluster of real processes with fake model upstreams that restart after a
+/// crash. Not thread-safe.
+class Scenario {
+ public:
+  /// `crashing_part` is a part of prompts on which every upstream crashes.
+  explicit Scenario(std::string crashing_part);
+  ~Scenario();
+  Scenario(const Scenario&) = delete;
+  Scenario& operator=(const Scenario&) = delete;
+
+  /// Puts a configuration and waits until streams are served.
+  void AwaitServing();
+  /// Sends a stream with a prompt of these parts and one of its own to a random
+  /// entry host.
+  void SendStream(const std::string& parts);
+  /// Calls `action` at an interval until StopRepeating.
+  void Repeat(core::Duration interval, const std::function<void()>& action);
+  void StopRepeating() { ++generation_; }
+  void RunFor(core::Duration duration) { context_.run_for(duration); }
+  /// Runs until a condition holds or the time has passed; returns the
+  /// condition.
+  bool RunUntil(const std::function<bool()>& condition, core::Duration timeout);
+
+  /// Returns when each upstream crashed, oldest first.
+  [[nodiscard]] const std::vector<core::Instant>& crashes() const {
+    return crashes_;
+  }
+  /// Returns how many requests with the crashing part reached upstreams after
+  /// `from`.
+  [[nodiscard]] std::size_t ReachedAfter(core::Instant from) const;
+  [[nodiscard]] unsigned served() const {
+    return checker_.served(soak::RequestKind::kStream);
+  }
+  /// Returns the answers by status; 0 for those that broke off.
+  [[nodiscard]] const std::map<unsigned, unsigned>& statuses() const {
+    return statuses_;
+  }
+  [[nodiscard]] const std::vector<std::string>& violations() const {
+    return checker_.violations();
+  }
+  [[nodiscard]] soak::Cluster& cluster() { return cluster_; }
+
+ private:
+  void StartUpstream(std::size_t index);
+  soak::FakeUpstream* UpstreamAt(const std::string& address);
+  /// Records crashes and restarts upstreams.
+  void Supervise();
+  void RepeatOnce(core::Duration interval, const std::function<void()>& action,
+                  unsigned generation);
+
+  boost::asio::io_context context_{1};
+  std::mt19937_64 random_{20261204};
+  std::string crashing_part_;
+  soak::InvariantChecker checker_;
+  soak::Cluster cluster_;
+  soak::Operator operator_;
+  soak::BufferingClient client_;
+  std::vector<std::string> ports_;  ///< Of the upstreams.
+  std::deque<soak::FakeUpstream> upstreams_;
+  std::map<std::size_t, soak::FakeUpstream*> active_;
+  std::set<std::size_t> restarting_;
+  std::vector<core::Instant> crashes_;
+  std::vector<core::Instant> reached_;
+  std::map<unsigned, unsigned> statuses_;
+  std::uint64_t incarnations_ = 0;
+  std::uint64_t next_id_ = 1;
+  unsigned generation_ = 0;
+};
+
+}  // namespace foxquay::platform::scenarios
+
+#endif  // FOXQUAY_TESTS_PLATFORM_SCENARIOS_SCENARIO_H_
--- a/tests/platform/soak/fake_upstream.cc
+++ b/tests/platform/soak/fake_upstream.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <sstream>
 #include <string_view>
+#include <system_error>
 #include <utility>
 
 #include "foxquay/net/clock.h"
@@ -61,7 +62,9 @@
                         }}),
       random_(options_.seed),
       started_ms_(NowMs()) {
-  if (server_.Listen(options_.ip + ":0")) throw std::runtime_error("listen");
+  const std::error_code error =
+      server_.Listen(options_.ip + ":" + options_.port);
+  if (error) throw std::system_error(error, "listen");
   control_index_ = random_() % control_addresses_.size();
   SendHeartbeat();
 }
@@ -70,6 +73,14 @@
   return alive_ && first_ <= first && end <= end_;
 }
 
+bool FakeUpstream::Crashes(const net::Request& request) const {
+  const std::string parts(request.fields["X-Prompt-Prefix"]);
+  const std::size_t last = parts.rfind(',');
+  return !options_.crashing_part.empty() && last != std::string::npos &&
+         parts.substr(0, last).find(options_.crashing_part + ":") !=
+             std::string::npos;
+}
+
 void FakeUpstream::Crash() {
   if (!std::exchange(alive_, false)) return;
   const auto open = std::exchange(jobs_, {});
@@ -246,6 +257,7 @@
 }
 
 void FakeUpstream::StartJob(net::ExchangeId exchange, net::Request&& request) {
+  if (options_.on_request) options_.on_request(request);
   const core::Instant now = net::SteadyNow();
   Job job;
   job.id = std::string(request.fields["X-Request-Id"]);
@@ -286,6 +298,7 @@
   const auto found = jobs_.find(exchange);
   if (found == jobs_.end()) return;
   Job& job = found->second;
+  if (Crashes(job.request)) return Crash();
   const bool path_alive = std::all_of(
       job.stages.begin(), job.stages.end(), [this](const std::string& address) {
         return find_upstream_(address) != nullptr;
--- a/tests/platform/soak/fake_upstream.h
+++ b/tests/platform/soak/fake_upstream.h
@@ -34,8 +34,14 @@
     std::string id;
     std::string service;  ///< "model" or "app".
     std::string zone;
-    std::string address;  ///< Announced; that of its proxy.
-    std::string ip;       ///< Listens on a free port of it.
+    std::string address;     ///< Announced; that of its proxy.
+    std::string ip;          ///< Listens on it.
+    std::string port = "0";  ///< Port to listen on; 0 for a free one.
+    /// Part of a prompt on which it crashes as soon as it has begun to answer;
+    /// the last part of a prompt never counts.
+    std::string crashing_part;
+    /// Called with each request for an answer that arrives; may be empty.
+    std::function<void(const net::Request&)> on_request;
     std::uint64_t seed = 1;
   };
 
@@ -52,6 +58,8 @@
   /// Returns whether the layers from `first` up to `end`, exclusive, are
   /// loaded.
   [[nodiscard]] bool Holds(unsigned first, unsigned end) const;
+  /// Returns whether a request has the crashing part.
+  [[nodiscard]] bool Crashes(const net::Request& request) const;
   /// Aborts all requests, stops listening and sends no more heartbeats.
   void Crash();
   /// Announces that it drains; after the acknowledgement it goes on serving for
