--- a/src/foxquay/control/observer.cc
+++ b/src/foxquay/control/observer.cc
@@ -29,8 +29,8 @@
 schema::ConfigPoll Observer::StartPoll(core::Instant now) {
   open_polls_.emplace_back(next_poll_, now);
   if (open_polls_.size() > internal::kMaxOpenPolls) open_polls_.pop_front();
-  return {host_, incarnation_, next_poll_++, config_.sequence(),
-          fleet_version_};
+  return {host_,          incarnation_,        next_poll_++, config_.sequence(),
+          fleet_version_, quarantines_.version};
 }
 
 bool Observer::HandleReply(const schema::ConfigReply& reply) {
@@ -44,6 +44,7 @@
   const bool changed = ApplyReply(reply);
   if (config_.sequence() >= reply.sequence &&
       fleet_version_ >= reply.fleet_version &&
+      quarantines_.version >= reply.quarantine_version &&
       reply.age >= core::Duration::zero()) {
     Confirm(sent - core::WithClockError(reply.age));
   }
@@ -63,7 +64,12 @@
     fleet_version_ = reply.fleet_version;
     fleet_ = reply.fleet;
   }
-  return config_.sequence() != before || fleet_version_ != fleet_before;
+  const std::uint64_t quarantines_before = quarantines_.version;
+  if (reply.quarantines && reply.quarantines->version > quarantines_before) {
+    quarantines_ = *reply.quarantines;
+  }
+  return config_.sequence() != before || fleet_version_ != fleet_before ||
+         quarantines_.version != quarantines_before;
 }
 
 void Observer::Confirm(core::Instant at) {
@@ -75,6 +81,7 @@
   schema::ConfigPoll poll;
   poll.sequence = config_.sequence();
   poll.fleet_version = fleet_version_;
+  poll.quarantine_version = quarantines_.version;
   const bool changed =
       ApplyReply(state.Answer(poll, age.value_or(core::Duration::zero())));
   if (age) Confirm(now - core::WithClockError(*age));
@@ -89,6 +96,10 @@
   if (poll.fleet_version < fleet_version_ && !reply.snapshot) {
     reply.fleet = fleet_;
   }
+  reply.quarantine_version = quarantines_.version;
+  if (poll.quarantine_version < quarantines_.version) {
+    reply.quarantines = quarantines_;
+  }
   return reply;
 }
 
--- a/src/foxquay/control/observer.h
+++ b/src/foxquay/control/observer.h
@@ -95,6 +95,10 @@
   }
   /// Returns the encoded fleet configuration; empty if none is known.
   [[nodiscard]] const std::string& fleet() const noexcept { return fleet_; }
+  /// Returns the quarantines in force.
+  [[nodiscard]] const schema::QuarantineTable& quarantines() const noexcept {
+    return quarantines_;
+  }
   [[nodiscard]] std::uint64_t incarnation() const noexcept {
     return incarnation_;
   }
@@ -111,6 +115,7 @@
   bool requires_registration_ = true;
   std::uint64_t fleet_version_ = 0;
   std::string fleet_;
+  schema::QuarantineTable quarantines_;
   std::uint64_t next_poll_ = 1;
   /// Numbers and send times of polls without a reply, oldest first.
   std::deque<std::pair<std::uint64_t, core::Instant>> open_polls_;
--- a/src/foxquay/control/state.cc
+++ b/src/foxquay/control/state.cc
@@ -12,6 +12,12 @@
 #include "foxquay/schema/codec.h"
 
 namespace foxquay::control {
+namespace internal {
+
+/// Bytes before the first field of an encoded message: its byte order.
+constexpr std::size_t kArchiveHeaderBytes = 1;
+
+}  // namespace internal
 
 struct State::Visitor {
   State& state;
@@ -219,6 +225,15 @@
   return {fleet_.version, newer};
 }
 
+schema::QuarantineResult State::Apply(const schema::PutQuarantine& command) {
+  return quarantines_.Apply(command);
+}
+
+schema::QuarantineResult State::Apply(
+    const schema::ReleaseQuarantine& command) {
+  return quarantines_.Apply(command);
+}
+
 schema::ConfigReply State::Answer(const schema::ConfigPoll& poll,
                                   core::Duration age) const {
   schema::ConfigReply reply = feed_.Answer(config_, poll, age);
@@ -227,6 +242,10 @@
   // size; the fleet configuration is sent in the reply to the next poll.
   const bool behind = poll.fleet_version < fleet_.version;
   if (behind && !reply.snapshot) reply.fleet = fleet_.fleet;
+  reply.quarantine_version = quarantines().version;
+  if (poll.quarantine_version < reply.quarantine_version) {
+    reply.quarantines = quarantines();
+  }
   return reply;
 }
 
@@ -244,11 +263,18 @@
   snapshot.claims = claims_.Save();
   snapshot.grants = grants_.Save();
   snapshot.fleet = fleet_;
+  snapshot.quarantines = quarantines();
   return schema::Encode(snapshot);
 }
 
 core::Result<State> State::FromSnapshot(const std::string& bytes) {
   auto decoded = schema::Decode<schema::ControlSnapshot>(bytes);
+  if (!decoded) {
+    // A snapshot of a build without quarantines ends before their table.
+    const std::string empty = schema::Encode(schema::QuarantineTable());
+    decoded = schema::Decode<schema::ControlSnapshot>(
+        bytes + empty.substr(internal::kArchiveHeaderBytes));
+  }
   if (!decoded) return make_error_code(core::Error::kCorrupt);
   schema::ControlSnapshot& snapshot = decoded.value();
   State state;
@@ -276,6 +302,7 @@
     state.grants_.Restore(std::move(grant));
   }
   state.fleet_ = std::move(snapshot.fleet);
+  state.quarantines_ = quarantine::Table(std::move(snapshot.quarantines));
   return state;
 }
 
--- a/src/foxquay/control/state.h
+++ b/src/foxquay/control/state.h
@@ -13,6 +13,7 @@
 #include "foxquay/control/result_log.h"
 #include "foxquay/core/error.h"
 #include "foxquay/core/time.h"
+#include "foxquay/quarantine/table.h"
 #include "foxquay/schema/control.h"
 
 namespace foxquay::control {
@@ -30,8 +31,8 @@
  public:
   State() = default;
 
-  /// Restores a state from the bytes that Snapshot returned; Error::kCorrupt if
-  /// they cannot be decoded.
+  /// Restores a state from the bytes that Snapshot returned, in this build or
+  /// in one without quarantines; Error::kCorrupt if they cannot be decoded.
   [[nodiscard]] static core::Result<State> FromSnapshot(
       const std::string& bytes);
 
@@ -70,6 +71,10 @@
   [[nodiscard]] const schema::PutFleet& fleet() const noexcept {
     return fleet_;
   }
+  /// Returns the quarantines in force.
+  [[nodiscard]] const schema::QuarantineTable& quarantines() const noexcept {
+    return quarantines_.content();
+  }
   /// Returns the index of the last applied log entry.
   [[nodiscard]] std::uint64_t index() const noexcept { return index_; }
   /// Returns the latest wall time of an applied log entry.
@@ -94,6 +99,8 @@
   schema::ClaimResult ApplyClaim(const Command& command);
   schema::FencingResult Apply(const schema::GrantFencing& command);
   schema::FleetResult Apply(const schema::PutFleet& command);
+  schema::QuarantineResult Apply(const schema::PutQuarantine& command);
+  schema::QuarantineResult Apply(const schema::ReleaseQuarantine& command);
   [[nodiscard]] Config ConfigAt(std::uint64_t revision) const;
 
   std::uint64_t index_ = 0;
@@ -107,6 +114,7 @@
   ClaimTable claims_;
   GrantTable grants_;
   schema::PutFleet fleet_;
+  quarantine::Table quarantines_;
 };
 
 }  // namespace foxquay::control
--- a/src/foxquay/scheduling/lru_map.h
+++ b/src/foxquay/core/lru_map.h
@@ -1,12 +1,12 @@
-#ifndef FOXQUAY_SCHEDULING_LRU_MAP_H_
-#define FOXQUAY_SCHEDULING_LRU_MAP_H_
+#ifndef FOXQUAY_CORE_LRU_MAP_H_
+#define FOXQUAY_CORE_LRU_MAP_H_
 
 #include <cstddef>
 #include <list>
 #include <map>
 #include <utility>
 
-namespace foxquay::scheduling::internal {
+namespace foxquay::core {
 
 /// Map of bounded size that evicts its least recently used entry when full. Not
 /// thread-safe.
@@ -52,6 +52,6 @@
   std::map<Key, typename Entries::iterator> index_;
 };
 
-}  // namespace foxquay::scheduling::internal
+}  // namespace foxquay::core
 
-#endif  // FOXQUAY_SCHEDULING_LRU_MAP_H_
+#endif  // FOXQUAY_CORE_LRU_MAP_H_
--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -65,6 +65,7 @@
     if (sink_.retry_usage && parent_->parent() == host) {
       poll.retries = sink_.retry_usage();
     }
+    poll.quarantine = OwnQuarantineReport();
     Send(host, poll);
   }
 }
@@ -82,7 +83,10 @@
                     poll.report.admitting, false},
                    now);
   follower_requests_[from.sender] = {now, poll.report.open_requests};
+  detector_.Record(poll.quarantine, now);
+  quarantine_news_.Add(poll.quarantine, now);
   schema::FollowerReply reply;
+  reply.watched = detector_.Watched(observer_.quarantines());
   reply.config = AnswerConfig(from.sender, poll.config, now);
   reply.roster = roster_.Answer(poll.roster, now);
   reply.open_requests = total_open_;
@@ -111,6 +115,7 @@
         {{"from", former.value_or(core::HostId())}, {"to", from.sender}});
   }
   if (sink_.set_open_requests) sink_.set_open_requests(reply.open_requests);
+  if (sink_.set_watched_parts) sink_.set_watched_parts(reply.watched);
   // Another control host answers only for its own followers.
   const bool from_parent = parent_->parent() == from.sender;
   if (from_parent && sink_.set_retry_allowances) {
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -258,6 +258,7 @@
   if (now >= next_gossip_) GossipHosts(now);
   if (uses_seeds()) FollowHosts(now);
   ReviewConfirmation(now);
+  ReviewQuarantines(now);
   if (sink_.decide_claim) Register(now);
   EndSilentIncarnations(now);
   PublishAdmission(now);
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -29,6 +29,8 @@
 #include "foxquay/dispatch/event.h"
 #include "foxquay/entry/distances.h"
 #include "foxquay/membership/parent_selector.h"
+#include "foxquay/quarantine/bundle.h"
+#include "foxquay/quarantine/detector.h"
 #include "foxquay/relay/retry_pool.h"
 #include "foxquay/roster/roster.h"
 #include "foxquay/schema/peer.h"
@@ -88,6 +90,14 @@
       set_retry_allowances;
   /// Whether this host's replica leads, and its term.
   std::function<void(bool, std::uint64_t)> set_leadership;
+  /// Returns what this host has seen of crashes that requests cause, with ages
+  /// at the time of the call. May be empty.
+  std::function<schema::QuarantineReport()> quarantine_report;
+  /// Parts of prompts whose answers are to be reported. May be empty.
+  std::function<void(const std::vector<schema::PromptPart>&)> set_watched_parts;
+  /// The quarantines in force, and this host's incarnation. May be empty.
+  std::function<void(const schema::QuarantineTable&, std::uint64_t)>
+      set_quarantines;
 };
 
 /// State of a host and its view of the cluster, as shown to operators.
@@ -254,6 +264,7 @@
   void On(const schema::Envelope& from, const schema::UpstreamDoubts& report);
   void On(const schema::Envelope& from, const schema::FollowerPoll& poll);
   void On(const schema::Envelope& from, const schema::FollowerReply& reply);
+  void On(const schema::Envelope& from, const schema::QuarantineReport& report);
 
   bool NeedsHostList(const core::HostId& sender, const schema::HostList& list,
                      core::Instant now);
@@ -281,6 +292,14 @@
   void UpdateParentCandidates();
   /// Takes the states of hosts over from the feeds.
   void FollowHosts(core::Instant now);
+  /// Returns what this host has seen itself, stated as its own.
+  [[nodiscard]] schema::QuarantineReport OwnQuarantineReport() const;
+  /// Passes the evidence of this host and its followers on to the other control
+  /// hosts.
+  void ShareQuarantineReports(core::Instant now);
+  /// Proposes the change of the quarantines that the evidence requires, if this
+  /// host leads.
+  void ReviewQuarantines(core::Instant now);
   /// Updates whether announcements are accepted.
   void ReviewConfirmation(core::Instant now);
   /// Sums up the open requests that hosts have reported.
@@ -327,6 +346,11 @@
   std::uint64_t next_report_ = 1;  ///< Number of the next report.
   relay::RetryPool retry_pool_;    ///< Of the hosts that follow this one.
   std::size_t entry_hosts_ = 1;    ///< Known hosts that serve callers.
+  quarantine::Detector detector_;
+  quarantine::Bundle quarantine_news_;  ///< For the other control hosts.
+  bool proposing_quarantine_ = false;
+  core::Instant next_quarantine_review_{};
+  std::uint64_t published_quarantines_ = 0;  ///< Their version.
   std::unique_ptr<ControlDisk> disk_;
   std::optional<ControlReplica> replica_;
 
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -87,6 +87,7 @@
                      now);
   }
   const std::string encoded = schema::Encode(schema::PeerMessage(report));
+  ShareQuarantineReports(now);
   for (const core::HostId& peer : peers_) {
     links_.SendDatagram(peer, encoded);
     Send(peer, roster_.Poll(now));
@@ -153,6 +154,13 @@
         {{"version", published_fleet_}, {"bytes", observer_.fleet().size()}});
     if (sink_.set_fleet) sink_.set_fleet(published_fleet_, observer_.fleet());
   }
+  const schema::QuarantineTable& quarantines = observer_.quarantines();
+  if (published_quarantines_ != quarantines.version) {
+    published_quarantines_ = quarantines.version;
+    if (sink_.set_quarantines) {
+      sink_.set_quarantines(quarantines, incarnation_);
+    }
+  }
   if (published_sequence_ == observer_.config().sequence()) return;
   published_sequence_ = observer_.config().sequence();
   sink_.set_policy(
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -259,6 +259,31 @@
             }
           });
         };
+    sink.quarantine_report = [this] {
+      const auto report = quarantine_report_.load();
+      if (!report) return schema::QuarantineReport();
+      schema::QuarantineReport current = report->content;
+      const core::Duration since = Now() - report->at;
+      for (auto& crash : current.crashes) crash.crash.age += since;
+      for (auto& answer : current.answered) answer.age += since;
+      return current;
+    };
+    sink.set_watched_parts =
+        [this](const std::vector<schema::PromptPart>& parts) {
+          if (parts.empty() && !watches_parts_) return;
+          watches_parts_ = !parts.empty();
+          Post([this, parts] {
+            proxy_.relay().recorder().SetWatched(parts, net::SteadyNow());
+          });
+        };
+    sink.set_quarantines = [this](const schema::QuarantineTable& table,
+                                  std::uint64_t incarnation) {
+      Post([this, table, incarnation] {
+        if (has_entry_role_) {
+          proxy_.SetQuarantines(table, settings_.host.id, incarnation);
+        }
+      });
+    };
     sink.set_leadership = [this](bool leads, std::uint64_t term) {
       Post([this, leads, term] {
         leads_ = leads;
@@ -331,6 +356,7 @@
       open_requests_ = proxy_.relay().sent();
       retry_usage_ = std::make_shared<const std::vector<schema::RetryUsage>>(
           proxy_.relay().budget().Usage(net::SteadyNow()));
+      PublishQuarantineReport();
     }
     if (now >= next_maintenance_) {
       next_maintenance_ = now + gateway::kPlacerInterval;
@@ -350,6 +376,23 @@
     });
   }
 
+  /// A report of the recorder, and when it was made.
+  struct TimedReport {
+    schema::QuarantineReport content;
+    core::Instant at;
+  };
+
+  void PublishQuarantineReport() {
+    schema::QuarantineReport report =
+        proxy_.relay().recorder().Report(net::SteadyNow());
+    const bool empty = report.crashes.empty() && report.answered.empty() &&
+                       report.refused.empty();
+    if (empty && !quarantine_report_.load()) return;
+    quarantine_report_ = empty ? nullptr
+                               : std::make_shared<const TimedReport>(
+                                     TimedReport{std::move(report), Now()});
+  }
+
   const schema::Settings settings_;
   SettingsReloader reloader_;
   core::Duration grace_;
@@ -369,6 +412,8 @@
   std::atomic<std::size_t> open_requests_ = 0;
   std::atomic<std::shared_ptr<const std::vector<schema::RetryUsage>>>
       retry_usage_;
+  std::atomic<std::shared_ptr<const TimedReport>> quarantine_report_;
+  bool watches_parts_ = false;  ///< Used by the control node's thread.
   std::optional<core::Instant> drain_started_;
   std::size_t upstreams_ = 0;
   bool leads_ = false;
--- a/src/foxquay/gateway/placer.cc
+++ b/src/foxquay/gateway/placer.cc
@@ -9,10 +9,6 @@
 namespace foxquay::gateway {
 namespace internal {
 
-/// Status by which an upstream rejects a request that is meant for another one
-/// (421 Misdirected Request).
-constexpr unsigned kMisdirected = 421;
-
 const char* OutcomeName(placement::OrderOutcome outcome) {
   switch (outcome) {
     case placement::OrderOutcome::kAccepted:
@@ -36,33 +32,23 @@
     : protocol_(protocol),
       on_layers_(std::move(on_layers)),
       client_(context, {[this](net::CallId id, unsigned status, net::Fields&&) {
-                          const auto probe = probes_.find(id);
-                          if (probe == probes_.end()) {
-                            calls_.at(id).status = status;
-                          } else {
-                            probe->second.status = status;
-                          }
+                          calls_.at(id).status = status;
                         },
                         [this](net::CallId id, const std::string& data) {
-                          if (!probes_.contains(id)) calls_.at(id).body += data;
+                          calls_.at(id).body += data;
                         },
                         [this](net::CallId id) { FinishCall(id, true); },
                         [this](net::CallId id, net::Failure) {
                           FinishCall(id, false);
-                        }}) {}
+                        }}),
+      prober_(context, protocol) {}
 
 void Placer::Probe(const schema::Announcement& upstream,
                    std::function<void(bool)> done) {
-  const net::CallId id =
-      client_.Call(upstream.address,
-                   net::Serialize(protocol_.write_inquiry(upstream.id)), {});
-  probes_[id] = {std::move(done), net::SteadyNow() + kResponseTimeout, 0};
-}
-
-void Placer::FinishProbe(net::CallId id, bool answered) {
-  const auto node = probes_.extract(id);
-  node.mapped().done(answered &&
-                     node.mapped().status != internal::kMisdirected);
+  prober_.Probe(upstream.id, upstream.address, true,
+                [done = std::move(done)](ProbeResult result) {
+                  done(result == ProbeResult::kReached);
+                });
 }
 
 void Placer::SetLeadership(bool leads, std::uint64_t term) {
@@ -126,10 +112,6 @@
 }
 
 void Placer::FinishCall(net::CallId id, bool answered) {
-  if (probes_.contains(id)) {
-    FinishProbe(id, answered);
-    return;
-  }
   const auto node = calls_.extract(id);
   const Call& call = node.mapped();
   const core::Instant now = net::SteadyNow();
@@ -168,13 +150,11 @@
 void Placer::Review() {
   const core::Instant now = net::SteadyNow();
   client_.Sweep(now);
+  prober_.Review(now);
   std::vector<net::CallId> expired;
   for (const auto& [id, call] : calls_) {
     if (now >= call.deadline) expired.push_back(id);
   }
-  for (const auto& [id, probe] : probes_) {
-    if (now >= probe.deadline) expired.push_back(id);
-  }
   for (const net::CallId id : expired) {
     client_.Cancel(id);
     FinishCall(id, false);
--- a/src/foxquay/gateway/placer.h
+++ b/src/foxquay/gateway/placer.h
@@ -14,6 +14,7 @@
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
 #include "foxquay/fleet/table.h"
+#include "foxquay/gateway/prober.h"
 #include "foxquay/gateway/protocol.h"
 #include "foxquay/net/client.h"
 #include "foxquay/placement/reconciler.h"
@@ -24,7 +25,7 @@
 inline constexpr core::Duration kPlacerInterval =
     std::chrono::milliseconds(100);
 
-/// Time after which an order, inquiry or probe without a response counts as
+/// Time after which an order or inquiry without a response counts as
 /// unanswered.
 inline constexpr core::Duration kResponseTimeout =
     std::chrono::milliseconds(1000);
@@ -53,7 +54,7 @@
   void SetUpstreams(std::vector<schema::Announcement> upstreams);
 
   /// Sends an inquiry to an upstream and calls `done` with whether the expected
-  /// upstream responded within kResponseTimeout.
+  /// upstream responded in time.
   void Probe(const schema::Announcement& upstream,
              std::function<void(bool)> done);
 
@@ -71,29 +72,22 @@
     std::string body;
   };
 
-  struct PendingProbe {
-    std::function<void(bool)> done;
-    core::Instant deadline;
-    unsigned status = 0;
-  };
-
-  void FinishProbe(net::CallId id, bool answered);
   /// Passes the current upstreams and engines to the reconcilers.
   void UpdateReconcilers(core::Instant now);
   void Send(const core::ServiceId& service, const placement::Action& action,
             core::Instant now);
-  /// Handles the end of a call or probe; `answered` is whether a complete
+  /// Handles the end of a call; `answered` is whether a complete
   /// response arrived.
   void FinishCall(net::CallId id, bool answered);
 
   Protocol protocol_;
   LayersHandler on_layers_;
   net::Client client_;
+  Prober prober_;
   std::shared_ptr<const fleet::Table> table_;
   std::vector<schema::Announcement> upstreams_;
   std::map<core::ServiceId, placement::Reconciler> reconcilers_;
   std::unordered_map<net::CallId, Call> calls_;
-  std::unordered_map<net::CallId, PendingProbe> probes_;
   bool leads_ = false;
   std::uint64_t term_ = 0;
 };
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "foxquay/log/log.h"
+#include "foxquay/quarantine/parts.h"
 
 namespace foxquay::gateway {
 namespace internal {
@@ -64,6 +65,7 @@
                [this](net::CallId call, net::Failure failure) {
                  HandleFailure(call, failure);
                }}),
+      prober_(context, protocol),
       relay_(budget, seed),
       registry_(registry),
       on_suspects_(std::move(on_suspects)),
@@ -102,6 +104,16 @@
   relay_.SetHosts(hosts, net::SteadyNow());
 }
 
+void Proxy::SetQuarantines(schema::QuarantineTable table,
+                           const core::HostId& self,
+                           std::uint64_t incarnation) {
+  log::Write(log::Level::kInfo, "quarantines_applied",
+             {{"version", table.version}, {"count", table.entries.size()}});
+  registry_.Set("foxquay_quarantines",
+                static_cast<double>(table.entries.size()));
+  relay_.SetQuarantines(std::move(table), self, incarnation);
+}
+
 void Proxy::StartDrain() {
   draining_ = true;
   server_.StartDrain();
@@ -202,6 +214,7 @@
   context.workspace = workspace;
   context.priority = priority;
   context.work = caller.work;
+  context.parts = quarantine::SharedParts(caller.prompt_parts);
   context.arrived = now;
   context.deadline =
       now + std::min(route.timeout, caller.timeout.value_or(route.timeout));
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -18,6 +18,7 @@
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
 #include "foxquay/fleet/table.h"
+#include "foxquay/gateway/prober.h"
 #include "foxquay/gateway/protocol.h"
 #include "foxquay/metrics/registry.h"
 #include "foxquay/net/client.h"
@@ -73,6 +74,10 @@
   /// Returns the relay, for settings and figures of its own.
   [[nodiscard]] relay::Relay& relay() noexcept { return relay_; }
 
+  /// Replaces the quarantines in force; see relay::Relay::SetQuarantines.
+  void SetQuarantines(schema::QuarantineTable table, const core::HostId& self,
+                      std::uint64_t incarnation);
+
   /// Stops being ready and sends `Connection: close` with each response from
   /// now on.
   void StartDrain();
@@ -112,6 +117,8 @@
     unsigned sends = 0;
     unsigned status = 0;     ///< Of the last response head; 0 before the first.
     bool streaming = false;  ///< The response is a stream of events.
+    /// The end of the connection is that of the response.
+    bool ends_with_connection = false;
     /// When the head of the current send's response arrived.
     std::optional<core::Instant> head_at;
     bool event_received = false;  ///< The current send has yielded an event.
@@ -160,6 +167,12 @@
   Job TakeJob(core::RequestId id);
   /// Handles a send that ended without a complete response.
   void HandleLoss(core::RequestId id, const relay::Loss& loss);
+  /// Returns whether the current send's response has begun with a success and
+  /// has yielded no event.
+  [[nodiscard]] static bool AtBegin(const Job& job);
+  /// Finds out whether an upstream that broke off an answer at its start has
+  /// crashed, and records it.
+  void CheckCrash(const relay::Suspicion& suspicion);
   /// Handles the end of a response that is not a stream.
   void FinishResponse(core::RequestId id);
   /// Handles the end of a stream.
@@ -176,6 +189,7 @@
   Protocol protocol_;
   net::Server server_;
   net::Client client_;
+  Prober prober_;
   relay::Relay relay_;
   metrics::Registry& registry_;
   SuspectHandler on_suspects_;
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -57,6 +57,13 @@
   return text;
 }
 
+/// Returns whether a response has neither a length nor chunks.
+bool EndsWithConnection(const net::Fields& fields) {
+  using boost::beast::http::field;
+  return fields.find(field::content_length) == fields.end() &&
+         fields.find(field::transfer_encoding) == fields.end();
+}
+
 bool IsEventStream(const net::Fields& fields) {
   const auto type = fields[boost::beast::http::field::content_type];
   return type.substr(0, 17) == "text/event-stream";
@@ -190,6 +197,7 @@
   job.status = status;
   job.head_at = net::SteadyNow();
   job.streaming = status == 200 && internal::IsEventStream(fields);
+  job.ends_with_connection = internal::EndsWithConnection(fields);
   if (job.head_sent) return;
   net::RemoveHopByHopFields(fields);
   job.response.status = status;
@@ -212,7 +220,7 @@
     client_.Cancel(call);
     by_call_.erase(call);
     job.call.reset();
-    HandleLoss(id, {relay::LossKind::kCut, job.fault_address});
+    HandleLoss(id, {relay::LossKind::kCut, job.fault_address, false});
     return;
   }
   if (events.empty()) return;
@@ -223,7 +231,7 @@
   const net::ExchangeId exchange = job.exchange;
   if (!job.head_sent) {
     job.head_sent = true;
-    relay_.BeginAnswer(id);
+    relay_.BeginAnswer(id, now);
     registry_.Record(metrics::Series::kFirstToken, job.workspace,
                      core::TrafficClass{}, now - job.arrived);
     server_.Start(exchange, job.response);
@@ -237,11 +245,11 @@
   Job& job = jobs_.at(id);
   job.call.reset();
   if (job.not_run) {
-    HandleLoss(id, {relay::LossKind::kNotRun, job.fault_address});
+    HandleLoss(id, {relay::LossKind::kNotRun, job.fault_address, false});
   } else if (job.streaming) {
     FinishStream(id);
   } else if (job.head_sent) {
-    HandleLoss(id, {relay::LossKind::kError, job.fault_address});
+    HandleLoss(id, {relay::LossKind::kError, job.fault_address, false});
   } else {
     FinishResponse(id);
   }
@@ -249,11 +257,15 @@
 
 void Proxy::FinishStream(core::RequestId id) {
   Job& job = jobs_.at(id);
-  if (!job.filter->between_events()) {
-    HandleLoss(id, {relay::LossKind::kCut, job.fault_address});
+  // An answer that ends with its connection shows no difference between a
+  // stream without events and an upstream that ended before the first one.
+  const bool empty = job.ends_with_connection && !job.caller.resume_after &&
+                     job.filter->passed() == 0;
+  if (empty || !job.filter->between_events()) {
+    HandleLoss(id, {relay::LossKind::kCut, job.fault_address, AtBegin(job)});
     return;
   }
-  relay_.Complete(id);
+  relay_.Complete(id, net::SteadyNow());
   const auto node = jobs_.extract(id);
   const net::ExchangeId exchange = node.mapped().exchange;
   by_exchange_.erase(exchange);
@@ -269,7 +281,8 @@
   if (response.status >= 500) {
     // If the request is not retried, the upstream's own response is passed on.
     relay::Decision decision = relay_.HandleLoss(
-        id, {relay::LossKind::kError, job.fault_address}, net::SteadyNow());
+        id, {relay::LossKind::kError, job.fault_address, false},
+        net::SteadyNow());
     if (!std::holds_alternative<relay::Refuse>(decision)) {
       Apply(id, decision);
       return;
@@ -277,7 +290,7 @@
   } else {
     const core::Instant now = net::SteadyNow();
     relay_.RecordLatency(id, now - job.sent, now);
-    relay_.Complete(id);
+    relay_.Complete(id, now);
   }
   const auto node = jobs_.extract(id);
   by_exchange_.erase(exchange);
@@ -286,6 +299,10 @@
   server_.Respond(exchange, response);
 }
 
+bool Proxy::AtBegin(const Job& job) {
+  return job.head_at && job.status / 100 == 2 && !job.event_received;
+}
+
 void Proxy::HandleFailure(net::CallId call, net::Failure failure) {
   const core::RequestId id = by_call_.at(call);
   by_call_.erase(call);
@@ -293,7 +310,7 @@
   job.call.reset();
   const relay::LossKind kind =
       job.not_run ? relay::LossKind::kNotRun : internal::ToLossKind(failure);
-  HandleLoss(id, {kind, job.fault_address});
+  HandleLoss(id, {kind, job.fault_address, AtBegin(job)});
 }
 
 void Proxy::HandleLoss(core::RequestId id, const relay::Loss& loss) {
@@ -323,9 +340,33 @@
     registry_.Add("foxquay_losses_before_first_event_total", "");
   }
   if (job.filter) job.filter->Restart();
+  if (const auto suspicion = relay_.SuspectCrash(id, loss)) {
+    CheckCrash(*suspicion);
+  }
   Apply(id, relay_.HandleLoss(id, loss, now));
 }
 
+void Proxy::CheckCrash(const relay::Suspicion& suspicion) {
+  // A process that ended accepts no connection, one that only broke off an
+  // answer does.
+  prober_.Probe(suspicion.upstream, suspicion.address, false,
+                [this, suspicion](ProbeResult result) {
+                  const bool crashed = result == ProbeResult::kUnreachable ||
+                                       result == ProbeResult::kReplaced;
+                  log::Write(log::Level::kInfo, "crash_checked",
+                             {{"request", suspicion.request},
+                              {"upstream", suspicion.upstream},
+                              {"address", suspicion.address},
+                              {"workspace", suspicion.workspace},
+                              {"parts", internal::FormatParts(suspicion.parts)},
+                              {"result", Name(result)},
+                              {"crashed", crashed}});
+                  if (!crashed) return;
+                  registry_.Add("foxquay_crashes_at_begin_total", "");
+                  relay_.RecordCrash(suspicion, net::SteadyNow());
+                });
+}
+
 core::Duration Proxy::StallTime(core::RequestId id, const Job& job) {
   const auto& hops = relay_.Path(id);
   // A silent stream is moved earlier if an upstream on its path is no longer in
@@ -392,6 +433,7 @@
     next_sweep_ = now + internal::kSweepInterval;
     client_.Sweep(now);
     server_.Sweep(now);
+    prober_.Review(now);
     ReportSuspects(now);
     MoveStalledStreams(now);
   }
--- /dev/null
+++ b/src/foxquay/quarantine/bundle.cc
@@ -0,0 +1,54 @@
+#include "foxquay/quarantine/bundle.h"
+
+#include <algorithm>
+
+namespace foxquay::quarantine {
+namespace internal {
+
+/// Maximum numbers of entries in a report; equal to the bounds of the schema.
+constexpr std::size_t kMaxCrashes = 64;
+constexpr std::size_t kMaxAnswered = 512;
+constexpr std::size_t kMaxRefused = 64;
+
+}  // namespace internal
+
+void Bundle::Add(const schema::QuarantineReport& report, core::Instant now) {
+  for (const schema::ReportedCrash& crash : report.crashes) {
+    if (crashes_.size() >= internal::kMaxCrashes) break;
+    crashes_.try_emplace({crash.host, crash.incarnation, crash.crash.number},
+                         crash, now - crash.crash.age);
+  }
+  for (const schema::AnsweredPart& answer : report.answered) {
+    const auto key = std::make_pair(answer.service, answer.part);
+    if (answered_.size() >= internal::kMaxAnswered &&
+        !answered_.contains(key)) {
+      continue;
+    }
+    core::Instant& at = answered_[key];
+    at = std::max(at, now - answer.age);
+  }
+  for (const schema::RefusedParts& refusal : report.refused) {
+    if (refused_.size() >= internal::kMaxRefused) break;
+    refused_[{refusal.service, refusal.parts}] = refusal;
+  }
+}
+
+schema::QuarantineReport Bundle::Take(core::Instant now) {
+  schema::QuarantineReport report;
+  for (auto& [key, value] : crashes_) {
+    value.first.crash.age = now - value.second;
+    report.crashes.push_back(std::move(value.first));
+  }
+  for (const auto& [key, at] : answered_) {
+    report.answered.push_back({key.first, key.second, now - at});
+  }
+  for (auto& [key, refusal] : refused_) {
+    report.refused.push_back(std::move(refusal));
+  }
+  crashes_.clear();
+  answered_.clear();
+  refused_.clear();
+  return report;
+}
+
+}  // namespace foxquay::quarantine
--- a/src/foxquay/relay/decision.h
+++ b/src/foxquay/relay/decision.h
@@ -11,6 +11,7 @@
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
 #include "foxquay/fleet/table.h"
+#include "foxquay/quarantine/parts.h"
 #include "foxquay/relay/upstreams.h"
 #include "foxquay/schema/fleet.h"
 
@@ -26,6 +27,7 @@
   core::WorkspaceId workspace;
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   Work work;
+  quarantine::Parts parts;  ///< Parts of its prompt that others may share.
   core::Instant arrived;
   core::Instant deadline;  ///< Earlier of the caller's and the route's limit.
   /// Id of the last event that the caller has.
@@ -75,6 +77,19 @@
 struct Loss {
   LossKind kind = LossKind::kUnanswered;
   std::string fault_address;  ///< Upstream at fault; empty if not known.
+  /// The upstream had begun to answer this send and had sent no event.
+  bool at_begin = false;
+};
+
+/// An upstream that may have crashed because of a request.
+struct Suspicion {
+  std::string request;  ///< The caller's request id, for logs.
+  core::ServiceId service;
+  core::WorkspaceId workspace;
+  core::UpstreamId upstream;
+  std::string address;
+  core::WallTime born;
+  quarantine::Parts parts;  ///< Shared parts of the request's prompt.
 };
 
 }  // namespace foxquay::relay
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -30,6 +30,8 @@
 constexpr core::Duration kFailedSendRetryAfter =
     std::chrono::milliseconds(1000);
 
+constexpr const char* kQuarantined = "a part of the prompt is in quarantine";
+
 /// Returns whether a request of the route may run more than once.
 bool Repeatable(const schema::Route& route) {
   return route.kind == schema::RequestKind::kRepeatable ||
@@ -79,6 +81,7 @@
 
 Decision Relay::Route(core::RequestId id, State& state, core::Instant now) {
   const RequestContext& context = state.context;
+  if (auto refusal = RefuseQuarantined(id, state, now)) return *refusal;
   if (state.awaits_budget && !budget_.TakeRetry(context.service->id, now)) {
     return HoldOrGiveUp(id, state, "budget of repeated sends is spent", now);
   }
@@ -104,6 +107,51 @@
   return HoldOrGiveUp(id, state, "no upstream has a place", now);
 }
 
+void Relay::SetQuarantines(schema::QuarantineTable table,
+                           const core::HostId& self,
+                           std::uint64_t incarnation) {
+  gate_.SetTable(std::move(table), self, incarnation);
+  quarantines_changed_ = true;
+}
+
+std::optional<Decision> Relay::RefuseQuarantined(core::RequestId id,
+                                                 State& state,
+                                                 core::Instant now) {
+  const RequestContext& context = state.context;
+  const schema::Quarantine* quarantine =
+      gate_.Find(context.service->id, context.workspace, context.parts);
+  if (quarantine == nullptr || (state.probe && state.sends == 0)) {
+    return std::nullopt;
+  }
+  if (state.sends == 0 && gate_.TakeProbe(*quarantine)) {
+    state.probe = true;
+    return std::nullopt;
+  }
+  recorder_.RecordRefusal(*quarantine, now);
+  // Without a time to return: the request would meet the same refusal.
+  return GiveUp(id, internal::kQuarantined, std::nullopt, now);
+}
+
+std::optional<Suspicion> Relay::SuspectCrash(core::RequestId id,
+                                             const Loss& loss) const {
+  const State& state = requests_.at(id);
+  const RequestContext& context = state.context;
+  const bool possible = loss.kind == LossKind::kCut && loss.at_begin &&
+                        !context.parts.empty() && !state.hops.empty();
+  if (!possible) return std::nullopt;
+  const Hop& first = state.hops.front();
+  return Suspicion{context.name,      context.service->id,
+                   context.workspace, first.upstream,
+                   first.address,     upstreams_.Born(first.upstream),
+                   context.parts};
+}
+
+void Relay::RecordCrash(const Suspicion& suspicion, core::Instant now) {
+  recorder_.RecordCrash(suspicion.service, suspicion.workspace,
+                        suspicion.upstream, suspicion.born, suspicion.parts,
+                        now);
+}
+
 Decision Relay::HoldOrGiveUp(core::RequestId id, State& state,
                              const std::string& reason, core::Instant now) {
   const RequestContext& context = state.context;
@@ -140,8 +188,15 @@
   return first;
 }
 
-bool Relay::MayRetry(const State& state, LossKind kind) const {
+bool Relay::MayRetry(const State& state, const Loss& loss,
+                     core::Instant now) const {
   const schema::Route& route = *state.context.route;
+  const LossKind kind = loss.kind;
+  // What ended one upstream may end the next.
+  if (loss.at_begin && !state.context.parts.empty() &&
+      !recorder_.Trusts(state.context.service->id, state.context.parts, now)) {
+    return false;
+  }
   if (kind == LossKind::kNotSent) return state.unsent < internal::kMaxUnsent;
   const unsigned max_sends = route.kind == schema::RequestKind::kStream
                                  ? internal::kMaxStreamSends
@@ -208,7 +263,7 @@
     if (loss.kind != LossKind::kNotRun) state.may_have_run = true;
     AttributeLoss(loss.kind, fault, hops, now);
   }
-  if (!MayRetry(state, loss.kind)) {
+  if (!MayRetry(state, loss, now)) {
     return GiveUp(id, std::string("send ended: ") + Name(loss.kind),
                   internal::kFailedSendRetryAfter, now);
   }
@@ -245,7 +300,8 @@
 }
 
 Decision Relay::GiveUp(core::RequestId id, const std::string& reason,
-                       core::Duration retry_after, core::Instant) {
+                       std::optional<core::Duration> retry_after,
+                       core::Instant) {
   const State& state = requests_.at(id);
   Decision decision;
   if (state.answer_begun) {
@@ -253,15 +309,19 @@
   } else if (state.may_have_run) {
     decision = Refuse{502, std::nullopt, reason};
   } else {
-    decision = Refuse{503, AddJitter(retry_after), reason};
+    if (retry_after) retry_after = AddJitter(*retry_after);
+    decision = Refuse{503, retry_after, reason};
   }
   End(id);
   return decision;
 }
 
-void Relay::BeginAnswer(core::RequestId id) {
+void Relay::BeginAnswer(core::RequestId id, core::Instant now) {
   const auto found = requests_.find(id);
-  if (found != requests_.end()) found->second.answer_begun = true;
+  if (found == requests_.end()) return;
+  State& state = found->second;
+  state.answer_begun = true;
+  recorder_.RecordAnswer(state.context.service->id, state.context.parts, now);
 }
 
 void Relay::RecordLatency(core::RequestId id, core::Duration time,
@@ -271,9 +331,11 @@
   upstreams_.RecordLatency(state.hops.front().upstream, time, now);
 }
 
-void Relay::Complete(core::RequestId id) {
+void Relay::Complete(core::RequestId id, core::Instant now) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
+  const RequestContext& context = found->second.context;
+  recorder_.RecordAnswer(context.service->id, context.parts, now);
   upstreams_.RecordSuccess(found->second.hops);
   End(id);
 }
@@ -294,6 +356,25 @@
   requests_.erase(id);
 }
 
+void Relay::RefuseSent(
+    std::vector<std::pair<core::RequestId, Decision>>& decisions,
+    core::Instant now) {
+  std::vector<std::pair<core::RequestId, const schema::Quarantine*>> covered;
+  for (const auto& [id, state] : requests_) {
+    if (state.held || state.answer_begun || state.probe) continue;
+    const RequestContext& context = state.context;
+    const schema::Quarantine* quarantine =
+        gate_.Find(context.service->id, context.workspace, context.parts);
+    if (quarantine != nullptr) covered.emplace_back(id, quarantine);
+  }
+  for (const auto& [id, quarantine] : covered) {
+    requests_.at(id).may_have_run = true;
+    recorder_.RecordRefusal(*quarantine, now);
+    decisions.emplace_back(
+        id, GiveUp(id, internal::kQuarantined, std::nullopt, now));
+  }
+}
+
 std::vector<std::pair<core::RequestId, Decision>> Relay::Review(
     core::Instant now) {
   std::vector<std::pair<core::RequestId, Decision>> decisions;
@@ -318,6 +399,9 @@
     }
     decisions.emplace_back(id, std::move(decision));
   }
+  if (std::exchange(quarantines_changed_, false)) {
+    RefuseSent(decisions, now);
+  }
   std::sort(order.begin(), order.end());
   for (const auto& [priority, arrived, id] : order) {
     Decision decision = Route(id, requests_.at(id), now);
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -12,6 +12,8 @@
 
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
+#include "foxquay/quarantine/gate.h"
+#include "foxquay/quarantine/recorder.h"
 #include "foxquay/relay/decision.h"
 #include "foxquay/relay/retry_budget.h"
 #include "foxquay/relay/upstreams.h"
@@ -45,6 +47,21 @@
     upstreams_.SetOpenRequests(static_cast<double>(open));
   }
 
+  /// Replaces the quarantines in force; requests that they cover and whose
+  /// answer has not begun are refused at the next review. `self` and
+  /// `incarnation` are those of this process.
+  void SetQuarantines(schema::QuarantineTable table, const core::HostId& self,
+                      std::uint64_t incarnation);
+  /// Returns what this host knows about the parts of prompts.
+  [[nodiscard]] quarantine::Recorder& recorder() noexcept { return recorder_; }
+  /// Returns the crash of an upstream that a lost send may be a sign of, to be
+  /// recorded if the upstream can no longer be reached. Precondition: the
+  /// request is known and its loss has not been handled.
+  [[nodiscard]] std::optional<Suspicion> SuspectCrash(core::RequestId id,
+                                                      const Loss& loss) const;
+  /// Records that the upstream of a lost send was found to have crashed.
+  void RecordCrash(const Suspicion& suspicion, core::Instant now);
+
   /// Returns the retry budget of this host.
   [[nodiscard]] RetryBudget& budget() noexcept { return budget_; }
 
@@ -52,7 +69,7 @@
   [[nodiscard]] Decision Arrive(core::RequestId id, RequestContext context,
                                 core::Instant now);
   /// Records that the first part of the answer was passed on to the caller.
-  void BeginAnswer(core::RequestId id);
+  void BeginAnswer(core::RequestId id, core::Instant now);
   /// Records the time between two events of the request's stream, or to its
   /// answer. Precondition: the request is known.
   void RecordLatency(core::RequestId id, core::Duration time,
@@ -67,7 +84,7 @@
   /// Precondition: the request is known.
   [[nodiscard]] std::optional<Send> Move(core::RequestId id, core::Instant now);
   /// Ends a request that was answered completely; no effect if unknown.
-  void Complete(core::RequestId id);
+  void Complete(core::RequestId id, core::Instant now);
   /// Ends a request whose caller has disconnected; no effect if unknown.
   void Abandon(core::RequestId id);
 
@@ -106,11 +123,20 @@
     bool held = false;            ///< It waits for a path or a retry.
     bool awaits_budget = false;   ///< Its next send needs a retry.
     core::Instant hold_deadline;  ///< When a held request is given up.
+    bool probe = false;           ///< Sent in spite of a quarantine.
   };
 
   /// Sends the request along a path, or holds it or gives it up if there is
   /// none.
   Decision Route(core::RequestId id, State& state, core::Instant now);
+  /// Returns the refusal of a request whose prompt is in quarantine, unless it
+  /// is sent as a probe.
+  std::optional<Decision> RefuseQuarantined(core::RequestId id, State& state,
+                                            core::Instant now);
+  /// Adds the refusal of each request that has been sent, has not begun to be
+  /// answered and is covered by a quarantine.
+  void RefuseSent(std::vector<std::pair<core::RequestId, Decision>>& decisions,
+                  core::Instant now);
   /// Keeps the request waiting, or gives it up for `reason` if it has waited
   /// for too long. A retry is worth a wait: the control host that this host
   /// follows grants more within the interval of its polls.
@@ -119,13 +145,14 @@
   /// Ends the request: aborts an answer that has begun, else refuses it with
   /// 502 if it may have run and with 503 if not.
   Decision GiveUp(core::RequestId id, const std::string& reason,
-                  core::Duration retry_after, core::Instant now);
+                  std::optional<core::Duration> retry_after, core::Instant now);
   /// Records a loss with the upstreams that may have caused it.
   void AttributeLoss(LossKind kind,
                      const std::optional<core::UpstreamId>& fault,
                      const std::vector<Hop>& hops, core::Instant now);
   /// Returns whether the route and the kind of loss allow another send.
-  [[nodiscard]] bool MayRetry(const State& state, LossKind kind) const;
+  [[nodiscard]] bool MayRetry(const State& state, const Loss& loss,
+                              core::Instant now) const;
   /// Records that a send reached `first`. A hop after the first that is at
   /// fault leaves the first one usable.
   static void RecordAttempt(State& state, LossKind kind,
@@ -143,6 +170,9 @@
   [[nodiscard]] core::Duration AddJitter(core::Duration duration);
 
   Upstreams upstreams_;
+  quarantine::Gate gate_;
+  quarantine::Recorder recorder_;
+  bool quarantines_changed_ = false;
   RetryBudget budget_;
   std::mt19937_64 random_;
   std::map<core::RequestId, State> requests_;
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -435,6 +435,12 @@
   return found != entries_.end() && found->second.present;
 }
 
+core::WallTime Upstreams::Born(const core::UpstreamId& upstream) const {
+  const auto found = entries_.find(upstream);
+  return found == entries_.end() ? core::WallTime()
+                                 : found->second.announcement.born;
+}
+
 std::optional<core::UpstreamId> Upstreams::FindByAddress(
     const std::string& address) const {
   for (const auto& [id, entry] : entries_) {
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -105,6 +105,8 @@
 
   /// Returns whether an upstream is in use.
   [[nodiscard]] bool Known(const core::UpstreamId& upstream) const;
+  /// Returns the start time of an upstream; the epoch if it is unknown.
+  [[nodiscard]] core::WallTime Born(const core::UpstreamId& upstream) const;
   /// Returns the upstream at an address, if one is in use.
   [[nodiscard]] std::optional<core::UpstreamId> FindByAddress(
       const std::string& address) const;
--- a/src/foxquay/scheduling/commitments.h
+++ b/src/foxquay/scheduling/commitments.h
@@ -7,11 +7,11 @@
 #include <utility>
 
 #include "foxquay/core/id.h"
+#include "foxquay/core/lru_map.h"
 #include "foxquay/core/outcome.h"
 #include "foxquay/core/time.h"
 #include "foxquay/scheduling/fair_queue.h"
 #include "foxquay/scheduling/fwd.h"
-#include "foxquay/scheduling/lru_map.h"
 #include "foxquay/scheduling/service_rate.h"
 
 namespace foxquay::scheduling {
@@ -104,7 +104,7 @@
   std::unordered_map<core::RequestId, Location> requests_;
   core::Duration total_work_{};
   std::int64_t total_weight_ = 0;  ///< Of all workspaces with commitments.
-  internal::LruMap<FlowId, ServiceRate> service_rates_{2 * kMaxWorkspaces};
+  core::LruMap<FlowId, ServiceRate> service_rates_{2 * kMaxWorkspaces};
 };
 
 }  // namespace foxquay::scheduling
--- a/src/foxquay/scheduling/retry_budget.h
+++ b/src/foxquay/scheduling/retry_budget.h
@@ -5,8 +5,8 @@
 #include <span>
 
 #include "foxquay/core/id.h"
+#include "foxquay/core/lru_map.h"
 #include "foxquay/scheduling/fwd.h"
-#include "foxquay/scheduling/lru_map.h"
 
 namespace foxquay::scheduling {
 
@@ -63,8 +63,8 @@
   }
 
  private:
-  internal::LruMap<core::WorkspaceId, RetryBudget> workspaces_;
-  internal::LruMap<core::UpstreamId, RetryBudget> upstreams_;
+  core::LruMap<core::WorkspaceId, RetryBudget> workspaces_;
+  core::LruMap<core::UpstreamId, RetryBudget> upstreams_;
 };
 
 }  // namespace foxquay::scheduling
--- a/src/foxquay/scheduling/service_estimator.h
+++ b/src/foxquay/scheduling/service_estimator.h
@@ -6,10 +6,10 @@
 #include <utility>
 
 #include "foxquay/core/id.h"
+#include "foxquay/core/lru_map.h"
 #include "foxquay/core/outcome.h"
 #include "foxquay/core/time.h"
 #include "foxquay/scheduling/fwd.h"
-#include "foxquay/scheduling/lru_map.h"
 
 namespace foxquay::scheduling {
 
@@ -84,9 +84,9 @@
   /// Returns the rates of a pool and class, or `mean_` if there are none.
   [[nodiscard]] const Rates& Find(const Key& key) const;
 
-  internal::LruMap<Key, Rates> rates_;
+  core::LruMap<Key, Rates> rates_;
   /// Mean length of answers, as a part of max_tokens.
-  internal::LruMap<AnswerKey, Mean> answer_fractions_;
+  core::LruMap<AnswerKey, Mean> answer_fractions_;
   Rates mean_;  ///< Over all pools and classes.
 };
 
--- a/src/foxquay/schema/control.h
+++ b/src/foxquay/schema/control.h
@@ -16,6 +16,7 @@
 #include "foxquay/core/outcome.h"
 #include "foxquay/core/time.h"
 #include "foxquay/schema/bounded.h"
+#include "foxquay/schema/quarantine.h"
 
 namespace foxquay::schema {
 
@@ -563,6 +564,8 @@
   std::uint64_t sequence = 0;  ///< Sequence that the host has applied.
   std::uint64_t fleet_version =
       0;  ///< Version of the fleet's configuration that the host has.
+  std::uint64_t quarantine_version =
+      0;  ///< Version of the table of quarantines that the host has.
 
   friend bool operator==(const ConfigPoll&, const ConfigPoll&) = default;
 
@@ -573,6 +576,7 @@
     archive(poll);
     archive(sequence);
     archive(fleet_version);
+    archive(quarantine_version);
   }
 };
 
@@ -591,6 +595,10 @@
       0;  ///< Version of the fleet's configuration that the sender has.
   std::string
       fleet;  ///< The encoded Fleet; empty if the host has this version.
+  std::uint64_t quarantine_version =
+      0;  ///< Version of the table of quarantines that the sender has.
+  std::optional<QuarantineTable>
+      quarantines;  ///< Not set if the host has this version.
 
   friend bool operator==(const ConfigReply&, const ConfigReply&) = default;
 
@@ -604,6 +612,8 @@
     archive(snapshot);
     archive(fleet_version);
     archive(Bound(fleet, 700000));
+    archive(quarantine_version);
+    archive(quarantines);
   }
 };
 
@@ -693,6 +703,9 @@
   std::vector<StoredClaim> claims;    ///< Claims that have not expired.
   std::vector<StoredGrant> grants;    ///< Fencing grants.
   PutFleet fleet;  ///< Configuration of the fleet; version 0 if there is none.
+  QuarantineTable
+      quarantines;  ///< Quarantines in force. Last; State::FromSnapshot reads
+                    ///< snapshots without it.
 
   friend bool operator==(const ControlSnapshot&,
                          const ControlSnapshot&) = default;
@@ -709,6 +722,7 @@
     archive(Bound(claims, 1000000));
     archive(Bound(grants, 100000));
     archive(fleet);
+    archive(quarantines);
   }
 };
 
@@ -716,11 +730,12 @@
 using ControlCommand =
     std::variant<SetDefault, AddException, RemoveException, Rollback,
                  RegisterHost, EndIncarnation, Claim, ReleaseClaim, RecordClaim,
-                 GrantFencing, PutFleet>;
+                 GrantFencing, PutFleet, PutQuarantine, ReleaseQuarantine>;
 
 /// Result of a command.
-using ControlResult = std::variant<MalformedResult, ChangeResult, HostResult,
-                                   ClaimResult, FencingResult, FleetResult>;
+using ControlResult =
+    std::variant<MalformedResult, ChangeResult, HostResult, ClaimResult,
+                 FencingResult, FleetResult, QuarantineResult>;
 
 }  // namespace foxquay::schema
 
--- a/src/foxquay/schema/peer.h
+++ b/src/foxquay/schema/peer.h
@@ -196,6 +196,7 @@
       config;  ///< Requests the configuration and the renewal of its lease.
   RosterPoll roster;  ///< Requests the feeds of upstreams and hosts.
   std::vector<RetryUsage> retries;  ///< Use of the retry budgets.
+  QuarantineReport quarantine;  ///< Evidence of crashes that requests cause.
 
   friend bool operator==(const FollowerPoll&, const FollowerPoll&) = default;
 
@@ -207,6 +208,7 @@
     archive(config);
     archive(roster);
     archive(Bound(retries, 1024));
+    archive(quarantine);
   }
 };
 
@@ -218,6 +220,8 @@
   std::uint64_t open_requests =
       0;  ///< Requests that have not ended at any host.
   std::vector<RetryAllowance> retries;  ///< The sender's leave for retries.
+  std::vector<PromptPart> watched;  ///< Parts of prompts of which the sender
+                                    ///< asks to be told when they are answered.
 
   friend bool operator==(const FollowerReply&, const FollowerReply&) = default;
 
@@ -227,6 +231,7 @@
     archive(roster);
     archive(open_requests);
     archive(Bound(retries, 1024));
+    archive(Bound(watched, 512));
   }
 };
 
@@ -235,7 +240,7 @@
     std::variant<ConsensusMessage, ConfigPoll, ConfigReply, RosterPoll,
                  RosterReply, ProposeRequest, ProposeReply, InForceRequest,
                  InForceReply, HostReport, HostList, UpstreamDoubts,
-                 FollowerPoll, FollowerReply>;
+                 FollowerPoll, FollowerReply, QuarantineReport>;
 
 }  // namespace foxquay::schema
 
--- a/tests/foxquay/control/state_test.cc
+++ b/tests/foxquay/control/state_test.cc
@@ -195,4 +195,64 @@
   CHECK(passed_on->fleet == "encoded");
 }
 
+namespace {
+
+schema::PutQuarantine Quarantine(const std::string& part,
+                                 std::uint64_t generation) {
+  schema::PutQuarantine command;
+  command.quarantine.service = core::ServiceId("s");
+  command.quarantine.parts = {core::PromptPartId(part)};
+  command.quarantine.generation = generation;
+  return command;
+}
+
+}  // namespace
+
+TEST_CASE("quarantines survive a snapshot and reach observers") {
+  State state;
+  CHECK(Apply<schema::QuarantineResult>(state, Quarantine("a", 1)).applied);
+  CHECK(Apply<schema::QuarantineResult>(state, Quarantine("b", 1)).applied);
+  CHECK_FALSE(
+      Apply<schema::QuarantineResult>(state, Quarantine("b", 1)).applied);
+  const auto restored = State::FromSnapshot(state.Snapshot());
+  REQUIRE(restored);
+  CHECK(restored.value().quarantines() == state.quarantines());
+  const core::Instant start{};
+  Observer observer(core::HostId("h"), 1);
+  const schema::ConfigPoll poll = observer.StartPoll(start);
+  const schema::ConfigReply reply = state.Answer(poll, {});
+  CHECK(observer.HandleReply(reply));
+  CHECK(observer.quarantines() == state.quarantines());
+  CHECK_FALSE(state.Answer(observer.StartPoll(start), {}).quarantines);
+  // The next observer asks this one.
+  Observer next(core::HostId("i"), 1);
+  const auto passed_on = observer.Answer(next.StartPoll(start), start);
+  REQUIRE(passed_on);
+  CHECK(next.HandleReply(*passed_on));
+  CHECK(next.quarantines() == state.quarantines());
+}
+
+TEST_CASE("a lease requires the quarantines that the reply states") {
+  State state;
+  Apply<schema::QuarantineResult>(state, Quarantine("a", 1));
+  Observer observer(core::HostId("h"), 1);
+  schema::ConfigReply reply =
+      state.Answer(observer.StartPoll(core::Instant{}), {});
+  reply.quarantines.reset();
+  observer.HandleReply(reply);
+  CHECK_FALSE(observer.confirmed());
+}
+
+TEST_CASE("a snapshot of a build without quarantines is restored") {
+  State state;
+  Change(state, schema::SetDefault{{}, "retry.budget", 7});
+  const std::string bytes = state.Snapshot();
+  const std::string table = schema::Encode(schema::QuarantineTable());
+  const std::string former = bytes.substr(0, bytes.size() - (table.size() - 1));
+  const auto restored = State::FromSnapshot(former);
+  REQUIRE(restored);
+  CHECK(restored.value().config() == state.config());
+  CHECK(restored.value().quarantines().entries.empty());
+}
+
 }  // namespace foxquay::control
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,7 +40,8 @@
 };
 
 /// Returns a protocol with the plain fields Name, Key, Workspace, Expected,
-/// After and Not-Run.
+/// After, Parts
+/// and Not-Run.
 Protocol MakeProtocol() {
   Protocol protocol;
   protocol.id_field = "Name";
@@ -47,6 +49,10 @@
     CallerInfo caller;
     caller.id = request.fields["Name"].to_string();
     caller.key = request.fields["Key"].to_string();
+    std::istringstream parts(request.fields["Parts"].to_string());
+    for (std::string part; std::getline(parts, part, ',');) {
+      caller.prompt_parts.emplace_back(part);
+    }
     return caller;
   };
   protocol.write_forwarding = [](net::Fields& fields,
@@ -61,6 +67,13 @@
   protocol.read_response = [](unsigned, const net::Fields& fields) {
     return ResponseInfo{fields.find("Not-Run") != fields.end(), ""};
   };
+  protocol.write_inquiry = [](const core::UpstreamId&) {
+    net::Request request;
+    request.method = "GET";
+    request.target = "/report";
+    request.fields.set("Host", "upstream");
+    return request;
+  };
   return protocol;
 }
 
@@ -110,14 +123,15 @@
     return announcement;
   }
 
-  net::CallId Send(const std::string& target,
-                   const std::string& key = "secret") {
+  net::CallId Send(const std::string& target, const std::string& key = "secret",
+                   const std::string& parts = "") {
     net::Request request;
     request.method = "POST";
     request.target = target;
     request.fields.set("Host", "h");
     request.fields.set("Name", "r1");
     request.fields.set("Key", key);
+    if (!parts.empty()) request.fields.set("Parts", parts);
     request.body = "payload";
     return caller.Call(proxy.address(), net::Serialize(request),
                        {false, "", ""});
@@ -133,6 +147,14 @@
     REQUIRE(condition());
   }
 
+  void RunFor(core::Duration duration) {
+    const auto end = net::SteadyNow() + duration;
+    while (net::SteadyNow() < end) {
+      context.run_one_for(std::chrono::milliseconds(5));
+      proxy.Review();
+    }
+  }
+
   const CallResult& AwaitResponse(net::CallId call) {
     RunUntil([&] { return results[call].ended || results[call].failure; });
     return results[call];
@@ -307,4 +329,42 @@
   CHECK(fixture.AwaitResponse(call).body == "ok");
 }
 
+// The upstream ends while it begins to answer: its connections close and no new
+// one is accepted.
+TEST_CASE("an upstream that crashes when it begins to answer is recorded") {
+  ProxyFixture fixture;
+  const net::CallId call = fixture.Send("/stream/1", "secret", "p,own");
+  FakeUpstream& upstream = fixture.FirstReached();
+  upstream.server.Start(upstream.requests[0].first, Stream());
+  fixture.RunFor(std::chrono::milliseconds(50));
+  upstream.server.StopAccepting();
+  upstream.server.Abort(upstream.requests[0].first);
+  CHECK(fixture.AwaitResponse(call).status == 502);
+  CHECK(fixture.Other(upstream).requests.empty());
+  quarantine::Recorder& recorder = fixture.proxy.relay().recorder();
+  fixture.RunUntil(
+      [&] { return !recorder.Report(net::SteadyNow()).crashes.empty(); });
+  const schema::UpstreamCrash crash =
+      recorder.Report(net::SteadyNow()).crashes.front().crash;
+  CHECK(crash.parts == quarantine::Parts{core::PromptPartId("p")});
+  CHECK(crash.workspace == core::WorkspaceId("w"));
+}
+
+TEST_CASE("an upstream that only breaks an answer off has not crashed") {
+  ProxyFixture fixture;
+  const net::CallId call = fixture.Send("/stream/1", "secret", "p,own");
+  FakeUpstream& upstream = fixture.FirstReached();
+  upstream.server.Start(upstream.requests[0].first, Stream());
+  fixture.RunFor(std::chrono::milliseconds(50));
+  upstream.server.Abort(upstream.requests[0].first);
+  fixture.AwaitResponse(call);
+  // The inquiry that checks it.
+  fixture.RunUntil([&] { return upstream.requests.size() == 2; });
+  upstream.server.Respond(upstream.requests[1].first,
+                          net::MakeResponse(200, "text/plain", ""));
+  fixture.RunFor(std::chrono::milliseconds(100));
+  quarantine::Recorder& recorder = fixture.proxy.relay().recorder();
+  CHECK(recorder.Report(net::SteadyNow()).crashes.empty());
+}
+
 }  // namespace foxquay::gateway
--- /dev/null
+++ b/tests/foxquay/quarantine/detector_test.cc
@@ -0,0 +1,255 @@
+#include "foxquay/quarantine/detector.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "foxquay/quarantine/table.h"
+#include "samples.h"
+
+namespace foxquay::quarantine {
+namespace {
+
+constexpr std::chrono::seconds kSettle{1};
+
+/// A detector and the table that its changes apply to.
+struct Fixture {
+  /// Applies every change that is due; returns their number.
+  int Settle(core::Instant now) {
+    int changes = 0;
+    while (const auto change = detector.Review(table.content(), kSettle, now)) {
+      std::visit([this](const auto& command) { table.Apply(command); },
+                 *change);
+      REQUIRE(++changes < 10);
+    }
+    return changes;
+  }
+
+  /// Records crashes of different upstreams, 500 ms apart, the last one at
+  /// `end_ms`.
+  void Crash(int count, const std::vector<std::string>& parts, int end_ms,
+             const core::WorkspaceId& workspace = kWorkspace) {
+    for (int index = 0; index < count; ++index) {
+      detector.Record(CrashOf(++upstreams, parts, workspace),
+                      At(end_ms - 500 * (count - 1 - index)));
+    }
+  }
+
+  [[nodiscard]] bool Refuses(const std::vector<std::string>& parts,
+                             const std::string& workspace = "w") const {
+    for (const schema::Quarantine& entry : table.content().entries) {
+      if (Covers(entry, kService, core::WorkspaceId(workspace),
+                 MakeParts(parts))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  Detector detector;
+  Table table;
+  int upstreams = 0;
+};
+
+}  // namespace
+
+TEST_CASE("a part is quarantined after crashes of three upstreams") {
+  Fixture fixture;
+  fixture.Crash(2, {"shared", "bad"}, 1000);
+  fixture.detector.Record(AnswerTo("shared"), At(1200));
+  CHECK(fixture.Settle(At(3000)) == 0);
+  fixture.Crash(1, {"shared", "bad"}, 3000);
+  CHECK(fixture.Settle(At(3000)) == 1);
+  CHECK(fixture.Refuses({"bad"}));
+  CHECK_FALSE(fixture.Refuses({"shared"}));
+  CHECK(fixture.table.content().entries.front().crashes == 3);
+}
+
+TEST_CASE("crashes of one upstream count once") {
+  Fixture fixture;
+  for (int count = 0; count < 5; ++count) {
+    fixture.detector.Record(CrashOf(1, {"bad"}), At(100 * count));
+  }
+  CHECK(fixture.Settle(At(5000)) == 0);
+}
+
+TEST_CASE("a report that is repeated counts once") {
+  Fixture fixture;
+  const schema::QuarantineReport report = CrashOf(1, {"bad"});
+  for (int count = 0; count < 5; ++count) {
+    fixture.detector.Record(report, At(100 * count));
+  }
+  CHECK(fixture.detector.crashes() == 1);
+}
+
+TEST_CASE("an answer between crashes clears a part") {
+  Fixture fixture;
+  fixture.Crash(2, {"part"}, 1000);
+  fixture.detector.Record(AnswerTo("part"), At(1500));
+  fixture.Crash(2, {"part"}, 3000);
+  CHECK(fixture.Settle(At(5000)) == 0);
+}
+
+TEST_CASE("suspicion waits for the answers that hosts have seen") {
+  Fixture fixture;
+  for (int upstream = 1; upstream <= 3; ++upstream) {
+    fixture.detector.Record(CrashOf(upstream, {"part"}), At(0));
+  }
+  CHECK(fixture.Settle(At(500)) == 0);
+  // The host reports at 900 ms an answer of 850 ms before, after the crashes.
+  schema::QuarantineReport answer = AnswerTo("part");
+  answer.answered.front().age = std::chrono::milliseconds(850);
+  fixture.detector.Record(answer, At(900));
+  CHECK(fixture.Settle(At(2000)) == 0);
+}
+
+TEST_CASE("a part that was never answered is suspected before one that was") {
+  Fixture fixture;
+  fixture.detector.Record(AnswerTo("shared"), At(0));
+  fixture.Crash(1, {"shared", "bad"}, 500);
+  schema::QuarantineReport answer = AnswerTo("shared");
+  answer.answered.front().age = std::chrono::milliseconds(600);
+  fixture.detector.Record(answer, At(600));
+  fixture.Crash(3, {"shared", "bad"}, 3000);
+  CHECK(fixture.Settle(At(3000)) == 1);
+  CHECK(fixture.Refuses({"bad"}));
+  CHECK_FALSE(fixture.Refuses({"shared"}));
+}
+
+TEST_CASE("of two parts the one with more crashes explains the others") {
+  Fixture fixture;
+  fixture.Crash(2, {"bad", "one"}, 1000);
+  fixture.Crash(3, {"bad", "two"}, 3000);
+  CHECK(fixture.Settle(At(5000)) == 1);
+  CHECK(fixture.Refuses({"bad"}));
+  CHECK_FALSE(fixture.Refuses({"one", "two"}));
+}
+
+// Requests that share only one of the two may be sound.
+TEST_CASE("parts of the same crashes are refused together until one is known") {
+  Fixture fixture;
+  fixture.Crash(3, {"bad", "other"}, 3000);
+  CHECK(fixture.Settle(At(3000)) == 1);
+  CHECK(fixture.Refuses({"bad", "other"}));
+  CHECK_FALSE(fixture.Refuses({"bad"}));
+  CHECK_FALSE(fixture.Refuses({"other"}));
+  fixture.detector.Record(AnswerTo("other"), At(4000));
+  CHECK(fixture.Settle(At(4000)) == 2);
+  CHECK(fixture.Refuses({"bad"}));
+  CHECK_FALSE(fixture.Refuses({"other"}));
+  CHECK(fixture.table.content().entries.size() == 1);
+}
+
+TEST_CASE("two parts that crash upstreams are both quarantined") {
+  Fixture fixture;
+  fixture.Crash(3, {"first", "shared"}, 2000);
+  fixture.detector.Record(AnswerTo("shared"), At(2500));
+  fixture.Crash(3, {"second", "shared"}, 4000);
+  fixture.detector.Record(AnswerTo("shared"), At(4500));
+  CHECK(fixture.Settle(At(5000)) == 2);
+  CHECK(fixture.Refuses({"first"}));
+  CHECK(fixture.Refuses({"second"}));
+  CHECK_FALSE(fixture.Refuses({"shared"}));
+}
+
+TEST_CASE("a request that began beside the one that crashed is no evidence") {
+  Fixture fixture;
+  for (int upstream = 1; upstream <= 4; ++upstream) {
+    fixture.detector.Record(CrashOf(upstream, {"bad"}), At(upstream * 500));
+    fixture.detector.Record(CrashOf(upstream, {"beside"}), At(upstream * 500));
+    if (upstream == 2) fixture.detector.Record(AnswerTo("beside"), At(1200));
+  }
+  CHECK(fixture.Settle(At(4000)) == 1);
+  CHECK(fixture.Refuses({"bad"}));
+  CHECK_FALSE(fixture.Refuses({"beside"}));
+}
+
+// Any caller may name any part.
+TEST_CASE("crashes from one workspace restrict only that workspace") {
+  Fixture fixture;
+  fixture.Crash(5, {"part"}, 3000, core::WorkspaceId("attacker"));
+  CHECK(fixture.Settle(At(3000)) == 1);
+  CHECK(fixture.Refuses({"part"}, "attacker"));
+  CHECK_FALSE(fixture.Refuses({"part"}, "victim"));
+  fixture.Crash(1, {"part"}, 4000, core::WorkspaceId("victim"));
+  CHECK(fixture.Settle(At(4000)) == 1);
+  CHECK(fixture.Refuses({"part"}, "third"));
+}
+
+TEST_CASE("an answer in another workspace releases a part") {
+  Fixture fixture;
+  fixture.Crash(3, {"part"}, 3000, core::WorkspaceId("attacker"));
+  fixture.Settle(At(3000));
+  fixture.detector.Record(AnswerTo("part"), At(3500));
+  CHECK(fixture.Settle(At(3500)) == 1);
+  CHECK(fixture.table.content().entries.empty());
+}
+
+TEST_CASE("one crash of a second service extends a quarantine to it") {
+  Fixture fixture;
+  fixture.Crash(3, {"bad"}, 3000);
+  fixture.Settle(At(3000));
+  const core::ServiceId other("other");
+  fixture.detector.Record(CrashOf(90, {"bad"}, kWorkspace, other), At(4000));
+  CHECK(fixture.Settle(At(4000)) == 1);
+  CHECK(fixture.table.Find(other, MakeParts({"bad"})) != nullptr);
+}
+
+TEST_CASE("workspaces do not displace each other's evidence") {
+  Fixture fixture;
+  fixture.Crash(2, {"bad"}, 1000, core::WorkspaceId("quiet"));
+  for (std::size_t count = 0; count < 2 * kMaxCrashes; ++count) {
+    fixture.detector.Record(CrashOf(1000, {"made-up"}), At(1000));
+  }
+  CHECK(fixture.detector.crashes() == kMaxCrashes);
+  fixture.Crash(1, {"bad"}, 2000, core::WorkspaceId("quiet"));
+  fixture.Settle(At(3000));
+  CHECK(fixture.Refuses({"bad"}, "quiet"));
+}
+
+TEST_CASE("one host of the fleet probes a quarantine, ever more rarely") {
+  Fixture fixture;
+  fixture.Crash(3, {"bad"}, 3000);
+  fixture.Settle(At(3000));
+  const auto at = [](core::Duration since) { return At(3000) + since; };
+  fixture.detector.Record(RefusalOf({"bad"}, "a"), at(kFirstProbeDelay / 2));
+  CHECK(fixture.Settle(at(kFirstProbeDelay / 2)) == 0);
+  const auto due = std::chrono::duration_cast<std::chrono::seconds>(
+      kFirstProbeDelay + std::chrono::seconds(1));
+  fixture.detector.Record(RefusalOf({"bad"}, "b"), at(due));
+  CHECK(fixture.Settle(at(due)) == 1);
+  CHECK(fixture.table.content().entries.front().prober == core::HostId("b"));
+  // The probe crashes its upstream.
+  fixture.detector.Record(CrashOf(50, {"bad"}),
+                          at(due + std::chrono::seconds(2)));
+  CHECK(fixture.Settle(at(due + std::chrono::seconds(2))) == 1);
+  CHECK(fixture.table.content().entries.front().prober.empty());
+  CHECK(fixture.table.content().entries.front().probes == 1);
+  fixture.detector.Record(RefusalOf({"bad"}, "b"), at(due * 2));
+  CHECK(fixture.Settle(at(due * 2)) == 0);
+  fixture.detector.Record(RefusalOf({"bad"}, "b"), at(due * 4));
+  CHECK(fixture.Settle(at(due * 4)) == 1);
+  // Now the upstream answers.
+  fixture.detector.Record(AnswerTo("bad"),
+                          at(due * 4 + std::chrono::seconds(2)));
+  CHECK(fixture.Settle(at(due * 4 + std::chrono::seconds(2))) == 1);
+  CHECK(fixture.table.content().entries.empty());
+}
+
+TEST_CASE("a probe without an outcome is given to another host") {
+  Fixture fixture;
+  fixture.Crash(3, {"bad"}, 3000);
+  fixture.Settle(At(3000));
+  const core::Instant due = At(3000) + kFirstProbeDelay;
+  fixture.detector.Record(RefusalOf({"bad"}, "a"), due);
+  fixture.Settle(due);
+  const core::Instant later = due + kProbeTimeout;
+  fixture.detector.Record(RefusalOf({"bad"}, "b"), later);
+  CHECK(fixture.Settle(later) == 1);
+  CHECK(fixture.table.content().entries.front().prober == core::HostId("b"));
+  CHECK(fixture.table.content().entries.front().probes == 0);
+}
+
+}  // namespace foxquay::quarantine
--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -139,7 +139,7 @@
   CHECK(std::holds_alternative<Hold>(
       relay.Arrive(core::RequestId(2), urgent, At(2))));
   CHECK(relay.Review(At(10)).empty());
-  relay.Complete(core::RequestId(100));
+  relay.Complete(core::RequestId(100), At(0));
   const auto decisions = relay.Review(At(20));
   REQUIRE(decisions.size() == 1);
   CHECK(decisions[0].first == core::RequestId(2));
@@ -163,7 +163,7 @@
   Relay relay = MakeRelay({Plain("a"), Plain("b")});
   const Decision sent = relay.Arrive(kId, MakeContext(table, 0), At(0));
   const core::UpstreamId first = std::get<Send>(sent).hops.front().upstream;
-  relay.BeginAnswer(kId);
+  relay.BeginAnswer(kId, At(0));
   for (int send = 2; send <= 5; ++send) {
     const int now = send * 10;
     Decision again = relay.HandleLoss(kId, {LossKind::kCut, ""}, At(now));
@@ -186,7 +186,7 @@
   const auto table = MakeTable(schema::RequestKind::kStream, 2, false);
   Relay relay = MakeRelay({Plain("a"), Plain("b")});
   (void)relay.Arrive(kId, MakeContext(table, 0), At(0));
-  relay.BeginAnswer(kId);
+  relay.BeginAnswer(kId, At(0));
   CHECK(std::holds_alternative<Abort>(
       relay.HandleLoss(kId, {LossKind::kCut, ""}, At(10))));
 }
@@ -253,7 +253,7 @@
           std::get<Send>(sent).hops.front().upstream.value() == "a";
       if (slow) ++of_a;
       relay.RecordLatency(id, milliseconds(slow ? slow_ms : 60), At(now));
-      relay.Complete(id);
+      relay.Complete(id, At(0));
     }
     return of_a;
   };
@@ -270,7 +270,7 @@
   for (std::uint64_t at = 1; at <= 8; ++at) {
     ids.emplace_back(at);
     (void)relay.Arrive(ids.back(), MakeContext(table, 1000), At(1000));
-    relay.BeginAnswer(ids.back());
+    relay.BeginAnswer(ids.back(), At(0));
   }
   for (const core::RequestId id : ids) {
     CHECK(std::holds_alternative<Send>(
@@ -289,7 +289,7 @@
     RequestContext context = MakeContext(table, 0);
     context.deadline = At(20000);
     (void)relay.Arrive(kId, std::move(context), At(0));
-    relay.BeginAnswer(kId);
+    relay.BeginAnswer(kId, At(0));
     const Decision lost = relay.HandleLoss(kId, {LossKind::kCut, ""}, At(100));
     CHECK(std::holds_alternative<Hold>(lost));
     CHECK(relay.Review(At(300)).empty());
@@ -303,4 +303,79 @@
   }
 }
 
+namespace {
+
+/// Returns a context of a prompt with one part that others may share.
+RequestContext MakePromptContext(
+    const std::shared_ptr<const fleet::Table>& table, const std::string& part) {
+  RequestContext context = MakeContext(table, 0);
+  context.parts = {core::PromptPartId(part)};
+  return context;
+}
+
+schema::QuarantineTable QuarantineOf(const std::string& part) {
+  schema::Quarantine quarantine;
+  quarantine.service = core::ServiceId("app");
+  quarantine.parts = {core::PromptPartId(part)};
+  quarantine.generation = 1;
+  return {1, {quarantine}};
+}
+
+}  // namespace
+
+// What ended one upstream ended the next one as well.
+TEST_CASE("a request that ended its upstream is not sent to another one") {
+  const auto table = MakeTable(schema::RequestKind::kStream, 2, true);
+  Relay relay = MakeRelay({Plain("a"), Plain("b")});
+  (void)relay.Arrive(kId, MakePromptContext(table, "p"), At(0));
+  const Loss loss{LossKind::kCut, "", true};
+  const auto suspicion = relay.SuspectCrash(kId, loss);
+  REQUIRE(suspicion);
+  CHECK(suspicion->parts == quarantine::Parts{core::PromptPartId("p")});
+  const Decision end = relay.HandleLoss(kId, loss, At(10));
+  CHECK(Refused(end).status == 502);
+  CHECK_FALSE(Refused(end).retry_after);
+  // With a part that is answered, something else ended the upstream.
+  relay.recorder().RecordAnswer(core::ServiceId("app"), suspicion->parts,
+                                At(20));
+  (void)relay.Arrive(kId, MakePromptContext(table, "p"), At(30));
+  CHECK(std::holds_alternative<Send>(relay.HandleLoss(kId, loss, At(40))));
+}
+
+TEST_CASE("a request without shared parts is sent again after a crash") {
+  const auto table = MakeTable(schema::RequestKind::kStream, 2, true);
+  Relay relay = MakeRelay({Plain("a"), Plain("b")});
+  (void)relay.Arrive(kId, MakeContext(table, 0), At(0));
+  const Loss loss{LossKind::kCut, "", true};
+  CHECK_FALSE(relay.SuspectCrash(kId, loss));
+  CHECK(std::holds_alternative<Send>(relay.HandleLoss(kId, loss, At(10))));
+}
+
+TEST_CASE("a quarantined request is refused at once and truthfully") {
+  const auto table = MakeTable(schema::RequestKind::kStream, 2, true);
+  Relay relay = MakeRelay({Plain("a"), Plain("b")});
+  const core::RequestId sent(1);
+  const core::RequestId begun(2);
+  const core::RequestId sound(3);
+  (void)relay.Arrive(sent, MakePromptContext(table, "p"), At(0));
+  (void)relay.Arrive(begun, MakePromptContext(table, "p"), At(0));
+  (void)relay.Arrive(sound, MakePromptContext(table, "q"), At(0));
+  relay.BeginAnswer(begun, At(5));
+  relay.SetQuarantines(QuarantineOf("p"), core::HostId("self"), 1);
+  const auto ended = relay.Review(At(10));
+  REQUIRE(ended.size() == 1);
+  CHECK(ended.front().first == sent);
+  // It may have run.
+  CHECK(Refused(ended.front().second).status == 502);
+  CHECK(relay.Contains(begun));
+  CHECK(relay.Contains(sound));
+  const Decision refused =
+      relay.Arrive(core::RequestId(4), MakePromptContext(table, "p"), At(20));
+  CHECK(Refused(refused).status == 503);
+  CHECK_FALSE(Refused(refused).retry_after);
+  CHECK(relay.recorder().Report(At(20)).refused.size() == 1);
+  const Decision lost = relay.HandleLoss(begun, {LossKind::kCut, ""}, At(30));
+  CHECK(std::holds_alternative<Abort>(lost));
+}
+
 }  // namespace foxquay::relay
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -27,7 +27,8 @@
     "duration": ("core::Duration", "{}", []),
     "wall": ("core::WallTime", "{}", []),
 }
-IDS = ["HostId", "DataCentreId", "RegionId", "WorkspaceId", "UpstreamId", "ModelId", "ServiceId"]
+IDS = ["HostId", "DataCentreId", "RegionId", "WorkspaceId", "UpstreamId", "ModelId", "ServiceId",
+       "PromptPartId"]
 DURATION_UNITS = {"ms": "std::chrono::milliseconds", "s": "std::chrono::seconds"}
 DEFAULT_LIMIT = 256
 
