Leave upstreams alone that leave or ask for a pause in their answers

Cause: an upstream states in an answer that it leaves, or with 503 and Retry-After that it wants nothing for a time, and hosts knew neither: they sent on until its announcement or a failure told them. Change: the relay excludes the upstream from the moment of the answer, a leaving one until it restarts, also if it leaves the list and a late announcement lists it again; a pause until its end or a restart. If only such upstreams could serve a request within its wait, it is refused at once.

The proxy's tests and the fields' codec are covered too.

--- a/src/foxquay/gateway/protocol.h
+++ b/src/foxquay/gateway/protocol.h
@@ -44,6 +44,10 @@
   bool not_run = false;  ///< Whether the upstream did not run the request.
   /// Address of the upstream at fault; empty if not known.
   std::string fault_address;
+  /// Whether the upstream that answers states that it leaves.
+  bool leaving = false;
+  /// Time for which the upstream that answers asks this host for no requests.
+  std::optional<core::Duration> hold_off;
 };
 
 /// Functions that read and write the messages exchanged with callers and
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -146,6 +146,8 @@
   void ReviewPending(core::Instant now);
   void HandleCallerDisconnected(net::ExchangeId exchange);
   void HandleHead(net::CallId call, unsigned status, net::Fields&& fields);
+  /// Handles that the upstream leaves or asks for a pause.
+  void RecordWish(net::CallId call, const ResponseInfo& info);
   void HandleData(net::CallId call, const std::string& data);
   void HandleEnd(net::CallId call);
   void HandleFailure(net::CallId call, net::Failure failure);
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -192,6 +192,7 @@
                        net::Fields&& fields) {
   Job& job = jobs_.at(by_call_.at(call));
   const ResponseInfo info = protocol_.read_response(status, fields);
+  if (info.leaving || info.hold_off) RecordWish(call, info);
   job.not_run = info.not_run;
   job.fault_address = info.fault_address;
   job.status = status;
@@ -208,6 +209,23 @@
   }
 }
 
+void Proxy::RecordWish(net::CallId call, const ResponseInfo& info) {
+  const core::RequestId id = by_call_.at(call);
+  const bool changed =
+      relay_.RecordWish(id, info.leaving, info.hold_off, net::SteadyNow());
+  if (!changed) return;
+  const relay::Hop& first = relay_.Path(id).front();
+  log::Write(log::Level::kInfo, "upstream_declines",
+             {{"request", jobs_.at(id).caller.id},
+              {"upstream", first.upstream},
+              {"address", first.address},
+              {"leaving", info.leaving},
+              {"hold_off_ms", internal::Milliseconds(info.hold_off.value_or(
+                                  core::Duration::zero()))}});
+  registry_.Add("foxquay_upstream_declines_total",
+                info.leaving ? "reason=\"leaving\"" : "reason=\"hold-off\"");
+}
+
 void Proxy::HandleData(net::CallId call, const std::string& data) {
   const core::RequestId id = by_call_.at(call);
   Job& job = jobs_.at(id);
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -160,14 +160,18 @@
       return GiveUp(id, "too many requests wait", internal::kBusyRetryAfter,
                     now);
     }
-    state.held = true;
-    ++held_;
     state.hold_deadline =
         now + std::min(context.route->target_latency / 2,
                        std::chrono::duration_cast<core::Duration>(
                            context.deadline - now) /
                            4);
     if (state.answer_begun) state.hold_deadline = now + std::chrono::seconds(1);
+    if (!upstreams_.AcceptsBy(*context.service, state.hold_deadline)) {
+      return GiveUp(id, "the upstreams ask for no requests",
+                    internal::kBusyRetryAfter, now);
+    }
+    state.held = true;
+    ++held_;
     return Hold{};
   }
   if (now < state.hold_deadline) return Hold{};
@@ -324,6 +328,18 @@
   recorder_.RecordAnswer(state.context.service->id, state.context.parts, now);
 }
 
+bool Relay::RecordWish(core::RequestId id, bool leaving,
+                       std::optional<core::Duration> hold_off,
+                       core::Instant now) {
+  const State& state = requests_.at(id);
+  if (state.hops.empty()) return false;
+  const core::UpstreamId& upstream = state.hops.front().upstream;
+  const bool leaves = leaving && upstreams_.RecordLeaving(upstream, now);
+  const bool pauses =
+      hold_off && upstreams_.RecordHoldOff(upstream, now + *hold_off);
+  return leaves || pauses;
+}
+
 void Relay::RecordLatency(core::RequestId id, core::Duration time,
                           core::Instant now) {
   const State& state = requests_.at(id);
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -70,6 +70,11 @@
                                 core::Instant now);
   /// Records that the first part of the answer was passed on to the caller.
   void BeginAnswer(core::RequestId id, core::Instant now);
+  /// Records what the upstream of the request's current send has asked for in
+  /// the head of its answer: that it leaves, or a pause. Returns whether that
+  /// is new. Precondition: the request is known.
+  bool RecordWish(core::RequestId id, bool leaving,
+                  std::optional<core::Duration> hold_off, core::Instant now);
   /// Records the time between two events of the request's stream, or to its
   /// answer. Precondition: the request is known.
   void RecordLatency(core::RequestId id, core::Duration time,
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -42,6 +42,10 @@
 /// Relative change of the load at which a mix is computed anew.
 constexpr double kMixLoadChange = 0.25;
 
+/// Time for which an upstream that said that it leaves is remembered after it
+/// has left the list. Longer than a late announcement is delayed.
+constexpr core::Duration kLeavingMemory = std::chrono::minutes(2);
+
 /// Latency below which two upstreams of a plain service count as equally fast.
 constexpr core::Duration kMinLatency = std::chrono::milliseconds(20);
 
@@ -67,7 +71,7 @@
 }  // namespace internal
 
 void Upstreams::Set(const std::vector<schema::Announcement>& announcements,
-                    core::Instant) {
+                    core::Instant now) {
   ++changes_;
   for (auto& [id, entry] : entries_) entry.present = false;
   for (const schema::Announcement& announcement : announcements) {
@@ -76,13 +80,16 @@
     if (restarted) {
       entry.consecutive_failures = 0;
       entry.avoid_until = {};
+      entry.left_at.reset();
+      entry.hold_off_until = {};
       entry.latency = {};
     }
     entry.announcement = announcement;
     entry.present = true;
   }
-  std::erase_if(entries_, [](const auto& item) {
-    return !item.second.present && item.second.in_flight == 0;
+  std::erase_if(entries_, [now](const auto& item) {
+    return !item.second.present && item.second.in_flight == 0 &&
+           !Remembered(item.second, now);
   });
 }
 
@@ -94,7 +101,13 @@
 }
 
 bool Upstreams::Usable(const Entry& entry, core::Instant now) {
-  return entry.present && now >= entry.avoid_until;
+  return entry.present && now >= entry.avoid_until && !entry.left_at &&
+         now >= entry.hold_off_until;
+}
+
+bool Upstreams::Remembered(const Entry& entry, core::Instant now) {
+  return now < entry.hold_off_until ||
+         (entry.left_at && now - *entry.left_at < internal::kLeavingMemory);
 }
 
 std::vector<Hop> Upstreams::ChoosePath(const schema::Service& service,
@@ -361,7 +374,10 @@
     Entry& entry = found->second;
     if (entry.in_flight > 0) --entry.in_flight;
     entry.tokens = std::max(0.0, entry.tokens - work.MeanTokens());
-    if (!entry.present && entry.in_flight == 0) entries_.erase(found);
+    const bool asked = entry.left_at || entry.hold_off_until > core::Instant{};
+    if (!entry.present && entry.in_flight == 0 && !asked) {
+      entries_.erase(found);
+    }
   }
   if (IsChain(hops)) own_requests_ = std::max(0.0, own_requests_ - 1);
 }
@@ -395,6 +411,42 @@
       std::max(entry.avoid_until, now + internal::kRejectionAvoidance);
 }
 
+bool Upstreams::RecordLeaving(const core::UpstreamId& upstream,
+                              core::Instant now) {
+  const auto found = entries_.find(upstream);
+  if (found == entries_.end() || found->second.left_at) return false;
+  ++changes_;
+  found->second.left_at = now;
+  return true;
+}
+
+bool Upstreams::RecordHoldOff(const core::UpstreamId& upstream,
+                              core::Instant until) {
+  const auto found = entries_.find(upstream);
+  if (found == entries_.end()) return false;
+  Entry& entry = found->second;
+  if (until <= entry.hold_off_until) return false;
+  ++changes_;
+  entry.hold_off_until = until;
+  return true;
+}
+
+bool Upstreams::AcceptsBy(const schema::Service& service,
+                          core::Instant time) const {
+  std::vector<placement::Candidate> accepting;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.present || entry.announcement.service != service.id) continue;
+    if (entry.left_at || time < entry.hold_off_until) continue;
+    placement::Candidate candidate;
+    candidate.layers = placement::HeldLayers(entry.announcement);
+    accepting.push_back(std::move(candidate));
+  }
+  if (accepting.empty()) return false;
+  const std::uint32_t layers = service.engine ? service.engine->layers : 0;
+  return layers == 0 ||
+         placement::FirstMissingLayer(accepting, layers) == layers;
+}
+
 void Upstreams::RecordPossibleFailure(const core::UpstreamId& upstream,
                                       core::Instant now) {
   const auto found = entries_.find(upstream);
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -95,6 +95,16 @@
   /// Records that one hop of a path failed and it is not known which. A single
   /// hop counts as failed; several are avoided unless there is no other path.
   void RecordPathFailure(const std::vector<Hop>& hops, core::Instant now);
+  /// Excludes an upstream that has stated in an answer that it leaves, until it
+  /// has restarted. Returns whether it was not excluded before.
+  bool RecordLeaving(const core::UpstreamId& upstream, core::Instant now);
+  /// Excludes an upstream that asks this host for no requests until `until`, or
+  /// until it has restarted. Returns whether it had not asked for as long.
+  bool RecordHoldOff(const core::UpstreamId& upstream, core::Instant until);
+  /// Returns whether the upstreams of a service that may be used at `time`,
+  /// with regard to what they have asked for, can serve it at all.
+  [[nodiscard]] bool AcceptsBy(const schema::Service& service,
+                               core::Instant time) const;
   /// Resets the failures of hops that have served a request.
   void RecordSuccess(const std::vector<Hop>& hops);
 
@@ -123,6 +133,9 @@
     LatencyTracker latency;
     core::Instant last_possible_failure;
     core::Instant avoid_until;  ///< Not used before.
+    /// When an answer stated that it leaves; not used any more.
+    std::optional<core::Instant> left_at;
+    core::Instant hold_off_until;  ///< It asks for nothing before.
     /// Before this, used only if there is no other path.
     core::Instant deprioritized_until;
   };
@@ -180,6 +193,9 @@
   [[nodiscard]] NoPath ReasonWithoutChain(const schema::Service& service) const;
   [[nodiscard]] static bool IsChain(const std::vector<Hop>& hops);
   [[nodiscard]] static bool Usable(const Entry& entry, core::Instant now);
+  /// Returns whether what an upstream asked for matters after it has left the
+  /// list, as it may be listed again.
+  [[nodiscard]] static bool Remembered(const Entry& entry, core::Instant now);
 
   std::map<core::UpstreamId, Entry> entries_;
   std::size_t hosts_ = 1;
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -1,5 +1,6 @@
 #include "foxquay/gateway/proxy.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
@@ -10,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "raw_upstream.h"
+
 namespace foxquay::gateway {
 namespace {
 
@@ -40,8 +43,7 @@
 };
 
 /// Returns a protocol with the plain fields Name, Key, Workspace, Expected,
-/// After, Parts
-/// and Not-Run.
+/// After, Parts, Not-Run, Leaving and Pause.
 Protocol MakeProtocol() {
   Protocol protocol;
   protocol.id_field = "Name";
@@ -65,7 +67,13 @@
     }
   };
   protocol.read_response = [](unsigned, const net::Fields& fields) {
-    return ResponseInfo{fields.find("Not-Run") != fields.end(), ""};
+    ResponseInfo info;
+    info.not_run = fields.find("Not-Run") != fields.end();
+    info.leaving = fields.find("Leaving") != fields.end();
+    if (fields.find("Pause") != fields.end()) {
+      info.hold_off = std::chrono::seconds(5);
+    }
+    return info;
   };
   protocol.write_inquiry = [](const core::UpstreamId&) {
     net::Request request;
@@ -367,4 +375,114 @@
   CHECK(recorder.Report(net::SteadyNow()).crashes.empty());
 }
 
+TEST_CASE("an upstream that says in an answer that it leaves gets no more") {
+  ProxyFixture fixture;
+  const net::CallId call = fixture.Send("/stream/1");
+  FakeUpstream& upstream = fixture.FirstReached();
+  const net::ExchangeId first = upstream.requests[0].first;
+  net::Response head = Stream();
+  head.fields.set("Leaving", "1");
+  upstream.server.Start(first, head);
+  upstream.server.Send(first, Event(1));
+  fixture.RunUntil([&] { return fixture.results[call].body == Event(1); });
+  // The stream that it has goes on.
+  for (int count = 0; count < 6; ++count) (void)fixture.Send("/safe/1");
+  FakeUpstream& other = fixture.Other(upstream);
+  fixture.RunUntil([&] { return other.requests.size() >= 4; });
+  CHECK(upstream.requests.size() == 1);
+  upstream.server.End(first);
+  CHECK(fixture.AwaitResponse(call).ended);
+}
+
+TEST_CASE("an upstream that asks for a pause with 503 gets no more") {
+  ProxyFixture fixture;
+  (void)fixture.Send("/safe/1");
+  FakeUpstream& upstream = fixture.FirstReached();
+  net::Response declined = net::MakeResponse(503, "text/plain", "");
+  declined.fields.set("Not-Run", "1");
+  declined.fields.set("Pause", "5");
+  upstream.server.Respond(upstream.requests[0].first, declined);
+  FakeUpstream& other = fixture.Other(upstream);
+  fixture.RunUntil([&] { return other.requests.size() == 1; });
+  for (int count = 0; count < 3; ++count) (void)fixture.Send("/safe/1");
+  fixture.RunUntil([&] { return other.requests.size() == 4; });
+  CHECK(upstream.requests.size() == 1);
+}
+
+namespace {
+
+/// A proxy fixture whose only upstream is a RawUpstream.
+struct RawFixture : ProxyFixture {
+  explicit RawFixture(std::vector<RawUpstream::Answer> answers)
+      : upstream(context, "127.0.0.1",
+                 [this, answers = std::move(answers)](const std::string&) {
+                   const std::size_t index =
+                       std::min(received++, answers.size() - 1);
+                   return answers[index];
+                 }) {
+    std::vector<schema::Announcement> announcements;
+    for (const char* id : {"c", "d"}) {
+      schema::Announcement announcement = Announce(id, a);
+      announcement.address = upstream.address();
+      announcements.push_back(announcement);
+    }
+    proxy.SetUpstreams(announcements);
+  }
+
+  std::size_t received = 0;
+  RawUpstream upstream;
+};
+
+constexpr const char* kPlainHead = "HTTP/1.1 200 OK\r\nName: r1\r\n\r\n";
+constexpr const char* kStreamHead =
+    "HTTP/1.1 200 OK\r\nName: r1\r\nContent-Type: "
+    "text/event-stream\r\n\r\n";
+
+}  // namespace
+
+TEST_CASE("an answer without a length ends with its connection") {
+  RawFixture fixture({{std::string(kPlainHead) + "whole"}});
+  const CallResult& result = fixture.AwaitResponse(fixture.Send("/once/1"));
+  CHECK(result.status == 200);
+  CHECK(result.body == "whole");
+  CHECK(result.fields["Content-Length"] == "5");
+}
+
+TEST_CASE("a reset does not end an answer without a length") {
+  RawFixture fixture({{std::string(kPlainHead) + "part", true}});
+  CHECK(fixture.AwaitResponse(fixture.Send("/once/1")).status == 502);
+  CHECK(fixture.received == 1);
+}
+
+TEST_CASE("a stream without a length ends with its connection") {
+  RawFixture fixture({{kStreamHead + Event(1) + Event(2)}});
+  const CallResult& result = fixture.AwaitResponse(fixture.Send("/stream/1"));
+  CHECK(result.ended);
+  CHECK(result.body == Event(1) + Event(2));
+}
+
+TEST_CASE("a stream without a length that ends inside an event is resumed") {
+  RawFixture fixture({{kStreamHead + Event(1) + "id: 2\nda"},
+                      {kStreamHead + Event(2) + Event(3)}});
+  const CallResult& result = fixture.AwaitResponse(fixture.Send("/stream/1"));
+  CHECK(result.ended);
+  CHECK(result.body == Event(1) + Event(2) + Event(3));
+}
+
+TEST_CASE("a stream without a length that is reset is resumed") {
+  RawFixture fixture(
+      {{kStreamHead + Event(1), true}, {kStreamHead + Event(2) + Event(3)}});
+  const CallResult& result = fixture.AwaitResponse(fixture.Send("/stream/1"));
+  CHECK(result.ended);
+  CHECK(result.body == Event(1) + Event(2) + Event(3));
+}
+
+// The end of a process that has sent only the head of such an answer looks like
+// an empty stream.
+TEST_CASE("a stream without a length and without an event is not complete") {
+  RawFixture fixture({{kStreamHead}});
+  const CallResult& result = fixture.AwaitResponse(fixture.Send("/stream/1"));
+  CHECK(result.status == 502);
+}
+
 }  // namespace foxquay::gateway
--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -378,4 +378,46 @@
   CHECK(std::holds_alternative<Abort>(lost));
 }
 
+TEST_CASE("an upstream that leaves gets nothing until it has restarted") {
+  const auto table = MakeTable(schema::RequestKind::kRepeatable, 2);
+  schema::Announcement leaving = Plain("a");
+  leaving.born = core::WallTime(milliseconds(1000));
+  Relay relay = MakeRelay({leaving});
+  (void)relay.Arrive(kId, MakeContext(table, 0), At(0));
+  CHECK(relay.RecordWish(kId, true, std::nullopt, At(5)));
+  CHECK_FALSE(relay.RecordWish(kId, true, std::nullopt, At(6)));
+  relay.Complete(kId, At(10));
+  // Nothing else can serve it: it is refused at once.
+  CHECK(Refused(relay.Arrive(kId, MakeContext(table, 20), At(20))).status ==
+        503);
+  // It leaves the list, and a late announcement lists it again.
+  relay.upstreams().Set({}, At(30));
+  relay.upstreams().Set({leaving}, At(40));
+  CHECK(Refused(relay.Arrive(kId, MakeContext(table, 50), At(50))).status ==
+        503);
+  leaving.born = core::WallTime(milliseconds(2000));
+  relay.upstreams().Set({leaving}, At(60));
+  CHECK(std::holds_alternative<Send>(
+      relay.Arrive(kId, MakeContext(table, 70), At(70))));
+}
+
+TEST_CASE("an upstream that asks for a pause gets nothing until its end") {
+  const auto table = MakeTable(schema::RequestKind::kRepeatable, 2);
+  Relay relay = MakeRelay({Plain("a")});
+  (void)relay.Arrive(kId, MakeContext(table, 0), At(0));
+  CHECK(relay.RecordWish(kId, false, milliseconds(3000), At(0)));
+  const Decision lost = relay.HandleLoss(kId, {LossKind::kNotRun, ""}, At(1));
+  CHECK(Refused(lost).status == 503);
+  // A shorter pause does not replace the longer one.
+  relay.upstreams().RecordHoldOff(core::UpstreamId("a"), At(500));
+  CHECK(Refused(relay.Arrive(kId, MakeContext(table, 2000), At(2000)))
+            .retry_after);
+  // The pause ends while the request may wait.
+  CHECK(std::holds_alternative<Hold>(
+      relay.Arrive(kId, MakeContext(table, 2950), At(2950))));
+  const auto later = relay.Review(At(3010));
+  REQUIRE(later.size() == 1);
+  CHECK(std::holds_alternative<Send>(later.front().second));
+}
+
 }  // namespace foxquay::relay
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -185,6 +185,34 @@
   CHECK(protocol.read_response(503, fields).fault_address == "10.0.0.3:80");
 }
 
+TEST_CASE("what an upstream asks for is read from its answers") {
+  const gateway::Protocol protocol = MakeProtocol();
+  net::Fields fields;
+  CHECK_FALSE(protocol.read_response(200, fields).leaving);
+  fields.set("Server-Leaving", "1");
+  CHECK(protocol.read_response(200, fields).leaving);
+  CHECK(protocol.read_response(503, fields).leaving);
+  fields.set("Retry-After", "1.5");
+  CHECK(protocol.read_response(503, fields).hold_off ==
+        core::Duration(std::chrono::milliseconds(1500)));
+  CHECK_FALSE(protocol.read_response(500, fields).hold_off);
+  for (const char* malformed : {"", "-1", "0", "soon", "nan"}) {
+    fields.set("Retry-After", malformed);
+    CHECK_FALSE(protocol.read_response(503, fields).hold_off);
+  }
+}
+
+TEST_CASE("the parts of a prompt are read in order") {
+  const gateway::Protocol protocol = MakeProtocol();
+  net::Request request;
+  CHECK(protocol.read_caller(request).prompt_parts.empty());
+  request.fields.set("X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e44:,,:9");
+  const std::vector<core::PromptPartId> expected{core::PromptPartId("5c1e07a2"),
+                                                 core::PromptPartId("91bd3f06"),
+                                                 core::PromptPartId("e44")};
+  CHECK(protocol.read_caller(request).prompt_parts == expected);
+}
+
 TEST_CASE("orders carry the fence and the expected number of orders") {
   const net::Request request =
       WriteOrder({core::UpstreamId("u"), "10.0.0.9:80", {20, 31}, 5, 2});
--- a/tests/platform/scenarios/crashing_part_test.cc
+++ b/tests/platform/scenarios/crashing_part_test.cc
@@ -28,7 +28,7 @@
 // Each request with the part ended the upstream that began to answer it, and
 // was then sent to the next one.
 TEST_CASE("requests with a part that crashes upstreams stop reaching them") {
-  Scenario scenario("dead");
+  Scenario scenario({"dead"});
   scenario.AwaitServing();
   SendMixedLoad(scenario);
   scenario.RunUntil(
@@ -46,7 +46,7 @@
 }
 
 TEST_CASE("a part that crashes upstreams stays known after all hosts restart") {
-  Scenario scenario("dead");
+  Scenario scenario({"dead"});
   scenario.AwaitServing();
   SendMixedLoad(scenario);
   scenario.RunUntil(
--- a/tests/platform/scenarios/scenario.cc
+++ b/tests/platform/scenarios/scenario.cc
@@ -11,20 +11,21 @@
 namespace foxquay::platform::scenarios {
 namespace {
 
-constexpr std::size_t kUpstreams = 10;
 constexpr std::chrono::milliseconds kSuperviseInterval(20);
 /// Time after which an upstream that crashed runs again.
 constexpr std::chrono::milliseconds kRestartTime(1000);
-constexpr std::chrono::seconds kStartTimeout(60);
+constexpr std::chrono::milliseconds kHeartbeatInterval(500);
+constexpr std::chrono::seconds kStartTimeout(30);
 
 }  // namespace
 
-Scenario::Scenario(std::string crashing_part)
-    : crashing_part_(std::move(crashing_part)),
+Scenario::Scenario(Options options)
+    : options_(std::move(options)),
       cluster_(context_, FOXQUAY_PLATFORM_BINARY),
       operator_(context_, checker_, cluster_.ProxyAddresses(true), 1),
       client_(context_) {
-  for (std::size_t index = 0; index < kUpstreams; ++index) {
+  for (std::size_t index = 0; index < options_.models + options_.apps;
+       ++index) {
     const std::string address = daemon::FreeAddress();
     ports_.push_back(address.substr(address.rfind(':') + 1));
     StartUpstream(index);
@@ -39,18 +40,21 @@
 
 void Scenario::StartUpstream(std::size_t index) {
   soak::FakeUpstream::Options options;
-  options.id = "w" + std::to_string(++incarnations_);
-  options.service = "model";
+  std::string& id = ids_[index];
+  if (id.empty()) id = "w" + std::to_string(++incarnations_);
+  options.id = id;
+  options.service = index < options_.models ? "model" : "app";
   options.zone = index % 2 == 0 ? "east" : "west";
   options.ip = "127.0.5." + std::to_string(index + 1);
   options.port = ports_[index];
   options.address = options.ip + ":" + options.port;
   options.seed = random_();
-  options.crashing_part = crashing_part_;
-  options.on_request = [this](const net::Request& request) {
-    if (active_.begin()->second->Crashes(request)) {
-      reached_.push_back(net::SteadyNow());
-    }
+  options.crashing_part = options_.crashing_part;
+  options.on_request = [this, index](const net::Request& request) {
+    const core::Instant now = net::SteadyNow();
+    if (active_.at(index)->Crashes(request)) reached_.push_back(now);
+    arrivals_.push_back(
+        {index, std::string(request.fields["X-Request-Id"]), now});
   };
   upstreams_.emplace_back(
       context_, options, checker_,
@@ -73,6 +77,7 @@
   for (const auto& [index, upstream] : active_) {
     if (upstream->alive() || !restarting_.insert(index).second) continue;
     crashes_.push_back(net::SteadyNow());
+    ids_[index].clear();
     soak::After(context_, kRestartTime, [this, index = index] {
       restarting_.erase(index);
       StartUpstream(index);
@@ -82,38 +87,67 @@
 
 void Scenario::AwaitServing() {
   operator_.ReplaceConfiguration();
+  const auto kind =
+      options_.apps > 0 ? soak::RequestKind::kRead : soak::RequestKind::kStream;
   const core::Instant end = net::SteadyNow() + kStartTimeout;
-  while (served() < 20 && net::SteadyNow() < end) {
-    SendStream("0a:40,0b:60");
+  while (served(kind) < 20 && net::SteadyNow() < end) {
+    if (options_.apps > 0) {
+      SendPlain("read", random_() % soak::kEntryHosts);
+    } else {
+      SendStream("0a:40,0b:60");
+    }
     RunFor(std::chrono::milliseconds(50));
   }
-  if (served() < 20) throw std::runtime_error("the cluster does not serve");
+  if (served(kind) < 20) {
+    std::string answers;
+    for (const auto& [status, count] : statuses_) {
+      answers += " " + std::to_string(status) + "x" + std::to_string(count);
+    }
+    checker_.ReportViolation("the cluster serves", answers);
+    throw std::runtime_error("the cluster does not serve; answers:" + answers);
+  }
   RunFor(std::chrono::seconds(1));
 }
 
 void Scenario::SendStream(const std::string& parts) {
   const std::string id = "s" + std::to_string(next_id_++);
+  Send(id, soak::RequestKind::kStream, "/stream/x?id=" + id,
+       parts + ",ff" + id + ":10", random_() % soak::kEntryHosts);
+}
+
+void Scenario::SendPlain(const std::string& route, std::size_t entry) {
+  const std::string id =
+      std::to_string(entry) + "-" + std::to_string(next_id_++);
+  Send(id,
+       route == "read" ? soak::RequestKind::kRead : soak::RequestKind::kBook,
+       "/" + route + "/x?id=" + id, "", entry);
+}
+
+void Scenario::Send(const std::string& id, soak::RequestKind kind,
+                    const std::string& target, const std::string& parts,
+                    std::size_t entry) {
   soak::InvariantChecker::RequestRecord record;
-  record.kind = soak::RequestKind::kStream;
-  record.target = "/stream/x?id=" + id;
-  record.body = "body of " + id;
+  record.kind = kind;
+  record.target = target;
+  if (kind != soak::RequestKind::kRead) record.body = "body of " + id;
   record.workspace = "w";
   record.key = soak::kPermanentKey;
   record.sent_at = net::SteadyNow();
   net::Request request;
-  request.method = "POST";
+  request.method = kind == soak::RequestKind::kRead ? "GET" : "POST";
   request.target = record.target;
   request.body = record.body;
   request.fields.set("Host", "soak.example");
   request.fields.set("X-Request-Id", id);
   request.fields.set("X-Deadline", "6000");
   request.fields.set("Authorization", "Bearer " + record.key);
-  request.fields.set("X-Model", "m");
-  request.fields.set("X-Token-Count", "100,24");
-  request.fields.set("X-Prompt-Prefix", parts + ",ff" + id + ":10");
+  if (kind == soak::RequestKind::kStream) {
+    request.fields.set("X-Model", "m");
+    request.fields.set("X-Token-Count", "100,24");
+    request.fields.set("X-Prompt-Prefix", parts);
+  }
   checker_.RecordSent(id, std::move(record));
-  const std::vector<std::string> entries = cluster_.ProxyAddresses(false);
-  client_.Send(entries[random_() % entries.size()], request,
+  client_.Send(cluster_.ProxyAddresses(false).at(entry), request,
                [this, id](unsigned status, const net::Fields& fields,
                           const std::string& body) {
                  ++statuses_[status];
@@ -123,6 +157,36 @@
                });
 }
 
+void Scenario::Restart(std::size_t index) {
+  const std::string id = ids_.at(index);
+  upstream(index).Crash();
+  restarting_.insert(index);
+  soak::After(context_, kRestartTime, [this, index, id] {
+    ids_[index] = id;
+    restarting_.erase(index);
+    StartUpstream(index);
+  });
+}
+
+void Scenario::KeepAnnouncing(const std::string& id, const std::string& body) {
+  Announce(id, body);
+  soak::After(context_, kHeartbeatInterval,
+              [this, id, body] { KeepAnnouncing(id, body); });
+}
+
+void Scenario::Announce(const std::string& id, const std::string& body) {
+  net::Request request;
+  request.method = "PUT";
+  request.target = "/v1/instances/" + id;
+  request.fields.set("Host", "control");
+  request.body = body;
+  const std::string marker = "SEQ";
+  request.body.replace(request.body.find(marker), marker.size(),
+                       std::to_string(++heartbeats_));
+  client_.Send(cluster_.ProxyAddresses(true).front(), request,
+               [](unsigned, const net::Fields&, const std::string&) {});
+}
+
 void Scenario::Repeat(core::Duration interval,
                       const std::function<void()>& action) {
   RepeatOnce(interval, action, generation_);
--- a/tests/platform/scenarios/scenario.h
+++ b/tests/platform/scenarios/scenario.h
@@ -26,8 +26,21 @@
 /// crash. Not thread-safe.
 class Scenario {
  public:
-  /// `crashing_part` is a part of prompts on which every upstream crashes.
-  explicit Scenario(std::string crashing_part);
+  struct Options {
+    /// Part of prompts on which every upstream crashes.
+    std::string crashing_part;
+    std::size_t models = 10;  ///< Fake model upstreams.
+    std::size_t apps = 0;     ///< Fake upstreams of the plain service.
+  };
+
+  /// A request that reached a fake upstream.
+  struct Arrival {
+    std::size_t upstream;  ///< Its index; plain ones follow the models.
+    std::string id;        ///< Of the request.
+    core::Instant at;
+  };
+
+  explicit Scenario(Options options);
   ~Scenario();
   Scenario(const Scenario&) = delete;
   Scenario& operator=(const Scenario&) = delete;
@@ -37,6 +50,21 @@
   /// Sends a stream with a prompt of these parts and one of its own to a random
   /// entry host.
   void SendStream(const std::string& parts);
+  /// Sends a request to the plain service, on the route `read` or `book`, to an
+  /// entry host; its id begins with the number of that host.
+  void SendPlain(const std::string& route, std::size_t entry);
+  /// Announces an upstream that the test implements, at an interval; `SEQ` in
+  /// the body is replaced by a number that increases.
+  void KeepAnnouncing(const std::string& id, const std::string& body);
+  /// Returns a fake upstream; valid until it restarts.
+  [[nodiscard]] soak::FakeUpstream& upstream(std::size_t index) {
+    return *active_.at(index);
+  }
+  /// Ends a fake upstream, which restarts under its former id.
+  void Restart(std::size_t index);
+  [[nodiscard]] const std::vector<Arrival>& arrivals() const {
+    return arrivals_;
+  }
   /// Calls `action` at an interval until StopRepeating.
   void Repeat(core::Duration interval, const std::function<void()>& action);
   void StopRepeating() { ++generation_; }
@@ -52,8 +80,9 @@
   /// Returns how many requests with the crashing part reached upstreams after
   /// `from`.
   [[nodiscard]] std::size_t ReachedAfter(core::Instant from) const;
-  [[nodiscard]] unsigned served() const {
-    return checker_.served(soak::RequestKind::kStream);
+  [[nodiscard]] unsigned served(
+      soak::RequestKind kind = soak::RequestKind::kStream) const {
+    return checker_.served(kind);
   }
   /// Returns the answers by status; 0 for those that broke off.
   [[nodiscard]] const std::map<unsigned, unsigned>& statuses() const {
@@ -63,9 +92,15 @@
     return checker_.violations();
   }
   [[nodiscard]] soak::Cluster& cluster() { return cluster_; }
+  [[nodiscard]] boost::asio::io_context& context() { return context_; }
 
  private:
   void StartUpstream(std::size_t index);
+  /// Sends a request whose answer the checker knows to an entry host.
+  void Send(const std::string& id, soak::RequestKind kind,
+            const std::string& target, const std::string& parts,
+            std::size_t entry);
+  void Announce(const std::string& id, const std::string& body);
   soak::FakeUpstream* UpstreamAt(const std::string& address);
   /// Records crashes and restarts upstreams.
   void Supervise();
@@ -74,7 +109,7 @@
 
   boost::asio::io_context context_{1};
   std::mt19937_64 random_{20261204};
-  std::string crashing_part_;
+  const Options options_;
   soak::InvariantChecker checker_;
   soak::Cluster cluster_;
   soak::Operator operator_;
@@ -85,8 +120,11 @@
   std::set<std::size_t> restarting_;
   std::vector<core::Instant> crashes_;
   std::vector<core::Instant> reached_;
+  std::vector<Arrival> arrivals_;
+  std::map<std::size_t, std::string> ids_;  ///< Of the fake upstreams.
   std::map<unsigned, unsigned> statuses_;
   std::uint64_t incarnations_ = 0;
+  std::uint64_t heartbeats_ = 0;
   std::uint64_t next_id_ = 1;
   unsigned generation_ = 0;
 };
--- a/tests/platform/soak/fake_upstream.cc
+++ b/tests/platform/soak/fake_upstream.cc
@@ -156,6 +156,12 @@
   net::Response response = net::MakeResponse(status, "application/json", body);
   if (!failed_address.empty()) response.fields.set("At-Server", failed_address);
   if (not_executed) response.fields.set("X-Not-Executed", "1");
+  if (says_leaving_) response.fields.set("Server-Leaving", "1");
+  const core::Instant now = net::SteadyNow();
+  if (status == 503 && now < declines_until_) {
+    const std::chrono::duration<double> left = declines_until_ - now;
+    response.fields.set("Retry-After", std::to_string(left.count()));
+  }
   const auto found = jobs_.find(exchange);
   if (found != jobs_.end()) {
     const Job& job = found->second;
@@ -264,6 +270,7 @@
   if (request.fields["X-Expect-Instance"] != options_.id) {
     return Respond(exchange, 421, "{}");
   }
+  if (now < declines_until_) return Respond(exchange, 503, "{}", "", true);
   if (drain_bound_ && now > *drain_bound_ && checker_.Settled(now)) {
     checker_.ReportViolation("no request reaches an upstream after its drain",
                              options_.id);
@@ -281,6 +288,7 @@
     net::Response head = net::MakeResponse(200, "text/event-stream", "");
     head.fields.set("X-Request-Id", job.id);
     head.fields.set("X-Response-Stamp", job.id);
+    if (says_leaving_) head.fields.set("Server-Leaving", "1");
     server_.Start(exchange, head);
   }
   job.request = std::move(request);
--- a/tests/platform/soak/fake_upstream.h
+++ b/tests/platform/soak/fake_upstream.h
@@ -65,6 +65,10 @@
   /// Announces that it drains; after the acknowledgement it goes on serving for
   /// a while and then crashes.
   void Drain();
+  /// Says in every answer from now on that it leaves, and announces nothing.
+  void SayLeaving() { says_leaving_ = true; }
+  /// Answers requests with 503 and a Retry-After until `until`.
+  void Decline(core::Instant until) { declines_until_ = until; }
   /// Sets the approximate share of answers that are aborted.
   void SetAbortProbability(double probability) {
     abort_probability_ = probability;
@@ -126,6 +130,8 @@
   std::optional<core::Instant> exit_at_;
   /// When the last request may arrive; set when the drain is acknowledged.
   std::optional<core::Instant> drain_bound_;
+  bool says_leaving_ = false;
+  core::Instant declines_until_;
   double abort_probability_ = 0;
   double slowdown_ = 1;
 };
