--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -202,6 +202,13 @@
   }
 }
 
+TEST_CASE("a caller's timeout of any size is a time in the future") {
+  net::Request request;
+  request.fields.set("X-Deadline", "18446744073709551615");
+  CHECK(MakeProtocol().read_caller(request).timeout >
+        core::Duration(std::chrono::hours(1)));
+}
+
 TEST_CASE("the parts of a prompt are read in order") {
   const gateway::Protocol protocol = MakeProtocol();
   net::Request request;
