Bound what one answer of an upstream holds in memory

Change: such an answer is given up at 2 MiB with 502, a stream whose event passes 1 MiB counts as broken off; a stream that was broken off for a missing event is continued by its next send instead of being cut at its first byte.

--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -169,6 +169,8 @@
   Job TakeJob(core::RequestId id);
   /// Handles a send that ended without a complete response.
   void HandleLoss(core::RequestId id, const relay::Loss& loss);
+  /// Cancels a send that cannot be completed, and handles its loss.
+  void CancelSend(net::CallId call, const relay::Loss& loss);
   /// Returns whether the current send's response has begun with a success and
   /// has yielded no event.
   [[nodiscard]] static bool AtBegin(const Job& job);
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -43,6 +43,10 @@
   return text;
 }
 
+/// Maximum size of an answer that is not a stream, in bytes; what can be sent
+/// to a caller at once.
+constexpr std::size_t kMaxAnswerBytes = net::kMaxUnsentBytes / 2;
+
 /// Parts of a prompt that a log line shows at most.
 constexpr std::size_t kLoggedParts = 8;
 
@@ -231,14 +235,16 @@
   Job& job = jobs_.at(id);
   if (!job.streaming) {
     if (!job.head_sent) job.response.body += data;
+    // An answer that never ends must not fill the memory of one host after the
+    // other.
+    if (job.response.body.size() > internal::kMaxAnswerBytes) {
+      CancelSend(call, {relay::LossKind::kError, job.fault_address, false});
+    }
     return;
   }
   const std::string events = job.filter->Put(data);
   if (job.filter->broken()) {
-    client_.Cancel(call);
-    by_call_.erase(call);
-    job.call.reset();
-    HandleLoss(id, {relay::LossKind::kCut, job.fault_address, false});
+    CancelSend(call, {relay::LossKind::kCut, job.fault_address, false});
     return;
   }
   if (events.empty()) return;
@@ -257,6 +263,14 @@
   server_.Send(exchange, events);
 }
 
+void Proxy::CancelSend(net::CallId call, const relay::Loss& loss) {
+  const core::RequestId id = by_call_.at(call);
+  client_.Cancel(call);
+  by_call_.erase(call);
+  jobs_.at(id).call.reset();
+  HandleLoss(id, loss);
+}
+
 void Proxy::HandleEnd(net::CallId call) {
   const core::RequestId id = by_call_.at(call);
   by_call_.erase(call);
--- a/src/foxquay/net/server.cc
+++ b/src/foxquay/net/server.cc
@@ -22,10 +22,6 @@
 /// descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
 
-/// Maximum number of unsent bytes of a connection; a caller that reads too
-/// slowly is disconnected beyond it.
-constexpr std::size_t kMaxUnsentBytes = std::size_t{4} << 20U;
-
 /// Number of bytes received while a request is being answered from which
 /// reading pauses.
 constexpr std::size_t kMaxReadAhead = 65536;
@@ -237,8 +233,7 @@
 void Server::Flush(SocketId id) {
   Connection& connection = connections_.at(id);
   const IoResult result = Write(connection.socket, connection.out);
-  if (result == IoResult::kFailed ||
-      connection.out.size() > internal::kMaxUnsentBytes) {
+  if (result == IoResult::kFailed || connection.out.size() > kMaxUnsentBytes) {
     Disconnect(id);
     return;
   }
--- a/src/foxquay/net/server.h
+++ b/src/foxquay/net/server.h
@@ -21,6 +21,10 @@
 
 namespace foxquay::net {
 
+/// Maximum number of unsent bytes of a connection; a caller that reads too
+/// slowly is disconnected beyond it. No larger response can be sent at once.
+inline constexpr std::size_t kMaxUnsentBytes = std::size_t{4} << 20U;
+
 /// Size limits and timeouts for callers.
 struct ServerLimits {
   std::uint32_t max_header_bytes = 16384;
--- a/src/foxquay/relay/events.cc
+++ b/src/foxquay/relay/events.cc
@@ -64,12 +64,17 @@
     ++passed_;
   }
   partial_.erase(0, from);
+  if (partial_.size() > kMaxEventBytes) {
+    broken_ = true;
+    partial_.clear();
+  }
   return passed;
 }
 
 void EventFilter::Restart() {
   partial_.clear();
   restarted_ = true;
+  broken_ = false;
 }
 
 }  // namespace foxquay::relay
--- a/src/foxquay/relay/events.h
+++ b/src/foxquay/relay/events.h
@@ -1,12 +1,17 @@
 #ifndef FOXQUAY_RELAY_EVENTS_H_
 #define FOXQUAY_RELAY_EVENTS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 
 namespace foxquay::relay {
 
+/// Maximum size of one event in bytes, several times that of a whole answer of
+/// a model. Bounds what an event that never ends holds in memory.
+inline constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20U;
+
 /// Filters an event stream that may be resumed at another upstream, so that
 /// only complete events are passed on, each once and in order.
 ///
@@ -28,7 +33,8 @@
   [[nodiscard]] std::optional<std::uint64_t> last() const noexcept {
     return last_;
   }
-  /// Returns whether a resumed stream skipped an event and must be ended.
+  /// Returns whether the stream must be ended: a resumed one skipped an event,
+  /// or an event is larger than kMaxEventBytes.
   [[nodiscard]] bool broken() const noexcept { return broken_; }
   /// Returns whether the bytes received so far end with a complete event.
   [[nodiscard]] bool between_events() const noexcept {
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -485,4 +485,18 @@
   CHECK(result.status == 502);
 }
 
+// Each host that buffered such an answer ended for want of memory.
+TEST_CASE("an answer that does not end is given up") {
+  RawFixture fixture({{kPlainHead + std::string(std::size_t{8} << 20U, 'x')}});
+  CHECK(fixture.AwaitResponse(fixture.Send("/once/1")).status == 502);
+}
+
+TEST_CASE("an event that does not end is given up") {
+  RawFixture fixture(
+      {{kStreamHead + Event(1) + std::string(std::size_t{4} << 20U, 'x')}});
+  const CallResult& result = fixture.AwaitResponse(fixture.Send("/stream/1"));
+  CHECK(result.failure == net::Failure::kCut);
+  CHECK(result.body == Event(1));
+}
+
 }  // namespace foxquay::gateway
--- a/tests/foxquay/relay/events_test.cc
+++ b/tests/foxquay/relay/events_test.cc
@@ -71,4 +71,16 @@
   });
 }
 
+TEST_CASE("an event that does not end breaks the stream off") {
+  EventFilter filter(std::nullopt);
+  CHECK(filter.Put(Stream(1, 2)) == Stream(1, 2));
+  for (int part = 0; part < 20 && !filter.broken(); ++part) {
+    CHECK(filter.Put(std::string(kMaxEventBytes / 10, 'x')).empty());
+  }
+  CHECK(filter.broken());
+  filter.Restart();
+  CHECK_FALSE(filter.broken());
+  CHECK(filter.Put(Stream(3, 3)) == Stream(3, 3));
+}
+
 }  // namespace foxquay::relay
