Pass large answers on while they arrive

Change: from 256 KiB an answer is passed on as it arrives, so that neither a large one nor one without an end is held in memory; one that breaks off then is cut off, not completed. Large errors, which are not passed on while another attempt is possible, are given up. Measured: 23 tests of the proxy pass, with answers of 3 MiB whole, reset and as error.

--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -123,7 +123,9 @@
     std::optional<core::Instant> head_at;
     bool event_received = false;  ///< The current send has yielded an event.
     bool head_sent = false;       ///< A head was sent to the caller.
-    bool not_run = false;         ///< The upstream did not run the request.
+    /// A response that is not a stream is passed on as it arrives.
+    bool passing_body = false;
+    bool not_run = false;  ///< The upstream did not run the request.
     std::string fault_address;
     net::Response response;  ///< Complete, or only the head of a stream.
     std::optional<relay::EventFilter> filter;
@@ -169,6 +171,10 @@
   Job TakeJob(core::RequestId id);
   /// Handles a send that ended without a complete response.
   void HandleLoss(core::RequestId id, const relay::Loss& loss);
+  /// Buffers data of a response that is not a stream, or passes it on.
+  void HandleBody(net::CallId call, const std::string& data);
+  /// Ends a response of which parts have been passed on.
+  void CompleteAnswer(core::RequestId id);
   /// Cancels a send that cannot be completed, and handles its loss.
   void CancelSend(net::CallId call, const relay::Loss& loss);
   /// Returns whether the current send's response has begun with a success and
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -43,9 +43,9 @@
   return text;
 }
 
-/// Maximum size of an answer that is not a stream, in bytes; what can be sent
-/// to a caller at once.
-constexpr std::size_t kMaxAnswerBytes = net::kMaxUnsentBytes / 2;
+/// Size of an answer that is not a stream, in bytes, from which it is passed on
+/// as it arrives instead of being buffered until it is complete.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{256} << 10U;
 
 /// Parts of a prompt that a log line shows at most.
 constexpr std::size_t kLoggedParts = 8;
@@ -234,12 +234,7 @@
   const core::RequestId id = by_call_.at(call);
   Job& job = jobs_.at(id);
   if (!job.streaming) {
-    if (!job.head_sent) job.response.body += data;
-    // An answer that never ends must not fill the memory of one host after the
-    // other.
-    if (job.response.body.size() > internal::kMaxAnswerBytes) {
-      CancelSend(call, {relay::LossKind::kError, job.fault_address, false});
-    }
+    HandleBody(call, data);
     return;
   }
   const std::string events = job.filter->Put(data);
@@ -263,6 +258,31 @@
   server_.Send(exchange, events);
 }
 
+void Proxy::HandleBody(net::CallId call, const std::string& data) {
+  const core::RequestId id = by_call_.at(call);
+  Job& job = jobs_.at(id);
+  if (job.passing_body) {
+    server_.Send(job.exchange, data);
+    return;
+  }
+  if (job.head_sent) return;
+  job.response.body += data;
+  if (job.response.body.size() <= internal::kMaxBufferedBytes) return;
+  // What is not the answer to the request is not passed on.
+  if (job.not_run || job.status >= 500) {
+    const auto kind =
+        job.not_run ? relay::LossKind::kNotRun : relay::LossKind::kError;
+    CancelSend(call, {kind, job.fault_address, false});
+    return;
+  }
+  job.passing_body = true;
+  job.head_sent = true;
+  relay_.BeginAnswer(id, net::SteadyNow());
+  const std::string body = std::exchange(job.response.body, {});
+  server_.Start(job.exchange, job.response);
+  server_.Send(job.exchange, body);
+}
+
 void Proxy::CancelSend(net::CallId call, const relay::Loss& loss) {
   const core::RequestId id = by_call_.at(call);
   client_.Cancel(call);
@@ -280,6 +300,8 @@
     HandleLoss(id, {relay::LossKind::kNotRun, job.fault_address, false});
   } else if (job.streaming) {
     FinishStream(id);
+  } else if (job.passing_body) {
+    CompleteAnswer(id);
   } else if (job.head_sent) {
     HandleLoss(id, {relay::LossKind::kError, job.fault_address, false});
   } else {
@@ -297,6 +319,10 @@
     HandleLoss(id, {relay::LossKind::kCut, job.fault_address, AtBegin(job)});
     return;
   }
+  CompleteAnswer(id);
+}
+
+void Proxy::CompleteAnswer(core::RequestId id) {
   relay_.Complete(id, net::SteadyNow());
   const auto node = jobs_.extract(id);
   const net::ExchangeId exchange = node.mapped().exchange;
@@ -340,6 +366,11 @@
   by_call_.erase(call);
   Job& job = jobs_.at(id);
   job.call.reset();
+  if (job.passing_body) {
+    relay_.Abandon(id);
+    Execute(id, relay::Abort{"the answer broke off while it was passed on"});
+    return;
+  }
   const relay::LossKind kind =
       job.not_run ? relay::LossKind::kNotRun : internal::ToLossKind(failure);
   HandleLoss(id, {kind, job.fault_address, AtBegin(job)});
@@ -413,8 +444,9 @@
 void Proxy::MoveStalledStreams(core::Instant now) {
   std::vector<core::RequestId> ids;
   for (const auto& [id, job] : jobs_) {
-    const bool open = job.call && relay_.Context(id).route->kind ==
-                                      schema::RequestKind::kStream;
+    const bool open =
+        job.call && !job.passing_body &&
+        relay_.Context(id).route->kind == schema::RequestKind::kStream;
     if (open && now - job.last_event >= StallTime(id, job)) ids.push_back(id);
   }
   for (const core::RequestId id : ids) {
