Decide on a repeat only when the upstream is known to have crashed

Cause: an answer that breaks off before its first event, as by a reset, was given up with 502 if the host did not know its prompt's parts, although only the upstream's crash makes a repeat dangerous. Change: the request waits for the probe, which shows the crash within a round trip; without one it is sent again as before. A listener that closes the connection at once is probed a second time.

--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -181,8 +181,9 @@
   /// has yielded no event.
   [[nodiscard]] static bool AtBegin(const Job& job);
   /// Finds out whether an upstream that broke off an answer at its start has
-  /// crashed, and records it.
-  void CheckCrash(const relay::Suspicion& suspicion);
+  /// crashed, records it, and then handles the loss if the request still waits.
+  void CheckCrash(core::RequestId id, const relay::Suspicion& suspicion,
+                  const relay::Loss& loss);
   /// Handles the end of a response that is not a stream.
   void FinishResponse(core::RequestId id);
   /// Handles the end of a stream.
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -47,6 +47,10 @@
 /// as it arrives instead of being buffered until it is complete.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} << 10U;
 
+/// Time within which a connection that ends without a response was closed by
+/// the peer, as opposed to one that timed out.
+constexpr core::Duration kClosedAtOnce = std::chrono::milliseconds(500);
+
 /// Parts of a prompt that a log line shows at most.
 constexpr std::size_t kLoggedParts = 8;
 
@@ -404,30 +408,53 @@
   }
   if (job.filter) job.filter->Restart();
   if (const auto suspicion = relay_.SuspectCrash(id, loss)) {
-    CheckCrash(*suspicion);
+    CheckCrash(id, *suspicion, loss);
+    return;
   }
   Apply(id, relay_.HandleLoss(id, loss, now));
 }
 
-void Proxy::CheckCrash(const relay::Suspicion& suspicion) {
+void Proxy::CheckCrash(core::RequestId id, const relay::Suspicion& suspicion,
+                       const relay::Loss& loss) {
+  const core::Instant start = net::SteadyNow();
+  const unsigned sends = jobs_.at(id).sends;
   // A process that ended accepts no connection, one that only broke off an
-  // answer does.
-  prober_.Probe(suspicion.upstream, suspicion.address, false,
-                [this, suspicion](ProbeResult result) {
-                  const bool crashed = result == ProbeResult::kUnreachable ||
-                                       result == ProbeResult::kReplaced;
-                  log::Write(log::Level::kInfo, "crash_checked",
-                             {{"request", suspicion.request},
-                              {"upstream", suspicion.upstream},
-                              {"address", suspicion.address},
-                              {"workspace", suspicion.workspace},
-                              {"parts", internal::FormatParts(suspicion.parts)},
-                              {"result", Name(result)},
-                              {"crashed", crashed}});
-                  if (!crashed) return;
-                  registry_.Add("foxquay_crashes_at_begin_total", "");
-                  relay_.RecordCrash(suspicion, net::SteadyNow());
-                });
+  // answer does. Until that is known, the request waits: what ended this
+  // upstream might end the next.
+  const auto finish = [this, id, suspicion, loss, sends](ProbeResult result) {
+    const bool crashed =
+        result == ProbeResult::kUnreachable || result == ProbeResult::kReplaced;
+    log::Write(log::Level::kInfo, "crash_checked",
+               {{"request", suspicion.request},
+                {"upstream", suspicion.upstream},
+                {"address", suspicion.address},
+                {"workspace", suspicion.workspace},
+                {"parts", internal::FormatParts(suspicion.parts)},
+                {"result", Name(result)},
+                {"crashed", crashed}});
+    if (crashed) {
+      registry_.Add("foxquay_crashes_at_begin_total", "");
+      relay_.RecordCrash(suspicion, net::SteadyNow());
+    }
+    const auto job = jobs_.find(id);
+    if (job == jobs_.end() || job->second.sends != sends) return;
+    relay::Loss checked = loss;
+    checked.crashed = crashed;
+    Apply(id, relay_.HandleLoss(id, checked, net::SteadyNow()));
+  };
+  prober_.Probe(
+      suspicion.upstream, suspicion.address, false,
+      [this, suspicion, start, finish](ProbeResult result) {
+        // The listener of a process that ends may accept one more
+        // connection and close it.
+        const bool closed = result == ProbeResult::kSilent &&
+                            net::SteadyNow() - start < internal::kClosedAtOnce;
+        if (!closed) {
+          finish(result);
+          return;
+        }
+        prober_.Probe(suspicion.upstream, suspicion.address, false, finish);
+      });
 }
 
 core::Duration Proxy::StallTime(core::RequestId id, const Job& job) {
--- a/src/foxquay/relay/decision.h
+++ b/src/foxquay/relay/decision.h
@@ -79,6 +79,8 @@
   std::string fault_address;  ///< Upstream at fault; empty if not known.
   /// The upstream had begun to answer this send and had sent no event.
   bool at_begin = false;
+  /// The upstream was then found to have crashed.
+  bool crashed = false;
 };
 
 /// An upstream that may have crashed because of a request.
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -197,7 +197,7 @@
   const schema::Route& route = *state.context.route;
   const LossKind kind = loss.kind;
   // What ended one upstream may end the next.
-  if (loss.at_begin && !state.context.parts.empty() &&
+  if (loss.crashed && !state.context.parts.empty() &&
       !recorder_.Trusts(state.context.service->id, state.context.parts, now)) {
     return false;
   }
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -362,19 +362,42 @@
   ProxyFixture fixture;
   const net::CallId call = fixture.Send("/stream/1", "secret", "p,own");
   FakeUpstream& upstream = fixture.FirstReached();
+  FakeUpstream& other = fixture.Other(upstream);
   upstream.server.Start(upstream.requests[0].first, Stream());
   fixture.RunFor(std::chrono::milliseconds(50));
   upstream.server.Abort(upstream.requests[0].first);
-  fixture.AwaitResponse(call);
   // The inquiry that checks it.
   fixture.RunUntil([&] { return upstream.requests.size() == 2; });
+  CHECK(other.requests.empty());
   upstream.server.Respond(upstream.requests[1].first,
                           net::MakeResponse(200, "text/plain", ""));
-  fixture.RunFor(std::chrono::milliseconds(100));
+  // The stream goes on at the other one.
+  fixture.RunUntil([&] { return other.requests.size() == 1; });
+  const net::ExchangeId second = other.requests[0].first;
+  other.server.Start(second, Stream());
+  other.server.Send(second, Event(1));
+  other.server.End(second);
+  CHECK(fixture.AwaitResponse(call).body == Event(1));
   quarantine::Recorder& recorder = fixture.proxy.relay().recorder();
   CHECK(recorder.Report(net::SteadyNow()).crashes.empty());
 }
 
+TEST_CASE("a caller may leave while its upstream is checked") {
+  ProxyFixture fixture;
+  const net::CallId call = fixture.Send("/stream/1", "secret", "p,own");
+  FakeUpstream& upstream = fixture.FirstReached();
+  upstream.server.Start(upstream.requests[0].first, Stream());
+  fixture.RunFor(std::chrono::milliseconds(50));
+  upstream.server.Abort(upstream.requests[0].first);
+  fixture.RunUntil([&] { return upstream.requests.size() == 2; });
+  fixture.caller.Cancel(call);
+  fixture.RunUntil([&] { return fixture.proxy.relay().size() == 0; });
+  upstream.server.Respond(upstream.requests[1].first,
+                          net::MakeResponse(200, "text/plain", ""));
+  fixture.RunFor(std::chrono::milliseconds(100));
+  CHECK(fixture.Other(upstream).requests.empty());
+}
+
 TEST_CASE("an upstream that says in an answer that it leaves gets no more") {
   ProxyFixture fixture;
   const net::CallId call = fixture.Send("/stream/1");
--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -328,13 +328,18 @@
   const auto table = MakeTable(schema::RequestKind::kStream, 2, true);
   Relay relay = MakeRelay({Plain("a"), Plain("b")});
   (void)relay.Arrive(kId, MakePromptContext(table, "p"), At(0));
-  const Loss loss{LossKind::kCut, "", true};
+  const Loss loss{LossKind::kCut, "", true, true};
   const auto suspicion = relay.SuspectCrash(kId, loss);
   REQUIRE(suspicion);
   CHECK(suspicion->parts == quarantine::Parts{core::PromptPartId("p")});
   const Decision end = relay.HandleLoss(kId, loss, At(10));
   CHECK(Refused(end).status == 502);
   CHECK_FALSE(Refused(end).retry_after);
+  // An upstream that still runs has only broken off an answer.
+  (void)relay.Arrive(kId, MakePromptContext(table, "p"), At(12));
+  CHECK(std::holds_alternative<Send>(
+      relay.HandleLoss(kId, {LossKind::kCut, "", true, false}, At(14))));
+  relay.Abandon(kId);
   // With a part that is answered, something else ended the upstream.
   relay.recorder().RecordAnswer(core::ServiceId("app"), suspicion->parts,
                                 At(20));
@@ -346,7 +351,7 @@
   const auto table = MakeTable(schema::RequestKind::kStream, 2, true);
   Relay relay = MakeRelay({Plain("a"), Plain("b")});
   (void)relay.Arrive(kId, MakeContext(table, 0), At(0));
-  const Loss loss{LossKind::kCut, "", true};
+  const Loss loss{LossKind::kCut, "", true, true};
   CHECK_FALSE(relay.SuspectCrash(kId, loss));
   CHECK(std::holds_alternative<Send>(relay.HandleLoss(kId, loss, At(10))));
 }
