--- a/src/foxquay/daemon/control_quarantine.cc
+++ b/src/foxquay/daemon/control_quarantine.cc
@@ -7,6 +7,7 @@
 #include "foxquay/daemon/clock.h"
 #include "foxquay/daemon/control_node.h"
 #include "foxquay/log/log.h"
+#include "foxquay/quarantine/parts.h"
 
 namespace foxquay::daemon {
 namespace internal {
@@ -22,20 +23,11 @@
 /// may be lost.
 constexpr int kSettlePolls = 3;
 
-std::string FormatParts(const std::vector<core::PromptPartId>& parts) {
-  std::string text;
-  for (const core::PromptPartId& part : parts) {
-    if (!text.empty()) text += ',';
-    text += part.value();
-  }
-  return text;
-}
-
 void LogChange(const schema::PutQuarantine& change) {
   const schema::Quarantine& quarantine = change.quarantine;
   log::Write(log::Level::kWarn, "quarantine_proposed",
              {{"service", quarantine.service},
-              {"parts", FormatParts(quarantine.parts)},
+              {"parts", quarantine::Format(quarantine.parts)},
               {"workspaces", quarantine.workspaces.size()},
               {"generation", quarantine.generation},
               {"crashes", quarantine.crashes},
@@ -46,7 +38,7 @@
 void LogChange(const schema::ReleaseQuarantine& change) {
   log::Write(log::Level::kWarn, "quarantine_release_proposed",
              {{"service", change.service},
-              {"parts", FormatParts(change.parts)},
+              {"parts", quarantine::Format(change.parts)},
               {"generation", change.generation}});
 }
 
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -6,6 +6,7 @@
 
 #include "foxquay/gateway/proxy.h"
 #include "foxquay/log/log.h"
+#include "foxquay/quarantine/parts.h"
 
 namespace foxquay::gateway {
 namespace internal {
@@ -51,20 +52,6 @@
 /// the peer, as opposed to one that timed out.
 constexpr core::Duration kClosedAtOnce = std::chrono::milliseconds(500);
 
-/// Parts of a prompt that a log line shows at most.
-constexpr std::size_t kLoggedParts = 8;
-
-/// Formats the parts of a prompt for logs; the last one is the request's own.
-std::string FormatParts(const std::vector<core::PromptPartId>& parts) {
-  std::string text;
-  for (std::size_t index = 0; index < parts.size(); ++index) {
-    if (index == kLoggedParts) return text + ",...";
-    if (index > 0) text += ',';
-    text += parts[index].value();
-  }
-  return text;
-}
-
 /// Returns whether a response has neither a length nor chunks.
 bool EndsWithConnection(const net::Fields& fields) {
   using boost::beast::http::field;
@@ -131,7 +118,7 @@
               {"attempt", send.attempt},
               {"service", context.service->id},
               {"workspace", context.workspace},
-              {"parts", internal::FormatParts(job.caller.prompt_parts)},
+              {"parts", quarantine::Format(job.caller.prompt_parts)},
               {"way", internal::FormatPath(send.hops)},
               {"fleet", context.table->version()},
               {"left_ms", internal::Milliseconds(offer.remaining)}});
@@ -390,7 +377,7 @@
               {"fault", loss.fault_address},
               {"status", job.status},
               {"workspace", job.workspace},
-              {"parts", internal::FormatParts(job.caller.prompt_parts)},
+              {"parts", quarantine::Format(job.caller.prompt_parts)},
               {"after_ms", internal::Milliseconds(now - job.sent)},
               {"after_head_ms",
                job.head_at ? internal::Milliseconds(now - *job.head_at) : 0},
@@ -429,7 +416,7 @@
                 {"upstream", suspicion.upstream},
                 {"address", suspicion.address},
                 {"workspace", suspicion.workspace},
-                {"parts", internal::FormatParts(suspicion.parts)},
+                {"parts", quarantine::Format(suspicion.parts)},
                 {"result", Name(result)},
                 {"crashed", crashed}});
     if (crashed) {
--- a/src/foxquay/quarantine/bundle.cc
+++ b/src/foxquay/quarantine/bundle.cc
@@ -2,33 +2,26 @@
 
 #include <algorithm>
 
-namespace foxquay::quarantine {
-namespace internal {
-
-/// Maximum numbers of entries in a report; equal to the bounds of the schema.
-constexpr std::size_t kMaxCrashes = 64;
-constexpr std::size_t kMaxAnswered = 512;
-constexpr std::size_t kMaxRefused = 64;
+#include "foxquay/quarantine/limits.h"
 
-}  // namespace internal
+namespace foxquay::quarantine {
 
 void Bundle::Add(const schema::QuarantineReport& report, core::Instant now) {
   for (const schema::ReportedCrash& crash : report.crashes) {
-    if (crashes_.size() >= internal::kMaxCrashes) break;
+    if (crashes_.size() >= kMaxReportedCrashes) break;
     crashes_.try_emplace({crash.host, crash.incarnation, crash.crash.number},
                          crash, now - crash.crash.age);
   }
   for (const schema::AnsweredPart& answer : report.answered) {
     const auto key = std::make_pair(answer.service, answer.part);
-    if (answered_.size() >= internal::kMaxAnswered &&
-        !answered_.contains(key)) {
+    if (answered_.size() >= kMaxReportedAnswers && !answered_.contains(key)) {
       continue;
     }
     core::Instant& at = answered_[key];
     at = std::max(at, now - answer.age);
   }
   for (const schema::RefusedParts& refusal : report.refused) {
-    if (refused_.size() >= internal::kMaxRefused) break;
+    if (refused_.size() >= kMaxReportedRefusals) break;
     refused_[{refusal.service, refusal.parts}] = refusal;
   }
 }
--- a/src/foxquay/quarantine/detector.cc
+++ b/src/foxquay/quarantine/detector.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 
+#include "foxquay/quarantine/limits.h"
 #include "foxquay/quarantine/table.h"
 
 namespace foxquay::quarantine {
@@ -12,10 +13,6 @@
 /// schema.
 constexpr std::size_t kMaxQuarantinedParts = 8;
 
-/// Maximum number of parts whose answers are asked for; equals the bound of the
-/// schema.
-constexpr std::size_t kMaxWatched = 512;
-
 bool IsQuarantined(const schema::QuarantineTable& table,
                    const core::ServiceId& service, const Parts& parts) {
   return std::any_of(table.entries.begin(), table.entries.end(),
@@ -92,7 +89,7 @@
   }
   std::vector<schema::PromptPart> watched;
   for (const PartKey& key : parts) {
-    if (watched.size() >= internal::kMaxWatched) break;
+    if (watched.size() >= kMaxReportedAnswers) break;
     watched.push_back({key.first, key.second});
   }
   return watched;
--- a/src/foxquay/quarantine/parts.cc
+++ b/src/foxquay/quarantine/parts.cc
@@ -7,6 +7,11 @@
 #include "foxquay/schema/bounded.h"
 
 namespace foxquay::quarantine {
+namespace internal {
+
+constexpr std::size_t kMaxFormatted = 8;
+
+}  // namespace internal
 
 Parts SharedParts(const std::vector<core::PromptPartId>& prompt) {
   if (prompt.size() < 2) return {};
@@ -24,6 +29,16 @@
   return parts;
 }
 
+std::string Format(const std::vector<core::PromptPartId>& parts) {
+  std::string text;
+  for (std::size_t index = 0; index < parts.size(); ++index) {
+    if (index == internal::kMaxFormatted) return text + ",...";
+    if (index > 0) text += ',';
+    text += parts[index].value();
+  }
+  return text;
+}
+
 bool Includes(const Parts& all, const Parts& some) {
   return std::includes(all.begin(), all.end(), some.begin(), some.end());
 }
--- a/src/foxquay/quarantine/parts.h
+++ b/src/foxquay/quarantine/parts.h
@@ -2,6 +2,7 @@
 #define FOXQUAY_QUARANTINE_PARTS_H_
 
 #include <cstddef>
+#include <string>
 #include <vector>
 
 #include "foxquay/core/id.h"
@@ -21,6 +22,10 @@
 /// by a hash. Thread-safe.
 [[nodiscard]] Parts SharedParts(const std::vector<core::PromptPartId>& prompt);
 
+/// Returns the ids of parts for a log line, separated by commas and at most
+/// eight of them. Thread-safe.
+[[nodiscard]] std::string Format(const std::vector<core::PromptPartId>& parts);
+
 /// Returns whether `all` has every part of `some`. Thread-safe.
 [[nodiscard]] bool Includes(const Parts& all, const Parts& some);
 
--- a/src/foxquay/quarantine/recorder.cc
+++ b/src/foxquay/quarantine/recorder.cc
@@ -2,14 +2,9 @@
 
 #include <algorithm>
 
-namespace foxquay::quarantine {
-namespace internal {
-
-/// Maximum numbers of entries in a report; equal to the bounds of the schema.
-constexpr std::size_t kMaxReportedCrashes = 64;
-constexpr std::size_t kMaxReportedRefusals = 64;
+#include "foxquay/quarantine/limits.h"
 
-}  // namespace internal
+namespace foxquay::quarantine {
 
 void Recorder::RecordAnswer(const core::ServiceId& service, const Parts& parts,
                             core::Instant now) {
@@ -35,14 +30,13 @@
   crash.born = born;
   crash.parts = parts;
   crashes_.push_back({std::move(crash), now});
-  if (crashes_.size() > internal::kMaxReportedCrashes) crashes_.pop_front();
+  if (crashes_.size() > kMaxReportedCrashes) crashes_.pop_front();
 }
 
 void Recorder::RecordRefusal(const schema::Quarantine& quarantine,
                              core::Instant now) {
   const auto key = std::make_pair(quarantine.service, quarantine.parts);
-  if (refused_.size() < internal::kMaxReportedRefusals ||
-      refused_.contains(key)) {
+  if (refused_.size() < kMaxReportedRefusals || refused_.contains(key)) {
     refused_[key] = now;
   }
 }
--- a/tests/platform/scenarios/crashing_part_test.cc
+++ b/tests/platform/scenarios/crashing_part_test.cc
@@ -23,19 +23,25 @@
                   [&scenario] { scenario.SendStream("0a:40,dead:60"); });
 }
 
-}  // namespace
-
-// Each request with the part ended the upstream that began to answer it, and
-// was then sent to the next one.
-TEST_CASE("requests with a part that crashes upstreams stop reaching them") {
-  Scenario scenario({"dead"});
+/// Sends the load until the part is known, and returns the time from which
+/// almost nothing with it may reach an upstream.
+core::Instant AwaitKnown(Scenario& scenario) {
   scenario.AwaitServing();
   SendMixedLoad(scenario);
   scenario.RunUntil(
       [&] { return scenario.crashes().size() >= kKnownAfterCrashes; },
       seconds(10));
   scenario.RunFor(kContactBound);
-  const core::Instant known = net::SteadyNow();
+  return net::SteadyNow();
+}
+
+}  // namespace
+
+// Each request with the part ended the upstream that began to answer it, and
+// was then sent to the next one.
+TEST_CASE("requests with a part that crashes upstreams stop reaching them") {
+  Scenario scenario({"dead"});
+  const core::Instant known = AwaitKnown(scenario);
   scenario.RunFor(kContactBound);
   const unsigned served = scenario.served();
   scenario.RunFor(seconds(4));
@@ -47,13 +53,7 @@
 
 TEST_CASE("a part that crashes upstreams stays known after all hosts restart") {
   Scenario scenario({"dead"});
-  scenario.AwaitServing();
-  SendMixedLoad(scenario);
-  scenario.RunUntil(
-      [&] { return scenario.crashes().size() >= kKnownAfterCrashes; },
-      seconds(10));
-  scenario.RunFor(kContactBound);
-  const core::Instant known = net::SteadyNow();
+  const core::Instant known = AwaitKnown(scenario);
   for (std::size_t host = 0; host < soak::kHosts; ++host) {
     scenario.cluster().Kill(host);
   }
