--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -86,7 +86,7 @@
   detector_.Record(poll.quarantine, now);
   quarantine_news_.Add(poll.quarantine, now);
   schema::FollowerReply reply;
-  reply.watched = detector_.Watched(observer_.quarantines());
+  reply.watched = watched_parts_;
   reply.config = AnswerConfig(from.sender, poll.config, now);
   reply.roster = roster_.Answer(poll.roster, now);
   reply.open_requests = total_open_;
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -348,6 +348,8 @@
   std::size_t entry_hosts_ = 1;    ///< Known hosts that serve callers.
   quarantine::Detector detector_;
   quarantine::Bundle quarantine_news_;  ///< For the other control hosts.
+  /// Sent to the followers; computed once for all of them.
+  std::vector<schema::PromptPart> watched_parts_;
   bool proposing_quarantine_ = false;
   core::Instant next_quarantine_review_{};
   std::uint64_t published_quarantines_ = 0;  ///< Their version.
--- a/src/foxquay/daemon/control_quarantine.cc
+++ b/src/foxquay/daemon/control_quarantine.cc
@@ -62,9 +62,8 @@
   const schema::QuarantineReport own = OwnQuarantineReport();
   detector_.Record(own, now);
   quarantine_news_.Add(own, now);
-  if (sink_.set_watched_parts) {
-    sink_.set_watched_parts(detector_.Watched(observer_.quarantines()));
-  }
+  watched_parts_ = detector_.Watched(observer_.quarantines());
+  if (sink_.set_watched_parts) sink_.set_watched_parts(watched_parts_);
   if (quarantine_news_.empty()) return;
   const schema::PeerMessage news = quarantine_news_.Take(now);
   for (const core::HostId& peer : peers_) Send(peer, news);
--- a/src/foxquay/quarantine/detector.cc
+++ b/src/foxquay/quarantine/detector.cc
@@ -84,6 +84,8 @@
   }
   for (const Crash& crash : crashes_) {
     for (const core::PromptPartId& part : crash.report.parts) {
+      const auto answer = LastAnswer(crash.report.service, part);
+      if (answer && *answer >= crash.at) continue;
       parts.emplace(crash.report.service, part);
     }
   }
@@ -99,22 +101,29 @@
   std::erase_if(crashes_, [now](const Crash& crash) {
     return now - crash.at > kCrashRetention;
   });
-  std::set<PartKey> watched;
-  for (const schema::PromptPart& part : Watched(table)) {
-    watched.emplace(part.service, part.part);
+  std::set<PartKey> known;
+  for (const Crash& crash : crashes_) {
+    for (const core::PromptPartId& part : crash.report.parts) {
+      known.emplace(crash.report.service, part);
+    }
+  }
+  for (const schema::Quarantine& entry : table.entries) {
+    for (const core::PromptPartId& part : entry.parts) {
+      known.emplace(entry.service, part);
+    }
   }
-  std::erase_if(answered_, [&watched](const auto& item) {
-    return !watched.contains(item.first);
+  std::erase_if(answered_, [&known](const auto& item) {
+    return !known.contains(item.first);
   });
   std::map<EntryKey, Seen> seen;
   for (const schema::Quarantine& entry : table.entries) {
     const EntryKey key{entry.service, entry.parts};
-    const auto known = seen_.find(key);
+    const auto former = seen_.find(key);
     Seen current{entry.generation, now, now};
-    if (known != seen_.end()) {
-      current.first = known->second.first;
-      if (known->second.generation == entry.generation) {
-        current.changed = known->second.changed;
+    if (former != seen_.end()) {
+      current.first = former->second.first;
+      if (former->second.generation == entry.generation) {
+        current.changed = former->second.changed;
       }
     }
     seen.emplace(key, current);
--- a/src/foxquay/quarantine/detector.h
+++ b/src/foxquay/quarantine/detector.h
@@ -61,7 +61,9 @@
   /// Adds evidence; crashes that are already known are ignored.
   void Record(const schema::QuarantineReport& report, core::Instant now);
 
-  /// Returns the parts of which an answer would be evidence.
+  /// Returns the parts of which an answer would be evidence: those in
+  /// quarantine and those that have not been answered since they were in a
+  /// crash.
   [[nodiscard]] std::vector<schema::PromptPart> Watched(
       const schema::QuarantineTable& table) const;
 
--- a/tests/foxquay/quarantine/detector_test.cc
+++ b/tests/foxquay/quarantine/detector_test.cc
@@ -252,4 +252,23 @@
   CHECK(fixture.table.content().entries.front().probes == 0);
 }
 
+// Upstreams that end for other reasons must not make every poll longer.
+TEST_CASE("a part is watched until it is answered, or while in quarantine") {
+  Fixture fixture;
+  const auto watched = [&fixture] {
+    return fixture.detector.Watched(fixture.table.content()).size();
+  };
+  CHECK(watched() == 0);
+  fixture.Crash(1, {"shared", "bad"}, 1000);
+  CHECK(watched() == 2);
+  fixture.detector.Record(AnswerTo("shared"), At(1200));
+  CHECK(watched() == 1);
+  fixture.Settle(At(1300));
+  CHECK(watched() == 1);
+  fixture.Crash(2, {"bad"}, 3000);
+  CHECK(fixture.Settle(At(3000)) == 1);
+  fixture.Settle(At(3000) + kCrashRetention + std::chrono::seconds(1));
+  CHECK(watched() == 1);
+}
+
 }  // namespace foxquay::quarantine
