--- a/src/foxquay/daemon/digest.cc
+++ b/src/foxquay/core/digest.cc
@@ -1,11 +1,11 @@
-#include "foxquay/daemon/digest.h"
+#include "foxquay/core/digest.h"
 
 #include <openssl/evp.h>
 
 #include <array>
 #include <memory>
 
-namespace foxquay::daemon {
+namespace foxquay::core {
 
 std::string Digest(std::initializer_list<std::string_view> parts) {
   const std::unique_ptr<EVP_MD_CTX, void (*)(EVP_MD_CTX*)> context(
@@ -28,4 +28,4 @@
   return text;
 }
 
-}  // namespace foxquay::daemon
+}  // namespace foxquay::core
--- a/src/foxquay/daemon/caller_api.cc
+++ b/src/foxquay/daemon/caller_api.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <variant>
 
-#include "foxquay/daemon/digest.h"
+#include "foxquay/core/digest.h"
 
 namespace foxquay::daemon {
 namespace internal {
@@ -148,7 +148,7 @@
     return Reject({404, "model", "unknown model"});
   }
   IncomingRequest submitted;
-  submitted.digest = Digest({request.submission.workspace.value(),
+  submitted.digest = core::Digest({request.submission.workspace.value(),
                              incoming.method, incoming.url, incoming.body});
   submitted.submission = std::move(request.submission);
   submitted.connection = incoming.connection;
@@ -168,7 +168,7 @@
     return Reject({404, "service", "unknown service"});
   }
   IncomingRequest submitted;
-  submitted.digest = Digest({request.submission.workspace.value(),
+  submitted.digest = core::Digest({request.submission.workspace.value(),
                              incoming.method, incoming.url, incoming.body});
   submitted.submission = std::move(request.submission);
   submitted.service.method = incoming.method;
--- a/src/foxquay/daemon/control_claims.cc
+++ b/src/foxquay/daemon/control_claims.cc
@@ -4,7 +4,7 @@
 
 #include "foxquay/daemon/clock.h"
 #include "foxquay/daemon/control_node.h"
-#include "foxquay/daemon/digest.h"
+#include "foxquay/core/digest.h"
 #include "foxquay/log/log.h"
 
 namespace foxquay::daemon {
@@ -96,7 +96,7 @@
     command.complete = record.outcome == core::Outcome::kComplete;
     command.status = record.status;
     if (record.body.size() <= 4096) command.body = record.body;
-    command.body_digest = Digest({record.body});
+    command.body_digest = core::Digest({record.body});
     SettleClaim(command);
   });
 }
--- a/src/foxquay/gateway/prober.cc
+++ b/src/foxquay/gateway/prober.cc
@@ -45,9 +45,11 @@
                                               : ProbeResult::kReached);
                         },
                         [this](net::CallId id, net::Failure failure) {
-                          Finish(id, failure == net::Failure::kNotSent
-                                         ? ProbeResult::kUnreachable
-                                         : ProbeResult::kSilent);
+                          const bool unreachable =
+                              failure == net::Failure::kNotSent ||
+                              failure == net::Failure::kTimedOut;
+                          Finish(id, unreachable ? ProbeResult::kUnreachable
+                                                 : ProbeResult::kSilent);
                         }}) {}
 
 void Prober::Probe(const core::UpstreamId& upstream, const std::string& address,
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/http/field.hpp>
 #include <utility>
 
+#include "foxquay/core/digest.h"
 #include "foxquay/log/log.h"
 #include "foxquay/quarantine/parts.h"
 
@@ -44,6 +45,22 @@
   return age ? std::to_string(core::ToMilliseconds(*age)) : std::string();
 }
 
+/// Digits of a request's digest: 128 bits, which callers cannot make collide.
+constexpr std::size_t kDigestDigits = 32;
+
+/// Returns a digest of what a caller's repeat of a request has in common with
+/// it: workspace, host, method, target and body.
+std::string RequestDigest(const net::Request& request,
+                          const core::WorkspaceId& workspace) {
+  const auto host = request.fields[boost::beast::http::field::host];
+  return core::Digest({workspace.value(),
+                       {host.data(), host.size()},
+                       request.method,
+                       request.target,
+                       request.body})
+      .substr(0, kDigestDigits);
+}
+
 /// Returns the silence after which a stream of a route is moved to another
 /// path.
 core::Duration StallTimeout(const schema::Route& route) {
@@ -276,6 +293,7 @@
   }
   Job& job = jobs_[id];
   job.exchange = exchange;
+  job.digest = internal::RequestDigest(request, workspace);
   job.request = std::move(request);
   job.stall_timeout = internal::StallTimeout(route);
   job.arrived = now;
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -133,6 +133,7 @@
     net::ExchangeId exchange;
     net::Request request;
     CallerInfo caller;
+    std::string digest;  ///< Equal for repeats of the request by its caller.
     core::WorkspaceId workspace;
     core::Instant arrived;
     std::optional<net::CallId> call;  ///< The current send, if any.
@@ -151,6 +152,8 @@
     /// A response that is not a stream is passed on as it arrives.
     bool passing_body = false;
     bool not_run = false;  ///< The upstream did not run the request.
+    /// How the connection of the current send failed, if it did.
+    std::optional<net::Failure> failure;
     std::string fault_address;
     net::Response response;  ///< Complete, or only the head of a stream.
     std::optional<relay::EventFilter> filter;
@@ -232,6 +235,9 @@
   /// crashed, records it, and then handles the loss if the request still waits.
   void CheckCrash(core::RequestId id, const relay::Suspicion& suspicion,
                   const relay::Loss& loss);
+  /// Probes an upstream at which an answer was lost, on a new connection.
+  void ProbeAfterLoss(const core::UpstreamId& upstream,
+                      const std::string& address, const Prober::Done& done);
   /// Handles the end of a response that is not a stream.
   void FinishResponse(core::RequestId id);
   /// Handles the end of a stream.
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -63,6 +63,7 @@
 relay::LossKind ToLossKind(net::Failure failure) {
   switch (failure) {
     case net::Failure::kNotSent:
+    case net::Failure::kTimedOut:
       return relay::LossKind::kNotSent;
     case net::Failure::kLost:
     case net::Failure::kMalformed:
@@ -102,6 +103,7 @@
   job.last_event = now;
   job.event_received = false;
   job.head_at.reset();
+  job.failure.reset();
   ++job.sends;
   if (!job.head_sent) job.response = {};
   net::CallOptions options;
@@ -118,6 +120,7 @@
               {"attempt", send.attempt},
               {"service", context.service->id},
               {"workspace", context.workspace},
+              {"digest", job.digest},
               {"parts", quarantine::Format(job.caller.prompt_parts)},
               {"way", internal::FormatPath(send.hops)},
               {"fleet", context.table->version()},
@@ -382,6 +385,7 @@
   by_call_.erase(call);
   Job& job = jobs_.at(id);
   job.call.reset();
+  job.failure = failure;
   if (job.passing_body) {
     relay_.Abandon(id);
     Execute(id, relay::Abort{"the answer broke off while it was passed on"});
@@ -398,10 +402,12 @@
   log::Write(log::Level::kInfo, "send_lost",
              {{"request", job.caller.id},
               {"loss", relay::Name(loss.kind)},
+              {"connection", job.failure ? net::Name(*job.failure) : "open"},
               {"way", internal::FormatPath(relay_.Path(id))},
               {"fault", loss.fault_address},
               {"status", job.status},
               {"workspace", job.workspace},
+              {"digest", job.digest},
               {"parts", quarantine::Format(job.caller.prompt_parts)},
               {"after_ms", core::ToMilliseconds(now - job.sent)},
               {"after_head_ms",
@@ -423,12 +429,22 @@
     CheckCrash(id, *suspicion, loss);
     return;
   }
+  if (loss.kind == relay::LossKind::kUnanswered) {
+    const relay::Hop first = relay_.Path(id).front();
+    ProbeAfterLoss(first.upstream, first.address,
+                   [request = job.caller.id, first](ProbeResult result) {
+                     log::Write(log::Level::kInfo, "upstream_checked",
+                                {{"request", request},
+                                 {"upstream", first.upstream},
+                                 {"address", first.address},
+                                 {"result", Name(result)}});
+                   });
+  }
   Apply(id, relay_.HandleLoss(id, loss, now));
 }
 
 void Proxy::CheckCrash(core::RequestId id, const relay::Suspicion& suspicion,
                        const relay::Loss& loss) {
-  const core::Instant start = net::SteadyNow();
   const unsigned sends = jobs_.at(id).sends;
   // A process that ended accepts no connection, one that only broke off an
   // answer does. Until that is known, the request waits: what ended this
@@ -454,19 +470,26 @@
     checked.crashed = crashed;
     Apply(id, relay_.HandleLoss(id, checked, net::SteadyNow()));
   };
-  prober_.Probe(
-      suspicion.upstream, suspicion.address, false,
-      [this, suspicion, start, finish](ProbeResult result) {
-        // The listener of a process that ends may accept one more
-        // connection and close it.
-        const bool closed = result == ProbeResult::kSilent &&
-                            net::SteadyNow() - start < internal::kClosedAtOnce;
-        if (!closed) {
-          finish(result);
-          return;
-        }
-        prober_.Probe(suspicion.upstream, suspicion.address, false, finish);
-      });
+  ProbeAfterLoss(suspicion.upstream, suspicion.address, finish);
+}
+
+void Proxy::ProbeAfterLoss(const core::UpstreamId& upstream,
+                           const std::string& address,
+                           const Prober::Done& done) {
+  const core::Instant start = net::SteadyNow();
+  prober_.Probe(upstream, address, false,
+                [this, upstream, address, start, done](ProbeResult result) {
+                  // The listener of a process that ends may accept one more
+                  // connection and close it.
+                  const bool closed =
+                      result == ProbeResult::kSilent &&
+                      net::SteadyNow() - start < internal::kClosedAtOnce;
+                  if (!closed) {
+                    done(result);
+                    return;
+                  }
+                  prober_.Probe(upstream, address, false, done);
+                });
 }
 
 core::Duration Proxy::StallTime(core::RequestId id, const Job& job) {
--- a/src/foxquay/net/client.cc
+++ b/src/foxquay/net/client.cc
@@ -48,6 +48,8 @@
   switch (failure) {
     case Failure::kNotSent:
       return "not-sent";
+    case Failure::kTimedOut:
+      return "timed-out";
     case Failure::kLost:
       return "lost";
     case Failure::kMalformed:
@@ -311,7 +313,7 @@
     if (has_deadline && now >= connection.deadline) expired.push_back(id);
   }
   for (const SocketId id : expired) {
-    if (connections_.contains(id)) Fail(id, Failure::kNotSent);
+    if (connections_.contains(id)) Fail(id, Failure::kTimedOut);
   }
 }
 
--- a/src/foxquay/net/client.h
+++ b/src/foxquay/net/client.h
@@ -21,7 +21,8 @@
 
 /// Why a call ended without a complete response.
 enum class Failure : std::uint8_t {
-  kNotSent,    ///< Could not connect: nothing of the request was sent.
+  kNotSent,    ///< The connection was refused: nothing was sent.
+  kTimedOut,   ///< No connection in time: nothing was sent.
   kLost,       ///< The connection closed before a response head.
   kMalformed,  ///< The response is not valid HTTP.
   kCut,        ///< The response ended before it was complete.
