--- a/tests/platform/scenarios/crashing_part_test.cc
+++ b/tests/platform/scenarios/crashing_part_test.cc
@@ -51,6 +51,45 @@
   CHECK(scenario.violations().empty());
 }
 
+// Nothing was learned from an upstream that ended before the head of its
+// answer, and a plain request has no parts to be known by.
+TEST_CASE(
+    "a request that crashes upstreams before its head stops reaching them") {
+  using soak::RequestKind;
+  const auto kind =
+      GENERATE(RequestKind::kRead, RequestKind::kBook, RequestKind::kStream);
+  CAPTURE(static_cast<int>(kind));
+  const bool stream = kind == RequestKind::kStream;
+  Scenario::Options options;
+  options.crashing_target = "crash";
+  options.models = 10;
+  options.apps = stream ? 0 : 3;
+  Scenario scenario(options);
+  scenario.AwaitServing();
+  const std::string target =
+      std::string(stream                       ? "/stream"
+                  : kind == RequestKind::kRead ? "/read"
+                                               : "/book") +
+      "/x?crash=1";
+  scenario.Repeat(milliseconds(40), [&] {
+    if (stream) return scenario.SendStream("0a:40,0b:60");
+    scenario.SendPlain("read", 0);
+    scenario.SendPlain("book", 1);
+  });
+  scenario.Repeat(milliseconds(250), [&] { scenario.SendSame(kind, target); });
+  scenario.RunUntil([&] { return scenario.crashes().size() >= 3; },
+                    seconds(10));
+  REQUIRE(scenario.crashes().size() >= 3);
+  scenario.RunFor(kContactBound);
+  const core::Instant known = net::SteadyNow();
+  const unsigned served = scenario.served(kind);
+  scenario.RunFor(seconds(6));
+  CHECK(scenario.ReachedAfter(known) <= kMaxLateRequests);
+  // 150 sound requests of the kind are sent in this time.
+  CHECK(scenario.served(kind) - served >= 100);
+  CHECK(scenario.violations().empty());
+}
+
 TEST_CASE("a part that crashes upstreams stays known after all hosts restart") {
   Scenario scenario({"dead"});
   const core::Instant known = AwaitKnown(scenario);
--- a/tests/platform/scenarios/scenario.cc
+++ b/tests/platform/scenarios/scenario.cc
@@ -50,6 +50,7 @@
   options.address = options.ip + ":" + options.port;
   options.seed = random_();
   options.crashing_part = options_.crashing_part;
+  options.crashing_target = options_.crashing_target;
   options.on_request = [this, index](const net::Request& request) {
     const core::Instant now = net::SteadyNow();
     if (active_.at(index)->Crashes(request)) reached_.push_back(now);
@@ -131,11 +132,14 @@
 
 void Scenario::Send(const std::string& id, soak::RequestKind kind,
                     const std::string& target, const std::string& parts,
-                    const std::string& key, std::size_t entry) {
+                    const std::string& key, std::size_t entry,
+                    const std::string& body) {
   soak::InvariantChecker::RequestRecord record;
   record.kind = kind;
   record.target = target;
-  if (kind != soak::RequestKind::kRead) record.body = "body of " + id;
+  if (kind != soak::RequestKind::kRead) {
+    record.body = body.empty() ? "body of " + id : body;
+  }
   record.workspace = "w";
   record.key = key;
   record.sent_at = net::SteadyNow();
@@ -163,6 +167,11 @@
                });
 }
 
+void Scenario::SendSame(soak::RequestKind kind, const std::string& target) {
+  Send("same-" + std::to_string(next_id_++), kind, target, "0a:40,5a3e:10",
+       soak::kPermanentKey, random_() % soak::kEntryHosts, "same body");
+}
+
 void Scenario::Restart(std::size_t index) {
   const std::string id = ids_.at(index);
   upstream(index).Crash();
--- a/tests/platform/scenarios/scenario.h
+++ b/tests/platform/scenarios/scenario.h
@@ -29,6 +29,8 @@
   struct Options {
     /// Part of prompts on which every upstream crashes.
     std::string crashing_part;
+    /// Part of a target at whose requests every upstream crashes.
+    std::string crashing_target = {};
     std::size_t models = 10;  ///< Fake model upstreams.
     std::size_t apps = 0;     ///< Fake upstreams of the plain service.
   };
@@ -56,6 +58,9 @@
   /// As SendPlain, with another API key than the permanent one.
   void SendPlainWithKey(const std::string& route, std::size_t entry,
                         const std::string& key);
+  /// Sends a request with a target of its own, the same body and, for a stream,
+  /// the same prompt each time, to a random entry host. Its id is new.
+  void SendSame(soak::RequestKind kind, const std::string& target);
   /// Announces an upstream that the test implements, at an interval; `SEQ` in
   /// the body is replaced by a number that increases.
   void KeepAnnouncing(const std::string& id, const std::string& body);
@@ -103,7 +108,8 @@
   /// Sends a request whose answer the checker knows to an entry host.
   void Send(const std::string& id, soak::RequestKind kind,
             const std::string& target, const std::string& parts,
-            const std::string& key, std::size_t entry);
+            const std::string& key, std::size_t entry,
+            const std::string& body = "");
   void Announce(const std::string& id, const std::string& body);
   soak::FakeUpstream* UpstreamAt(const std::string& address);
   /// Records crashes and restarts upstreams.
--- a/tests/platform/soak/fake_upstream.cc
+++ b/tests/platform/soak/fake_upstream.cc
@@ -73,7 +73,13 @@
   return alive_ && first_ <= first && end <= end_;
 }
 
+bool FakeUpstream::CrashesBeforeHead(const net::Request& request) const {
+  return !options_.crashing_target.empty() &&
+         request.target.find(options_.crashing_target) != std::string::npos;
+}
+
 bool FakeUpstream::Crashes(const net::Request& request) const {
+  if (CrashesBeforeHead(request)) return true;
   const std::string parts(request.fields["X-Prompt-Prefix"]);
   const std::size_t last = parts.rfind(',');
   return !options_.crashing_part.empty() && last != std::string::npos &&
@@ -285,7 +291,7 @@
   checker_.RecordExecution(options_.service, request);
   const std::string last(request.fields["Last-Event-Id"]);
   if (!last.empty()) job.last_event = static_cast<unsigned>(std::stoul(last));
-  if (stream) {
+  if (stream && !CrashesBeforeHead(request)) {
     net::Response head = net::MakeResponse(200, "text/event-stream", "");
     head.fields.set("X-Request-Id", job.id);
     head.fields.set("X-Response-Stamp", job.id);
@@ -335,6 +341,7 @@
 void FakeUpstream::FinishJob(net::ExchangeId exchange) {
   const auto found = jobs_.find(exchange);
   if (found == jobs_.end()) return;
+  if (Crashes(found->second.request)) return Crash();
   std::uniform_real_distribution<double> chance;
   if (chance(random_) < abort_probability_) {
     jobs_.erase(found);
--- a/tests/platform/soak/fake_upstream.h
+++ b/tests/platform/soak/fake_upstream.h
@@ -40,6 +40,9 @@
     /// Part of a prompt on which it crashes as soon as it has begun to answer;
     /// the last part of a prompt never counts.
     std::string crashing_part;
+    /// Part of a target at whose requests it crashes before the head of the
+    /// answer.
+    std::string crashing_target;
     /// Called with each request for an answer that arrives; may be empty.
     std::function<void(const net::Request&)> on_request;
     std::uint64_t seed = 1;
@@ -58,7 +61,7 @@
   /// Returns whether the layers from `first` up to `end`, exclusive, are
   /// loaded.
   [[nodiscard]] bool Holds(unsigned first, unsigned end) const;
-  /// Returns whether a request has the crashing part.
+  /// Returns whether a request has the crashing part or target.
   [[nodiscard]] bool Crashes(const net::Request& request) const;
   /// Aborts all requests, stops listening and sends no more heartbeats.
   void Crash();
@@ -80,6 +83,8 @@
   void SetSlowdown(double slowdown) { slowdown_ = slowdown; }
 
  private:
+  [[nodiscard]] bool CrashesBeforeHead(const net::Request& request) const;
+
   struct Job {
     net::Request request;
     std::string id;
