Quarantine requests that crash the upstreams that run them

Cause: the quarantine knew shared parts of prompts only, and only crashes after the head of an answer. A plain request has no parts and its upstream ends before the head, so it was neither suspected nor reported nor refused. Change: the request as a whole, by its digest, is one of the parts of every request; any loss before an answer, or within 500 ms after its head, is checked. Different requests on one upstream are no longer taken for one; a part that has been answered needs three moments, so that the loss of a rack accuses nobody; what control hosts reach has not crashed; a path that times out proves nothing; no probe goes to the last upstream of a service.

--- a/src/foxquay/daemon/caller_api.cc
+++ b/src/foxquay/daemon/caller_api.cc
@@ -148,8 +148,9 @@
     return Reject({404, "model", "unknown model"});
   }
   IncomingRequest submitted;
-  submitted.digest = core::Digest({request.submission.workspace.value(),
-                             incoming.method, incoming.url, incoming.body});
+  submitted.digest =
+      core::Digest({request.submission.workspace.value(), incoming.method,
+                    incoming.url, incoming.body});
   submitted.submission = std::move(request.submission);
   submitted.connection = incoming.connection;
   if (request.stream) incoming.connection.BoundSendBuffer();
@@ -168,8 +169,9 @@
     return Reject({404, "service", "unknown service"});
   }
   IncomingRequest submitted;
-  submitted.digest = core::Digest({request.submission.workspace.value(),
-                             incoming.method, incoming.url, incoming.body});
+  submitted.digest =
+      core::Digest({request.submission.workspace.value(), incoming.method,
+                    incoming.url, incoming.body});
   submitted.submission = std::move(request.submission);
   submitted.service.method = incoming.method;
   submitted.service.path = std::move(request.path);
--- a/src/foxquay/daemon/control_claims.cc
+++ b/src/foxquay/daemon/control_claims.cc
@@ -2,9 +2,9 @@
 #include <utility>
 #include <variant>
 
+#include "foxquay/core/digest.h"
 #include "foxquay/daemon/clock.h"
 #include "foxquay/daemon/control_node.h"
-#include "foxquay/core/digest.h"
 #include "foxquay/log/log.h"
 
 namespace foxquay::daemon {
--- a/src/foxquay/daemon/control_fleet.cc
+++ b/src/foxquay/daemon/control_fleet.cc
@@ -134,6 +134,10 @@
   boost::asio::post(context_, [this, probed, reached] {
     const core::Instant now = Now();
     if (reached) {
+      const auto sent = probed_.find(probed.id);
+      if (sent != probed_.end()) {
+        detector_.RecordReached(probed.id, probed.born, sent->second);
+      }
       roster_.Renew(probed.id, now);
       return;
     }
--- a/src/foxquay/gateway/prober.cc
+++ b/src/foxquay/gateway/prober.cc
@@ -16,6 +16,20 @@
 /// (421 Misdirected Request).
 constexpr unsigned kMisdirected = 421;
 
+ProbeResult ToProbeResult(net::Failure failure) {
+  switch (failure) {
+    case net::Failure::kNotSent:
+      return ProbeResult::kUnreachable;
+    case net::Failure::kTimedOut:
+      return ProbeResult::kTimedOut;
+    case net::Failure::kLost:
+    case net::Failure::kMalformed:
+    case net::Failure::kCut:
+      break;
+  }
+  return ProbeResult::kSilent;
+}
+
 }  // namespace internal
 
 const char* Name(ProbeResult result) noexcept {
@@ -26,6 +40,8 @@
       return "replaced";
     case ProbeResult::kUnreachable:
       return "unreachable";
+    case ProbeResult::kTimedOut:
+      return "timed-out";
     case ProbeResult::kSilent:
       return "silent";
   }
@@ -45,11 +61,7 @@
                                               : ProbeResult::kReached);
                         },
                         [this](net::CallId id, net::Failure failure) {
-                          const bool unreachable =
-                              failure == net::Failure::kNotSent ||
-                              failure == net::Failure::kTimedOut;
-                          Finish(id, unreachable ? ProbeResult::kUnreachable
-                                                 : ProbeResult::kSilent);
+                          Finish(id, internal::ToProbeResult(failure));
                         }}) {}
 
 void Prober::Probe(const core::UpstreamId& upstream, const std::string& address,
--- a/src/foxquay/gateway/prober.h
+++ b/src/foxquay/gateway/prober.h
@@ -18,7 +18,8 @@
 enum class ProbeResult : std::uint8_t {
   kReached,      ///< It answered.
   kReplaced,     ///< Another upstream answered at its address.
-  kUnreachable,  ///< No connection could be opened.
+  kUnreachable,  ///< The connection was refused.
+  kTimedOut,     ///< No connection could be opened in time.
   kSilent,       ///< The connection ended or nothing came in time.
 };
 
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -282,7 +282,6 @@
   context.workspace = workspace;
   context.priority = priority;
   context.work = caller.work;
-  context.parts = quarantine::SharedParts(caller.prompt_parts);
   context.arrived = now;
   context.deadline =
       now + std::min(route.timeout, caller.timeout.value_or(route.timeout));
@@ -294,6 +293,7 @@
   Job& job = jobs_[id];
   job.exchange = exchange;
   job.digest = internal::RequestDigest(request, workspace);
+  context.parts = quarantine::MakeParts(caller.prompt_parts, job.digest);
   job.request = std::move(request);
   job.stall_timeout = internal::StallTimeout(route);
   job.arrived = now;
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -128,6 +128,12 @@
   void Review();
 
  private:
+  /// The loss of a send whose upstream is being probed.
+  struct UncheckedLoss {
+    relay::Loss loss;
+    core::Instant until;  ///< When it is handled without a result.
+  };
+
   /// An admitted request.
   struct Job {
     net::ExchangeId exchange;
@@ -149,6 +155,9 @@
     std::optional<core::Instant> head_at;
     bool event_received = false;  ///< The current send has yielded an event.
     bool head_sent = false;       ///< A head was sent to the caller.
+    /// A loss that is handled when it is known whether the upstream has
+    /// crashed.
+    std::optional<UncheckedLoss> unchecked_loss;
     /// A response that is not a stream is passed on as it arrives.
     bool passing_body = false;
     bool not_run = false;  ///< The upstream did not run the request.
@@ -228,13 +237,20 @@
   void CompleteAnswer(core::RequestId id);
   /// Cancels a send that cannot be completed, and handles its loss.
   void CancelSend(net::CallId call, const relay::Loss& loss);
-  /// Returns whether the current send's response has begun with a success and
-  /// has yielded no event.
-  [[nodiscard]] static bool AtBegin(const Job& job);
-  /// Finds out whether an upstream that broke off an answer at its start has
-  /// crashed, records it, and then handles the loss if the request still waits.
+  /// Returns whether the current send's response has not begun, or has begun
+  /// with a success and yielded no event or only the first ones.
+  [[nodiscard]] static bool EndedEarly(const Job& job);
+  /// Finds out whether an upstream that lost a request early has crashed,
+  /// records it, and then handles the loss if the request still waits.
   void CheckCrash(core::RequestId id, const relay::Suspicion& suspicion,
                   const relay::Loss& loss);
+  /// Handles the loss of a send whose upstream was probed, or could not be
+  /// probed in time; nothing if the request has ended or was sent again.
+  void FinishCheck(core::RequestId id, unsigned sends, bool crashed);
+  /// Handles losses that have waited too long for the result of a probe.
+  void ExpireChecks(core::Instant now);
+  /// Reports an upstream as suspected, at most once in a while.
+  void ReportSuspect(const core::UpstreamId& upstream, core::Instant now);
   /// Probes an upstream at which an answer was lost, on a new connection.
   void ProbeAfterLoss(const core::UpstreamId& upstream,
                       const std::string& address, const Prober::Done& done);
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -44,6 +44,14 @@
 /// as it arrives instead of being buffered until it is complete.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} << 10U;
 
+/// Time after the head of an answer within which its upstream may still have
+/// ended because of the request.
+constexpr core::Duration kCrashWindow = std::chrono::milliseconds(500);
+
+/// Time for which a lost request waits for the result of a probe: several round
+/// trips. A probe without a result does not show a process that has ended.
+constexpr core::Duration kMaxCheckTime = std::chrono::milliseconds(200);
+
 /// Time within which a connection that ends without a response was closed by
 /// the peer, as opposed to one that timed out.
 constexpr core::Duration kClosedAtOnce = std::chrono::milliseconds(500);
@@ -335,7 +343,7 @@
   const bool empty = job.ends_with_connection && !job.caller.resume_after &&
                      job.filter->passed() == 0;
   if (empty || !job.filter->between_events()) {
-    HandleLoss(id, {relay::LossKind::kCut, job.fault_address, AtBegin(job)});
+    HandleLoss(id, {relay::LossKind::kCut, job.fault_address, EndedEarly(job)});
     return;
   }
   CompleteAnswer(id);
@@ -376,8 +384,12 @@
   server_.Respond(exchange, response);
 }
 
-bool Proxy::AtBegin(const Job& job) {
-  return job.head_at && job.status / 100 == 2 && !job.event_received;
+bool Proxy::EndedEarly(const Job& job) {
+  if (job.failure == net::Failure::kMalformed) return false;
+  if (!job.head_at) return true;
+  if (job.status / 100 != 2) return false;
+  return !job.event_received ||
+         net::SteadyNow() - *job.head_at <= internal::kCrashWindow;
 }
 
 void Proxy::HandleFailure(net::CallId call, net::Failure failure) {
@@ -387,13 +399,17 @@
   job.call.reset();
   job.failure = failure;
   if (job.passing_body) {
+    const relay::Loss loss{relay::LossKind::kCut, job.fault_address,
+                           EndedEarly(job)};
+    const auto suspicion = relay_.SuspectCrash(id, loss);
     relay_.Abandon(id);
     Execute(id, relay::Abort{"the answer broke off while it was passed on"});
+    if (suspicion) CheckCrash(id, *suspicion, loss);
     return;
   }
   const relay::LossKind kind =
       job.not_run ? relay::LossKind::kNotRun : internal::ToLossKind(failure);
-  HandleLoss(id, {kind, job.fault_address, AtBegin(job)});
+  HandleLoss(id, {kind, job.fault_address, EndedEarly(job)});
 }
 
 void Proxy::HandleLoss(core::RequestId id, const relay::Loss& loss) {
@@ -416,8 +432,7 @@
               {"event_received", job.event_received},
               {"events", job.filter ? job.filter->passed() : 0}});
   if (loss.kind == relay::LossKind::kNotSent) {
-    const core::UpstreamId& first = relay_.Path(id).front().upstream;
-    if (suspected_.try_emplace(first, now).second) on_suspects_({first});
+    ReportSuspect(relay_.Path(id).front().upstream, now);
   }
   registry_.Add("foxquay_losses_total",
                 "kind=\"" + std::string(relay::Name(loss.kind)) + "\"");
@@ -429,27 +444,26 @@
     CheckCrash(id, *suspicion, loss);
     return;
   }
-  if (loss.kind == relay::LossKind::kUnanswered) {
-    const relay::Hop first = relay_.Path(id).front();
-    ProbeAfterLoss(first.upstream, first.address,
-                   [request = job.caller.id, first](ProbeResult result) {
-                     log::Write(log::Level::kInfo, "upstream_checked",
-                                {{"request", request},
-                                 {"upstream", first.upstream},
-                                 {"address", first.address},
-                                 {"result", Name(result)}});
-                   });
-  }
   Apply(id, relay_.HandleLoss(id, loss, now));
 }
 
+void Proxy::ReportSuspect(const core::UpstreamId& upstream, core::Instant now) {
+  if (suspected_.try_emplace(upstream, now).second) on_suspects_({upstream});
+}
+
 void Proxy::CheckCrash(core::RequestId id, const relay::Suspicion& suspicion,
                        const relay::Loss& loss) {
-  const unsigned sends = jobs_.at(id).sends;
-  // A process that ended accepts no connection, one that only broke off an
-  // answer does. Until that is known, the request waits: what ended this
-  // upstream might end the next.
-  const auto finish = [this, id, suspicion, loss, sends](ProbeResult result) {
+  const core::Instant start = net::SteadyNow();
+  unsigned sends = 0;
+  // Until the result is known, the request waits: what ended this upstream
+  // might end the next.
+  if (const auto job = jobs_.find(id); job != jobs_.end()) {
+    sends = job->second.sends;
+    job->second.unchecked_loss = {loss, start + internal::kMaxCheckTime};
+  }
+  // A process that ended refuses connections, one that only broke off an answer
+  // does not; no answer at all shows a lost path or a lost machine.
+  const auto finish = [this, id, suspicion, sends](ProbeResult result) {
     const bool crashed =
         result == ProbeResult::kUnreachable || result == ProbeResult::kReplaced;
     log::Write(log::Level::kInfo, "crash_checked",
@@ -461,18 +475,36 @@
                 {"result", Name(result)},
                 {"crashed", crashed}});
     if (crashed) {
+      const core::Instant now = net::SteadyNow();
       registry_.Add("foxquay_crashes_at_begin_total", "");
-      relay_.RecordCrash(suspicion, net::SteadyNow());
+      relay_.RecordCrash(suspicion, now);
+      ReportSuspect(suspicion.upstream, now);
     }
-    const auto job = jobs_.find(id);
-    if (job == jobs_.end() || job->second.sends != sends) return;
-    relay::Loss checked = loss;
-    checked.crashed = crashed;
-    Apply(id, relay_.HandleLoss(id, checked, net::SteadyNow()));
+    FinishCheck(id, sends, crashed);
   };
   ProbeAfterLoss(suspicion.upstream, suspicion.address, finish);
 }
 
+void Proxy::FinishCheck(core::RequestId id, unsigned sends, bool crashed) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  Job& job = found->second;
+  if (job.sends != sends || !job.unchecked_loss) return;
+  relay::Loss loss = std::exchange(job.unchecked_loss, std::nullopt)->loss;
+  loss.crashed = crashed;
+  Apply(id, relay_.HandleLoss(id, loss, net::SteadyNow()));
+}
+
+void Proxy::ExpireChecks(core::Instant now) {
+  std::vector<std::pair<core::RequestId, unsigned>> expired;
+  for (const auto& [id, job] : jobs_) {
+    if (job.unchecked_loss && now >= job.unchecked_loss->until) {
+      expired.emplace_back(id, job.sends);
+    }
+  }
+  for (const auto& [id, sends] : expired) FinishCheck(id, sends, false);
+}
+
 void Proxy::ProbeAfterLoss(const core::UpstreamId& upstream,
                            const std::string& address,
                            const Prober::Done& done) {
@@ -560,6 +592,7 @@
     client_.Sweep(now);
     server_.Sweep(now);
     prober_.Review(now);
+    ExpireChecks(now);
     ReportSuspects(now);
     MoveStalledStreams(now);
   }
--- a/src/foxquay/quarantine/detector.cc
+++ b/src/foxquay/quarantine/detector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include "foxquay/quarantine/limits.h"
 #include "foxquay/quarantine/table.h"
@@ -13,6 +14,9 @@
 /// schema.
 constexpr std::size_t kMaxQuarantinedParts = 8;
 
+/// Interval at which evidence that is too old is removed.
+constexpr core::Duration kForgetInterval = std::chrono::seconds(1);
+
 bool IsQuarantined(const schema::QuarantineTable& table,
                    const core::ServiceId& service, const Parts& parts) {
   return std::any_of(table.entries.begin(), table.entries.end(),
@@ -41,6 +45,9 @@
   if (known) return;
   Crash crash{reported.host, reported.incarnation, reported.crash,
               now - reported.crash.age, now};
+  const auto reached = reached_.find(crash.upstream());
+  if (reached != reached_.end() && reached->second > crash.at) return;
+  pending_ = true;
   std::sort(crash.report.parts.begin(), crash.report.parts.end());
   crashes_.push_back(std::move(crash));
   if (crashes_.size() <= kMaxCrashes) return;
@@ -74,9 +81,20 @@
   }
 }
 
+void Detector::RecordReached(const core::UpstreamId& upstream,
+                             core::WallTime born, core::Instant at) {
+  const Incarnation incarnation{upstream, born};
+  std::erase_if(crashes_, [&](const Crash& crash) {
+    return crash.upstream() == incarnation && crash.at < at;
+  });
+  // Hosts repeat their reports.
+  reached_[incarnation] = at;
+}
+
 std::vector<schema::PromptPart> Detector::Watched(
     const schema::QuarantineTable& table) const {
   std::set<PartKey> parts;
+  std::map<PartKey, Incarnation> crashed_once;
   for (const schema::Quarantine& entry : table.entries) {
     for (const core::PromptPartId& part : entry.parts) {
       parts.emplace(entry.service, part);
@@ -86,7 +104,11 @@
     for (const core::PromptPartId& part : crash.report.parts) {
       const auto answer = LastAnswer(crash.report.service, part);
       if (answer && *answer >= crash.at) continue;
-      parts.emplace(crash.report.service, part);
+      const PartKey key{crash.report.service, part};
+      const auto [first, inserted] =
+          crashed_once.try_emplace(key, crash.upstream());
+      const bool again = !inserted && first->second != crash.upstream();
+      if (again || !IsRequest(part)) parts.insert(key);
     }
   }
   std::vector<schema::PromptPart> watched;
@@ -98,9 +120,14 @@
 }
 
 void Detector::Forget(const schema::QuarantineTable& table, core::Instant now) {
+  if (table.version == reviewed_version_ && now < next_forget_) return;
+  next_forget_ = now + internal::kForgetInterval;
   std::erase_if(crashes_, [now](const Crash& crash) {
     return now - crash.at > kCrashRetention;
   });
+  std::erase_if(reached_, [now](const auto& item) {
+    return now - item.second > kCrashRetention;
+  });
   std::set<PartKey> known;
   for (const Crash& crash : crashes_) {
     for (const core::PromptPartId& part : crash.report.parts) {
@@ -256,7 +283,39 @@
   return std::nullopt;
 }
 
-std::vector<Detector::Suspect> Detector::FindSuspects(
+std::size_t Detector::Suspect::Moments() const {
+  std::set<core::Instant> times;
+  for (const Crash* crash : crashes) times.insert(crash->at);
+  std::size_t moments = 0;
+  std::optional<core::Instant> last;
+  for (const core::Instant time : times) {
+    if (!last || time - *last >= kSameMoment) {
+      ++moments;
+      last = time;
+    }
+  }
+  return moments;
+}
+
+core::Instant Detector::Suspect::WatchedSince() const {
+  std::map<Incarnation, core::Instant> received;
+  for (const Crash* crash : crashes) {
+    const auto [found, inserted] =
+        received.try_emplace(crash->upstream(), crash->received);
+    if (!inserted) found->second = std::min(found->second, crash->received);
+  }
+  std::vector<core::Instant> times;
+  for (const auto& [upstream, time] : received) times.push_back(time);
+  std::sort(times.begin(), times.end());
+  return IsRequest(part) && times.size() > 1 ? times[1] : times.front();
+}
+
+bool Detector::Suspect::Convicted() const {
+  if (upstreams.size() < kMinCrashes) return false;
+  return !answered || Moments() >= kMinCrashes;
+}
+
+std::map<core::PromptPartId, Detector::Suspect> Detector::FindSuspects(
     const std::vector<const Crash*>& crashes,
     const core::ServiceId& service) const {
   std::map<core::PromptPartId, Suspect> suspects;
@@ -265,23 +324,79 @@
     for (const core::PromptPartId& part : crash->report.parts) {
       const auto answer = LastAnswer(service, part);
       if (answer && *answer >= crash->at) continue;
-      const auto [found, inserted] = suspects.try_emplace(part);
-      Suspect& suspect = found->second;
+      Suspect& suspect = suspects[part];
       suspect.part = part;
       suspect.answered = answer.has_value();
-      suspect.first =
-          inserted ? crash->received : std::min(suspect.first, crash->received);
       suspect.upstreams.insert(crash->upstream());
       suspect.workspaces.insert(crash->report.workspace);
+      suspect.crashes.insert(crash);
     }
   }
-  std::vector<Suspect> found;
-  for (auto& [part, suspect] : suspects) {
-    if (suspect.upstreams.size() >= kMinCrashes) {
-      found.push_back(std::move(suspect));
+  return suspects;
+}
+
+std::optional<Change> Detector::Quarantine(
+    const core::ServiceId& service,
+    const std::map<core::PromptPartId, Suspect>& suspects,
+    core::Duration settle, core::Instant now) {
+  // Of two parts in the same crashes, the one in fewer requests is the more
+  // specific: the other one also occurs in requests that ran beside it.
+  const auto less = [](const Suspect& a, const Suspect& b) {
+    return std::make_tuple(!a.answered, a.upstreams.size(), b.crashes.size()) <
+           std::make_tuple(!b.answered, b.upstreams.size(), a.crashes.size());
+  };
+  const Suspect* first = nullptr;
+  for (const auto& [part, suspect] : suspects) {
+    if (!suspect.Convicted()) continue;
+    if (first == nullptr || less(*first, suspect)) first = &suspect;
+  }
+  if (first == nullptr) return std::nullopt;
+  if (now - first->WatchedSince() < settle) {
+    pending_ = true;
+    return std::nullopt;
+  }
+  schema::Quarantine quarantine;
+  quarantine.service = service;
+  quarantine.generation = 1;
+  quarantine.crashes = static_cast<std::uint32_t>(first->upstreams.size());
+  for (const auto& [part, suspect] : suspects) {
+    const bool together = suspect.answered == first->answered &&
+                          suspect.crashes == first->crashes;
+    if (together && quarantine.parts.size() < internal::kMaxQuarantinedParts) {
+      quarantine.parts.push_back(part);
     }
   }
-  return found;
+  if (first->workspaces.size() == 1) {
+    quarantine.workspaces.assign(first->workspaces.begin(),
+                                 first->workspaces.end());
+  }
+  return schema::PutQuarantine{std::move(quarantine)};
+}
+
+std::optional<Change> Detector::QuarantineRepeats(
+    const schema::QuarantineTable& table, core::Duration settle,
+    core::Instant now) {
+  std::vector<const Crash*> crashes;
+  std::set<core::ServiceId> services;
+  for (const Crash& crash : crashes_) {
+    crashes.push_back(&crash);
+    services.insert(crash.report.service);
+  }
+  std::set<PartKey> quarantined;
+  for (const schema::Quarantine& entry : table.entries) {
+    for (const core::PromptPartId& part : entry.parts) {
+      quarantined.emplace(entry.service, part);
+    }
+  }
+  for (const core::ServiceId& service : services) {
+    auto suspects = FindSuspects(crashes, service);
+    std::erase_if(suspects, [&](const auto& item) {
+      return item.second.answered || !IsRequest(item.first) ||
+             quarantined.contains({service, item.first});
+    });
+    if (auto change = Quarantine(service, suspects, settle, now)) return change;
+  }
+  return std::nullopt;
 }
 
 std::optional<Change> Detector::Review(const schema::QuarantineTable& table,
@@ -291,43 +406,27 @@
   for (const schema::Quarantine& entry : table.entries) {
     if (auto change = ReviewEntry(table, entry, now)) return change;
   }
+  if (table.version != reviewed_version_) pending_ = true;
+  reviewed_version_ = table.version;
+  if (!std::exchange(pending_, false)) return std::nullopt;
   const std::vector<const Crash*> unexplained = Unexplained(table);
   std::set<core::ServiceId> services;
+  std::optional<Change> change;
   for (const Crash* crash : unexplained) {
-    if (auto change = Extend(table, *crash)) return change;
+    change = Extend(table, *crash);
+    if (change) break;
     services.insert(crash->report.service);
   }
   for (const core::ServiceId& service : services) {
-    const std::vector<Suspect> suspects = FindSuspects(unexplained, service);
-    if (suspects.empty()) continue;
-    const auto rank = [](const Suspect& suspect) {
-      return std::make_tuple(!suspect.answered, suspect.upstreams.size());
-    };
-    const Suspect& first =
-        *std::max_element(suspects.begin(), suspects.end(),
-                          [&rank](const Suspect& a, const Suspect& b) {
-                            return rank(a) < rank(b);
-                          });
-    if (now - first.first < settle) continue;
-    schema::Quarantine quarantine;
-    quarantine.service = service;
-    quarantine.generation = 1;
-    quarantine.crashes = static_cast<std::uint32_t>(first.upstreams.size());
-    for (const Suspect& suspect : suspects) {
-      const bool together = suspect.answered == first.answered &&
-                            suspect.upstreams == first.upstreams;
-      if (together &&
-          quarantine.parts.size() < internal::kMaxQuarantinedParts) {
-        quarantine.parts.push_back(suspect.part);
-      }
-    }
-    if (first.workspaces.size() == 1) {
-      quarantine.workspaces.assign(first.workspaces.begin(),
-                                   first.workspaces.end());
-    }
-    return schema::PutQuarantine{std::move(quarantine)};
+    if (change) break;
+    change =
+        Quarantine(service, FindSuspects(unexplained, service), settle, now);
   }
-  return std::nullopt;
+  if (!change) change = QuarantineRepeats(table, settle, now);
+  // On a host that does not lead, or if the change is not committed, it is due
+  // again.
+  if (change) pending_ = true;
+  return change;
 }
 
 }  // namespace foxquay::quarantine
--- a/src/foxquay/quarantine/detector.h
+++ b/src/foxquay/quarantine/detector.h
@@ -27,8 +27,13 @@
 /// once in some minutes.
 inline constexpr core::Duration kCrashRetention = std::chrono::minutes(10);
 
-/// Maximum number of crashes that are remembered.
-inline constexpr std::size_t kMaxCrashes = 256;
+/// Maximum number of crashes that are remembered, counted by request: an
+/// upstream that ends with many requests is in as many of them.
+inline constexpr std::size_t kMaxCrashes = 1024;
+
+/// Time between crashes above which they have no common cause such as the loss
+/// of a rack.
+inline constexpr core::Duration kSameMoment = std::chrono::seconds(1);
 
 /// Time after which a quarantine is first probed with one request, doubled
 /// after each probe that crashes its upstream.
@@ -42,17 +47,19 @@
 /// A change of the quarantines in force.
 using Change = std::variant<schema::PutQuarantine, schema::ReleaseQuarantine>;
 
-/// Finds the parts of prompts on which upstreams crash, from what all hosts
-/// report.
+/// Finds the requests, or parts of their prompts, on which upstreams crash,
+/// from what all hosts report.
 ///
-/// A part is suspected if upstreams crashed at the start of answers to prompts
-/// that have it, several in a row with no answer to the part between them. A
-/// part that was never answered is suspected before one that was, then the one
-/// with the most crashes; crashes that a quarantine explains count for no other
-/// part. Parts that occurred in the same crashes are suspected together, and
-/// only requests that have all of them are refused, until an answer to one of
-/// them leaves the others. Crashes from one workspace restrict only that
-/// workspace.
+/// A part is suspected if upstreams crashed at the start of answers to requests
+/// that have it, several in a row with no answer to the part between them, and
+/// at several moments if it had been answered before. A part that was never
+/// answered is suspected before one that was, then the one with the most
+/// crashes, then the one in the fewest requests; crashes that a quarantine
+/// explains count for no other part of a prompt. Parts of the same requests are
+/// suspected together, and only requests that have all of them are refused,
+/// until an answer to one of them leaves the others. Crashes from one workspace
+/// restrict only that workspace. An upstream that the control hosts reach
+/// afterwards has not crashed.
 ///
 /// Every control host keeps one, so that a new leader has the evidence. Not
 /// thread-safe; performs no I/O.
@@ -61,9 +68,15 @@
   /// Adds evidence; crashes that are already known are ignored.
   void Record(const schema::QuarantineReport& report, core::Instant now);
 
+  /// Records that an upstream was reached by an inquiry sent at `at`: it did
+  /// not crash before.
+  void RecordReached(const core::UpstreamId& upstream, core::WallTime born,
+                     core::Instant at);
+
   /// Returns the parts of which an answer would be evidence: those in
   /// quarantine and those that have not been answered since they were in a
-  /// crash.
+  /// crash; whole requests from the second crash on, as each upstream that ends
+  /// leaves several that never come again.
   [[nodiscard]] std::vector<schema::PromptPart> Watched(
       const schema::QuarantineTable& table) const;
 
@@ -93,14 +106,19 @@
       return {report.upstream, report.born};
     }
   };
-  /// A part, the crashes since its last answer, and when the first of them was
-  /// received.
+  /// A part and the crashes since its last answer.
   struct Suspect {
     core::PromptPartId part;
     bool answered = false;  ///< Ever, before these crashes.
     std::set<Incarnation> upstreams;
     std::set<core::WorkspaceId> workspaces;
-    core::Instant first;
+    std::set<const Crash*> crashes;
+
+    /// Returns how many of the crashes cannot have a common cause.
+    [[nodiscard]] std::size_t Moments() const;
+    /// Returns when hosts began to be asked for answers to it.
+    [[nodiscard]] core::Instant WatchedSince() const;
+    [[nodiscard]] bool Convicted() const;
   };
   /// A quarantine as this host has seen it.
   struct Seen {
@@ -136,13 +154,34 @@
   /// one.
   [[nodiscard]] static std::optional<Change> Extend(
       const schema::QuarantineTable& table, const Crash& crash);
-  [[nodiscard]] std::vector<Suspect> FindSuspects(
+  /// Returns the parts of requests for a service that have crashes since their
+  /// last answer.
+  [[nodiscard]] std::map<core::PromptPartId, Suspect> FindSuspects(
       const std::vector<const Crash*>& crashes,
       const core::ServiceId& service) const;
+  /// Returns the quarantine for the first of the suspects that has enough
+  /// crashes; nothing if there is none or its answers may not be known yet.
+  [[nodiscard]] std::optional<Change> Quarantine(
+      const core::ServiceId& service,
+      const std::map<core::PromptPartId, Suspect>& suspects,
+      core::Duration settle, core::Instant now);
+  /// Returns the quarantine for a whole request that was never answered, also
+  /// if its crashes are explained by others: a sound request does not run
+  /// beside a crashing one that often.
+  [[nodiscard]] std::optional<Change> QuarantineRepeats(
+      const schema::QuarantineTable& table, core::Duration settle,
+      core::Instant now);
   [[nodiscard]] std::optional<core::Instant> LastAnswer(
       const core::ServiceId& service, const core::PromptPartId& part) const;
 
   std::deque<Crash> crashes_;
+  /// When upstreams that had been reported as crashed were reached.
+  std::map<Incarnation, core::Instant> reached_;
+  /// There is evidence that no review of the suspects has covered, or a suspect
+  /// whose answers may not be known yet.
+  bool pending_ = false;
+  std::uint64_t reviewed_version_ = 0;  ///< Of the table.
+  core::Instant next_forget_;
   std::map<PartKey, core::Instant> answered_;
   std::map<EntryKey, Refusal> refused_;
   std::map<EntryKey, Seen> seen_;
--- a/src/foxquay/quarantine/parts.cc
+++ b/src/foxquay/quarantine/parts.cc
@@ -11,19 +11,28 @@
 
 constexpr std::size_t kMaxFormatted = 8;
 
+/// Prefix of the id of a whole request.
+constexpr const char* kRequestPrefix = "request-";
+
 }  // namespace internal
 
-Parts SharedParts(const std::vector<core::PromptPartId>& prompt) {
-  if (prompt.size() < 2) return {};
-  const std::size_t count = std::min(prompt.size() - 1, kMaxParts);
+bool IsRequest(const core::PromptPartId& part) {
+  return part.value().starts_with(internal::kRequestPrefix);
+}
+
+Parts MakeParts(const std::vector<core::PromptPartId>& prompt,
+                const std::string& digest) {
+  const std::size_t shared = prompt.empty() ? 0 : prompt.size() - 1;
+  const std::size_t count = std::min(shared, kMaxParts - 1);
   Parts parts;
-  parts.reserve(count);
+  parts.reserve(count + 1);
   for (std::size_t index = 0; index < count; ++index) {
     const std::string& id = prompt[index].value();
-    parts.emplace_back(id.size() <= schema::kMaxIdBytes
-                           ? id
-                           : "hash-" + std::to_string(core::Hash(id)));
+    const bool usable =
+        id.size() <= schema::kMaxIdBytes && !IsRequest(prompt[index]);
+    parts.emplace_back(usable ? id : "hash-" + std::to_string(core::Hash(id)));
   }
+  if (!digest.empty()) parts.emplace_back(internal::kRequestPrefix + digest);
   std::sort(parts.begin(), parts.end());
   parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
   return parts;
--- a/src/foxquay/quarantine/parts.h
+++ b/src/foxquay/quarantine/parts.h
@@ -9,18 +9,25 @@
 
 namespace foxquay::quarantine {
 
-/// Parts of one prompt, ordered by id and each once.
+/// What may cause a crash in one request, ordered by id and each once: the
+/// parts of its prompt that other requests may share, and the request as a
+/// whole, which only its repeats share.
 using Parts = std::vector<core::PromptPartId>;
 
-/// Maximum number of parts of a prompt that are examined; equals the bound of
+/// Maximum number of parts of a request that are examined; equals the bound of
 /// schema::UpstreamCrash.
 inline constexpr std::size_t kMaxParts = 32;
 
-/// Returns the parts of a prompt that other requests may share: all but the
-/// last one, which belongs to the request itself or to its session, and at most
-/// kMaxParts, the first ones. Ids that are too long for a message are replaced
-/// by a hash. Thread-safe.
-[[nodiscard]] Parts SharedParts(const std::vector<core::PromptPartId>& prompt);
+/// Returns the parts of a request. Of its prompt these are all but the last
+/// one, which belongs to the request itself or to its session, and the first
+/// ones if they are too many; ids that are too long for a message, or could be
+/// taken for a whole request, are replaced by a hash. `digest` stands for the
+/// request as a whole; if it is empty, that part is missing. Thread-safe.
+[[nodiscard]] Parts MakeParts(const std::vector<core::PromptPartId>& prompt,
+                              const std::string& digest);
+
+/// Returns whether a part is a whole request. Thread-safe.
+[[nodiscard]] bool IsRequest(const core::PromptPartId& part);
 
 /// Returns the ids of parts for a log line, separated by commas and at most
 /// eight of them. Thread-safe.
--- a/src/foxquay/relay/decision.h
+++ b/src/foxquay/relay/decision.h
@@ -27,7 +27,7 @@
   core::WorkspaceId workspace;
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   Work work;
-  quarantine::Parts parts;  ///< Parts of its prompt that others may share.
+  quarantine::Parts parts;  ///< What in it may crash an upstream.
   core::Instant arrived;
   core::Instant deadline;  ///< Earlier of the caller's and the route's limit.
   /// Id of the last event that the caller has.
@@ -77,8 +77,8 @@
 struct Loss {
   LossKind kind = LossKind::kUnanswered;
   std::string fault_address;  ///< Upstream at fault; empty if not known.
-  /// The upstream had begun to answer this send and had sent no event.
-  bool at_begin = false;
+  /// The upstream had not answered yet, or had only begun to.
+  bool early = false;
   /// The upstream was then found to have crashed.
   bool crashed = false;
 };
@@ -91,7 +91,7 @@
   core::UpstreamId upstream;
   std::string address;
   core::WallTime born;
-  quarantine::Parts parts;  ///< Shared parts of the request's prompt.
+  quarantine::Parts parts;  ///< What in the request may be the cause.
 };
 
 }  // namespace foxquay::relay
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -38,7 +38,8 @@
 constexpr core::Duration kFailedSendRetryAfter =
     std::chrono::milliseconds(1000);
 
-constexpr const char* kQuarantined = "a part of the prompt is in quarantine";
+constexpr const char* kQuarantined =
+    "the request, or a part of its prompt, is in quarantine";
 
 /// Returns whether a request of the route may run more than once.
 bool Repeatable(const schema::Route& route) {
@@ -136,7 +137,9 @@
   if (quarantine == nullptr || (state.probe && state.sends == 0)) {
     return std::nullopt;
   }
-  if (state.sends == 0 && gate_.TakeProbe(*quarantine)) {
+  // A probe may end its upstream, which must not be the last one.
+  const bool spare = upstreams_.Count(context.service->id) > 1;
+  if (state.sends == 0 && spare && gate_.TakeProbe(*quarantine)) {
     state.probe = true;
     return std::nullopt;
   }
@@ -149,8 +152,10 @@
                                              const Loss& loss) const {
   const State& state = requests_.at(id);
   const RequestContext& context = state.context;
-  const bool possible = loss.kind == LossKind::kCut && loss.at_begin &&
-                        !context.parts.empty() && !state.hops.empty();
+  const bool lost =
+      loss.kind == LossKind::kCut || loss.kind == LossKind::kUnanswered;
+  const bool possible =
+      lost && loss.early && !context.parts.empty() && !state.hops.empty();
   if (!possible) return std::nullopt;
   const Hop& first = state.hops.front();
   return Suspicion{context.name,      context.service->id,
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -509,6 +509,14 @@
   }
 }
 
+std::size_t Upstreams::Count(const core::ServiceId& service) const {
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
+        return item.second.present &&
+               item.second.announcement.service == service;
+      }));
+}
+
 bool Upstreams::Known(const core::UpstreamId& upstream) const {
   const auto found = entries_.find(upstream);
   return found != entries_.end() && found->second.present;
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -124,6 +124,8 @@
   void RecordLatency(const core::UpstreamId& upstream, core::Duration time,
                      core::Instant now);
 
+  /// Returns the number of upstreams of a service that are in use.
+  [[nodiscard]] std::size_t Count(const core::ServiceId& service) const;
   /// Returns whether an upstream is in use.
   [[nodiscard]] bool Known(const core::UpstreamId& upstream) const;
   /// Returns the start time of an upstream; the epoch if it is unknown.
--- a/tests/foxquay/quarantine/detector_test.cc
+++ b/tests/foxquay/quarantine/detector_test.cc
@@ -271,4 +271,97 @@
   CHECK(watched() == 1);
 }
 
+// All upstreams of a small service ended within 160 ms, and again after each
+// restart.
+TEST_CASE("a request that ends all upstreams of a small service is known") {
+  Fixture fixture;
+  const std::vector<std::string> bad{"request-bad"};
+  for (int upstream = 1; upstream <= 3; ++upstream) {
+    fixture.detector.Record(CrashOf(upstream, bad), At(60 * upstream));
+  }
+  CHECK(fixture.Settle(At(1000)) == 0);
+  CHECK(fixture.Settle(At(1200)) == 1);
+  CHECK(fixture.Refuses(bad));
+}
+
+// They were taken for parts of one request, and none of them was refused.
+TEST_CASE("different requests in the same crashes are not taken for one") {
+  Fixture fixture;
+  for (int upstream = 1; upstream <= 3; ++upstream) {
+    const core::Instant at = At(100 * upstream);
+    fixture.detector.Record(CrashOf(upstream, {"request-a"}), at);
+    fixture.detector.Record(CrashOf(upstream, {"request-b"}), at);
+  }
+  CHECK(fixture.Settle(At(3000)) == 2);
+  CHECK(fixture.Refuses({"request-a"}));
+  CHECK(fixture.Refuses({"request-b"}));
+}
+
+TEST_CASE("a request is suspected before the part of a prompt beside it") {
+  Fixture fixture;
+  for (int upstream = 1; upstream <= 3; ++upstream) {
+    const core::Instant at = At(500 * upstream);
+    fixture.detector.Record(CrashOf(upstream, {"part", "request-bad"}), at);
+    fixture.detector.Record(
+        CrashOf(upstream, {"part", "request-" + std::to_string(upstream)}), at);
+  }
+  CHECK(fixture.Settle(At(3000)) == 1);
+  CHECK(fixture.Refuses({"request-bad"}));
+  CHECK_FALSE(fixture.Refuses({"part"}));
+}
+
+TEST_CASE("a request that was answered is not suspected when a rack is lost") {
+  Fixture fixture;
+  const auto lose_rack = [&fixture](int at) {
+    for (int count = 0; count < 3; ++count) {
+      fixture.detector.Record(CrashOf(++fixture.upstreams, {"request-hot"}),
+                              At(at + 10 * count));
+    }
+  };
+  lose_rack(5000);
+  schema::QuarantineReport answer = AnswerTo("request-hot");
+  answer.answered.front().age = std::chrono::milliseconds(800);
+  fixture.detector.Record(answer, At(5500));
+  CHECK(fixture.Settle(At(9000)) == 0);
+  lose_rack(10000);
+  CHECK(fixture.Settle(At(14000)) == 0);
+  // A third time without an answer since the first is no rack.
+  lose_rack(15000);
+  CHECK(fixture.Settle(At(19000)) == 1);
+}
+
+// A host that is cut off from upstreams that run takes them for crashed.
+TEST_CASE("an upstream that is reached afterwards has not crashed") {
+  Fixture fixture;
+  std::vector<schema::QuarantineReport> reports;
+  for (int upstream = 1; upstream <= 3; ++upstream) {
+    reports.push_back(CrashOf(upstream, {"request-sound"}));
+    fixture.detector.Record(reports.back(), At(1000));
+  }
+  fixture.detector.RecordReached(core::UpstreamId("u2"), {}, At(1100));
+  CHECK(fixture.detector.crashes() == 2);
+  for (schema::QuarantineReport& report : reports) {
+    report.crashes.front().crash.age = std::chrono::milliseconds(500);
+    fixture.detector.Record(report, At(1500));
+  }
+  CHECK(fixture.detector.crashes() == 2);
+  CHECK(fixture.Settle(At(5000)) == 0);
+  // It crashes later.
+  fixture.detector.Record(CrashOf(2, {"request-sound"}), At(6000));
+  CHECK(fixture.detector.crashes() == 3);
+}
+
+// Each upstream that ends leaves several requests that never come again.
+TEST_CASE("a whole request is watched from its second crash on") {
+  Fixture fixture;
+  const auto watched = [&fixture] {
+    return fixture.detector.Watched(fixture.table.content()).size();
+  };
+  fixture.Crash(1, {"request-a"}, 1000);
+  fixture.detector.Record(CrashOf(fixture.upstreams, {"request-b"}), At(1000));
+  CHECK(watched() == 0);
+  fixture.Crash(1, {"request-a"}, 2000);
+  CHECK(watched() == 1);
+}
+
 }  // namespace foxquay::quarantine
