Compare policies against crashing requests on simulated fleets

Cause: the simulated fleets knew parts of prompts only. Change: a plain service of three upstreams with requests that crash it and come again, a hot request beside them, the loss of the leader and of racks; the bench compares no memory, each host alone and the fleet. None is refused, nor when upstreams end for other reasons.

--- a/bench/quarantine/main.cc
+++ b/bench/quarantine/main.cc
@@ -26,7 +26,10 @@
 constexpr std::array<const char*, 4> kPolicies{"none", "alone", "route",
                                                "fleet"};
 
-void ComparePolicies() {
+/// With `plain`, one request that crashes a service of three upstreams instead
+/// of a part of prompts.
+void ComparePolicies(bool plain) {
+  std::printf("%s\n", plain ? "plain service" : "model");
   std::printf("hosts policy crashes late max_late sound_begun report_bytes\n");
   for (const Size& size : kSizes) {
     for (std::size_t policy = 0; policy < kPolicies.size(); ++policy) {
@@ -36,6 +39,12 @@
       options.controls = size.controls;
       options.upstreams = size.upstreams;
       options.sound_rate = size.rate;
+      if (plain) {
+        options.plain = true;
+        options.upstreams = 3;
+        options.sound_rate = 8;
+        options.hot_share = 0.5;
+      }
       double crashes = 0;
       double late = 0;
       double begun = 0;
@@ -96,7 +105,8 @@
 }  // namespace foxquay::quarantine
 
 int main() {
-  foxquay::quarantine::ComparePolicies();
+  foxquay::quarantine::ComparePolicies(false);
+  foxquay::quarantine::ComparePolicies(true);
   foxquay::quarantine::MeasureCost();
   return 0;
 }
--- a/tests/foxquay/quarantine/fleet_test.cc
+++ b/tests/foxquay/quarantine/fleet_test.cc
@@ -69,6 +69,56 @@
   CheckBounds([](FleetOptions& options) { options.restart_all = true; });
 }
 
+// A service of three upstreams that is down for seconds whenever one request
+// has ended all of them, a hot request that everybody sends beside it.
+TEST_CASE("a fleet keeps a request that crashes a small service away from it") {
+  CheckBounds([](FleetOptions& options) {
+    options.plain = true;
+    options.upstreams = 3;
+    options.sound_rate = 8;
+    options.hot_share = 0.5;
+  });
+}
+
+TEST_CASE("two requests that crash a small service are known") {
+  CheckBounds([](FleetOptions& options) {
+    options.plain = true;
+    options.upstreams = 3;
+    options.sound_rate = 8;
+    options.hot_share = 0.5;
+    options.bad_parts = 2;
+    options.bad_rate = 4;
+  });
+}
+
+TEST_CASE("a crashing request is known although the leader is lost meanwhile") {
+  CheckBounds([](FleetOptions& options) {
+    options.plain = true;
+    options.upstreams = 3;
+    options.sound_rate = 8;
+    options.lose_leader = true;
+  });
+}
+
+// Of a hot request, several copies run whenever upstreams end.
+TEST_CASE("no request is refused when upstreams end for other reasons") {
+  const bool rack = GENERATE(false, true);
+  for (FleetOptions options : Sizes()) {
+    options.plain = true;
+    options.upstreams = 3;
+    options.bad_rate = 1e-9;
+    options.hot_share = 0.8;
+    options.kills_per_second = rack ? 0 : 0.5;
+    options.rack_loss_interval = rack ? 6 : 0;
+    for (options.seed = 1; options.seed <= kSeeds; ++options.seed) {
+      CAPTURE(rack, options.hosts, options.seed);
+      const FleetResult result = SimulatedFleet(options).Run();
+      CHECK(result.quarantines == 0);
+      CHECK(result.sound_refused == 0);
+    }
+  }
+}
+
 // Upstreams that end for other reasons cut off many requests at their begin.
 TEST_CASE("no part is suspected when upstreams end for other reasons") {
   for (FleetOptions options : Sizes()) {
--- a/tests/foxquay/quarantine/simulated_fleet.cc
+++ b/tests/foxquay/quarantine/simulated_fleet.cc
@@ -32,6 +32,9 @@
 constexpr milliseconds kMinPollInterval{250};
 constexpr double kMaxPollRate = 160;
 constexpr std::size_t kKnownAfterCrashes = 5;
+constexpr std::size_t kRequestKnownAfterCrashes = 3;
+/// Time after which a caller sends a plain request that failed once more.
+constexpr milliseconds kCallerRepeat{200};
 
 /// Time in which hosts reach each other, from the site files.
 core::Duration ContactBound(int hosts) {
@@ -62,6 +65,30 @@
       kMinPollInterval, std::chrono::duration_cast<core::Duration>(shared));
 }
 
+Parts SimulatedFleet::DrawParts(bool bad, Request& request) {
+  if (bad) {
+    request.part =
+        static_cast<int>(random_() % static_cast<unsigned>(options_.bad_parts));
+  }
+  if (options_.plain) {
+    request.workspace = core::WorkspaceId("w");
+    if (bad) return MakeParts({}, "bad-" + std::to_string(request.part));
+    return MakeParts({}, Draw(0, 1) < options_.hot_share
+                             ? "hot"
+                             : std::to_string(requests_.size()));
+  }
+  std::vector<core::PromptPartId> prompt;
+  const int subjects = bad ? options_.bad_subjects : options_.subjects;
+  if (subjects > 0) {
+    const auto subject = random_() % static_cast<std::uint64_t>(subjects);
+    prompt.emplace_back("subject-" + std::to_string(subject));
+    request.workspace = core::WorkspaceId("w" + std::to_string(subject % 3));
+  }
+  if (bad) prompt.emplace_back("bad-" + std::to_string(request.part));
+  prompt.emplace_back("own");
+  return MakeParts(prompt, std::to_string(requests_.size()));
+}
+
 void SimulatedFleet::Arrive(bool bad) {
   const double rate = bad ? options_.bad_rate : options_.sound_rate;
   const std::chrono::duration<double> gap(
@@ -71,18 +98,8 @@
   Request request;
   request.bad = bad;
   request.host = random_() % hosts_.size();
-  const int subjects = bad ? options_.bad_subjects : options_.subjects;
-  if (subjects > 0) {
-    const auto subject = random_() % static_cast<std::uint64_t>(subjects);
-    request.parts.emplace_back("subject-" + std::to_string(subject));
-    request.workspace = core::WorkspaceId("w" + std::to_string(subject % 3));
-  }
-  if (bad) {
-    request.part =
-        static_cast<int>(random_() % static_cast<unsigned>(options_.bad_parts));
-    request.parts.emplace_back("bad-" + std::to_string(request.part));
-    std::sort(request.parts.begin(), request.parts.end());
-  }
+  request.parts = DrawParts(bad, request);
+  request.caller_repeats = options_.plain;
   request.counted = !bad && now_ - core::Instant{} > kRunTime / 2;
   if (request.counted) ++result_.sound;
   requests_.push_back(std::move(request));
@@ -109,15 +126,22 @@
   if (!upstreams_[upstream].alive) return;
   if (request.bad) {
     const std::vector<core::Instant>& crashes = crashes_[request.part];
-    const bool late =
-        crashes.size() >= kKnownAfterCrashes &&
-        now_ - crashes[kKnownAfterCrashes - 1] > ContactBound(options_.hosts);
+    const std::size_t known =
+        options_.plain ? kRequestKnownAfterCrashes : kKnownAfterCrashes;
+    const bool late = crashes.size() >= known &&
+                      now_ - crashes[known - 1] > ContactBound(options_.hosts);
     if (late) ++result_.late;
   }
   request.begun = false;
   request.event = false;
   upstreams_[upstream].requests.insert(index);
   const int incarnation = upstreams_[upstream].incarnation;
+  if (options_.plain) {
+    After(kPrefillTime, [this, index, upstream, incarnation] {
+      Answer(index, upstream, incarnation);
+    });
+    return;
+  }
   After(kPrefillTime, [this, index, upstream, incarnation] {
     Begin(index, upstream, incarnation);
   });
@@ -155,6 +179,10 @@
   request.event = true;
   if (request.counted && request.first_attempt) ++result_.sound_begun;
   hosts_[request.host].recorder.RecordAnswer(kService, request.parts, now_);
+  if (options_.plain) {
+    server.requests.erase(index);
+    return;
+  }
   After(kAnswerTime, [this, index, upstream, incarnation] {
     if (upstreams_[upstream].incarnation == incarnation) {
       upstreams_[upstream].requests.erase(index);
@@ -176,21 +204,34 @@
     After(kCheckTime, [this, index, id, born] {
       Request& request = requests_[index];
       Recorder& recorder = hosts_[request.host].recorder;
-      const bool at_begin = request.begun && !request.event;
-      if (at_begin) {
+      const bool early = !request.event && (request.begun || options_.plain);
+      if (early) {
         recorder.RecordCrash(kService, request.workspace, id, born,
                              request.parts, now_);
       }
-      const bool repeat = options_.policy == Policy::kNone || !at_begin ||
-                          recorder.Trusts(kService, request.parts, now_);
-      if (!request.event && repeat &&
-          std::exchange(request.first_attempt, false)) {
-        Send(index);
-      }
+      Repeat(index, early);
     });
   }
 }
 
+void SimulatedFleet::Repeat(std::size_t index, bool early) {
+  Request& request = requests_[index];
+  if (request.event) return;
+  const Recorder& recorder = hosts_[request.host].recorder;
+  const bool repeat = options_.policy == Policy::kNone || !early ||
+                      recorder.Trusts(kService, request.parts, now_);
+  if (repeat && std::exchange(request.first_attempt, false)) {
+    Send(index);
+    return;
+  }
+  if (!std::exchange(request.caller_repeats, false)) return;
+  After(kCallerRepeat, [this, index] {
+    requests_[index].host = random_() % hosts_.size();
+    requests_[index].first_attempt = true;
+    Send(index);
+  });
+}
+
 void SimulatedFleet::Poll(std::size_t index) {
   After(PollInterval(), [this, index] { Poll(index); });
   Host& host = hosts_[index];
@@ -301,6 +342,13 @@
     End(random_() % upstreams_.size());
   };
   if (options_.kills_per_second > 0) kill();
+  std::function<void()> lose_rack = [this, &lose_rack] {
+    After(std::chrono::duration_cast<core::Duration>(
+              std::chrono::duration<double>(options_.rack_loss_interval)),
+          lose_rack);
+    for (std::size_t each = 0; each < upstreams_.size(); ++each) End(each);
+  };
+  if (options_.rack_loss_interval > 0) After(seconds(5), lose_rack);
   while (events_.top().at - core::Instant{} < kRunTime) {
     Event event = events_.top();
     events_.pop();
--- a/tests/foxquay/quarantine/simulated_fleet.h
+++ b/tests/foxquay/quarantine/simulated_fleet.h
@@ -42,10 +42,16 @@
   /// Subjects that requests with the crashing part begin with; 0 if that part
   /// is the first one.
   int bad_subjects = 5;
-  int bad_parts = 1;            ///< Different crashing parts.
-  double kills_per_second = 0;  ///< Upstreams that end for other reasons.
-  bool restart_all = false;     ///< All hosts restart at 12 s.
-  bool lose_leader = false;     ///< The leader ends at 2.5 s.
+  int bad_parts = 1;  ///< Different crashing parts.
+  /// Requests of a plain service, without parts of prompts: the crashing ones
+  /// are repeats of `bad_parts` requests and end their upstream before the head
+  /// of an answer. Callers repeat what fails once, at another host.
+  bool plain = false;
+  double hot_share = 0;  ///< Of the sound plain requests, those that are alike.
+  double rack_loss_interval = 0;  ///< Seconds between ends of all upstreams.
+  double kills_per_second = 0;    ///< Upstreams that end for other reasons.
+  bool restart_all = false;       ///< All hosts restart at 12 s.
+  bool lose_leader = false;       ///< The leader ends at 2.5 s.
   std::uint64_t seed = 1;
 };
 
@@ -78,6 +84,8 @@
     core::WorkspaceId workspace;
     std::size_t host = 0;
     bool first_attempt = true;
+    bool caller_repeats =
+        false;  ///< Its caller sends it once more if it fails.
     bool counted = false;
     bool begun = false;  ///< The upstream has begun to answer.
     bool event = false;  ///< An event has arrived.
@@ -113,6 +121,9 @@
   double Draw(double low, double high);
   void Arrive(bool bad);
   void Send(std::size_t request);
+  /// Sends a lost request again as its host or its caller decides.
+  void Repeat(std::size_t request, bool early);
+  [[nodiscard]] Parts DrawParts(bool bad, Request& request);
   void Begin(std::size_t request, std::size_t upstream, int incarnation);
   void Answer(std::size_t request, std::size_t upstream, int incarnation);
   void End(std::size_t upstream);
