--- a/tests/platform/scenarios/scenario.cc
+++ b/tests/platform/scenarios/scenario.cc
@@ -21,7 +21,8 @@
 
 Scenario::Scenario(Options options)
     : options_(std::move(options)),
-      cluster_(context_, FOXQUAY_PLATFORM_BINARY),
+      cluster_(context_, FOXQUAY_PLATFORM_BINARY,
+               options_.cuts_hosts ? FOXQUAY_CONNECT_FILTER : ""),
       operator_(context_, checker_, cluster_.ProxyAddresses(true), 1),
       client_(context_) {
   for (std::size_t index = 0; index < options_.models + options_.apps;
@@ -157,14 +158,20 @@
     request.fields.set("X-Prompt-Prefix", parts);
   }
   checker_.RecordSent(id, std::move(record));
-  client_.Send(cluster_.ProxyAddresses(false).at(entry), request,
-               [this, id](unsigned status, const net::Fields& fields,
-                          const std::string& body) {
-                 ++statuses_[status];
-                 if (status == 0) return;
-                 checker_.RecordAnswer(id, status, body,
-                                       fields.count("X-Response-Stamp") != 0);
-               });
+  ++tallies_[entry].sent;
+  client_.Send(
+      cluster_.ProxyAddresses(false).at(entry), request,
+      [this, id, entry, generation = tally_generation_](
+          unsigned status, const net::Fields& fields, const std::string& body) {
+        ++statuses_[status];
+        const bool served = status / 100 == 2;
+        if (served && generation == tally_generation_) {
+          ++tallies_[entry].served;
+        }
+        if (status == 0) return;
+        checker_.RecordAnswer(id, status, body,
+                              fields.count("X-Response-Stamp") != 0);
+      });
 }
 
 void Scenario::SendSame(soak::RequestKind kind, const std::string& target) {
--- a/tests/platform/scenarios/scenario.h
+++ b/tests/platform/scenarios/scenario.h
@@ -33,6 +33,7 @@
     std::string crashing_target = {};
     std::size_t models = 10;  ///< Fake model upstreams.
     std::size_t apps = 0;     ///< Fake upstreams of the plain service.
+    bool cuts_hosts = false;  ///< Hosts can be cut off from the upstreams.
   };
 
   /// A request that reached a fake upstream.
@@ -92,6 +93,21 @@
       soak::RequestKind kind = soak::RequestKind::kStream) const {
     return checker_.served(kind);
   }
+  /// Requests that were sent to one entry host, and those of them that were
+  /// answered with success.
+  struct Tally {
+    unsigned sent = 0;
+    unsigned served = 0;
+  };
+  /// Returns the requests of an entry host since ResetTallies.
+  [[nodiscard]] Tally tally(std::size_t entry) const {
+    const auto found = tallies_.find(entry);
+    return found == tallies_.end() ? Tally() : found->second;
+  }
+  void ResetTallies() {
+    tallies_.clear();
+    ++tally_generation_;
+  }
   /// Returns the answers by status; 0 for those that broke off.
   [[nodiscard]] const std::map<unsigned, unsigned>& statuses() const {
     return statuses_;
@@ -133,6 +149,8 @@
   std::vector<Arrival> arrivals_;
   std::map<std::size_t, std::string> ids_;  ///< Of the fake upstreams.
   std::map<unsigned, unsigned> statuses_;
+  std::map<std::size_t, Tally> tallies_;  ///< By entry host.
+  unsigned tally_generation_ = 0;         ///< Counts resets.
   std::uint64_t incarnations_ = 0;
   std::uint64_t heartbeats_ = 0;
   std::uint64_t next_id_ = 1;
--- a/tests/platform/soak/cluster.cc
+++ b/tests/platform/soak/cluster.cc
@@ -19,8 +19,10 @@
 
 }  // namespace
 
-Cluster::Cluster(boost::asio::io_context& context, std::string binary)
+Cluster::Cluster(boost::asio::io_context& context, std::string binary,
+                 std::string connect_filter)
     : binary_(std::move(binary)),
+      connect_filter_(std::move(connect_filter)),
       peer_port_(PortOf(daemon::FreeAddress())),
       port_(PortOf(daemon::FreeAddress())),
       hosts_(kHosts) {
@@ -84,9 +86,24 @@
 
 void Cluster::Start(std::size_t host) {
   WriteSettings(host, !std::exchange(hosts_[host].started, true), "info");
-  hosts_[host].process.emplace(
-      std::vector<std::string>{binary_, Path(host, ".yaml")},
-      Path(host, ".log"));
+  std::vector<std::string> command;
+  if (!connect_filter_.empty()) {
+    command = {"/usr/bin/env", "LD_PRELOAD=" + connect_filter_,
+               "FOXQUAY_CUT_FILE=" + Path(host, ".cut")};
+  }
+  command.push_back(binary_);
+  command.push_back(Path(host, ".yaml"));
+  hosts_[host].process.emplace(command, Path(host, ".log"));
+}
+
+void Cluster::CutFromUpstreams(std::size_t host, int port) const {
+  const std::string file = Path(host, ".cut.new");
+  std::ofstream(file) << port;
+  std::filesystem::rename(file, Path(host, ".cut"));
+}
+
+void Cluster::ReconnectToUpstreams(std::size_t host) const {
+  std::filesystem::remove(Path(host, ".cut"));
 }
 
 void Cluster::Kill(std::size_t host) { hosts_[host].process.reset(); }
--- a/tests/platform/soak/cluster.h
+++ b/tests/platform/soak/cluster.h
@@ -30,8 +30,10 @@
 /// thread-safe.
 class Cluster {
  public:
-  /// Starts every host; `binary` is the program that they run.
-  Cluster(boost::asio::io_context& context, std::string binary);
+  /// Starts every host; `binary` is the program that they run, and
+  /// `connect_filter` the library for CutFromUpstreams, if it is used.
+  Cluster(boost::asio::io_context& context, std::string binary,
+          std::string connect_filter = "");
   Cluster(const Cluster&) = delete;
   Cluster& operator=(const Cluster&) = delete;
 
@@ -46,6 +48,11 @@
   void Start(std::size_t host);
   /// Kills the process of a host.
   void Kill(std::size_t host);
+  /// Redirects new connections of a host to upstreams to a port on 127.0.0.1,
+  /// or refuses them if it is 0; open connections go on. Precondition: the
+  /// cluster has a connect filter.
+  void CutFromUpstreams(std::size_t host, int port) const;
+  void ReconnectToUpstreams(std::size_t host) const;
   /// Sends a signal; does nothing if the host is not running.
   void Signal(std::size_t host, int number);
   /// Returns the status of waitpid() if a host that was running has exited; the
@@ -77,6 +84,7 @@
                                  const std::string& suffix) const;
 
   std::string binary_;
+  std::string connect_filter_;
   std::string folder_;
   // The same on every host, each with a leading colon.
   std::string peer_port_;
