Pass requests of hosts that are cut off from the upstreams to other hosts

Cause: a host treated each upstream that it did not reach as failed by itself, avoided them all for up to 8 s and refused; it had no other way for a request, went on to be named to callers, and avoided the upstreams after the cut as well. Change: Reachability finds out from new connections and inquiries to others whether the host reaches no upstream of a service; such a request goes to another entry host (Partners: a few, by rendezvous hashing), on a listener of its own, once at most, with the time left and the sends so far. The other host decides as for its own callers, counts its retries and heeds what upstreams state; its answer is final. Hosts that are cut off are named to callers only without others. A cut ends after two inquiries in a row; the failures of its time are forgotten. An upstream that cannot be told from a lost path is not taken for crashed.

--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -18,9 +18,10 @@
 
 schema::HostAddress ControlNode::OwnAddress() const {
   const HostView own = hosts_.Own();
-  return {self_,      observer_.incarnation(), own.peer,
-          own.caller, own.data_centre,         own.region,
-          own.control};
+  return {self_,           observer_.incarnation(),
+          own.peer,        own.caller,
+          own.data_centre, own.region,
+          own.control,     own.partner};
 }
 
 void ControlNode::UpdateParentCandidates() {
@@ -130,7 +131,7 @@
   }
   const core::Instant now = Now();
   roster_.HearHost({poll.address, poll.number, poll.report.draining,
-                    poll.report.admitting, false},
+                    poll.report.admitting, false, poll.report.cut_off},
                    now);
   follower_requests_[from.sender] = {now, poll.report.open_requests};
   detector_.Record(poll.quarantine, now);
--- a/src/foxquay/daemon/control_hosts.cc
+++ b/src/foxquay/daemon/control_hosts.cc
@@ -13,6 +13,7 @@
   view.data_centre = address.data_centre;
   view.region = address.region;
   view.control = address.control;
+  view.partner = address.partner;
 }
 
 }  // namespace internal
@@ -25,6 +26,7 @@
   const bool entry = std::find(roles.begin(), roles.end(),
                                schema::Role::kEntry) != roles.end();
   if (entry) own.caller = settings.listeners.caller;
+  if (entry) own.partner = settings.listeners.partner;
   own.data_centre = settings.host.data_centre;
   own.region = settings.host.region;
   own.control = std::find(roles.begin(), roles.end(), schema::Role::kControl) !=
@@ -42,7 +44,7 @@
   order_.push_back(peer.id);
   internal::SetAddress(entry.view,
                        {peer.id, 0, peer.address, peer.caller, peer.data_centre,
-                        peer.region, peer.control});
+                        peer.region, peer.control, ""});
   return true;
 }
 
@@ -89,6 +91,7 @@
   }
   entry.view.report.draining = state.draining;
   entry.view.report.admitting = state.admitting;
+  entry.view.report.cut_off = state.cut_off;
   entry.view.report.free_percent = 100;
 }
 
@@ -117,7 +120,8 @@
     const HostView& view = entry.view;
     if (control_only && !view.control) continue;
     list.hosts.push_back({id, view.incarnation, view.peer, view.caller,
-                          view.data_centre, view.region, view.control});
+                          view.data_centre, view.region, view.control,
+                          view.partner});
   }
   return list;
 }
@@ -158,6 +162,7 @@
     if (host.caller.empty()) continue;
     converted.push_back({host.id, host.caller, host.data_centre, host.alive,
                          host.report.draining, host.report.admitting,
+                         host.report.cut_off,
                          host.report.free_percent / 100.0});
   }
   return converted;
--- a/src/foxquay/daemon/control_hosts.h
+++ b/src/foxquay/daemon/control_hosts.h
@@ -31,6 +31,7 @@
   std::string caller;  ///< Address of the caller listener; empty without one.
   core::DataCentreId data_centre;
   core::RegionId region;
+  std::string partner;   ///< Address of the listener for requests of hosts.
   bool control = false;  ///< Has the role control.
   bool alive = false;    ///< Has reported within kHostSilence.
   std::uint64_t incarnation = 0;
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -33,6 +33,7 @@
 #include "foxquay/quarantine/bundle.h"
 #include "foxquay/quarantine/detector.h"
 #include "foxquay/relay/limit_pool.h"
+#include "foxquay/relay/partners.h"
 #include "foxquay/relay/retry_pool.h"
 #include "foxquay/roster/roster.h"
 #include "foxquay/schema/peer.h"
@@ -78,6 +79,11 @@
   /// Returns the free share of this host's capacity, 0 to 1.
   std::function<double()> free_capacity;
   std::function<std::size_t()> open_requests;
+  /// Returns whether this host reaches no upstream. May be empty.
+  std::function<bool()> cut_off;
+  /// Takes the other entry hosts that can take requests of this one, when they
+  /// change. May be empty.
+  std::function<void(std::vector<relay::Partner>)> set_partners;
   /// Probes upstreams that are overdue or suspected; the result of each goes to
   /// ControlNode::HandleProbeResult.
   std::function<void(const std::vector<schema::Announcement>&)> probe_upstreams;
@@ -360,6 +366,7 @@
   void PublishAdmission(core::Instant now);
   void PublishRoster(core::Instant now);
   void PublishHosts(core::Instant now);
+  void PublishPartners(const std::vector<HostView>& hosts);
   void SettleClaim(const schema::ControlCommand& command);
   void DecideClaim(core::RequestId request,
                    const core::Result<schema::ControlResult>& result);
@@ -440,6 +447,7 @@
   std::uint64_t published_sequence_ = UINT64_MAX;
   std::optional<dispatch::AdmissionChanged> published_admission_;
   std::vector<schema::Announcement> published_upstreams_;
+  std::vector<relay::Partner> published_partners_;
   std::uint64_t reviewed_changes_ = UINT64_MAX;  ///< Of the roster's upstreams.
   core::Instant next_roster_review_{};
   std::uint64_t followed_changes_ = UINT64_MAX;  ///< Of the roster's hosts.
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -64,6 +64,7 @@
   report.draining = draining_;
   report.admitting =
       observer_.Admit(now).state == control::AdmissionState::kOpen;
+  report.cut_off = sink_.cut_off && sink_.cut_off();
   report.free_percent = static_cast<std::uint8_t>(
       std::clamp(sink_.free_capacity(), 0.0, 1.0) * 100);
   report.open_requests =
@@ -230,6 +231,7 @@
       std::count_if(hosts.begin(), hosts.end(),
                     [](const HostView& host) { return !host.caller.empty(); }));
   if (sink_.set_entry_hosts) sink_.set_entry_hosts(entry_hosts_);
+  PublishPartners(hosts);
   auto shared = std::make_shared<Shared>();
   shared->connected = connected;
   shared->distances = NominalDistances(hosts);
@@ -238,4 +240,20 @@
   shared_.store(std::move(shared));
 }
 
+void ControlNode::PublishPartners(const std::vector<HostView>& hosts) {
+  if (!sink_.set_partners) return;
+  std::vector<relay::Partner> partners;
+  for (const HostView& host : hosts) {
+    const schema::HostReport& report = host.report;
+    const bool takes = host.alive && report.admitting && !report.draining &&
+                       !report.cut_off && host.id != self_;
+    if (takes && !host.partner.empty()) {
+      partners.push_back({host.id, host.partner});
+    }
+  }
+  if (partners == published_partners_) return;
+  published_partners_ = partners;
+  sink_.set_partners(std::move(partners));
+}
+
 }  // namespace foxquay::daemon
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -177,11 +177,14 @@
         Listen("peer", listeners.peer, [&] { return node_.Start(); });
     if (has_entry_role_) {
       proxy_.relay().Start(net::SteadyNow());
-      started = started &&
-                Listen("caller", listeners.caller,
-                       [&] { return proxy_.Listen(listeners.caller); }) &&
-                Listen("ready", listeners.ready,
-                       [&] { return ready_server_.Listen(listeners.ready); });
+      started =
+          started &&
+          Listen("caller", listeners.caller,
+                 [&] { return proxy_.Listen(listeners.caller); }) &&
+          Listen("partner", listeners.partner,
+                 [&] { return proxy_.ListenForPartners(listeners.partner); }) &&
+          Listen("ready", listeners.ready,
+                 [&] { return ready_server_.Listen(listeners.ready); });
     }
     if (has_control_role_) {
       started = started && Listen("upstream", listeners.upstream, [&] {
@@ -251,6 +254,12 @@
       registry_.Add(counter, labels);
     };
     sink.open_requests = [this] { return open_requests_.load(); };
+    sink.cut_off = [this] { return cut_off_.load(); };
+    sink.set_partners = [this](std::vector<relay::Partner> partners) {
+      Post([this, partners = std::move(partners)] {
+        proxy_.SetPartners(settings_.host.id, partners);
+      });
+    };
     sink.retry_usage = [this] {
       const auto usage = retry_usage_.load();
       return usage ? *usage : std::vector<schema::RetryUsage>();
@@ -390,6 +399,7 @@
     if (has_entry_role_) {
       proxy_.Review();
       open_requests_ = proxy_.relay().sent();
+      cut_off_ = proxy_.relay().CutOff();
       retry_usage_ = std::make_shared<const std::vector<schema::RetryUsage>>(
           proxy_.relay().budget().Usage(net::SteadyNow()));
       PublishQuarantineReport();
@@ -460,6 +470,7 @@
   ControlServer control_server_;
   /// Read by the control node's thread.
   std::atomic<std::size_t> open_requests_ = 0;
+  std::atomic<bool> cut_off_ = false;
   std::atomic<std::shared_ptr<const std::vector<schema::RetryUsage>>>
       retry_usage_;
   std::atomic<std::shared_ptr<const TimedReport<schema::QuarantineReport>>>
--- a/src/foxquay/entry/answer.cc
+++ b/src/foxquay/entry/answer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <tuple>
 
 namespace foxquay::entry {
@@ -18,10 +19,13 @@
   for (const Host& host : hosts) {
     if (host.alive && !host.draining) usable.push_back(&host);
   }
-  const auto admits = [](const Host* host) { return host->admitting; };
-  if (std::any_of(usable.begin(), usable.end(), admits)) {
-    std::erase_if(usable, [](const Host* host) { return !host->admitting; });
-  }
+  const auto keep_if_any = [&usable](const auto& condition) {
+    if (std::any_of(usable.begin(), usable.end(), condition)) {
+      std::erase_if(usable, std::not_fn(condition));
+    }
+  };
+  keep_if_any([](const Host* host) { return host->admitting; });
+  keep_if_any([](const Host* host) { return !host->cut_off; });
   return usable;
 }
 
--- a/src/foxquay/entry/answer.h
+++ b/src/foxquay/entry/answer.h
@@ -21,6 +21,7 @@
   bool alive = true;
   bool draining = false;
   bool admitting = true;  ///< Whether it admits requests, e.g. holds a lease.
+  bool cut_off = false;   ///< Whether it reaches no upstream.
   double free = 1;        ///< Free part of its capacity, 0 to 1.
 };
 
@@ -49,11 +50,12 @@
 /// Returns the addresses for a caller in the data centre `caller`, nearest data
 /// centre first. Thread-safe.
 ///
-/// Dead and draining hosts are left out. Hosts that do not admit requests are
-/// listed only if there are no others, so that callers get a refusal with its
-/// reason. For a caller that names no data centre, pass that of the answering
-/// host. Data centres at unknown distances come last, by name. The weight
-/// follows the free capacity and is at least 1.
+/// Dead and draining hosts are left out. Hosts that reach no upstream, and
+/// after them hosts that do not admit requests, are listed only if there are no
+/// others, so that callers get a refusal with its reason. For a caller that
+/// names no data centre, pass that of the answering host. Data centres at
+/// unknown distances come last, by name. The weight follows the free capacity
+/// and is at least 1.
 [[nodiscard]] Answer ChooseAddresses(const std::vector<Host>& hosts,
                                      const core::DataCentreId& caller,
                                      const Distances& distances,
--- a/src/foxquay/gateway/protocol.h
+++ b/src/foxquay/gateway/protocol.h
@@ -39,6 +39,14 @@
   std::optional<std::uint64_t> resume_after;
 };
 
+/// Information that is added to a caller's request when it is passed to another
+/// host, which takes it as if it came from the caller.
+struct RelayingInfo {
+  core::Duration remaining{};  ///< Time left until the request's deadline.
+  /// Id of the last event that the caller has.
+  std::optional<std::uint64_t> resume_after;
+};
+
 /// Information that an upstream's response carries in its head.
 struct ResponseInfo {
   bool not_run = false;  ///< Whether the upstream did not run the request.
@@ -62,8 +70,13 @@
   /// Adds forwarding information to the fields of the caller's request and
   /// removes the caller's key.
   std::function<void(net::Fields&, const ForwardingInfo&)> write_forwarding;
+  /// Adds what another host has to know to the fields of the caller's request.
+  std::function<void(net::Fields&, const RelayingInfo&)> write_relaying;
   std::function<ResponseInfo(unsigned status, const net::Fields&)>
       read_response;
+  /// Removes what an upstream states about itself from the fields of its
+  /// response: it is meant for the host that has sent the request.
+  std::function<void(net::Fields&)> remove_statements;
   std::function<net::Request(const placement::Order&)> write_order;
   /// Reads the outcome of an order from the status of the response.
   std::function<placement::OrderOutcome(unsigned status)> read_order;
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/http/field.hpp>
+#include <charconv>
 #include <utility>
 
 #include "foxquay/core/digest.h"
@@ -45,6 +46,18 @@
   return age ? std::to_string(core::ToMilliseconds(*age)) : std::string();
 }
 
+/// Index of the listener for requests that other hosts pass on.
+constexpr std::size_t kPartnerListener = 1;
+
+/// Returns how often the host that has passed a request on has sent it to
+/// upstreams before.
+unsigned ReadPriorSends(const net::Fields& fields) {
+  const auto value = fields[kPriorSendsField];
+  unsigned sends = 0;
+  (void)std::from_chars(value.data(), value.data() + value.size(), sends);
+  return sends;
+}
+
 /// Digits of a request's digest: 128 bits, which callers cannot make collide.
 constexpr std::size_t kDigestDigits = 32;
 
@@ -103,6 +116,19 @@
   return server_.Listen(address);
 }
 
+std::error_code Proxy::ListenForPartners(const std::string& address) {
+  return server_.Listen(address);
+}
+
+std::string Proxy::partner_address() const {
+  return server_.address(internal::kPartnerListener);
+}
+
+void Proxy::SetPartners(const core::HostId& self,
+                        std::vector<relay::Partner> partners) {
+  relay_.partners().Set(self, std::move(partners));
+}
+
 void Proxy::SetFleet(std::shared_ptr<const fleet::Table> table) {
   const schema::CallerLimits& limits = table->fleet().limits;
   net::ServerLimits bounds;
@@ -121,7 +147,8 @@
 }
 
 void Proxy::SetUpstreams(const std::vector<schema::Announcement>& upstreams) {
-  relay_.upstreams().Set(upstreams, net::SteadyNow());
+  relay_.SetUpstreams(upstreams, net::SteadyNow());
+  Inquire();
 }
 
 void Proxy::SetLease(std::optional<Lease> lease) { lease_ = lease; }
@@ -286,6 +313,11 @@
   context.deadline =
       now + std::min(route.timeout, caller.timeout.value_or(route.timeout));
   context.resume_after = caller.resume_after;
+  context.relayed = request.listener == internal::kPartnerListener;
+  if (context.relayed) {
+    context.prior_sends = internal::ReadPriorSends(request.fields);
+    registry_.Add("foxquay_relayed_total", "direction=\"in\"");
+  }
   if (context.service->engine && caller.work.answer_tokens <= 0) {
     context.work.prompt_tokens = context.service->engine->usual_prompt;
     context.work.answer_tokens = context.service->engine->usual_answer;
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -36,6 +36,10 @@
 inline constexpr core::Duration kIdleReviewInterval =
     std::chrono::milliseconds(50);
 
+/// Field of requests that are passed to another host: how often they have been
+/// sent to upstreams before.
+inline constexpr const char* kPriorSendsField = "Foxquay-Prior-Sends";
+
 /// Leave to use the configuration. All times are of net::LeaseNow.
 struct Lease {
   core::Instant confirmed;  ///< When it was last known to be current.
@@ -64,8 +68,15 @@
         const relay::BudgetOptions& budget, metrics::Registry& registry,
         std::uint64_t seed, SuspectHandler on_suspects);
 
-  /// Binds `IP:PORT` and starts to accept connections; see net::Server::Listen.
+  /// Binds `IP:PORT` and starts to accept callers' connections; see
+  /// net::Server::Listen.
   [[nodiscard]] std::error_code Listen(const std::string& address);
+  /// Binds `IP:PORT` for requests that other hosts pass to this one.
+  /// Precondition: Listen succeeded.
+  [[nodiscard]] std::error_code ListenForPartners(const std::string& address);
+  /// Returns `IP:PORT` of that listener. Precondition: ListenForPartners
+  /// succeeded.
+  [[nodiscard]] std::string partner_address() const;
 
   /// Returns `IP:PORT` of the listener. Precondition: Listen succeeded.
   [[nodiscard]] std::string address() const { return server_.address(); }
@@ -78,6 +89,10 @@
   /// Sets the lease under which requests are admitted; not set if there is
   /// none.
   void SetLease(std::optional<Lease> lease);
+  /// Replaces the other hosts that take requests of this one; `self` is this
+  /// host.
+  void SetPartners(const core::HostId& self,
+                   std::vector<relay::Partner> partners);
   /// Sets the number of hosts that serve callers; 0 counts as 1.
   void SetHosts(std::size_t hosts);
   /// Sets the number of requests that have not ended at any host, this one
@@ -249,6 +264,15 @@
   void FinishCheck(core::RequestId id, unsigned sends, bool crashed);
   /// Handles losses that have waited too long for the result of a probe.
   void ExpireChecks(core::Instant now);
+  /// Sends the inquiries that find out whether this host is cut off.
+  void Inquire();
+  /// Records that a connection to an upstream was opened or not.
+  void RecordInquiry(const core::UpstreamId& upstream, ProbeResult result);
+  /// Logs changes of whether this host reaches the upstreams of services.
+  void ReportPathChanges();
+  /// Returns the request as it is sent to the first hop.
+  [[nodiscard]] net::Request MakeRequest(core::RequestId id,
+                                         const relay::Send& send) const;
   /// Reports an upstream as suspected, at most once in a while.
   void ReportSuspect(const core::UpstreamId& upstream, core::Instant now);
   /// Probes an upstream at which an answer was lost, on a new connection.
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -96,14 +96,7 @@
   Job& job = jobs_.at(id);
   const relay::RequestContext& context = relay_.Context(id);
   const core::Instant now = net::SteadyNow();
-  net::Request request = job.request;
-  net::RemoveHopByHopFields(request.fields);
-  ForwardingInfo offer;
-  offer.remaining = context.deadline - now;
-  offer.workspace = context.workspace;
-  offer.hops = send.hops;
-  offer.resume_after = job.filter ? job.filter->last() : context.resume_after;
-  protocol_.write_forwarding(request.fields, offer);
+  const net::Request request = MakeRequest(id, send);
   job.not_run = false;
   job.streaming = false;
   job.fault_address.clear();
@@ -121,6 +114,16 @@
   job.call =
       client_.Call(send.hops.front().address, net::Serialize(request), options);
   by_call_[*job.call] = id;
+  if (send.to_partner) {
+    registry_.Add("foxquay_relayed_total", "direction=\"out\"");
+    log::Write(log::Level::kInfo, "request_relayed",
+               {{"request", job.caller.id},
+                {"host", send.hops.front().upstream},
+                {"service", context.service->id},
+                {"prior_sends", send.prior_sends},
+                {"left_ms", core::ToMilliseconds(context.deadline - now)}});
+    return;
+  }
   registry_.Add("foxquay_sends_total",
                 "service=\"" + context.service->id.value() + "\"");
   log::Write(log::Level::kInfo, "request_sent",
@@ -132,7 +135,32 @@
               {"parts", quarantine::Format(job.caller.prompt_parts)},
               {"way", internal::FormatPath(send.hops)},
               {"fleet", context.table->version()},
-              {"left_ms", core::ToMilliseconds(offer.remaining)}});
+              {"relayed", context.relayed},
+              {"left_ms", core::ToMilliseconds(context.deadline - now)}});
+}
+
+net::Request Proxy::MakeRequest(core::RequestId id,
+                                const relay::Send& send) const {
+  const Job& job = jobs_.at(id);
+  const relay::RequestContext& context = relay_.Context(id);
+  const core::Duration remaining = context.deadline - net::SteadyNow();
+  const auto resume_after =
+      job.filter ? job.filter->last() : context.resume_after;
+  net::Request request = job.request;
+  net::RemoveHopByHopFields(request.fields);
+  request.fields.erase(kPriorSendsField);
+  if (send.to_partner) {
+    protocol_.write_relaying(request.fields, {remaining, resume_after});
+    request.fields.set(kPriorSendsField, std::to_string(send.prior_sends));
+    return request;
+  }
+  ForwardingInfo info;
+  info.remaining = remaining;
+  info.workspace = context.workspace;
+  info.hops = send.hops;
+  info.resume_after = resume_after;
+  protocol_.write_forwarding(request.fields, info);
+  return request;
 }
 
 void Proxy::Execute(core::RequestId id, const relay::Hold&) {
@@ -198,11 +226,17 @@
 void Proxy::HandleHead(net::CallId call, unsigned status,
                        net::Fields&& fields) {
   Job& job = jobs_.at(by_call_.at(call));
-  const ResponseInfo info = protocol_.read_response(status, fields);
-  if (info.leaving || info.hold_off) RecordWish(call, info);
-  RecordLimit(call, info);
-  job.not_run = info.not_run;
-  job.fault_address = info.fault_address;
+  // What the answer of another host states is meant for that host.
+  if (!relay_.ViaPartner(by_call_.at(call))) {
+    const ResponseInfo info = protocol_.read_response(status, fields);
+    if (info.leaving || info.hold_off) RecordWish(call, info);
+    RecordLimit(call, info);
+    job.not_run = info.not_run;
+    job.fault_address = info.fault_address;
+  }
+  if (relay_.Context(by_call_.at(call)).relayed) {
+    protocol_.remove_statements(fields);
+  }
   job.status = status;
   job.head_at = net::SteadyNow();
   job.streaming = status == 200 && internal::IsEventStream(fields);
@@ -363,7 +397,11 @@
   Job& job = jobs_.at(id);
   const net::ExchangeId exchange = job.exchange;
   const net::Response response = std::move(job.response);
-  if (response.status >= 500) {
+  const bool failed = response.status >= 500;
+  if (failed && relay_.ViaPartner(id)) {
+    // The other host has decided.
+    relay_.Abandon(id);
+  } else if (failed) {
     // If the request is not retried, the upstream's own response is passed on.
     relay::Decision decision = relay_.HandleLoss(
         id, {relay::LossKind::kError, job.fault_address, false},
@@ -431,7 +469,7 @@
               {"begun", job.head_at.has_value()},
               {"event_received", job.event_received},
               {"events", job.filter ? job.filter->passed() : 0}});
-  if (loss.kind == relay::LossKind::kNotSent) {
+  if (loss.kind == relay::LossKind::kNotSent && !relay_.ViaPartner(id)) {
     ReportSuspect(relay_.Path(id).front().upstream, now);
   }
   registry_.Add("foxquay_losses_total",
@@ -445,6 +483,40 @@
     return;
   }
   Apply(id, relay_.HandleLoss(id, loss, now));
+  Inquire();
+}
+
+void Proxy::Inquire() {
+  ReportPathChanges();
+  for (const relay::Hop& hop : relay_.DueInquiries(net::SteadyNow())) {
+    prober_.Probe(hop.upstream, hop.address, false,
+                  [this, upstream = hop.upstream](ProbeResult result) {
+                    RecordInquiry(upstream, result);
+                  });
+  }
+}
+
+void Proxy::RecordInquiry(const core::UpstreamId& upstream,
+                          ProbeResult result) {
+  // A connection that was opened, but not answered, shows neither.
+  if (result == ProbeResult::kSilent) return;
+  const bool reached =
+      result == ProbeResult::kReached || result == ProbeResult::kReplaced;
+  relay_.RecordInquiry(upstream, reached, net::SteadyNow());
+  Inquire();
+}
+
+void Proxy::ReportPathChanges() {
+  for (const relay::PathChange& change : relay_.TakePathChanges()) {
+    log::Write(log::Level::kWarn,
+               change.cut_off ? "upstreams_unreachable" : "upstreams_reachable",
+               {{"service", change.service},
+                {"upstreams", relay_.upstreams().Count(change.service)},
+                {"all_services", relay_.CutOff()}});
+    registry_.Add("foxquay_path_changes_total",
+                  change.cut_off ? "change=\"lost\"" : "change=\"regained\"");
+  }
+  registry_.Set("foxquay_cut_off", relay_.CutOff() ? 1 : 0);
 }
 
 void Proxy::ReportSuspect(const core::UpstreamId& upstream, core::Instant now) {
@@ -474,6 +546,7 @@
                 {"parts", quarantine::Format(suspicion.parts)},
                 {"result", Name(result)},
                 {"crashed", crashed}});
+    RecordInquiry(suspicion.upstream, result);
     if (crashed) {
       const core::Instant now = net::SteadyNow();
       registry_.Add("foxquay_crashes_at_begin_total", "");
@@ -491,7 +564,8 @@
   Job& job = found->second;
   if (job.sends != sends || !job.unchecked_loss) return;
   relay::Loss loss = std::exchange(job.unchecked_loss, std::nullopt)->loss;
-  loss.crashed = crashed;
+  // A host that is cut off cannot tell whether an upstream still runs.
+  loss.crashed = crashed && !relay_.CutOff(relay_.Context(id).service->id);
   Apply(id, relay_.HandleLoss(id, loss, net::SteadyNow()));
 }
 
@@ -525,6 +599,8 @@
 }
 
 core::Duration Proxy::StallTime(core::RequestId id, const Job& job) {
+  // The other host moves the stream.
+  if (relay_.ViaPartner(id)) return core::Duration::max();
   const auto& hops = relay_.Path(id);
   // A silent stream is moved earlier if an upstream on its path is no longer in
   // use.
@@ -567,8 +643,12 @@
   });
   std::vector<core::UpstreamId> suspects;
   for (const auto& [id, job] : jobs_) {
-    if (!job.call ||
-        relay_.Context(id).route->kind != schema::RequestKind::kStream) {
+    if (!job.call || relay_.ViaPartner(id)) continue;
+    if (!job.head_at &&
+        now - job.sent >= internal::kMaxSilenceBeforeFirstEvent) {
+      relay_.RecordSilence(id, now);
+    }
+    if (relay_.Context(id).route->kind != schema::RequestKind::kStream) {
       continue;
     }
     const core::Duration max_silence =
@@ -594,6 +674,7 @@
     prober_.Review(now);
     ExpireChecks(now);
     ReportSuspects(now);
+    Inquire();
     MoveStalledStreams(now);
   }
   if (!pending_.empty()) ReviewPending(now);
--- a/src/foxquay/net/message.h
+++ b/src/foxquay/net/message.h
@@ -1,6 +1,7 @@
 #ifndef FOXQUAY_NET_MESSAGE_H_
 #define FOXQUAY_NET_MESSAGE_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,9 @@
   std::string target;  ///< Path and query as received, not decoded.
   Fields fields;
   std::string body;
+  /// Of a received request, the index of the server's listener, by calls of
+  /// Server::Listen.
+  std::size_t listener = 0;
 };
 
 /// A response; the body is empty if the response is streamed.
--- a/src/foxquay/net/server.cc
+++ b/src/foxquay/net/server.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -52,38 +53,40 @@
   if (error) return error;
   acceptor.listen(internal::kBacklog, error);
   if (error) return error;
-  Accept(acceptor);
+  Accept(acceptor, acceptors_.size() - 1);
   return {};
 }
 
-std::string Server::address() const {
-  const Tcp::endpoint local = acceptors_.front().local_endpoint();
+std::string Server::address(std::size_t listener) const {
+  const Tcp::endpoint local =
+      std::next(acceptors_.begin(), static_cast<std::ptrdiff_t>(listener))
+          ->local_endpoint();
   return local.address().to_string() + ":" + std::to_string(local.port());
 }
 
-void Server::Accept(Tcp::acceptor& acceptor) {
-  acceptor.async_accept(
-      [this, &acceptor](const boost::system::error_code& error,
-                        Tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) return;
-        if (error) {
-          log::Write(log::Level::kWarn, "accept_failed",
-                     {{"error", error.message()}});
-          accept_retry_timer_.expires_after(internal::kAcceptRetryDelay);
-          accept_retry_timer_.async_wait(
-              [this, &acceptor](const boost::system::error_code& ended) {
-                if (!ended && acceptor.is_open()) Accept(acceptor);
-              });
-          return;
-        }
-        SetSocketOptions(socket);
-        const SocketId id(next_socket_++);
-        Connection& connection =
-            connections_.try_emplace(id, std::move(socket)).first->second;
-        connection.wait_start = SteadyNow();
-        HandleReadable(id);
-        if (acceptor.is_open()) Accept(acceptor);
-      });
+void Server::Accept(Tcp::acceptor& acceptor, std::size_t listener) {
+  acceptor.async_accept([this, &acceptor, listener](
+                            const boost::system::error_code& error,
+                            Tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) return;
+    if (error) {
+      log::Write(log::Level::kWarn, "accept_failed",
+                 {{"error", error.message()}});
+      accept_retry_timer_.expires_after(internal::kAcceptRetryDelay);
+      accept_retry_timer_.async_wait(
+          [this, &acceptor, listener](const boost::system::error_code& ended) {
+            if (!ended && acceptor.is_open()) Accept(acceptor, listener);
+          });
+      return;
+    }
+    SetSocketOptions(socket);
+    const SocketId id(next_socket_++);
+    Connection& connection =
+        connections_.try_emplace(id, std::move(socket), listener).first->second;
+    connection.wait_start = SteadyNow();
+    HandleReadable(id);
+    if (acceptor.is_open()) Accept(acceptor, listener);
+  });
 }
 
 void Server::WaitRead(SocketId id) {
@@ -148,6 +151,7 @@
   request.target = message.target().to_string();
   request.body = std::move(message.body());
   request.fields = std::move(message.base());
+  request.listener = connection.listener;
   handlers_.request(exchange, std::move(request));
 }
 
--- a/src/foxquay/net/server.h
+++ b/src/foxquay/net/server.h
@@ -57,11 +57,11 @@
   /// times. Returns Error::kInvalid for another form, or the system's error.
   [[nodiscard]] std::error_code Listen(const std::string& address);
 
-  /// Returns `IP:PORT` of the first listener, with the actual port if it was
-  /// bound to port 0.
+  /// Returns `IP:PORT` of a listener, by calls of Listen, with the actual port
+  /// if it was bound to port 0.
   ///
-  /// Precondition: Listen succeeded.
-  [[nodiscard]] std::string address() const;
+  /// Precondition: that call of Listen succeeded.
+  [[nodiscard]] std::string address(std::size_t listener = 0) const;
 
   /// Sets the limits: sizes for requests that begin later, timeouts at once.
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
@@ -94,8 +94,10 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   struct Connection {
-    explicit Connection(Tcp::socket accepted) : socket(std::move(accepted)) {}
+    Connection(Tcp::socket accepted, std::size_t index)
+        : socket(std::move(accepted)), listener(index) {}
     Tcp::socket socket;
+    std::size_t listener;
     std::string in;
     std::string out;
     std::optional<Parser> parser;
@@ -107,7 +109,7 @@
     bool close_when_sent = false;
   };
 
-  void Accept(Tcp::acceptor& acceptor);
+  void Accept(Tcp::acceptor& acceptor, std::size_t listener);
   void WaitRead(SocketId id);
   void WaitWrite(SocketId id);
   void HandleReadable(SocketId id);
--- a/src/foxquay/relay/decision.h
+++ b/src/foxquay/relay/decision.h
@@ -32,6 +32,15 @@
   core::Instant deadline;  ///< Earlier of the caller's and the route's limit.
   /// Id of the last event that the caller has.
   std::optional<std::uint64_t> resume_after;
+  /// Another host that reaches no upstream has passed it to this one.
+  bool relayed = false;
+  unsigned prior_sends = 0;  ///< That host's sends that reached upstreams.
+};
+
+/// A change of whether this host reaches the upstreams of a service.
+struct PathChange {
+  core::ServiceId service;
+  bool cut_off = false;
 };
 
 /// Send the request along a path.
@@ -41,6 +50,9 @@
   /// Whether an idle connection may be reused. If a reused connection is lost,
   /// it is unknown whether the request has run.
   bool reuse_connection = true;
+  /// The only hop is another entry host, which sends it to an upstream.
+  bool to_partner = false;
+  unsigned prior_sends = 0;  ///< Sends that reached upstreams before.
 };
 
 /// Keep the request waiting until a later decision.
--- a/src/foxquay/relay/fwd.h
+++ b/src/foxquay/relay/fwd.h
@@ -10,6 +10,8 @@
 class LimitPool;
 class RateLimits;
 class EventFilter;
+class Partners;
+class Reachability;
 struct RequestContext;
 
 }  // namespace foxquay::relay
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -68,7 +68,11 @@
 }
 
 Relay::Relay(const BudgetOptions& budget, std::uint64_t seed)
-    : upstreams_(seed), budget_(budget), random_(seed) {}
+    : upstreams_(seed),
+      reachability_(seed),
+      partners_(seed),
+      budget_(budget),
+      random_(seed) {}
 
 void Relay::SetHosts(std::size_t hosts, core::Instant now) {
   upstreams_.SetHosts(std::max<std::size_t>(hosts, 1));
@@ -84,7 +88,12 @@
                        core::Instant now) {
   State& state = requests_[id];
   state.context = std::move(context);
-  budget_.CountRequest(state.context.service->id, now);
+  state.sends = state.context.prior_sends;
+  state.may_have_run = state.sends > 0;
+  // The host that the caller sent it to has counted it.
+  if (!state.context.relayed) {
+    budget_.CountRequest(state.context.service->id, now);
+  }
   upstreams_.limits().CountRequest(state.context.service->id, now);
   return Route(id, state, now);
 }
@@ -96,6 +105,13 @@
     return HoldOrGiveUp(id, state, "budget of repeated sends is spent", now);
   }
   state.awaits_budget = false;
+  if (LacksPath(state, now)) {
+    if (const auto send = PassToPartner(state, now)) return *send;
+    if (reachability_.CutOff(context.service->id) && !state.answer_begun) {
+      return GiveUp(id, "no upstream can be reached",
+                    internal::kUnavailableRetryAfter, now);
+    }
+  }
   if (AwaitsLeave(state, now)) {
     if (!state.held) BeginHold(state, now);
     return Hold{};
@@ -154,8 +170,8 @@
   const RequestContext& context = state.context;
   const bool lost =
       loss.kind == LossKind::kCut || loss.kind == LossKind::kUnanswered;
-  const bool possible =
-      lost && loss.early && !context.parts.empty() && !state.hops.empty();
+  const bool possible = lost && loss.early && !context.parts.empty() &&
+                        !state.hops.empty() && !state.partner;
   if (!possible) return std::nullopt;
   const Hop& first = state.hops.front();
   return Suspicion{context.name,      context.service->id,
@@ -257,6 +273,7 @@
 
 std::optional<Send> Relay::Move(core::RequestId id, core::Instant now) {
   State& state = requests_.at(id);
+  if (state.partner) return std::nullopt;
   const RequestContext& context = state.context;
   const bool movable = internal::Repeatable(*context.route) &&
                        !state.hops.empty() &&
@@ -298,6 +315,7 @@
 Decision Relay::HandleLoss(core::RequestId id, const Loss& loss,
                            core::Instant now) {
   State& state = requests_.at(id);
+  if (state.partner) return HandlePartnerLoss(id, loss, now);
   const std::vector<Hop> hops = state.hops;
   Release(state);
   if (hops.empty()) return Hold{};
@@ -307,6 +325,7 @@
   if (loss.kind == LossKind::kNotSent) {
     ++state.unsent;
     upstreams_.RecordFailure(hops.front().upstream, now);
+    RecordInquiry(hops.front().upstream, false, now);
   } else {
     ++state.sends;
     RecordAttempt(state, loss.kind, hops.front().upstream, fault);
@@ -314,6 +333,9 @@
     AttributeLoss(loss.kind, fault, hops, now);
   }
   if (!MayRetry(state, loss, now)) {
+    if (loss.kind == LossKind::kNotSent) {
+      if (const auto send = PassToPartner(state, now)) return *send;
+    }
     return GiveUp(id, std::string("send ended: ") + Name(loss.kind),
                   internal::kFailedSendRetryAfter, now);
   }
@@ -424,6 +446,8 @@
 }
 
 void Relay::Release(State& state) {
+  if (state.partner) partners_.End(*state.partner);
+  state.partner.reset();
   upstreams_.End(state.hops, state.context.work);
   state.hops.clear();
 }
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -15,6 +15,8 @@
 #include "foxquay/quarantine/gate.h"
 #include "foxquay/quarantine/recorder.h"
 #include "foxquay/relay/decision.h"
+#include "foxquay/relay/partners.h"
+#include "foxquay/relay/reachability.h"
 #include "foxquay/relay/retry_budget.h"
 #include "foxquay/relay/upstreams.h"
 
@@ -36,6 +38,32 @@
   Relay(const BudgetOptions& budget, std::uint64_t seed);
 
   [[nodiscard]] Upstreams& upstreams() noexcept { return upstreams_; }
+  /// Replaces the upstreams in use.
+  void SetUpstreams(const std::vector<schema::Announcement>& announcements,
+                    core::Instant now);
+  /// Returns the hosts to which requests are passed that this host can send to
+  /// no upstream.
+  [[nodiscard]] Partners& partners() noexcept { return partners_; }
+  /// Records the result of an inquiry, or another attempt to connect.
+  void RecordInquiry(const core::UpstreamId& upstream, bool reached,
+                     core::Instant now);
+  /// Records that the current send of a request has been silent for long.
+  /// Precondition: the request is known.
+  void RecordSilence(core::RequestId id, core::Instant now);
+  /// Returns the upstreams that are to be inquired on new connections now; the
+  /// results go to RecordInquiry.
+  [[nodiscard]] std::vector<Hop> DueInquiries(core::Instant now);
+  /// Returns the changes of whether services are reached since the last call.
+  [[nodiscard]] std::vector<PathChange> TakePathChanges();
+  /// Returns whether this host reaches no upstream of any service.
+  [[nodiscard]] bool CutOff() const { return reachability_.CutOffFromAll(); }
+  /// Returns whether this host reaches no upstream of a service.
+  [[nodiscard]] bool CutOff(const core::ServiceId& service) const {
+    return reachability_.CutOff(service);
+  }
+  /// Returns whether the current send of a request goes to another host.
+  /// Precondition: the request is known.
+  [[nodiscard]] bool ViaPartner(core::RequestId id) const;
   /// Reduces the retry budget after the start of the process, see RetryBudget.
   void Start(core::Instant now) { budget_.Start(now); }
   /// Sets the number of hosts that serve callers; 0 counts as 1.
@@ -144,12 +172,23 @@
     core::Instant hold_deadline;  ///< When a held request is given up.
     /// When it began to wait for leave to use limited upstreams.
     std::optional<core::Instant> leave_asked_at;
-    bool probe = false;  ///< Sent in spite of a quarantine.
+    bool probe = false;                   ///< Sent in spite of a quarantine.
+    std::optional<core::HostId> partner;  ///< That has its current send.
+    std::vector<core::HostId> partners_tried;
   };
 
   /// Sends the request along a path, or holds it or gives it up if there is
   /// none.
   Decision Route(core::RequestId id, State& state, core::Instant now);
+  /// Returns whether this host has no path to the upstreams of the request's
+  /// service, which other hosts may have.
+  [[nodiscard]] bool LacksPath(const State& state, core::Instant now) const;
+  /// Passes the request to another host; nothing if there is none, or if it has
+  /// come from one.
+  std::optional<Send> PassToPartner(State& state, core::Instant now);
+  /// Decides what follows the loss of a request that another host had.
+  Decision HandlePartnerLoss(core::RequestId id, const Loss& loss,
+                             core::Instant now);
   /// Returns the refusal of a request whose prompt is in quarantine, unless it
   /// is sent as a probe.
   std::optional<Decision> RefuseQuarantined(core::RequestId id, State& state,
@@ -200,6 +239,9 @@
   [[nodiscard]] core::Duration AddJitter(core::Duration duration);
 
   Upstreams upstreams_;
+  Reachability reachability_;
+  Partners partners_;
+  std::vector<PathChange> path_changes_;
   quarantine::Gate gate_;
   quarantine::Recorder recorder_;
   bool quarantines_changed_ = false;
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -80,6 +80,7 @@
     if (restarted) {
       entry.consecutive_failures = 0;
       entry.avoid_until = {};
+      entry.failed_until = {};
       entry.left_at.reset();
       entry.hold_off_until = {};
       entry.latency = {};
@@ -418,6 +419,7 @@
   ++changes_;
   entry.avoid_until = std::max(
       entry.avoid_until, now + internal::kInitialAvoidance * (1 << doublings));
+  entry.failed_until = entry.avoid_until;
 }
 
 void Upstreams::RecordLatency(const core::UpstreamId& upstream,
@@ -509,6 +511,45 @@
   }
 }
 
+bool Upstreams::AllFailed(const core::ServiceId& service,
+                          core::Instant now) const {
+  std::size_t first_hops = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.present || entry.announcement.service != service) continue;
+    const placement::Range layers = placement::HeldLayers(entry.announcement);
+    const bool chained = entry.announcement.kind == "model";
+    if (chained && (layers.empty() || layers.first != 0)) continue;
+    if (now >= entry.failed_until) return false;
+    ++first_hops;
+  }
+  return first_hops > 0;
+}
+
+void Upstreams::ForgetFailures(const core::ServiceId& service) {
+  ++changes_;
+  for (auto& [id, entry] : entries_) {
+    if (entry.announcement.service != service) continue;
+    if (entry.avoid_until <= entry.failed_until) entry.avoid_until = {};
+    entry.failed_until = {};
+    entry.consecutive_failures = 0;
+    entry.deprioritized_until = {};
+  }
+}
+
+std::optional<core::ServiceId> Upstreams::FindService(
+    const core::UpstreamId& upstream) const {
+  const auto found = entries_.find(upstream);
+  if (found == entries_.end() || !found->second.present) return std::nullopt;
+  return found->second.announcement.service;
+}
+
+std::optional<std::string> Upstreams::FindAddress(
+    const core::UpstreamId& upstream) const {
+  const auto found = entries_.find(upstream);
+  if (found == entries_.end() || !found->second.present) return std::nullopt;
+  return found->second.announcement.address;
+}
+
 std::size_t Upstreams::Count(const core::ServiceId& service) const {
   return static_cast<std::size_t>(
       std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -126,6 +126,18 @@
 
   /// Returns the number of upstreams of a service that are in use.
   [[nodiscard]] std::size_t Count(const core::ServiceId& service) const;
+  /// Returns whether every upstream of a service, or every first hop of its
+  /// chains, is avoided because it failed; false if there is none.
+  [[nodiscard]] bool AllFailed(const core::ServiceId& service,
+                               core::Instant now) const;
+  /// Forgets the failures of the upstreams of a service.
+  void ForgetFailures(const core::ServiceId& service);
+  /// Returns the service of an upstream, if it is in use.
+  [[nodiscard]] std::optional<core::ServiceId> FindService(
+      const core::UpstreamId& upstream) const;
+  /// Returns the address of an upstream, if it is in use.
+  [[nodiscard]] std::optional<std::string> FindAddress(
+      const core::UpstreamId& upstream) const;
   /// Returns whether an upstream is in use.
   [[nodiscard]] bool Known(const core::UpstreamId& upstream) const;
   /// Returns the start time of an upstream; the epoch if it is unknown.
@@ -143,6 +155,7 @@
     double tokens = 0;          ///< Tokens of these requests.
     StageLoad mixed;            ///< Load from all hosts according to the mix.
     int consecutive_failures = 0;
+    core::Instant failed_until;  ///< Avoided because it failed.
     LatencyTracker latency;
     core::Instant last_possible_failure;
     core::Instant avoid_until;  ///< Not used before.
--- a/src/foxquay/schema/peer.h
+++ b/src/foxquay/schema/peer.h
@@ -117,6 +117,7 @@
 struct HostReport {
   bool draining = false;   ///< Whether callers are no longer directed to it.
   bool admitting = false;  ///< Whether it accepts requests.
+  bool cut_off = false;    ///< Whether it reaches no upstream.
   std::uint8_t free_percent = 0;  ///< Share of its capacity that is free.
   std::uint32_t open_requests =
       0;  ///< Requests that have not ended; of a host that others follow, those
@@ -131,6 +132,7 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(draining);
     archive(admitting);
+    archive(cut_off);
     archive(free_percent);
     archive(open_requests);
     archive(revision);
--- a/src/foxquay/schema/roster.h
+++ b/src/foxquay/schema/roster.h
@@ -46,6 +46,8 @@
   core::DataCentreId data_centre;  ///< Its data centre.
   core::RegionId region;           ///< Its region.
   bool control = false;            ///< Whether it holds a replica of the log.
+  std::string partner;  ///< Listener for requests that other hosts pass on;
+                        ///< empty without one.
 
   friend bool operator==(const HostAddress&, const HostAddress&) = default;
 
@@ -58,6 +60,7 @@
     archive(data_centre);
     archive(region);
     archive(control);
+    archive(Bound(partner, 64));
   }
 };
 
@@ -69,6 +72,7 @@
   bool draining = false;     ///< Whether callers are no longer directed to it.
   bool admitting = false;    ///< Whether it accepts requests.
   bool silent = false;       ///< Whether it has not reported for some time.
+  bool cut_off = false;      ///< Whether it reaches no upstream.
 
   friend bool operator==(const HostState&, const HostState&) = default;
 
@@ -79,6 +83,7 @@
     archive(draining);
     archive(admitting);
     archive(silent);
+    archive(cut_off);
   }
 };
 
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -43,6 +43,8 @@
       directory;  ///< Gateway callers that ask which addresses to connect to.
   std::string ready;    ///< Readiness checks of a host that serves callers.
   std::string metrics;  ///< Metrics in the Prometheus text format.
+  std::string partner;  ///< Requests of callers that other hosts pass to this
+                        ///< one because they reach no upstream.
 
   friend bool operator==(const ListenerSettings&,
                          const ListenerSettings&) = default;
--- a/src/foxquay/settings/difference_generated.cc
+++ b/src/foxquay/settings/difference_generated.cc
@@ -53,6 +53,9 @@
   if (before.metrics != after.metrics) {
     Add(differences, path + "metrics", false);
   }
+  if (before.partner != after.partner) {
+    Add(differences, path + "partner", false);
+  }
 }
 
 void Compare(const schema::JoinSettings& before,
--- a/src/foxquay/settings/reader_generated.cc
+++ b/src/foxquay/settings/reader_generated.cc
@@ -42,6 +42,7 @@
                               "directory",
                               "ready",
                               "metrics",
+                              "partner",
                           });
   section.Field("caller", Presence::kRequired,
                 [&](Reader& child) { child.ReadAddress(value.caller); });
@@ -57,6 +58,8 @@
                 [&](Reader& child) { child.ReadAddress(value.ready); });
   section.Field("metrics", Presence::kOptional,
                 [&](Reader& child) { child.ReadAddress(value.metrics); });
+  section.Field("partner", Presence::kOptional,
+                [&](Reader& child) { child.ReadAddress(value.partner); });
 }
 
 void Read(Reader& reader, schema::JoinSettings& value) {
--- a/tests/foxquay/entry/answer_test.cc
+++ b/tests/foxquay/entry/answer_test.cc
@@ -80,6 +80,17 @@
   CHECK(answer.ttl == seconds(5));
 }
 
+TEST_CASE("callers are sent to hosts that are cut off only without others") {
+  std::vector<Host> hosts{Make("h1", "osborne"), Make("h2", "osborne"),
+                          Make("h3", "welshpool")};
+  hosts[0].cut_off = true;
+  CHECK(ChosenHosts(hosts) == std::vector<std::string>{"h2", "h3"});
+  // One that admits no requests serves nobody, one that is cut off may.
+  hosts[1].admitting = false;
+  hosts[2].draining = true;
+  CHECK(ChosenHosts(hosts) == std::vector<std::string>{"h1"});
+}
+
 // Guards against answers that grow with the fleet, and against cutting a data
 // centre short, which would leave its last hosts without work.
 TEST_CASE("an answer lists whole data centres until it has enough addresses") {
--- a/tests/platform/soak/cluster.cc
+++ b/tests/platform/soak/cluster.cc
@@ -24,6 +24,7 @@
     : binary_(std::move(binary)),
       connect_filter_(std::move(connect_filter)),
       peer_port_(PortOf(daemon::FreeAddress())),
+      partner_port_(PortOf(daemon::FreeAddress())),
       port_(PortOf(daemon::FreeAddress())),
       hosts_(kHosts) {
   std::string name = "/tmp/foxquay-soak-XXXXXX";
@@ -57,7 +58,8 @@
       << (control ? ", data_folder: " + Path(host, "-data") : "") << "}\n"
       << "listeners: {caller: \"" << (control ? unused : ip + port_)
       << "\", upstream: \"" << (control ? ip + port_ : ip + ":2")
-      << "\", admin: \"127.0.0.1:1\", peer: \"" << ip << peer_port_ << "\"}\n"
+      << "\", admin: \"127.0.0.1:1\", peer: \"" << ip << peer_port_ << "\""
+      << (control ? "" : ", partner: \"" + ip + partner_port_ + "\"") << "}\n"
       << "join: {seeds: [";
   for (std::size_t seed = 0; seed < kControlHosts; ++seed) {
     out << (seed == 0 ? "" : ", ") << "\"127.0.1." << seed + 1 << port_ << "\"";
--- a/tests/platform/soak/cluster.h
+++ b/tests/platform/soak/cluster.h
@@ -88,6 +88,7 @@
   std::string folder_;
   // The same on every host, each with a leading colon.
   std::string peer_port_;
+  std::string partner_port_;
   std::string port_;  ///< Of the caller or upstream listener.
   std::list<Proxy> proxies_;
   std::vector<Host> hosts_;
