Take an upstream that was reached as a sign of a path for a second

Cause: after one series of inquiries the next one waits a second; failures of several upstreams of one rack in that time added up to a cut. Change: failures within a second after an upstream was reached do not count. Measured: the new test fails without the change (cut off after three of six failures).

--- a/src/foxquay/relay/reachability.cc
+++ b/src/foxquay/relay/reachability.cc
@@ -53,7 +53,9 @@
   const bool known =
       std::find(service.upstreams.begin(), service.upstreams.end(), upstream) !=
       service.upstreams.end();
-  if (!known) return;
+  const bool has_path = !service.cut_off && service.reached_at &&
+                        now - *service.reached_at < kInquiryInterval;
+  if (!known || has_path) return;
   service.unreachable[upstream] = now;
   service.reached.clear();
   Review(service, now);
@@ -76,10 +78,12 @@
 }
 
 void Reachability::RecordReached(const core::ServiceId& id,
-                                 const core::UpstreamId& upstream) {
+                                 const core::UpstreamId& upstream,
+                                 core::Instant now) {
   const auto found = services_.find(id);
   if (found == services_.end()) return;
   Service& service = found->second;
+  service.reached_at = now;
   if (!service.cut_off) {
     service.unreachable.clear();
     return;
--- a/src/foxquay/relay/reachability.h
+++ b/src/foxquay/relay/reachability.h
@@ -29,7 +29,8 @@
 inline constexpr core::Duration kCutInquiryInterval =
     std::chrono::milliseconds(500);
 
-/// Minimum interval between two series of inquiries after a failed connection.
+/// Minimum interval between two series of inquiries after a failed connection;
+/// for that time, an upstream that was reached shows that there is a path.
 inline constexpr core::Duration kInquiryInterval =
     std::chrono::milliseconds(1000);
 
@@ -53,7 +54,7 @@
                          const core::UpstreamId& upstream, core::Instant now);
   /// Records that an upstream answered on a new connection.
   void RecordReached(const core::ServiceId& service,
-                     const core::UpstreamId& upstream);
+                     const core::UpstreamId& upstream, core::Instant now);
   /// Records that a request sent to an upstream is silent for long, which leads
   /// to an inquiry.
   void RecordSilence(const core::ServiceId& service,
@@ -75,9 +76,10 @@
     /// When a connection to each failed last; none of them was reached since.
     std::map<core::UpstreamId, core::Instant> unreachable;
     bool cut_off = false;
-    std::set<core::UpstreamId> reached;  ///< During the cut.
-    std::vector<core::UpstreamId> due;   ///< To be inquired at once.
-    core::Instant next_inquiry;          ///< Of a cut, or the next series.
+    std::set<core::UpstreamId> reached;       ///< During the cut.
+    std::optional<core::Instant> reached_at;  ///< When one was reached last.
+    std::vector<core::UpstreamId> due;        ///< To be inquired at once.
+    core::Instant next_inquiry;               ///< Of a cut, or the next series.
   };
 
   /// Adds up to `count` upstreams that are not known to be unreachable to those
--- a/src/foxquay/relay/relay_partners.cc
+++ b/src/foxquay/relay/relay_partners.cc
@@ -29,7 +29,7 @@
   if (!service) return;
   const bool former = reachability_.CutOff(*service);
   if (reached) {
-    reachability_.RecordReached(*service, upstream);
+    reachability_.RecordReached(*service, upstream, now);
   } else {
     reachability_.RecordUnreachable(*service, upstream, now);
   }
--- a/tests/foxquay/relay/reachability_test.cc
+++ b/tests/foxquay/relay/reachability_test.cc
@@ -38,7 +38,7 @@
                      bool reached, core::Instant now) {
   for (const core::UpstreamId& upstream : reachability.DueInquiries(now)) {
     if (reached) {
-      reachability.RecordReached(service, upstream);
+      reachability.RecordReached(service, upstream, now);
     } else {
       reachability.RecordUnreachable(service, upstream, now);
     }
@@ -67,11 +67,28 @@
     const core::Instant now = At(1000 * second);
     reachability.RecordUnreachable(kModel, Upstream(11 + second), now);
     CHECK(reachability.DueInquiries(now).size() == 2);
-    reachability.RecordReached(kModel, Upstream(11 + (second + 1) % 8));
+    reachability.RecordReached(kModel, Upstream(11 + (second + 1) % 8), now);
     CHECK_FALSE(reachability.CutOff(kModel));
   }
 }
 
+// A rack of upstreams ends, and sends meet several of them in a row.
+TEST_CASE("an upstream that was reached shows that there is a path") {
+  Reachability reachability = MakeReachability();
+  reachability.RecordUnreachable(kModel, Upstream(11), At(0));
+  (void)reachability.DueInquiries(At(0));
+  reachability.RecordReached(kModel, Upstream(18), At(2));
+  for (int number = 12; number <= 17; ++number) {
+    reachability.RecordUnreachable(kModel, Upstream(number), At(10 * number));
+  }
+  CHECK_FALSE(reachability.CutOff(kModel));
+  // A cut that begins now is found out after the interval.
+  const core::Instant later = At(2) + kInquiryInterval;
+  reachability.RecordUnreachable(kModel, Upstream(11), later);
+  AnswerInquiries(reachability, kModel, false, later);
+  CHECK(reachability.CutOff(kModel));
+}
+
 TEST_CASE("failures that are long ago do not add up to a cut") {
   Reachability reachability = MakeReachability();
   for (int count = 0; count < 8; ++count) {
@@ -101,7 +118,7 @@
   CHECK(reachability.DueInquiries(At(100)).empty());
   auto due = reachability.DueInquiries(At(600));
   REQUIRE(due.size() == 1);
-  reachability.RecordReached(kApp, due.front());
+  reachability.RecordReached(kApp, due.front(), At(600));
   CHECK(reachability.CutOff(kApp));
   auto second = reachability.DueInquiries(At(601));
   REQUIRE(second.size() == 1);
@@ -121,8 +138,8 @@
   REQUIRE(reachability.CutOff(kApp));
   reachability.Set({{kApp, {Upstream(4), Upstream(5)}}});
   CHECK(reachability.DueInquiries(At(10)).size() >= 2);
-  reachability.RecordReached(kApp, Upstream(4));
-  reachability.RecordReached(kApp, Upstream(5));
+  reachability.RecordReached(kApp, Upstream(4), At(11));
+  reachability.RecordReached(kApp, Upstream(5), At(11));
   CHECK_FALSE(reachability.CutOff(kApp));
   reachability.Set({});
   CHECK_FALSE(reachability.CutOffFromAll());
