--- a/src/foxquay/daemon/control_replica.cc
+++ b/src/foxquay/daemon/control_replica.cc
@@ -1,5 +1,6 @@
 #include "foxquay/daemon/control_replica.h"
 
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -8,6 +9,44 @@
 #include "foxquay/log/log.h"
 
 namespace foxquay::daemon {
+namespace internal {
+
+/// Formats replicas for logs: `HOST/INCARNATION`, separated by commas.
+std::string Format(const std::vector<schema::ReplicaId>& replicas) {
+  std::string text;
+  for (const schema::ReplicaId& replica : replicas) {
+    if (!text.empty()) text += ',';
+    text += replica.host.value() + "/" + std::to_string(replica.incarnation);
+  }
+  return text;
+}
+
+void LogMembers(const schema::Configuration& members) {
+  log::Write(log::Level::kInfo, "replica_members",
+             {{"voters", Format(members.voters)},
+              {"previous", Format(members.previous)}});
+}
+
+/// Logs messages of elections, which are rare.
+void LogVote(const consensus::Send& send) {
+  if (const auto* request = std::get_if<schema::VoteRequest>(&send.message)) {
+    log::Write(log::Level::kInfo, "vote_requested",
+               {{"of", send.to},
+                {"pre", request->pre},
+                {"term", request->header.term},
+                {"last_index", request->last_index},
+                {"last_term", request->last_term}});
+  } else if (const auto* reply =
+                 std::get_if<schema::VoteReply>(&send.message)) {
+    log::Write(log::Level::kInfo, "vote_answered",
+               {{"to", send.to},
+                {"pre", reply->pre},
+                {"granted", reply->granted},
+                {"term", reply->header.term}});
+  }
+}
+
+}  // namespace internal
 
 core::Result<control::State> RestoreState(
     const consensus::PersistentState& durable) {
@@ -22,7 +61,9 @@
     : output_(std::move(output)),
       lease_(lease),
       state_(RestoreState(durable).value()),
-      replica_(std::move(options), std::move(durable), now) {}
+      replica_(std::move(options), std::move(durable), now) {
+  internal::LogMembers(replica_.configuration());
+}
 
 void ControlReplica::Handle(const consensus::Event& event, core::Instant now) {
   events_.push_back(event);
@@ -56,6 +97,7 @@
 }
 
 void ControlReplica::Perform(consensus::Send&& action, core::Instant) {
+  internal::LogVote(action);
   output_.send(action.to, action.message);
 }
 
@@ -114,7 +156,10 @@
   if (leads()) tracker_.emplace(state_.config(), now, lease_);
 }
 
-void ControlReplica::Perform(consensus::MembersChanged&&, core::Instant) {}
+void ControlReplica::Perform(consensus::MembersChanged&& action,
+                             core::Instant) {
+  internal::LogMembers(action.configuration);
+}
 
 void ControlReplica::Perform(consensus::TakeSnapshot&&, core::Instant now) {
   Handle(consensus::SnapshotTaken{state_.index(), state_.Snapshot()}, now);
