--- a/bench/quarantine/main.cc
+++ b/bench/quarantine/main.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <string>
 
+#include "foxquay/core/digest.h"
 #include "simulated_fleet.h"
 
 namespace foxquay::quarantine {
@@ -98,6 +99,20 @@
               }));
   std::printf("report without evidence ns %.0f\n",
               Time([&](int) { found += recorder.Report(now).crashes.size(); }));
+  for (const std::size_t size : {std::size_t{4096}, std::size_t{4} << 20U}) {
+    const std::string body(size, 'x');
+    found += core::Digest({body}).size();  // Loads the algorithm.
+    const auto start = std::chrono::steady_clock::now();
+    constexpr int kDigests = 20;
+    for (int count = 0; count < kDigests; ++count) {
+      found +=
+          core::Digest({"workspace", "host", "POST", "/path", body}).size();
+    }
+    const std::chrono::duration<double, std::micro> total =
+        std::chrono::steady_clock::now() - start;
+    std::printf("digest of %zu bytes us %.1f\n", size,
+                total.count() / kDigests);
+  }
   std::printf("found %zu\n", found);
 }
 
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -209,6 +209,7 @@
               {"status", status},
               {"sends", job.sends},
               {"events", job.filter ? job.filter->passed() : 0},
+              {"digest", job.digest},
               {"total_ms", core::ToMilliseconds(total)},
               {"reason", std::string(reason)}});
 }
