--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -1,4 +1,4 @@
-// Sends of requests, their responses, and stalled streams.
+// Sends of requests and their responses.
 #include <algorithm>
 #include <boost/beast/http/field.hpp>
 #include <utility>
@@ -15,47 +15,10 @@
 /// silence.
 constexpr core::Duration kSweepInterval = std::chrono::milliseconds(100);
 
-/// Silence of a stream, between events or before the first one, after which the
-/// upstreams on its path are suspected: several times the duration of a token
-/// step or a prefill, and well below the silence after which it is moved.
-constexpr core::Duration kMaxSilenceBetweenEvents =
-    std::chrono::milliseconds(250);
-constexpr core::Duration kMaxSilenceBeforeFirstEvent =
-    std::chrono::milliseconds(500);
-
-/// Minimum time between two reports of the same upstream as suspected.
-constexpr core::Duration kSuspectInterval = std::chrono::milliseconds(1000);
-
-/// Formats a path for logs: `ADDRESS/FIRST-END` for each hop, END exclusive;
-/// without layers only the address.
-std::string FormatPath(const std::vector<relay::Hop>& hops) {
-  std::string text;
-  for (const relay::Hop& hop : hops) {
-    if (!text.empty()) text += ',';
-    text += hop.address;
-    if (hop.layers.empty()) continue;
-    text += '/' + std::to_string(hop.layers.first) + '-' +
-            std::to_string(hop.layers.end);
-  }
-  return text;
-}
-
 /// Size of an answer that is not a stream, in bytes, from which it is passed on
 /// as it arrives instead of being buffered until it is complete.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} << 10U;
 
-/// Time after the head of an answer within which its upstream may still have
-/// ended because of the request.
-constexpr core::Duration kCrashWindow = std::chrono::milliseconds(500);
-
-/// Time for which a lost request waits for the result of a probe: several round
-/// trips. A probe without a result does not show a process that has ended.
-constexpr core::Duration kMaxCheckTime = std::chrono::milliseconds(200);
-
-/// Time within which a connection that ends without a response was closed by
-/// the peer, as opposed to one that timed out.
-constexpr core::Duration kClosedAtOnce = std::chrono::milliseconds(500);
-
 /// Returns whether a response has neither a length nor chunks.
 bool EndsWithConnection(const net::Fields& fields) {
   using boost::beast::http::field;
@@ -133,7 +96,7 @@
               {"workspace", context.workspace},
               {"digest", job.digest},
               {"parts", quarantine::Format(job.caller.prompt_parts)},
-              {"way", internal::FormatPath(send.hops)},
+              {"way", relay::FormatPath(send.hops)},
               {"fleet", context.table->version()},
               {"relayed", context.relayed},
               {"left_ms", core::ToMilliseconds(context.deadline - now)}});
@@ -423,14 +386,6 @@
   server_.Respond(exchange, response);
 }
 
-bool Proxy::EndedEarly(const Job& job) {
-  if (job.failure == net::Failure::kMalformed) return false;
-  if (!job.head_at) return true;
-  if (job.status / 100 != 2) return false;
-  return !job.event_received ||
-         net::SteadyNow() - *job.head_at <= internal::kCrashWindow;
-}
-
 void Proxy::HandleFailure(net::CallId call, net::Failure failure) {
   const core::RequestId id = by_call_.at(call);
   by_call_.erase(call);
@@ -451,221 +406,6 @@
   HandleLoss(id, {kind, job.fault_address, EndedEarly(job)});
 }
 
-void Proxy::HandleLoss(core::RequestId id, const relay::Loss& loss) {
-  Job& job = jobs_.at(id);
-  const core::Instant now = net::SteadyNow();
-  log::Write(log::Level::kInfo, "send_lost",
-             {{"request", job.caller.id},
-              {"loss", relay::Name(loss.kind)},
-              {"connection", job.failure ? net::Name(*job.failure) : "open"},
-              {"way", internal::FormatPath(relay_.Path(id))},
-              {"fault", loss.fault_address},
-              {"status", job.status},
-              {"workspace", job.workspace},
-              {"digest", job.digest},
-              {"parts", quarantine::Format(job.caller.prompt_parts)},
-              {"after_ms", core::ToMilliseconds(now - job.sent)},
-              {"after_head_ms",
-               job.head_at ? core::ToMilliseconds(now - *job.head_at) : 0},
-              {"begun", job.head_at.has_value()},
-              {"event_received", job.event_received},
-              {"events", job.filter ? job.filter->passed() : 0}});
-  if (loss.kind == relay::LossKind::kNotSent && !relay_.ViaPartner(id)) {
-    ReportSuspect(relay_.Path(id).front().upstream, now);
-  }
-  registry_.Add("foxquay_losses_total",
-                "kind=\"" + std::string(relay::Name(loss.kind)) + "\"");
-  if (job.head_at && !job.event_received) {
-    registry_.Add("foxquay_losses_before_first_event_total", "");
-  }
-  if (job.filter) job.filter->Restart();
-  if (const auto suspicion = relay_.SuspectCrash(id, loss)) {
-    CheckCrash(id, *suspicion, loss);
-    return;
-  }
-  Apply(id, relay_.HandleLoss(id, loss, now));
-  Inquire();
-}
-
-void Proxy::Inquire() {
-  ReportPathChanges();
-  for (const relay::Hop& hop : relay_.DueInquiries(net::SteadyNow())) {
-    prober_.Probe(hop.upstream, hop.address, false,
-                  [this, upstream = hop.upstream](ProbeResult result) {
-                    RecordInquiry(upstream, result);
-                  });
-  }
-}
-
-void Proxy::RecordInquiry(const core::UpstreamId& upstream,
-                          ProbeResult result) {
-  // A connection that was opened, but not answered, shows neither.
-  if (result == ProbeResult::kSilent) return;
-  const bool reached =
-      result == ProbeResult::kReached || result == ProbeResult::kReplaced;
-  relay_.RecordInquiry(upstream, reached, net::SteadyNow());
-  Inquire();
-}
-
-void Proxy::ReportPathChanges() {
-  for (const relay::PathChange& change : relay_.TakePathChanges()) {
-    log::Write(log::Level::kWarn,
-               change.cut_off ? "upstreams_unreachable" : "upstreams_reachable",
-               {{"service", change.service},
-                {"upstreams", relay_.upstreams().Count(change.service)},
-                {"all_services", relay_.CutOff()}});
-    registry_.Add("foxquay_path_changes_total",
-                  change.cut_off ? "change=\"lost\"" : "change=\"regained\"");
-  }
-  registry_.Set("foxquay_cut_off", relay_.CutOff() ? 1 : 0);
-}
-
-void Proxy::ReportSuspect(const core::UpstreamId& upstream, core::Instant now) {
-  if (suspected_.try_emplace(upstream, now).second) on_suspects_({upstream});
-}
-
-void Proxy::CheckCrash(core::RequestId id, const relay::Suspicion& suspicion,
-                       const relay::Loss& loss) {
-  const core::Instant start = net::SteadyNow();
-  unsigned sends = 0;
-  // Until the result is known, the request waits: what ended this upstream
-  // might end the next.
-  if (const auto job = jobs_.find(id); job != jobs_.end()) {
-    sends = job->second.sends;
-    job->second.unchecked_loss = {loss, start + internal::kMaxCheckTime};
-  }
-  // A process that ended refuses connections, one that only broke off an answer
-  // does not; no answer at all shows a lost path or a lost machine.
-  const auto finish = [this, id, suspicion, sends](ProbeResult result) {
-    const bool crashed =
-        result == ProbeResult::kUnreachable || result == ProbeResult::kReplaced;
-    log::Write(log::Level::kInfo, "crash_checked",
-               {{"request", suspicion.request},
-                {"upstream", suspicion.upstream},
-                {"address", suspicion.address},
-                {"workspace", suspicion.workspace},
-                {"parts", quarantine::Format(suspicion.parts)},
-                {"result", Name(result)},
-                {"crashed", crashed}});
-    RecordInquiry(suspicion.upstream, result);
-    if (crashed) {
-      const core::Instant now = net::SteadyNow();
-      registry_.Add("foxquay_crashes_at_begin_total", "");
-      relay_.RecordCrash(suspicion, now);
-      ReportSuspect(suspicion.upstream, now);
-    }
-    FinishCheck(id, sends, crashed);
-  };
-  ProbeAfterLoss(suspicion.upstream, suspicion.address, finish);
-}
-
-void Proxy::FinishCheck(core::RequestId id, unsigned sends, bool crashed) {
-  const auto found = jobs_.find(id);
-  if (found == jobs_.end()) return;
-  Job& job = found->second;
-  if (job.sends != sends || !job.unchecked_loss) return;
-  relay::Loss loss = std::exchange(job.unchecked_loss, std::nullopt)->loss;
-  // A host that is cut off cannot tell whether an upstream still runs.
-  loss.crashed = crashed && !relay_.CutOff(relay_.Context(id).service->id);
-  Apply(id, relay_.HandleLoss(id, loss, net::SteadyNow()));
-}
-
-void Proxy::ExpireChecks(core::Instant now) {
-  std::vector<std::pair<core::RequestId, unsigned>> expired;
-  for (const auto& [id, job] : jobs_) {
-    if (job.unchecked_loss && now >= job.unchecked_loss->until) {
-      expired.emplace_back(id, job.sends);
-    }
-  }
-  for (const auto& [id, sends] : expired) FinishCheck(id, sends, false);
-}
-
-void Proxy::ProbeAfterLoss(const core::UpstreamId& upstream,
-                           const std::string& address,
-                           const Prober::Done& done) {
-  const core::Instant start = net::SteadyNow();
-  prober_.Probe(upstream, address, false,
-                [this, upstream, address, start, done](ProbeResult result) {
-                  // The listener of a process that ends may accept one more
-                  // connection and close it.
-                  const bool closed =
-                      result == ProbeResult::kSilent &&
-                      net::SteadyNow() - start < internal::kClosedAtOnce;
-                  if (!closed) {
-                    done(result);
-                    return;
-                  }
-                  prober_.Probe(upstream, address, false, done);
-                });
-}
-
-core::Duration Proxy::StallTime(core::RequestId id, const Job& job) {
-  // The other host moves the stream.
-  if (relay_.ViaPartner(id)) return core::Duration::max();
-  const auto& hops = relay_.Path(id);
-  // A silent stream is moved earlier if an upstream on its path is no longer in
-  // use.
-  const bool upstream_gone =
-      std::any_of(hops.begin(), hops.end(), [this](const relay::Hop& hop) {
-        return !relay_.upstreams().Known(hop.upstream);
-      });
-  return upstream_gone ? internal::kMaxSilenceBetweenEvents : job.stall_timeout;
-}
-
-void Proxy::MoveStalledStreams(core::Instant now) {
-  std::vector<core::RequestId> ids;
-  for (const auto& [id, job] : jobs_) {
-    const bool open =
-        job.call && !job.passing_body &&
-        relay_.Context(id).route->kind == schema::RequestKind::kStream;
-    if (open && now - job.last_event >= StallTime(id, job)) ids.push_back(id);
-  }
-  for (const core::RequestId id : ids) {
-    Job& job = jobs_.at(id);
-    const std::string previous_path = internal::FormatPath(relay_.Path(id));
-    const std::optional<relay::Send> send = relay_.Move(id, now);
-    if (!send) continue;
-    log::Write(log::Level::kInfo, "stream_moved",
-               {{"request", job.caller.id},
-                {"from", previous_path},
-                {"quiet_ms", core::ToMilliseconds(now - job.last_event)},
-                {"events", job.filter ? job.filter->passed() : 0}});
-    client_.Cancel(*job.call);
-    by_call_.erase(*job.call);
-    job.call.reset();
-    if (job.filter) job.filter->Restart();
-    Execute(id, *send);
-  }
-}
-
-void Proxy::ReportSuspects(core::Instant now) {
-  std::erase_if(suspected_, [now](const auto& item) {
-    return now - item.second > internal::kSuspectInterval;
-  });
-  std::vector<core::UpstreamId> suspects;
-  for (const auto& [id, job] : jobs_) {
-    if (!job.call || relay_.ViaPartner(id)) continue;
-    if (!job.head_at &&
-        now - job.sent >= internal::kMaxSilenceBeforeFirstEvent) {
-      relay_.RecordSilence(id, now);
-    }
-    if (relay_.Context(id).route->kind != schema::RequestKind::kStream) {
-      continue;
-    }
-    const core::Duration max_silence =
-        job.streaming && job.filter->passed() > 0
-            ? internal::kMaxSilenceBetweenEvents
-            : internal::kMaxSilenceBeforeFirstEvent;
-    if (now - job.last_event < max_silence) continue;
-    for (const relay::Hop& hop : relay_.Path(id)) {
-      if (suspected_.try_emplace(hop.upstream, now).second) {
-        suspects.push_back(hop.upstream);
-      }
-    }
-  }
-  if (!suspects.empty()) on_suspects_(std::move(suspects));
-}
-
 void Proxy::Review() {
   const core::Instant now = net::SteadyNow();
   if (now >= next_sweep_) {
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -70,6 +70,18 @@
 
 }  // namespace internal
 
+std::string FormatPath(const std::vector<Hop>& hops) {
+  std::string text;
+  for (const Hop& hop : hops) {
+    if (!text.empty()) text += ',';
+    text += hop.address;
+    if (hop.layers.empty()) continue;
+    text += '/' + std::to_string(hop.layers.first) + '-' +
+            std::to_string(hop.layers.end);
+  }
+  return text;
+}
+
 void Upstreams::Set(const std::vector<schema::Announcement>& announcements,
                     core::Instant now) {
   ++changes_;
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -30,6 +30,10 @@
   friend bool operator==(const Hop&, const Hop&) = default;
 };
 
+/// Returns a path for a log line: `ADDRESS/FIRST-END` for each hop, END
+/// exclusive; without layers only the address. Thread-safe.
+[[nodiscard]] std::string FormatPath(const std::vector<Hop>& hops);
+
 /// The upstreams that may be the first hop of a path.
 struct FirstHops {
   std::vector<core::UpstreamId> avoid;  ///< Excluded.
