--- a/src/foxquay/quarantine/detector.cc
+++ b/src/foxquay/quarantine/detector.cc
@@ -305,6 +305,7 @@
     if (!inserted) found->second = std::min(found->second, crash->received);
   }
   std::vector<core::Instant> times;
+  times.reserve(received.size());
   for (const auto& [upstream, time] : received) times.push_back(time);
   std::sort(times.begin(), times.end());
   return IsRequest(part) && times.size() > 1 ? times[1] : times.front();
