--- a/tests/foxquay/quarantine/table_test.cc
+++ b/tests/foxquay/quarantine/table_test.cc
@@ -44,6 +44,7 @@
 
 TEST_CASE("a long prompt leaves room for the whole request") {
   std::vector<std::string> ids;
+  ids.reserve(100);
   for (int id = 0; id < 100; ++id) ids.push_back("p" + std::to_string(id));
   const Parts parts = MakeParts(MakeParts(ids), "d");
   CHECK(parts.size() == kMaxParts);
