--- a/tests/platform/soak/connect_filter.cc
+++ b/tests/platform/soak/connect_filter.cc
@@ -30,14 +30,14 @@
 /// 0 to refuse them.
 extern "C" int connect(int descriptor, const sockaddr* address,
                        socklen_t length) {
-  static const auto next =
+  static const auto kNext =
       reinterpret_cast<Connect>(dlsym(RTLD_NEXT, "connect"));
   const char* file = std::getenv("FOXQUAY_CUT_FILE");
   if (file == nullptr || !IsUpstream(address)) {
-    return next(descriptor, address, length);
+    return kNext(descriptor, address, length);
   }
   int port = 0;
-  if (!(std::ifstream(file) >> port)) return next(descriptor, address, length);
+  if (!(std::ifstream(file) >> port)) return kNext(descriptor, address, length);
   if (port == 0) {
     errno = ECONNREFUSED;
     return -1;
@@ -46,6 +46,6 @@
   redirected.sin_family = AF_INET;
   redirected.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   redirected.sin_port = htons(static_cast<std::uint16_t>(port));
-  return next(descriptor, reinterpret_cast<const sockaddr*>(&redirected),
-              sizeof(redirected));
+  return kNext(descriptor, reinterpret_cast<const sockaddr*>(&redirected),
+               sizeof(redirected));
 }
