Do not pass on untrue promises of another host

Found by reading the change once more. A host that had sent a request which may have run, and then passed it on, returned the 503 of a second host, which knew nothing of the send at the first one or had refused before it looked: the caller was told that it had not run. Any refusal below 500 of another host also counted as an answer to the request, which would have cleared it as a suspect of crashes. Change: such a promise becomes 502 without a time to return; other refusals are passed on and are no evidence. Requests to other hosts never reuse a connection. Measured: both new tests fail before (503 in place of 502; the part is trusted after 429) and pass now.

--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -278,6 +278,9 @@
   /// Probes an upstream at which an answer was lost, on a new connection.
   void ProbeAfterLoss(const core::UpstreamId& upstream,
                       const std::string& address, const Prober::Done& done);
+  /// Passes on what another host has refused, unless it promises that a request
+  /// has not run which this host may have had run before.
+  void FinishPartnerRefusal(core::RequestId id, const net::Response& response);
   /// Handles the end of a response that is not a stream.
   void FinishResponse(core::RequestId id);
   /// Handles the end of a stream.
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -26,6 +26,12 @@
          fields.find(field::transfer_encoding) == fields.end();
 }
 
+/// Returns whether a status tells callers that the request has not run and will
+/// not.
+bool PromisesNotRun(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 bool IsEventStream(const net::Fields& fields) {
   const auto type = fields[boost::beast::http::field::content_type];
   return type.substr(0, 17) == "text/event-stream";
@@ -357,15 +363,36 @@
   server_.End(exchange);
 }
 
+void Proxy::FinishPartnerRefusal(core::RequestId id,
+                                 const net::Response& response) {
+  // The other host cannot know that an earlier send of this one may have run.
+  const bool untrue =
+      internal::PromisesNotRun(response.status) && relay_.MayHaveRun(id);
+  // It is no evidence that an upstream has answered the request.
+  relay_.Abandon(id);
+  const Job job = TakeJob(id);
+  if (!untrue) {
+    RecordEnd(job, response.status, "partner-refused", "");
+    server_.Respond(job.exchange, response);
+    return;
+  }
+  constexpr unsigned kMayHaveRun = 502;
+  const std::string reason = "refused by another host after it may have run";
+  net::Response refusal = net::MakeRefusal(kMayHaveRun, reason, std::nullopt);
+  refusal.fields.set(protocol_.id_field, job.caller.id);
+  RecordEnd(job, kMayHaveRun, "unknown", reason);
+  server_.Respond(job.exchange, refusal);
+}
+
 void Proxy::FinishResponse(core::RequestId id) {
   Job& job = jobs_.at(id);
   const net::ExchangeId exchange = job.exchange;
   const net::Response response = std::move(job.response);
-  const bool failed = response.status >= 500;
-  if (failed && relay_.ViaPartner(id)) {
-    // The other host has decided.
-    relay_.Abandon(id);
-  } else if (failed) {
+  if (relay_.ViaPartner(id) && response.status / 100 != 2) {
+    FinishPartnerRefusal(id, response);
+    return;
+  }
+  if (response.status >= 500) {
     // If the request is not retried, the upstream's own response is passed on.
     relay::Decision decision = relay_.HandleLoss(
         id, {relay::LossKind::kError, job.fault_address, false},
--- a/src/foxquay/relay/partners.h
+++ b/src/foxquay/relay/partners.h
@@ -33,7 +33,7 @@
 /// upstream.
 ///
 /// Each host uses a few of the others, chosen by rendezvous hashing (Thaler and
-/// Ravishankar, 1998), and others when these are gone. Not thread-safe;
+/// Ravishankar, 1998), and others when these cannot be used. Not thread-safe;
 /// performs no I/O.
 class Partners {
  public:
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -61,6 +61,11 @@
   [[nodiscard]] bool CutOff(const core::ServiceId& service) const {
     return reachability_.CutOff(service);
   }
+  /// Returns whether a former send of a request may have run it. Precondition:
+  /// the request is known.
+  [[nodiscard]] bool MayHaveRun(core::RequestId id) const {
+    return requests_.at(id).may_have_run;
+  }
   /// Returns whether the current send of a request goes to another host.
   /// Precondition: the request is known.
   [[nodiscard]] bool ViaPartner(core::RequestId id) const;
--- a/src/foxquay/relay/relay_partners.cc
+++ b/src/foxquay/relay/relay_partners.cc
@@ -83,7 +83,7 @@
   state.hops = {
       {core::UpstreamId(partner->host.value()), partner->address, {}}};
   partners_.Begin(partner->host);
-  Send send{state.hops, state.sends + state.unsent + 1, true};
+  Send send{state.hops, state.sends + state.unsent + 1, false};
   send.to_partner = true;
   send.prior_sends = state.sends;
   return send;
--- a/tests/foxquay/gateway/partner_test.cc
+++ b/tests/foxquay/gateway/partner_test.cc
@@ -127,6 +127,46 @@
   CHECK(first.requests.size() + second.requests.size() == 1);
 }
 
+// The second host did not know of the first send.
+TEST_CASE("a refusal by another host does not promise what may have run") {
+  PartnerFixture fixture;
+  FakeUpstream first(fixture.context);
+  FakeUpstream second(fixture.context);
+  fixture.proxy.SetPartners(
+      core::HostId("self"),
+      {{core::HostId("first"), first.server.address()},
+       {core::HostId("second"), second.server.address()}});
+  const net::CallId call = fixture.Send("/safe/1");
+  fixture.RunUntil(
+      [&] { return first.requests.size() + second.requests.size() == 1; });
+  FakeUpstream& ended = first.requests.empty() ? second : first;
+  FakeUpstream& next = first.requests.empty() ? first : second;
+  ended.server.Abort(ended.requests[0].first);
+  fixture.RunUntil([&] { return next.requests.size() == 1; });
+  next.server.Respond(
+      next.requests[0].first,
+      net::MakeRefusal(503, "not confirmed", std::chrono::seconds(1)));
+  CHECK(fixture.AwaitResponse(call).status == 502);
+  CHECK(fixture.results[call].fields.count("Retry-After") == 0);
+}
+
+TEST_CASE("a refusal by another host is passed on and is no answer") {
+  PartnerFixture fixture;
+  FakeUpstream host(fixture.context);
+  fixture.proxy.SetPartners(core::HostId("self"),
+                            {{core::HostId("host"), host.server.address()}});
+  const unsigned status = GENERATE(429U, 503U);
+  const net::CallId call = fixture.Send("/safe/1", "secret", "p,own");
+  fixture.RunUntil([&] { return host.requests.size() == 1; });
+  host.server.Respond(
+      host.requests[0].first,
+      net::MakeRefusal(status, "busy", std::chrono::seconds(1)));
+  CHECK(fixture.AwaitResponse(call).status == status);
+  CHECK(fixture.results[call].fields.count("Retry-After") == 1);
+  CHECK_FALSE(fixture.proxy.relay().recorder().Trusts(
+      core::ServiceId("app"), {core::PromptPartId("p")}, net::SteadyNow()));
+}
+
 TEST_CASE("a caller that leaves ends its request at the other host") {
   PartnerFixture fixture;
   const net::CallId call = fixture.Send("/safe/1");
