Keep the logs of scenarios whose checks fail

Change: a listener knows whether a check of the test case failed; then the folder stays, and the answers and arrivals are printed. Measured: a failed run prints its folder and which host sent how much to which upstream.

--- a/tests/platform/scenarios/scenario.cc
+++ b/tests/platform/scenarios/scenario.cc
@@ -1,11 +1,13 @@
 #include "platform/scenarios/scenario.h"
 
 #include <algorithm>
+#include <iostream>
 #include <stdexcept>
 #include <utility>
 
 #include "daemon/process.h"
 #include "foxquay/net/clock.h"
+#include "platform/scenarios/failures.h"
 #include "platform/soak/after.h"
 
 namespace foxquay::platform::scenarios {
@@ -36,7 +38,26 @@
 
 Scenario::~Scenario() {
   for (std::size_t host = 0; host < soak::kHosts; ++host) cluster_.Kill(host);
-  if (checker_.violations().empty()) cluster_.RemoveFolder();
+  if (checker_.violations().empty() && !TestCaseFailed()) {
+    cluster_.RemoveFolder();
+  } else {
+    PrintSummary();
+  }
+}
+
+void Scenario::PrintSummary() const {
+  std::cout << "logs: " << cluster_.folder() << '\n';
+  for (const auto& [status, count] : statuses_) {
+    std::cout << count << " answers with status " << status << '\n';
+  }
+  std::map<std::pair<std::size_t, char>, std::size_t> counts;
+  for (const Arrival& arrival : arrivals_) {
+    ++counts[{arrival.upstream, arrival.id.front()}];
+  }
+  for (const auto& [key, count] : counts) {
+    std::cout << "upstream " << key.first << " got " << count
+              << " requests with ids that begin with " << key.second << '\n';
+  }
 }
 
 void Scenario::StartUpstream(std::size_t index) {
--- a/tests/platform/scenarios/scenario.h
+++ b/tests/platform/scenarios/scenario.h
@@ -23,7 +23,8 @@
 inline constexpr core::Duration kContactBound = std::chrono::seconds(3);
 
 /// A cluster of real processes with fake model upstreams that restart after a
-/// crash. Not thread-safe.
+/// crash. Keeps the logs of its hosts if a check of the test case has failed.
+/// Not thread-safe.
 class Scenario {
  public:
   struct Options {
@@ -120,6 +121,8 @@
   [[nodiscard]] boost::asio::io_context& context() { return context_; }
 
  private:
+  /// Prints where the logs are, the answers and the arrivals.
+  void PrintSummary() const;
   void StartUpstream(std::size_t index);
   /// Sends a request whose answer the checker knows to an entry host.
   void Send(const std::string& id, soak::RequestKind kind,
