Forget latencies of upstreams of plain services that got no requests

Cause: the estimate of an upstream without samples went back to the lowest mean ever seen there. A first answer that was late, as on a machine that has just started, stayed that lowest mean; while the other upstreams were free, the upstream got no requests, and so no sample that would have lowered it. Change: plain services are chosen by a mean that fades without samples, and in which a sample weighs more the older the former ones are. The slowdown that chains use is unchanged.

--- a/src/foxquay/relay/latency_tracker.cc
+++ b/src/foxquay/relay/latency_tracker.cc
@@ -11,15 +11,16 @@
 /// twenty samples, which is half a second of one stream.
 constexpr double kSampleWeight = 0.08;
 
-/// Time constant of the decay without samples: the slowdown falls to about a
+/// Time constant of the decay without samples: an estimate falls to about a
 /// third within it.
-constexpr double kDecaySeconds = 3.0;
+constexpr std::chrono::duration<double> kDecay{3.0};
 
 /// Fraction of the best latency that counts as normal variation.
 constexpr double kNormalVariation = 0.3;
 
-double Seconds(core::Duration duration) {
-  return std::chrono::duration<double>(duration).count();
+/// Returns the part of an estimate that remains after a time without samples.
+double Remainder(core::Duration idle) {
+  return std::exp(-(std::chrono::duration<double>(idle) / kDecay));
 }
 
 }  // namespace internal
@@ -28,9 +29,13 @@
   if (!average_) {
     average_ = observed;
     best_ = observed;
+    recent_ = observed;
   } else {
     *average_ += core::Scale(observed - *average_, internal::kSampleWeight);
     best_ = std::min(best_, *average_);
+    const double former =
+        (1 - internal::kSampleWeight) * internal::Remainder(now - recorded_at_);
+    recent_ = observed + core::Scale(recent_ - observed, former);
   }
   recorded_at_ = now;
 }
@@ -40,13 +45,11 @@
   const core::Duration slowdown =
       *average_ - best_ - core::Scale(best_, internal::kNormalVariation);
   if (slowdown <= core::Duration::zero()) return {};
-  const double idle = internal::Seconds(now - recorded_at_);
-  return core::Scale(slowdown, std::exp(-idle / internal::kDecaySeconds));
+  return core::Scale(slowdown, internal::Remainder(now - recorded_at_));
 }
 
-core::Duration LatencyTracker::MeanLatency(core::Instant now) const {
-  if (!average_) return {};
-  return std::min(*average_, best_ + Slowdown(now));
+core::Duration LatencyTracker::RecentLatency(core::Instant now) const {
+  return core::Scale(recent_, internal::Remainder(now - recorded_at_));
 }
 
 }  // namespace foxquay::relay
--- a/src/foxquay/relay/latency_tracker.h
+++ b/src/foxquay/relay/latency_tracker.h
@@ -12,8 +12,8 @@
 /// between events of a stream, or times to an answer.
 ///
 /// Lets the router shift load away from upstreams that become slow while they
-/// are in use. Without samples the slowdown decays, so that traffic returns
-/// gradually. Not thread-safe.
+/// are in use. Without samples both estimates decay, so that traffic returns
+/// gradually and shows whether they still hold. Not thread-safe.
 class LatencyTracker {
  public:
   /// Adds one sample.
@@ -22,12 +22,15 @@
   /// Returns by how much the mean latency exceeds the best one beyond normal
   /// variation, with decay since the last sample; zero without samples.
   [[nodiscard]] core::Duration Slowdown(core::Instant now) const;
-  /// Returns the mean latency with the slowdown decayed; zero without samples.
-  [[nodiscard]] core::Duration MeanLatency(core::Instant now) const;
+  /// Returns the mean of the recent samples, with decay since the last one;
+  /// zero without samples.
+  [[nodiscard]] core::Duration RecentLatency(core::Instant now) const;
 
  private:
   std::optional<core::Duration> average_;  ///< Moving average of the samples.
   core::Duration best_{};                  ///< Lowest value of the average.
+  /// Moving average in which older samples weigh less the longer ago they are.
+  core::Duration recent_{};
   core::Instant recorded_at_;
 };
 
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -174,7 +174,7 @@
         std::max<std::size_t>(1, entry.announcement.slots);
     if (entry.in_flight >= slots) continue;
     const core::Duration wait =
-        std::max(entry.latency.MeanLatency(now), internal::kMinLatency) *
+        std::max(entry.latency.RecentLatency(now), internal::kMinLatency) *
         static_cast<std::int64_t>(1 + entry.in_flight);
     const auto cost =
         std::make_tuple(wait, (position + rotation_) % (entries_.size() + 1));
--- a/tests/foxquay/relay/latency_tracker_test.cc
+++ b/tests/foxquay/relay/latency_tracker_test.cc
@@ -23,7 +23,7 @@
   const int start = now;
   while (now < start + 2000) tracker.Record(milliseconds(120), At(now += 60));
   CHECK(tracker.Slowdown(At(now)) > milliseconds(60));
-  CHECK(tracker.MeanLatency(At(now)) > milliseconds(90));
+  CHECK(tracker.RecentLatency(At(now)) > milliseconds(90));
   CHECK(tracker.Slowdown(At(now + 9000)) < milliseconds(10));
 }
 
@@ -38,7 +38,7 @@
 TEST_CASE("an upstream without samples has no slowdown") {
   const LatencyTracker tracker;
   CHECK(tracker.Slowdown(At(10)) == core::Duration::zero());
-  CHECK(tracker.MeanLatency(At(10)) == core::Duration::zero());
+  CHECK(tracker.RecentLatency(At(10)) == core::Duration::zero());
 }
 
 }  // namespace foxquay::relay
