Give equal upstreams of a plain service equally many requests

Cause: among equally fast upstreams the first at or after a rotating position was chosen, modulo the number of all services' upstreams plus one. The first one of a service so got the turns of all positions without an upstream of the service: of 300 requests 150 to 200 in place of 100. Change: of equal upstreams, the one not used for longest. Measured: the new test fails before for each number of other upstreams (150, 75, 75 with none) and passes now.

--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -162,12 +162,9 @@
   reason = NoPath::kNoUpstream;
   const Entry* best = nullptr;
   std::tuple<core::Duration, std::uint64_t> least;
-  ++rotation_;
-  std::uint64_t position = 0;
   for (const auto& [id, entry] : entries_) {
     if (!entry.present || entry.announcement.service != service.id) continue;
     reason = NoPath::kBusy;
-    ++position;
     if (!Usable(entry, now) || !first.Allows(id)) continue;
     if (!WithinLimit(entry, now)) continue;
     const std::size_t slots =
@@ -176,8 +173,7 @@
     const core::Duration wait =
         std::max(entry.latency.RecentLatency(now), internal::kMinLatency) *
         static_cast<std::int64_t>(1 + entry.in_flight);
-    const auto cost =
-        std::make_tuple(wait, (position + rotation_) % (entries_.size() + 1));
+    const auto cost = std::make_tuple(wait, entry.last_used);
     if (best == nullptr || cost < least) {
       best = &entry;
       least = cost;
@@ -400,6 +396,7 @@
     if (found == entries_.end()) continue;
     limits_.Take(hop.upstream, found->second.announcement.born, now);
     ++found->second.in_flight;
+    found->second.last_used = ++uses_;
     found->second.tokens += work.MeanTokens();
   }
   if (IsChain(hops)) ++own_requests_;
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -74,7 +74,8 @@
   /// If there is none, the path is empty and `reason` is set.
   ///
   /// For a plain service, this is the upstream with the lowest expected latency
-  /// under this host's requests, among those that are not avoided. For a model,
+  /// under this host's requests, among those that are not avoided; of equal
+  /// ones, the one not used for longest. For a model,
   /// it is the cheaper of two chains drawn from the mix over which the requests
   /// of all hosts are spread, under the load of the mix and this host's own
   /// requests. If there are no other hosts, none of these chains may be used,
@@ -157,7 +158,9 @@
     bool present = true;        ///< Whether it is in use.
     std::size_t in_flight = 0;  ///< Requests of this host.
     double tokens = 0;          ///< Tokens of these requests.
-    StageLoad mixed;            ///< Load from all hosts according to the mix.
+    /// Value of `uses_` at its latest request; decides among equal upstreams.
+    std::uint64_t last_used = 0;
+    StageLoad mixed;  ///< Load from all hosts according to the mix.
     int consecutive_failures = 0;
     core::Instant failed_until;  ///< Avoided because it failed.
     LatencyTracker latency;
@@ -239,7 +242,7 @@
   RateLimits limits_;
   std::uint64_t changes_ = 0;  ///< Changes of the upstreams that may be used.
   std::mt19937_64 random_;
-  std::uint64_t rotation_ = 0;  ///< Rotates the choice among equal upstreams.
+  std::uint64_t uses_ = 0;  ///< Requests sent, counted once for each hop.
 };
 
 }  // namespace foxquay::relay
--- a/tests/foxquay/relay/upstreams_test.cc
+++ b/tests/foxquay/relay/upstreams_test.cc
@@ -96,4 +96,25 @@
   CHECK((counts.contains("b") ? counts.at("b") : 0) <= 800 / 50);
 }
 
+// The choice among equal upstreams depended on their number beside that of the
+// other services' upstreams.
+TEST_CASE("equal upstreams get equally many requests") {
+  for (int others = 0; others < 5; ++others) {
+    CAPTURE(others);
+    Upstreams upstreams;
+    std::vector<schema::Announcement> list = {
+        Announce("a", "app"), Announce("b", "app"), Announce("c", "app")};
+    for (int index = 0; index < others; ++index) {
+      list.push_back(Announce("o" + std::to_string(index), "other"));
+    }
+    upstreams.Set(list, At(0));
+    const auto counts = SendInTurn(upstreams, 0, 9000, 30,
+                                   [](const std::string&, int) { return 10; });
+    for (const char* id : {"a", "b", "c"}) {
+      CAPTURE(id);
+      CHECK((counts.contains(id) ? counts.at(id) : 0) == 100);
+    }
+  }
+}
+
 }  // namespace foxquay::relay
