Wait until every host knows of leaving upstreams before framing is checked

Cause: upstreams say in answers only that they leave; a host that had not sent a request to one within the test's 20 reads did not know (kept logs: host 0 sent its first one as the call that was served, and upstream_declines follows it). Change: the test sends reads until each host has had an answer of each leaving upstream; all 20 reads that count then come from the upstream without lengths, which is stricter than before.

--- a/tests/platform/scenarios/framing_test.cc
+++ b/tests/platform/scenarios/framing_test.cc
@@ -1,7 +1,10 @@
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <set>
 #include <string>
+#include <utility>
 
+#include "foxquay/net/clock.h"
 #include "gateway/raw_upstream.h"
 #include "platform/scenarios/scenario.h"
 
@@ -67,6 +70,22 @@
   for (std::size_t index = 0; index < options.apps; ++index) {
     scenario.upstream(index).SayLeaving();
   }
+  // A host knows it from an answer; then only the upstream without lengths is
+  // left.
+  const core::Instant leaving = net::SteadyNow();
+  const auto all_know = [&] {
+    std::set<std::pair<std::size_t, char>> told;
+    for (const Scenario::Arrival& arrival : scenario.arrivals()) {
+      if (arrival.at > leaving) told.emplace(arrival.upstream, arrival.id[0]);
+    }
+    return told.size() == options.apps * soak::kEntryHosts;
+  };
+  for (std::size_t entry = 0; entry < soak::kEntryHosts; ++entry) {
+    scenario.Repeat(std::chrono::milliseconds(25),
+                    [&, entry] { scenario.SendPlain("read", entry); });
+  }
+  REQUIRE(scenario.RunUntil(all_know, std::chrono::seconds(30)));
+  scenario.StopRepeating();
   scenario.RunFor(std::chrono::seconds(2));
   const unsigned read = scenario.served(soak::RequestKind::kRead);
   for (int count = 0; count < 20; ++count) {
