Replace a replica whose disk was lost by a standby that has caught up

Cause: a voter whose host had come back with an empty disk was replaced only by the new incarnation of that host, once it had caught up, or after 5 s of silence. A new incarnation on a busy host catches up slowly (8 s were seen); the loss of two more disks in that time left two of five voters, although a standby held the log. Change: a voter that is silent and on whose host another incarnation has joined since its last reply is replaced after 1 s by any learner that has caught up, the one of its host first.

--- a/src/foxquay/consensus/members.cc
+++ b/src/foxquay/consensus/members.cc
@@ -39,19 +39,30 @@
 
 std::optional<schema::ReplicaId> Replica::State::FindReplacement(
     const schema::ReplicaId& voter) const {
+  const core::Duration silence = TimeSinceLastReply(voter);
   // If a voter is silent and its host runs a new incarnation, its disk is lost
   // and it is replaced early. Otherwise the voter may only be unreachable.
+  const bool silent = silence > options_.timing.max_election;
   std::optional<schema::ReplicaId> replacement;
-  if (TimeSinceLastReply(voter) > options_.timing.max_election) {
-    replacement = FindCaughtUpLearner(voter.host);
-  }
-  if (!replacement &&
-      TimeSinceLastReply(voter) > options_.timing.replace_after) {
+  if (silent) replacement = FindCaughtUpLearner(voter.host);
+  // The new incarnation on a busy host takes long to catch up.
+  const bool lost = silent && HasNewIncarnation(voter);
+  if (!replacement && (lost || silence > options_.timing.replace_after)) {
     replacement = FindCaughtUpLearner(std::nullopt);
   }
   return replacement;
 }
 
+bool Replica::State::HasNewIncarnation(const schema::ReplicaId& voter) const {
+  const auto found = progress_.find(voter);
+  if (found == progress_.end()) return false;
+  const core::Instant last_reply = found->second.last_reply_at;
+  return std::any_of(progress_.begin(), progress_.end(), [&](const auto& item) {
+    return item.first.host == voter.host && !IsVoter(item.first) &&
+           item.second.joined_at > last_reply;
+  });
+}
+
 core::Duration Replica::State::TimeSinceLastReply(
     const schema::ReplicaId& voter) const {
   const auto found = progress_.find(voter);
--- a/src/foxquay/consensus/progress.h
+++ b/src/foxquay/consensus/progress.h
@@ -40,6 +40,8 @@
   /// Send time, on the leader's clock, of the latest message that it answered.
   std::optional<core::Instant> acked_send_time;
   core::Instant last_reply_at{};  ///< Arrival time of its latest reply.
+  /// When it asked this leader to join; the epoch if it was a voter before.
+  core::Instant joined_at{};
   /// Identifies the process that sent the latest reply; `stamp` is comparable
   /// only within one process.
   std::uint64_t session = 0;
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -157,6 +157,9 @@
   /// Returns a learner that may become a voter, on `host` if given.
   [[nodiscard]] std::optional<schema::ReplicaId> FindCaughtUpLearner(
       const std::optional<core::HostId>& host) const;
+  /// Returns whether another incarnation has joined on the host of a voter
+  /// since the voter's last reply.
+  [[nodiscard]] bool HasNewIncarnation(const schema::ReplicaId& voter) const;
   /// Returns the learner that is to replace a lost voter, if any.
   [[nodiscard]] std::optional<schema::ReplicaId> FindReplacement(
       const schema::ReplicaId& voter) const;
