Refuse requests at once when no leave for a limited upstream came

Cause: a request that waits for a leave counts as held, so that the check whether any upstream accepts requests before it is given up was skipped; it was refused after half of its target latency. Change: the check is made once in each hold, also after a wait for a leave; a stream that has begun waits on, as before. Measured: the new test fails before (still held after the answer) and passes now; the comparison of limit policies on simulated fleets passes unchanged.

--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <tuple>
+#include <utility>
 
 namespace foxquay::relay {
 namespace internal {
@@ -143,11 +144,14 @@
                     now);
     }
     BeginHold(state, now);
-    if (!upstreams_.AcceptsBy(*context.service, now, state.hold_deadline)) {
-      return GiveUp(id, "the upstreams ask for no requests",
-                    ReturnTime(context.service->id, now), now);
-    }
-    return Hold{};
+  }
+  // A request that was held for a leave has not been checked yet. A stream that
+  // has begun waits for the next leave, as it cannot come back.
+  const bool resumes = state.answer_begun && state.leave_asked_at;
+  if (!std::exchange(state.acceptance_checked, true) && !resumes &&
+      !upstreams_.AcceptsBy(*context.service, now, state.hold_deadline)) {
+    return GiveUp(id, "the upstreams ask for no requests",
+                  ReturnTime(context.service->id, now), now);
   }
   if (now < state.hold_deadline) return Hold{};
   return GiveUp(id, reason, ReturnTime(context.service->id, now), now);
@@ -156,6 +160,7 @@
 void Relay::BeginHold(State& state, core::Instant now) {
   const RequestContext& context = state.context;
   state.held = true;
+  state.acceptance_checked = false;
   ++held_;
   state.hold_deadline =
       now + std::min(context.route->target_latency / 2,
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -168,11 +168,13 @@
     std::vector<Hop> hops;
     std::vector<core::UpstreamId> attempted;  ///< First hops that it reached.
     std::optional<core::UpstreamId> failed;  ///< The last of them if it failed.
-    unsigned sends = 0;           ///< Sends that reached an upstream.
-    unsigned unsent = 0;          ///< Sends that reached none.
-    bool may_have_run = false;    ///< An upstream may have run it.
-    bool answer_begun = false;    ///< The caller has received a part.
-    bool held = false;            ///< It waits for a path or a retry.
+    unsigned sends = 0;         ///< Sends that reached an upstream.
+    unsigned unsent = 0;        ///< Sends that reached none.
+    bool may_have_run = false;  ///< An upstream may have run it.
+    bool answer_begun = false;  ///< The caller has received a part.
+    bool held = false;          ///< It waits for a path or a retry.
+    /// Whether it was checked that upstreams accept requests while it is held.
+    bool acceptance_checked = false;
     bool awaits_budget = false;   ///< Its next send needs a retry.
     core::Instant hold_deadline;  ///< When a held request is given up.
     /// When it began to wait for leave to use limited upstreams.
--- a/tests/foxquay/relay/limit_pool_test.cc
+++ b/tests/foxquay/relay/limit_pool_test.cc
@@ -44,6 +44,53 @@
 
 constexpr Size kSizes[] = {{8, 3}, {60, 5}, {300, 5}};
 
+/// A relay with two upstreams of one plain service.
+class TwoUpstreams {
+ public:
+  TwoUpstreams() : relay_({0.2, 200, seconds(10)}, 1), upstreams_(2) {
+    schema::Fleet fleet;
+    fleet.services.push_back({kService, 100, std::nullopt});
+    schema::Route route;
+    route.host = "h";
+    route.path_prefix = "/";
+    route.kind = schema::RequestKind::kRepeatable;
+    route.timeout = seconds(2);
+    route.target_latency = milliseconds(300);
+    route.services.push_back({kService, 1});
+    fleet.routes.push_back(route);
+    table_ = std::make_shared<const fleet::Table>(fleet);
+    for (std::size_t index = 0; index < upstreams_.size(); ++index) {
+      schema::Announcement& upstream = upstreams_[index];
+      upstream.id = core::UpstreamId("u" + std::to_string(index));
+      upstream.service = kService;
+      upstream.address = "10.0.0." + std::to_string(index) + ":80";
+      upstream.slots = 10;
+      upstream.born = kBorn;
+    }
+    relay_.upstreams().Set(upstreams_, At(0));
+  }
+
+  Decision Arrive(int ms) {
+    RequestContext context;
+    context.table = table_;
+    context.route = &table_->fleet().routes.front();
+    context.service = table_->FindService(kService);
+    context.arrived = At(ms);
+    context.deadline = At(ms) + context.route->timeout;
+    return relay_.Arrive(core::RequestId(++next_), std::move(context), At(ms));
+  }
+  [[nodiscard]] Relay& relay() { return relay_; }
+  [[nodiscard]] const core::UpstreamId& id(std::size_t index) const {
+    return upstreams_[index].id;
+  }
+
+ private:
+  std::shared_ptr<const fleet::Table> table_;
+  Relay relay_;
+  std::vector<schema::Announcement> upstreams_;
+  std::uint64_t next_ = 0;
+};
+
 }  // namespace
 
 // A limit is one for all hosts: each of them has to keep its part of it.
@@ -173,43 +220,13 @@
 
 // Guards against requests that wait although no leave is left.
 TEST_CASE("a request asks for a leave and waits for the answer only") {
-  auto fleet = schema::Fleet();
-  fleet.services.push_back({kService, 100, std::nullopt});
-  schema::Route route;
-  route.host = "h";
-  route.path_prefix = "/";
-  route.kind = schema::RequestKind::kRepeatable;
-  route.timeout = seconds(2);
-  route.target_latency = milliseconds(300);
-  route.services.push_back({kService, 1});
-  fleet.routes.push_back(route);
-  const auto table = std::make_shared<const fleet::Table>(fleet);
-  Relay relay({0.2, 200, seconds(10)}, 1);
-  std::vector<schema::Announcement> upstreams(2);
-  for (std::size_t index = 0; index < upstreams.size(); ++index) {
-    schema::Announcement& upstream = upstreams[index];
-    upstream.id = core::UpstreamId("u" + std::to_string(index));
-    upstream.service = kService;
-    upstream.address = "10.0.0." + std::to_string(index) + ":80";
-    upstream.slots = 10;
-    upstream.born = kBorn;
-  }
-  relay.upstreams().Set(upstreams, At(0));
-  std::uint64_t next = 0;
-  const auto arrive = [&](int ms) {
-    RequestContext context;
-    context.table = table;
-    context.route = &table->fleet().routes.front();
-    context.service = table->FindService(kService);
-    context.arrived = At(ms);
-    context.deadline = At(ms) + route.timeout;
-    return relay.Arrive(core::RequestId(++next), std::move(context), At(ms));
-  };
-  CHECK(std::holds_alternative<Send>(arrive(0)));
+  TwoUpstreams two;
+  Relay& relay = two.relay();
+  CHECK(std::holds_alternative<Send>(two.Arrive(0)));
   CHECK_FALSE(relay.TakeLeaveWanted());
-  relay.upstreams().RecordLimit(upstreams[0].id, 4.0, At(10));
+  relay.upstreams().RecordLimit(two.id(0), 4.0, At(10));
   // One of the two has no limit, so that the answer decides where it goes.
-  CHECK(std::holds_alternative<Hold>(arrive(20)));
+  CHECK(std::holds_alternative<Hold>(two.Arrive(20)));
   CHECK(relay.TakeLeaveWanted());
   CHECK(relay.ReportLimits(At(20)).needs.size() == 1);
   CHECK(relay.Review(At(21)).empty());
@@ -217,17 +234,42 @@
   const auto without = relay.Review(At(25));
   REQUIRE(without.size() == 1);
   CHECK(std::get<Send>(without.front().second).hops.front().upstream ==
-        upstreams[1].id);
+        two.id(1));
   // An answer that does not come costs little.
-  CHECK(std::holds_alternative<Hold>(arrive(100)));
+  CHECK(std::holds_alternative<Hold>(two.Arrive(100)));
   CHECK(relay.Review(At(160)).size() == 1);
   // With a leave, the idle upstream is used, once.
-  relay.upstreams().limits().AddLeaves({{upstreams[0].id, kBorn, 1}}, At(200));
-  const Decision with = arrive(210);
-  CHECK(std::get<Send>(with).hops.front().upstream == upstreams[0].id);
+  relay.upstreams().limits().AddLeaves({{two.id(0), kBorn, 1}}, At(200));
+  const Decision with = two.Arrive(210);
+  CHECK(std::get<Send>(with).hops.front().upstream == two.id(0));
   CHECK_FALSE(relay.upstreams().limits().HoldsLeave(kService, At(210)));
 }
 
+// A request that had waited for a leave was refused after half of its target
+// latency, although no upstream could take it.
+TEST_CASE("a request is refused at once when the answer brings no leave") {
+  TwoUpstreams two;
+  Relay& relay = two.relay();
+  CHECK(std::holds_alternative<Send>(two.Arrive(0)));
+  relay.upstreams().RecordLimit(two.id(0), 4.0, At(10));
+  relay.upstreams().RecordLimit(two.id(1), 4.0, At(10));
+  CHECK(std::holds_alternative<Hold>(two.Arrive(20)));
+  CHECK(relay.Review(At(21)).empty());
+  relay.upstreams().limits().AddLeaves({}, At(25));
+  const auto decisions = relay.Review(At(25));
+  REQUIRE(decisions.size() == 1);
+  const auto* refusal = std::get_if<Refuse>(&decisions.front().second);
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->status == 503);
+  CHECK(refusal->retry_after);
+  // Leaves have come lately, so that the next one is waited for.
+  relay.upstreams().limits().AddLeaves({{two.id(0), kBorn, 1}}, At(100));
+  CHECK(std::holds_alternative<Send>(two.Arrive(110)));
+  CHECK(std::holds_alternative<Hold>(two.Arrive(120)));
+  relay.upstreams().limits().AddLeaves({}, At(130));
+  CHECK(relay.Review(At(130)).empty());
+}
+
 // What no upstream may take is refused at once and not when it has waited.
 TEST_CASE("a request that no limit allows is refused with a time to return") {
   RateLimits limits;
