Share between control hosts which suspected upstreams were reached

Change: the reports between control hosts name suspected upstreams that were reached, with their incarnation and the age of the inquiry. Measured: the new test, with the bundle and a second detector, passes; without the new field the second detector keeps all three crashes and suspects the request.

--- a/src/foxquay/daemon/control_fleet.cc
+++ b/src/foxquay/daemon/control_fleet.cc
@@ -136,7 +136,7 @@
     if (reached) {
       const auto sent = probed_.find(probed.id);
       if (sent != probed_.end()) {
-        detector_.RecordReached(probed.id, probed.born, sent->second);
+        RecordReached(probed, sent->second, now);
       }
       roster_.Renew(probed.id, now);
       return;
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -335,6 +335,10 @@
   /// Passes the evidence of this host and its followers on to the other control
   /// hosts.
   void ShareQuarantineReports(core::Instant now);
+  /// Records that an upstream answered an inquiry, and tells the other control
+  /// hosts if it was suspected.
+  void RecordReached(const schema::Announcement& upstream, core::Instant sent,
+                     core::Instant now);
   /// Proposes the change of the quarantines that the evidence requires, if this
   /// host leads.
   void ReviewQuarantines(core::Instant now);
--- a/src/foxquay/daemon/control_quarantine.cc
+++ b/src/foxquay/daemon/control_quarantine.cc
@@ -74,6 +74,15 @@
   detector_.Record(report, Now());
 }
 
+void ControlNode::RecordReached(const schema::Announcement& upstream,
+                                core::Instant sent, core::Instant now) {
+  schema::QuarantineReport report;
+  report.reached.push_back({upstream.id, upstream.born, now - sent});
+  detector_.Record(report, now);
+  // Crashes are reported for upstreams that are suspected as well.
+  if (suspected_.contains(upstream.id)) quarantine_news_.Add(report, now);
+}
+
 void ControlNode::ReviewQuarantines(core::Instant now) {
   if (!replica_ || now < next_quarantine_review_) return;
   next_quarantine_review_ = now + internal::kQuarantineReviewInterval;
--- a/src/foxquay/quarantine/bundle.cc
+++ b/src/foxquay/quarantine/bundle.cc
@@ -24,6 +24,11 @@
     if (refused_.size() >= kMaxReportedRefusals) break;
     refused_[{refusal.service, refusal.parts}] = refusal;
   }
+  for (const schema::ReachedUpstream& upstream : report.reached) {
+    if (reached_.size() >= kMaxReportedReached) break;
+    core::Instant& at = reached_[{upstream.upstream, upstream.born}];
+    at = std::max(at, now - upstream.age);
+  }
 }
 
 schema::QuarantineReport Bundle::Take(core::Instant now) {
@@ -38,9 +43,13 @@
   for (auto& [key, refusal] : refused_) {
     report.refused.push_back(std::move(refusal));
   }
+  for (const auto& [key, at] : reached_) {
+    report.reached.push_back({key.first, key.second, now - at});
+  }
   crashes_.clear();
   answered_.clear();
   refused_.clear();
+  reached_.clear();
   return report;
 }
 
--- a/src/foxquay/quarantine/bundle.h
+++ b/src/foxquay/quarantine/bundle.h
@@ -27,7 +27,8 @@
   [[nodiscard]] schema::QuarantineReport Take(core::Instant now);
 
   [[nodiscard]] bool empty() const noexcept {
-    return crashes_.empty() && answered_.empty() && refused_.empty();
+    return crashes_.empty() && answered_.empty() && refused_.empty() &&
+           reached_.empty();
   }
 
  private:
@@ -37,6 +38,7 @@
   std::map<std::pair<core::ServiceId, core::PromptPartId>, core::Instant>
       answered_;
   std::map<std::pair<core::ServiceId, Parts>, schema::RefusedParts> refused_;
+  std::map<std::pair<core::UpstreamId, core::WallTime>, core::Instant> reached_;
 };
 
 }  // namespace foxquay::quarantine
--- a/src/foxquay/quarantine/detector.cc
+++ b/src/foxquay/quarantine/detector.cc
@@ -79,6 +79,9 @@
     refused_[{refusal.service, refusal.parts}] = {refusal.host,
                                                   refusal.incarnation, now};
   }
+  for (const schema::ReachedUpstream& upstream : report.reached) {
+    RecordReached(upstream.upstream, upstream.born, now - upstream.age);
+  }
 }
 
 void Detector::RecordReached(const core::UpstreamId& upstream,
@@ -88,7 +91,8 @@
     return crash.upstream() == incarnation && crash.at < at;
   });
   // Hosts repeat their reports.
-  reached_[incarnation] = at;
+  core::Instant& last = reached_[incarnation];
+  last = std::max(last, at);
 }
 
 std::vector<schema::PromptPart> Detector::Watched(
--- a/src/foxquay/quarantine/limits.h
+++ b/src/foxquay/quarantine/limits.h
@@ -10,6 +10,7 @@
 inline constexpr std::size_t kMaxReportedCrashes = 64;
 inline constexpr std::size_t kMaxReportedAnswers = 512;
 inline constexpr std::size_t kMaxReportedRefusals = 64;
+inline constexpr std::size_t kMaxReportedReached = 64;
 
 }  // namespace foxquay::quarantine
 
--- a/src/foxquay/schema/quarantine.h
+++ b/src/foxquay/schema/quarantine.h
@@ -202,6 +202,24 @@
   }
 };
 
+/// An upstream that was suspected and that a control host has reached.
+struct ReachedUpstream {
+  core::UpstreamId upstream;  ///< The upstream.
+  core::WallTime born = {};   ///< Its start time.
+  core::Duration age =
+      {};  ///< Time since the inquiry that it answered was sent.
+
+  friend bool operator==(const ReachedUpstream&,
+                         const ReachedUpstream&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(upstream);
+    archive(born);
+    archive(age);
+  }
+};
+
 /// Evidence that a host has seen itself or, between control hosts, received
 /// from its followers.
 struct QuarantineReport {
@@ -211,6 +229,8 @@
                  ///< since the last report.
   std::vector<RefusedParts> refused;  ///< Quarantines under which requests were
                                       ///< refused since the last report.
+  std::vector<ReachedUpstream>
+      reached;  ///< Between control hosts: suspected upstreams that run.
 
   friend bool operator==(const QuarantineReport&,
                          const QuarantineReport&) = default;
@@ -220,6 +240,7 @@
     archive(Bound(crashes, 64));
     archive(Bound(answered, 512));
     archive(Bound(refused, 64));
+    archive(Bound(reached, 64));
   }
 };
 
--- a/tests/foxquay/quarantine/detector_test.cc
+++ b/tests/foxquay/quarantine/detector_test.cc
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "foxquay/quarantine/bundle.h"
 #include "foxquay/quarantine/table.h"
 #include "samples.h"
 
@@ -351,6 +352,33 @@
   CHECK(fixture.detector.crashes() == 3);
 }
 
+// Only the control host that had reached the upstream knew that it had not
+// crashed; the leader after it took the reports for evidence.
+TEST_CASE("all control hosts know that a suspected upstream was reached") {
+  Fixture next_leader;
+  std::vector<schema::QuarantineReport> reports;
+  for (int upstream = 1; upstream <= 3; ++upstream) {
+    reports.push_back(CrashOf(upstream, {"request-sound"}));
+    next_leader.detector.Record(reports.back(), At(1000));
+  }
+  Bundle news;
+  schema::QuarantineReport reached;
+  reached.reached.push_back(
+      {core::UpstreamId("u2"), {}, std::chrono::milliseconds(50)});
+  news.Add(reached, At(1150));
+  CHECK_FALSE(news.empty());
+  next_leader.detector.Record(news.Take(At(1200)), At(1200));
+  CHECK(news.empty());
+  CHECK(next_leader.detector.crashes() == 2);
+  // The other reports come again.
+  for (schema::QuarantineReport& report : reports) {
+    report.crashes.front().crash.age = std::chrono::milliseconds(500);
+    next_leader.detector.Record(report, At(1500));
+  }
+  CHECK(next_leader.detector.crashes() == 2);
+  CHECK(next_leader.Settle(At(5000)) == 0);
+}
+
 // Each upstream that ends leaves several requests that never come again.
 TEST_CASE("a whole request is watched from its second crash on") {
   Fixture fixture;
