Confirm changes while the disk of the leader does not answer

Cause: a replica applied a committed entry only once it was on its own disk, and a proposal is answered when its entry is applied. Heartbeats need no disk, so that the leader stayed the leader. Change: committed entries are applied at once; a quorum has them on disk. A vote and an acknowledgement still wait for the own disk.

--- a/src/foxquay/consensus/replica.cc
+++ b/src/foxquay/consensus/replica.cc
@@ -163,8 +163,8 @@
     applied_ = meta.index;
     actions_.emplace_back(Restore{meta.index, meta.wall, snapshot_.data});
   }
-  const Index limit = std::min(commit_, writes_.durable_index());
-  while (applied_ < limit) {
+  // A quorum has these entries on disk; this replica's own write may be slow.
+  while (applied_ < commit_) {
     ++applied_;
     ApplyEntry(log_.At(applied_));
   }
--- a/tests/foxquay/consensus/simulated_cluster.cc
+++ b/tests/foxquay/consensus/simulated_cluster.cc
@@ -332,6 +332,7 @@
           [&](const ProposalDecided& decided) {
             const std::string& payload = node.proposals[decided.id];
             if (!decided.error) oracle_.CheckCommitted(decided.index, payload);
+            if (!decided.error) ++decided_;
             if (decided.error == Error::kNotLeader) oracle_.Reject(payload);
             node.proposals.erase(decided.id);
           },
--- a/tests/foxquay/consensus/simulated_cluster.h
+++ b/tests/foxquay/consensus/simulated_cluster.h
@@ -64,6 +64,8 @@
   /// all its voters and has the same state on all replicas.
   void CheckRecovery();
   [[nodiscard]] const Oracle& oracle() const { return oracle_; }
+  /// Returns the number of proposals that were reported as committed.
+  [[nodiscard]] std::size_t decided() const { return decided_; }
   /// Returns role, term, commit index and voters of each replica.
   [[nodiscard]] std::string Describe() const;
 
@@ -127,6 +129,7 @@
   core::Instant real_time_{std::chrono::hours(1)};  ///< Of the simulation.
   core::Instant last_disk_loss_{};
   std::mt19937 random_;
+  std::size_t decided_ = 0;
   std::uint64_t serial_ = 0;  ///< Source of incarnations, seeds and ids.
   Oracle oracle_;
 };
