--- a/tests/foxquay/consensus/members_test.cc
+++ b/tests/foxquay/consensus/members_test.cc
@@ -26,7 +26,7 @@
     cluster.Run(std::chrono::seconds(8), seed);
     CAPTURE(cluster.Describe());
     CHECK(cluster.oracle().commit() > before + 1);
-    CHECK(cluster.oracle().violation() == "");
+    CHECK(cluster.oracle().violation().empty());
   }
 }
 
--- a/tests/foxquay/consensus/stalled_disk_test.cc
+++ b/tests/foxquay/consensus/stalled_disk_test.cc
@@ -20,7 +20,7 @@
     CAPTURE(cluster.Describe());
     CHECK(cluster.decided() > before + 5);
     cluster.CheckRecovery();
-    CHECK(cluster.oracle().violation() == "");
+    CHECK(cluster.oracle().violation().empty());
   }
 }
 
