--- a/tests/foxquay/consensus/simulated_cluster.cc
+++ b/tests/foxquay/consensus/simulated_cluster.cc
@@ -348,6 +348,7 @@
   InFlightMessage message{real_time_, index,
                           static_cast<std::size_t>(to - nodes_.begin()),
                           send.message};
+  message.due += min_delay_;
   if (Chance(delay_percent_)) {
     message.due += std::chrono::milliseconds(random_() % 1000);
   }
--- a/tests/foxquay/consensus/simulated_cluster.h
+++ b/tests/foxquay/consensus/simulated_cluster.h
@@ -64,6 +64,8 @@
   /// all its voters and has the same state on all replicas.
   void CheckRecovery();
   [[nodiscard]] const Oracle& oracle() const { return oracle_; }
+  /// Delays every message from now on by at least `delay`, as busy hosts do.
+  void SetMinDelay(core::Duration delay) { min_delay_ = delay; }
   /// Returns the number of proposals that were reported as committed.
   [[nodiscard]] std::size_t decided() const { return decided_; }
   /// Returns role, term, commit index and voters of each replica.
@@ -124,6 +126,7 @@
   std::set<std::pair<std::size_t, std::size_t>> cut_links_;
   int loss_percent_ = 0;
   int delay_percent_ = 2;
+  core::Duration min_delay_{};
   bool split_vote_armed_ = false;
   bool proposing_ = true;
   core::Instant real_time_{std::chrono::hours(1)};  ///< Of the simulation.
