--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -126,7 +126,6 @@
                 static_cast<bool>(sink_.decide_claim)),
       roster_(self_, incarnation, internal::RosterOptions(settings)),
       hosts_(settings_),
-      polls_(context_),
       proposer_(incarnation, internal::ControlHosts(settings_),
                 [this](const core::HostId& to, schema::ProposeRequest request) {
                   SendPropose(to, std::move(request));
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -27,7 +27,6 @@
 #include "foxquay/daemon/control_proposer.h"
 #include "foxquay/daemon/control_replica.h"
 #include "foxquay/daemon/hooks.h"
-#include "foxquay/daemon/turn_queue.h"
 #include "foxquay/dispatch/event.h"
 #include "foxquay/entry/distances.h"
 #include "foxquay/membership/parent_selector.h"
@@ -271,8 +270,6 @@
   void Run();
   void Tick();
   void Receive(schema::Envelope envelope);
-  /// Answers a poll after the messages that have arrived meanwhile.
-  void DeferPoll(schema::Envelope envelope, schema::PeerMessage poll);
   void On(const schema::Envelope& from, schema::ConsensusMessage message);
   void On(const schema::Envelope& from, const schema::ConfigPoll& poll);
   void On(const schema::Envelope& from, const schema::ConfigReply& reply);
@@ -400,7 +397,6 @@
   control::Observer observer_;
   roster::Roster roster_;
   Hosts hosts_;
-  TurnQueue polls_;  ///< Of other hosts; answered after other messages.
   Proposer proposer_;
   /// Set on a host that follows a control host.
   std::optional<membership::ParentSelector> parent_;
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -63,30 +63,10 @@
   const bool follows =
       std::holds_alternative<schema::FollowerPoll>(message.value());
   if (!follows) ContactUnknownSender(envelope.sender);
-  // The polls of all hosts must not delay elections and heartbeats.
-  if (!parent_ && (follows || std::holds_alternative<schema::ConfigPoll>(
-                                  message.value()))) {
-    DeferPoll(std::move(envelope), std::move(message).value());
-    return;
-  }
   std::visit([&](auto& content) { On(envelope, std::move(content)); },
              message.value());
 }
 
-void ControlNode::DeferPoll(schema::Envelope envelope,
-                            schema::PeerMessage poll) {
-  envelope.payload.clear();
-  const core::HostId sender = envelope.sender;
-  const bool added = polls_.Add([this, envelope = std::move(envelope),
-                                 poll = std::move(poll)]() mutable {
-    if (stopping_) return;
-    std::visit([&](auto& content) { On(envelope, std::move(content)); }, poll);
-  });
-  if (added) return;
-  Count("foxquay_polls_dropped_total", "");
-  log::Write(log::Level::kWarn, "poll_dropped", {{"host", sender}});
-}
-
 /// Sets the address of a host that is named by its IP address; returns false if
 /// it is not.
 bool ControlNode::SetLink(const core::HostId& host) {
