--- a/src/foxquay/consensus/election.cc
+++ b/src/foxquay/consensus/election.cc
@@ -10,43 +10,18 @@
 #include "foxquay/consensus/state.h"
 
 namespace foxquay::consensus {
-namespace {
-
-/// Bound on the factor of the election timeout, so that a group elects a leader
-/// a few seconds after its hosts are no longer busy.
-constexpr int kMaxTimeoutFactor = 4;
-
-/// Contacts in time, one for each heartbeat, after which the factor is halved.
-constexpr int kContactsToShorten = 50;
-
-}  // namespace
 
 void Replica::State::ResetElectionDeadline() {
   const Timing& timing = options_.timing;
   std::uniform_int_distribution<core::Duration::rep> timeout(
       timing.min_election.count(), timing.max_election.count());
-  election_deadline_ =
-      now_ + core::Duration(timeout(random_)) * timeout_factor_;
-}
-
-void Replica::State::AdaptElectionTimeout() {
-  if (std::exchange(campaign_answered_, false)) {
-    timeout_factor_ = std::min(timeout_factor_ * 2, kMaxTimeoutFactor);
-  }
-  contacts_in_time_ = 0;
-}
-
-void Replica::State::RecordContact(bool in_time) {
-  contacts_in_time_ = in_time ? contacts_in_time_ + 1 : 0;
-  if (contacts_in_time_ < kContactsToShorten) return;
-  contacts_in_time_ = 0;
-  timeout_factor_ = std::max(timeout_factor_ / 2, 1);
+  election_deadline_ = now_ + core::Duration(timeout(random_));
 }
 
 bool Replica::State::HasRecentLeaderContact() const {
   core::Instant at = last_contact_;
   if (role_ == Role::kLeader) at = QuorumAckTime(now_).value_or(last_contact_);
-  return now_ < at + options_.timing.min_election * timeout_factor_;
+  return now_ < at + options_.timing.min_election;
 }
 
 Role Replica::State::RoleFromConfiguration() const {
@@ -164,7 +139,6 @@
 }
 
 void Replica::State::On(const schema::VoteReply& reply) {
-  campaign_answered_ = true;
   const Term term = reply.header.term;
   const bool granted_pre = reply.pre && reply.granted;
   if (!granted_pre && term > term_) {
--- a/src/foxquay/consensus/replica.cc
+++ b/src/foxquay/consensus/replica.cc
@@ -132,10 +132,9 @@
   if (role_ == Role::kLeader) {
     const core::Instant acked =
         std::max(QuorumAckTime(now_).value_or(leading_since_), leading_since_);
-    if (now_ - acked > options_.timing.max_election * timeout_factor_) {
+    if (now_ - acked > options_.timing.max_election) {
       StepDown(term_, std::nullopt);
     } else if (now_ >= heartbeat_deadline_) {
-      RecordContact(now_ - acked < options_.timing.min_election);
       heartbeat_deadline_ = now_ + options_.timing.heartbeat;
       UpdateMembership();
       ReplicateToAll(true);
@@ -143,7 +142,6 @@
     return;
   }
   if (now_ < election_deadline_) return;
-  AdaptElectionTimeout();
   ResetElectionDeadline();
   if (role_ != Role::kLearner) Campaign(true);
   // A voter without a leader may have been replaced during a network
--- a/src/foxquay/consensus/replication.cc
+++ b/src/foxquay/consensus/replication.cc
@@ -145,7 +145,6 @@
 bool Replica::State::AcceptLeader(const schema::MessageHeader& header) {
   if (header.term < term_) return false;
   StepDown(header.term, header.from);
-  RecordContact(now_ - last_contact_ < options_.timing.min_election);
   last_contact_ = now_;
   ResetElectionDeadline();
   return true;
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -87,12 +87,6 @@
 
   // election.cc
   void ResetElectionDeadline();
-  /// Doubles the election timeout if the campaign that ends had answers: they
-  /// came too late, or the votes were split.
-  void AdaptElectionTimeout();
-  /// Shortens the election timeout again once the leader and its followers have
-  /// been in contact in time for long; `in_time` tells whether they are now.
-  void RecordContact(bool in_time);
   [[nodiscard]] bool HasRecentLeaderContact() const;
   /// Adopts `term` if it is newer, gives up any leadership or candidacy and
   /// follows `leader` if it is known.
@@ -194,9 +188,6 @@
   std::optional<schema::ReplicaId> leader_;  ///< Of `term_`, if known.
   core::Instant last_contact_;  ///< With a leader; initially the start time.
   core::Instant election_deadline_;
-  int timeout_factor_ = 1;          ///< Of the election timeout.
-  bool campaign_answered_ = false;  ///< The campaign has had an answer.
-  int contacts_in_time_ = 0;        ///< In a row.
   std::set<schema::ReplicaId, internal::ReplicaLess> votes_;
 
   internal::ProgressMap progress_;
