Set the address of control hosts that the roster names first

Of five voters a-1, b-2 and c-2 hold their logs; c-2 and b-2 ask each other for votes and never get an answer, a-1 answers both. Only the hosts that the settings name as seeds log host_joined; the others never learn of each other. In the large site's log d-1 and e-1 answer all but each other. Cause: a control host that another one's feed of the roster names first counts as known when the list of hosts arrives, and only that list set its address. So two control hosts that are no seeds could send nothing to each other, neither votes nor entries, on each deployment with more control hosts than seeds. Change: an address is set wherever a control host is first heard of.

--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -215,7 +215,8 @@
   const bool changed = followed_changes_ != roster_.changes();
   if (!changed && now < next_hosts_review_) return;
   for (const schema::HostState& state : roster_.Hosts(now)) {
-    hosts_.Follow(state, now);
+    const bool moved = hosts_.Follow(state, now);
+    if (moved && !parent_ && state.address.control) AddPeer(state.address);
   }
   if (!changed) return;
   followed_changes_ = roster_.changes();
--- a/src/foxquay/daemon/control_hosts.cc
+++ b/src/foxquay/daemon/control_hosts.cc
@@ -74,17 +74,19 @@
   return entry.reported && now - entry.last_heard <= kHostSilence;
 }
 
-void Hosts::Follow(const schema::HostState& state, core::Instant now) {
+bool Hosts::Follow(const schema::HostState& state, core::Instant now) {
   const core::HostId& id = state.address.id;
-  if (id == self_) return;
-  if (state.silent && !entries_.contains(id)) return;
+  if (id == self_) return false;
+  if (state.silent && !entries_.contains(id)) return false;
   const auto [found, inserted] = entries_.try_emplace(id, Entry{});
   Entry& entry = found->second;
   if (inserted) order_.push_back(id);
   entry.followed = true;
   entry.silent = state.silent;
   if (!state.silent) entry.last_heard = now;
+  bool moved = inserted;
   if (entry.address_incarnation != state.address.incarnation) {
+    moved = moved || entry.view.peer != state.address.peer;
     entry.address_incarnation = state.address.incarnation;
     internal::SetAddress(entry.view, state.address);
     entry.view.incarnation = state.address.incarnation;
@@ -93,6 +95,7 @@
   entry.view.report.admitting = state.admitting;
   entry.view.report.cut_off = state.cut_off;
   entry.view.report.free_percent = 100;
+  return moved;
 }
 
 bool Hosts::HandleAddress(const schema::HostAddress& address,
--- a/src/foxquay/daemon/control_hosts.h
+++ b/src/foxquay/daemon/control_hosts.h
@@ -58,8 +58,9 @@
 
   /// Stores the state of a host as the feeds of the control hosts hold it; from
   /// then on, these decide whether the host is alive. Ignores this host and
-  /// unknown hosts that are silent.
-  void Follow(const schema::HostState& state, core::Instant now);
+  /// unknown hosts that are silent. Returns whether the host is new or its peer
+  /// address has changed.
+  bool Follow(const schema::HostState& state, core::Instant now);
 
   /// Returns the hosts to announce to others: this one and those that are
   /// alive, with `control_only` only those with the role control.
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -356,6 +356,9 @@
       core::Instant now);
   /// Passes limits on to the other control hosts.
   void ShareLimits(core::Instant now);
+  /// Sets the address of another control host; returns whether it was not a
+  /// peer before.
+  bool AddPeer(const schema::HostAddress& address);
   /// Updates whether announcements are accepted.
   void ReviewConfirmation(core::Instant now);
   /// Sums up the open requests that hosts have reported.
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -209,6 +209,21 @@
   return true;
 }
 
+bool ControlNode::AddPeer(const schema::HostAddress& address) {
+  if (const auto error = links_.SetPeer(address.id, address.peer)) {
+    log::Write(log::Level::kWarn, "peer_unnamed",
+               {{"host", address.id}, {"error", error.message()}});
+    return false;
+  }
+  if (std::find(peers_.begin(), peers_.end(), address.id) != peers_.end()) {
+    return false;
+  }
+  peers_.push_back(address.id);
+  log::Write(log::Level::kInfo, "host_joined",
+             {{"host", address.id}, {"address", address.peer}});
+  return true;
+}
+
 void ControlNode::On(const schema::Envelope& from,
                      const schema::HostList& list) {
   if (parent_) return;
@@ -216,15 +231,7 @@
   bool joined = false;
   for (const schema::HostAddress& address : list.hosts) {
     if (uses_seeds() && !address.control) continue;
-    const bool known =
-        std::find(peers_.begin(), peers_.end(), address.id) != peers_.end();
-    if (!hosts_.HandleAddress(address, now)) continue;
-    if (links_.SetPeer(address.id, address.peer)) continue;
-    if (known) continue;
-    peers_.push_back(address.id);
-    joined = true;
-    log::Write(log::Level::kInfo, "host_joined",
-               {{"host", address.id}, {"address", address.peer}});
+    if (hosts_.HandleAddress(address, now) && AddPeer(address)) joined = true;
   }
   if (joined || NeedsHostList(from.sender, list, now)) {
     Send(from.sender, hosts_.ListAlive(uses_seeds(), now));
