Count messages between hosts by kind, and how long they hold the control thread

The logs could not tell whether the load on the control hosts comes from the configuration that is sent again or from the loss of upstreams: nothing stated messages, bytes or time by kind. Control hosts now log them once a second (peer_messages), and all hosts count them (foxquay_peer_messages_total, foxquay_peer_bytes_total).

--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -19,6 +19,9 @@
 constexpr core::Duration kFlushPollInterval = std::chrono::milliseconds(5);
 constexpr core::Duration kInForcePollInterval = std::chrono::milliseconds(20);
 
+/// Interval between two reports of the messages between hosts.
+constexpr core::Duration kMessageReportInterval = std::chrono::seconds(1);
+
 std::vector<core::HostId> ControlHosts(const schema::Settings& settings) {
   std::vector<core::HostId> hosts;
   for (const HostView& host : Hosts(settings).Views({})) {
@@ -247,6 +250,10 @@
 void ControlNode::Tick() {
   if (stopping_) return;
   const core::Instant now = Now();
+  if (next_tick_ != core::Instant()) {
+    message_stats_.RecordDelay(now - next_tick_);
+  }
+  ReportMessages(now);
   if (replica_) replica_->Handle(consensus::Tick{}, now);
   proposer_.Tick(now);
   ExpireInForceChecks(now);
@@ -268,12 +275,43 @@
   PublishAdmission(now);
   PublishRoster(now);
   PublishHosts(now);
-  timer_.expires_after(parent_ ? kFollowerTick : kControlTick);
+  const core::Duration pause = parent_ ? kFollowerTick : kControlTick;
+  next_tick_ = Now() + pause;
+  timer_.expires_after(pause);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) Tick();
   });
 }
 
+void ControlNode::ReportMessages(core::Instant now) {
+  if (now < next_message_report_) return;
+  next_message_report_ = now + internal::kMessageReportInterval;
+  const auto count = [this](std::string_view direction,
+                            const MessageStats::Counts& counts) {
+    for (std::size_t kind = 0; kind < counts.size(); ++kind) {
+      const MessageCount& item = counts.at(kind);
+      if (item.messages == 0) continue;
+      const std::string labels = "direction=\"" + std::string(direction) +
+                                 "\",kind=\"" +
+                                 std::string(MessageKindName(kind)) + "\"";
+      Count("foxquay_peer_messages_total", labels, item.messages);
+      Count("foxquay_peer_bytes_total", labels, item.bytes);
+    }
+  };
+  count("sent", message_stats_.sent());
+  count("received", message_stats_.received());
+  if (replica_) {
+    log::Write(log::Level::kInfo, "peer_messages",
+               {{"sent", FormatCounts(message_stats_.sent())},
+                {"received", FormatCounts(message_stats_.received())},
+                {"longest_ms", core::ToMilliseconds(message_stats_.longest())},
+                {"longest_kind",
+                 std::string(MessageKindName(message_stats_.longest_kind()))},
+                {"delay_ms", core::ToMilliseconds(message_stats_.delay())}});
+  }
+  message_stats_.Reset();
+}
+
 core::HostId ControlNode::KnownLeader() const {
   if (replica_) {
     core::HostId leader = replica_->leader();
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -27,6 +27,7 @@
 #include "foxquay/daemon/control_proposer.h"
 #include "foxquay/daemon/control_replica.h"
 #include "foxquay/daemon/hooks.h"
+#include "foxquay/daemon/message_stats.h"
 #include "foxquay/dispatch/event.h"
 #include "foxquay/entry/distances.h"
 #include "foxquay/membership/parent_selector.h"
@@ -114,8 +115,10 @@
   std::function<void(const std::vector<schema::LimitStatement>&,
                      const std::vector<schema::LimitLeave>&)>
       set_limits;
-  /// Adds 1 to a counter with these labels.
-  std::function<void(std::string_view counter, std::string_view labels)> count;
+  /// Adds an amount to a counter with these labels.
+  std::function<void(std::string_view counter, std::string_view labels,
+                     std::uint64_t amount)>
+      count;
 };
 
 /// State of a host and its view of the cluster, as shown to operators.
@@ -324,9 +327,12 @@
   void HandleConnectionLoss(const transport::ConnectionLoss& loss);
   /// Polls again if a poll was lost with the connection to a host.
   void PollAfterLoss(const core::HostId& host);
-  void Count(std::string_view counter, std::string_view labels) const {
-    if (sink_.count) sink_.count(counter, labels);
+  void Count(std::string_view counter, std::string_view labels,
+             std::uint64_t amount = 1) const {
+    if (sink_.count) sink_.count(counter, labels, amount);
   }
+  /// Logs and counts the messages of the last second.
+  void ReportMessages(core::Instant now);
   void UpdateParentCandidates();
   /// Takes the states of hosts over from the feeds.
   void FollowHosts(core::Instant now);
@@ -436,6 +442,9 @@
   std::map<core::HostId, ReportedRequests> control_requests_;
   std::uint64_t followers_open_ = 0;  ///< Sum over this host's followers.
   std::uint64_t total_open_ = 0;      ///< Sum over all hosts.
+  MessageStats message_stats_;
+  core::Instant next_message_report_{};
+  core::Instant next_tick_{};  ///< When the current tick was due.
   std::vector<core::HostId> peers_;
   /// When the host list was last sent to a control host that did not list this
   /// host.
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -12,7 +12,9 @@
 
 void ControlNode::Send(const core::HostId& to,
                        const schema::PeerMessage& message) {
-  links_.Send(to, schema::Encode(message));
+  std::string payload = schema::Encode(message);
+  message_stats_.RecordSent(message.index(), payload.size());
+  links_.Send(to, std::move(payload));
 }
 
 void ControlNode::SendPropose(const core::HostId& to,
@@ -63,8 +65,11 @@
   const bool follows =
       std::holds_alternative<schema::FollowerPoll>(message.value());
   if (!follows) ContactUnknownSender(envelope.sender);
+  const std::size_t kind = message.value().index();
+  const core::Instant started = Now();
   std::visit([&](auto& content) { On(envelope, std::move(content)); },
              message.value());
+  message_stats_.RecordReceived(kind, envelope.payload.size(), Now() - started);
 }
 
 /// Sets the address of a host that is named by its IP address; returns false if
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -250,8 +250,9 @@
       });
     };
     sink.free_capacity = [] { return 1.0; };
-    sink.count = [this](std::string_view counter, std::string_view labels) {
-      registry_.Add(counter, labels);
+    sink.count = [this](std::string_view counter, std::string_view labels,
+                        std::uint64_t amount) {
+      registry_.Add(counter, labels, amount);
     };
     sink.open_requests = [this] { return open_requests_.load(); };
     sink.cut_off = [this] { return cut_off_.load(); };
