Do not send control hosts their own feeds back

Second cause of the load on control hosts: each reply between control hosts carried the complete feed of the host that had polled (28 KB, 20 times a second at each; a quarter of the time that the handlers of a control host take), which the receiver ignored. Cause: a poll states the versions of all feeds but the sender's own, and an unknown feed is sent whole. Change: a poll states the own feed as well. No message changes. Measured: the new test, with 200 upstreams, fails before (the feed comes back) and passes now.

--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -262,7 +262,8 @@
   poll.incarnation = OwnFeed().incarnation;
   poll.number = next_poll_++;
   for (const auto& [host, feed] : feeds_) {
-    if (host == self_) continue;
+    // The own feed is stated so that it is not sent back.
+    if (host == self_ && feed.version == 0) continue;
     poll.known.push_back({host, feed.incarnation, feed.version});
   }
   polls_.emplace(poll.number, now);
--- a/tests/foxquay/roster/roster_test.cc
+++ b/tests/foxquay/roster/roster_test.cc
@@ -50,6 +50,23 @@
   CHECK_FALSE(a.Announce(MakeAnnouncement("gpu", 1), At(20)));
 }
 
+// Guards against control hosts that spend their time on sending each other
+// their own feeds.
+TEST_CASE("a reply does not carry the feed of the host that polls") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  for (int index = 0; index < 200; ++index) {
+    b.Announce(MakeAnnouncement(std::to_string(index), 1), At(0));
+  }
+  PollFrom(a, b, At(10));
+  PollFrom(b, a, At(20));
+  const schema::RosterReply reply = a.Answer(b.Poll(At(30)), At(40));
+  for (const schema::FeedUpdate& update : reply.feeds) {
+    CHECK(update.changes.empty());
+    if (update.host == core::HostId("b")) CHECK_FALSE(update.complete);
+  }
+}
+
 // Guards against a partitioned host that keeps using a silent upstream.
 TEST_CASE("a silent upstream is unusable on all hosts within the bound") {
   Roster a(core::HostId("a"), 1);
