Replicate a large change once although operators repeat it

Third cause of the load: an operator who gets no answer within a second sends the configuration again, to any control host. Change: the leader gives a large command that is already open one result for all who proposed it, and a control host whose applied state has overtaken the version answers at once, as State::Apply would (fleet_put_again).

--- a/src/foxquay/daemon/control_fleet.cc
+++ b/src/foxquay/daemon/control_fleet.cc
@@ -28,6 +28,13 @@
   boost::asio::post(context_, [this, command = std::move(command), timeout,
                                done = std::move(done)] {
     const core::Instant now = Now();
+    const auto known = replica_ ? replica_->FindResult(command) : std::nullopt;
+    if (known) {
+      log::Write(log::Level::kInfo, "fleet_put_again",
+                 {{"version", command.version}, {"in_force", known->version}});
+      done(*known);
+      return;
+    }
     proposer_.Propose(
         command, now + timeout, now,
         [done, version = command.version](
--- a/src/foxquay/daemon/control_replica.cc
+++ b/src/foxquay/daemon/control_replica.cc
@@ -1,5 +1,6 @@
 #include "foxquay/daemon/control_replica.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <variant>
@@ -11,6 +12,10 @@
 namespace foxquay::daemon {
 namespace internal {
 
+/// Size from which a command is compared with those that are open. Such a
+/// command costs each replica more than the comparison.
+constexpr std::size_t kLargeCommand = 4096;
+
 /// Formats replicas for logs: `HOST/INCARNATION`, separated by commas.
 std::string Format(const std::vector<schema::ReplicaId>& replicas) {
   std::string text;
@@ -83,8 +88,19 @@
 
 void ControlReplica::Propose(std::string command, core::WallTime wall,
                              core::Instant now, Done done) {
+  const bool large = command.size() >= internal::kLargeCommand;
+  const auto same =
+      std::find_if(proposals_.begin(), proposals_.end(), [&](const auto& item) {
+        return large && item.second.command == command;
+      });
+  if (same != proposals_.end()) {
+    same->second.done.push_back(std::move(done));
+    return;
+  }
   const consensus::ProposalId id(next_proposal_++);
-  proposals_.emplace(id, std::move(done));
+  OpenProposal& open = proposals_[id];
+  if (large) open.command = command;
+  open.done.push_back(std::move(done));
   Handle(consensus::Propose{id, std::move(command), wall}, now);
 }
 
@@ -140,15 +156,16 @@
                              core::Instant) {
   const auto found = proposals_.find(action.id);
   if (found == proposals_.end()) return;
-  const Done done = std::move(found->second);
+  const std::vector<Done> waiting = std::move(found->second.done);
   proposals_.erase(found);
+  core::Result<schema::ControlResult> result =
+      make_error_code(core::Error::kUnavailable);
   if (!action.error && action.index == last_index_) {
-    done(last_result_);
+    result = last_result_;
   } else if (action.error == consensus::Error::kNotLeader) {
-    done(make_error_code(core::Error::kNotLeader));
-  } else {
-    done(make_error_code(core::Error::kUnavailable));
+    result = make_error_code(core::Error::kNotLeader);
   }
+  for (const Done& done : waiting) done(result);
 }
 
 void ControlReplica::Perform(consensus::LeaderChanged&&, core::Instant now) {
@@ -165,6 +182,13 @@
   Handle(consensus::SnapshotTaken{state_.index(), state_.Snapshot()}, now);
 }
 
+std::optional<schema::FleetResult> ControlReplica::FindResult(
+    const schema::PutFleet& command) const {
+  const std::uint64_t version = state_.fleet().version;
+  if (command.version > version) return std::nullopt;
+  return schema::FleetResult{version, false};
+}
+
 std::optional<schema::ConfigReply> ControlReplica::Answer(
     const schema::ConfigPoll& poll, core::Instant now,
     std::size_t max_content) {
--- a/src/foxquay/daemon/control_replica.h
+++ b/src/foxquay/daemon/control_replica.h
@@ -50,10 +50,16 @@
 
   /// Proposes an encoded command, to be applied with the wall-clock time
   /// `wall`; `done` gets kNotLeader if another replica leads, kUnavailable if
-  /// the result is unknown.
+  /// the result is unknown. A large command that is already open is not
+  /// proposed again: both get its result.
   void Propose(std::string command, core::WallTime wall, core::Instant now,
                Done done);
 
+  /// Returns the result of a change of the fleet configuration that the applied
+  /// state has overtaken, so that it need not be proposed.
+  [[nodiscard]] std::optional<schema::FleetResult> FindResult(
+      const schema::PutFleet& command) const;
+
   /// Answers an observer's poll if this replica leads and its age is known.
   [[nodiscard]] std::optional<schema::ConfigReply> Answer(
       const schema::ConfigPoll& poll, core::Instant now,
@@ -88,6 +94,12 @@
   void Perform(consensus::LeaderChanged&& action, core::Instant now);
   void Perform(consensus::MembersChanged&& action, core::Instant now);
   void Perform(consensus::TakeSnapshot&& action, core::Instant now);
+  /// A proposal that is not decided.
+  struct OpenProposal {
+    std::string command;  ///< Empty unless it is large.
+    std::vector<Done> done;
+  };
+
   void TrackCommits(std::uint64_t previous_sequence, core::Instant now);
 
   Output output_;
@@ -97,7 +109,7 @@
   control::State state_;
   consensus::Replica replica_;
   std::optional<control::InForceTracker> tracker_;
-  std::map<consensus::ProposalId, Done> proposals_;
+  std::map<consensus::ProposalId, OpenProposal> proposals_;
   std::uint64_t next_proposal_ = 1;
   std::uint64_t last_index_ = 0;
   schema::ControlResult last_result_;
