Wait before accepting again when no descriptor is left

Found while looking for the reported ends of processes: with a full table of descriptors the control thread of a host accepted connections of other hosts in a loop, at once again after each failure. Change: as in the HTTP server, a failure is logged and the next attempt is 20 ms later.

--- a/src/foxquay/transport/peer_transport.cc
+++ b/src/foxquay/transport/peer_transport.cc
@@ -8,11 +8,15 @@
 #include <cassert>
 #include <utility>
 
+#include "foxquay/log/log.h"
 #include "foxquay/net/socket.h"
 
 namespace foxquay::transport {
 namespace internal {
 
+/// Delay before accepting again after an error.
+constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
+
 using UserTimeout =
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -44,6 +48,7 @@
       authenticator_(std::move(authenticator)),
       handler_(std::move(handler)),
       acceptor_(context),
+      accept_timer_(context),
       datagrams_(context),
       datagram_buffer_(kMaxSignedBytes, '\0') {}
 
@@ -86,15 +91,26 @@
   acceptor_.async_accept(
       [this](const boost::system::error_code& error, Tcp::socket socket) {
         if (stopped_) return;
-        if (!error) {
-          const std::uint64_t id = next_inbound_id_++;
-          inbound_.try_emplace(id, std::move(socket));
-          ReadSize(id);
+        if (error) {
+          RetryAccept(error);
+          return;
         }
+        const std::uint64_t id = next_inbound_id_++;
+        inbound_.try_emplace(id, std::move(socket));
+        ReadSize(id);
         Accept();
       });
 }
 
+void PeerTransport::RetryAccept(const std::error_code& error) {
+  log::Write(log::Level::kWarn, "peer_accept_failed",
+             {{"error", error.message()}, {"inbound", inbound_.size()}});
+  accept_timer_.expires_after(internal::kAcceptRetryDelay);
+  accept_timer_.async_wait([this](const boost::system::error_code& ended) {
+    if (!ended && !stopped_) Accept();
+  });
+}
+
 void PeerTransport::ReadSize(std::uint64_t id) {
   InboundConnection& inbound = inbound_.at(id);
   boost::asio::async_read(
@@ -342,6 +358,7 @@
   stopped_ = true;
   boost::system::error_code ignored;
   acceptor_.close(ignored);
+  accept_timer_.cancel();
   datagrams_.close(ignored);
   for (auto& [host, peer] : peers_) {
     peer.socket.close(ignored);
--- a/src/foxquay/transport/peer_transport.h
+++ b/src/foxquay/transport/peer_transport.h
@@ -163,6 +163,9 @@
   };
 
   void Accept();
+  /// Accepts again after a delay; the reason, such as a full table of
+  /// descriptors, does not pass at once.
+  void RetryAccept(const std::error_code& error);
   void ReadSize(std::uint64_t id);
   void ReadBody(std::uint64_t id);
   void ReadDatagram();
@@ -194,6 +197,7 @@
   Handler handler_;
   LossHandler loss_handler_;
   Tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_timer_;
   Udp::socket datagrams_;
   Udp::endpoint datagram_sender_;
   std::string datagram_buffer_;
--- a/tests/foxquay/transport/peer_transport_test.cc
+++ b/tests/foxquay/transport/peer_transport_test.cc
@@ -1,8 +1,11 @@
 #include "foxquay/transport/peer_transport.h"
 
+#include <sys/resource.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -103,6 +106,42 @@
   CHECK(pair.b.counters().rejected == 1);
 }
 
+// Guards against a control thread that accepts in a loop while the process has
+// no descriptor left.
+TEST_CASE("a full table of descriptors does not occupy the thread") {
+  Pair pair("c", "key");
+  std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> held;
+  boost::asio::ip::tcp::socket caller(pair.context);
+  caller.open(boost::asio::ip::tcp::v4());
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  rlimit low = before;
+  low.rlim_cur = 64;
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &low) == 0);
+  boost::system::error_code error;
+  while (!error) {
+    held.push_back(
+        std::make_unique<boost::asio::ip::tcp::socket>(pair.context));
+    held.back()->open(boost::asio::ip::tcp::v4(), error);
+  }
+  boost::system::error_code connected;
+  caller.connect(net::ParseEndpoint(pair.b_address).value(), connected);
+  std::size_t handled = 0;
+  const auto until =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+  while (std::chrono::steady_clock::now() < until) {
+    handled += pair.context.run_one_for(std::chrono::milliseconds(10));
+  }
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &before) == 0);
+  CHECK_FALSE(connected);
+  CHECK(handled < 100);
+  // It accepts again once there are descriptors.
+  held.clear();
+  pair.a.Send(core::HostId("b"), "late");
+  pair.RunUntil([&] { return pair.received.size() == 1; });
+  CHECK(pair.received.size() == 1);
+}
+
 // Guards against a connection that is not re-established after the peer has
 // restarted.
 TEST_CASE("a connection is re-established after a failure") {
