Confirm only the configuration that was taken over from the own replica

Found while looking for hosts that know themselves current without being so: a control host copies the configuration from its replica and confirms it to the hosts that follow it, also if the copy failed because the change did not fit what it had. Change: as for replies of other hosts, a confirmation needs all that the replica has, and the whole content is taken after a change that did not fit. Measured: the new test fails before (confirmed 1 ns ago under the old version) and passes now.

--- a/src/foxquay/control/observer.cc
+++ b/src/foxquay/control/observer.cc
@@ -29,11 +29,21 @@
 schema::ConfigPoll Observer::StartPoll(core::Instant now) {
   open_polls_.emplace_back(next_poll_, now);
   if (open_polls_.size() > internal::kMaxOpenPolls) open_polls_.pop_front();
+  return MakePoll(next_poll_++);
+}
+
+schema::ConfigPoll Observer::MakePoll(std::uint64_t number) const {
   const std::uint64_t fleet = needs_whole_fleet_ ? 0 : fleet_version_;
-  return {host_, incarnation_,        next_poll_++, config_.sequence(),
+  return {host_, incarnation_,        number, config_.sequence(),
           fleet, quarantines_.version};
 }
 
+bool Observer::HasAll(const schema::ConfigReply& reply) const {
+  return config_.sequence() >= reply.sequence &&
+         fleet_version_ >= reply.fleet_version &&
+         quarantines_.version >= reply.quarantine_version;
+}
+
 bool Observer::HandleReply(const schema::ConfigReply& reply) {
   if (reply.incarnation != incarnation_) return false;
   const auto poll =
@@ -43,10 +53,7 @@
   const core::Instant sent = poll->second;
   open_polls_.erase(poll);
   const bool changed = ApplyReply(reply);
-  if (config_.sequence() >= reply.sequence &&
-      fleet_version_ >= reply.fleet_version &&
-      quarantines_.version >= reply.quarantine_version &&
-      reply.age >= core::Duration::zero()) {
+  if (HasAll(reply) && reply.age >= core::Duration::zero()) {
     Confirm(sent - core::WithClockError(reply.age));
   }
   return changed;
@@ -84,13 +91,10 @@
 
 bool Observer::Sync(const State& state, std::optional<core::Duration> age,
                     core::Instant now) {
-  schema::ConfigPoll poll;
-  poll.sequence = config_.sequence();
-  poll.fleet_version = fleet_version_;
-  poll.quarantine_version = quarantines_.version;
-  const bool changed =
-      ApplyReply(state.Answer(poll, age.value_or(core::Duration::zero())));
-  if (age) Confirm(now - core::WithClockError(*age));
+  const schema::ConfigReply reply =
+      state.Answer(MakePoll(0), age.value_or(core::Duration::zero()));
+  const bool changed = ApplyReply(reply);
+  if (age && HasAll(reply)) Confirm(now - core::WithClockError(*age));
   return changed;
 }
 
--- a/src/foxquay/control/observer.h
+++ b/src/foxquay/control/observer.h
@@ -108,6 +108,9 @@
   }
 
  private:
+  [[nodiscard]] schema::ConfigPoll MakePoll(std::uint64_t number) const;
+  /// Returns whether this host has all that the sender of a reply had.
+  [[nodiscard]] bool HasAll(const schema::ConfigReply& reply) const;
   /// Returns whether the configuration changed.
   bool ApplyReply(const schema::ConfigReply& reply);
   /// Records that the configuration was current at `at`.
--- a/tests/foxquay/control/fleet_history_test.cc
+++ b/tests/foxquay/control/fleet_history_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "foxquay/control/observer.h"
+#include "foxquay/control/state.h"
 #include "foxquay/schema/codec.h"
 #include "foxquay/schema/fleet.h"
 
@@ -88,4 +89,34 @@
   CHECK(observer.StartPoll({}).fleet_version == 0);
 }
 
+// Guards against a control host that confirms a configuration to others which
+// it did not manage to take over from its own replica.
+TEST_CASE("a host confirms only the configuration that it has") {
+  Observer observer(core::HostId("h"), 1, kConfigLease, false);
+  schema::ConfigReply reply;
+  reply.incarnation = 1;
+  reply.poll = observer.StartPoll({}).poll;
+  reply.fleet_version = 3;
+  reply.fleet = std::string(5000, 'a');
+  reply.age = std::chrono::hours(1);
+  REQUIRE(observer.HandleReply(reply));
+
+  State state;
+  for (const std::uint64_t version : {3, 4}) {
+    schema::PutFleet put;
+    put.version = version;
+    put.fleet = std::string(5000, 'b') + std::to_string(version);
+    state.Apply(version, core::WallTime(),
+                schema::Encode(schema::ControlCommand(put)));
+  }
+  const core::Instant now(std::chrono::hours(2));
+  CHECK_FALSE(observer.Sync(state, core::Duration::zero(), now));
+  CHECK(observer.fleet_version() == 3);
+  CHECK(now - *observer.confirmed() > std::chrono::hours(1));
+  // It takes the whole content then.
+  CHECK(observer.Sync(state, core::Duration::zero(), now));
+  CHECK(observer.fleet_version() == 4);
+  CHECK(now - *observer.confirmed() < std::chrono::seconds(1));
+}
+
 }  // namespace foxquay::control
