--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -270,6 +270,30 @@
   CHECK(upstream.requests.size() == 1);
 }
 
+// Guards against requests to an upstream that asked for a pause, or said that
+// it leaves, in its answer to an inquiry.
+TEST_CASE("what an upstream asks for in the answer to an inquiry is kept") {
+  const std::string field = GENERATE("Pause", "Leaving");
+  ProxyFixture fixture;
+  (void)fixture.Send("/stream/1", "secret", "p,own");
+  FakeUpstream& upstream = fixture.FirstReached();
+  FakeUpstream& other = fixture.Other(upstream);
+  upstream.server.Start(upstream.requests[0].first, Stream());
+  fixture.RunFor(std::chrono::milliseconds(50));
+  upstream.server.Abort(upstream.requests[0].first);
+  fixture.RunUntil([&] { return upstream.requests.size() == 2; });
+  REQUIRE(upstream.requests[1].second.target == "/report");
+  net::Response declined = net::MakeResponse(503, "text/plain", "");
+  declined.fields.set(field, "5");
+  upstream.server.Respond(upstream.requests[1].first, declined);
+  fixture.RunUntil([&] { return other.requests.size() == 1; });
+  for (int count = 0; count < 3; ++count) (void)fixture.Send("/safe/1");
+  fixture.RunUntil([&] { return fixture.proxy.open_requests() == 4; });
+  fixture.RunFor(std::chrono::milliseconds(100));
+  CHECK(other.requests.size() == 4);
+  CHECK(upstream.requests.size() == 2);
+}
+
 namespace {
 
 /// A proxy fixture whose only upstream is a RawUpstream.
