Keep what upstreams ask for in any answer, and ask before sending anything

Callers' requests went to upstreams that had asked the host for three seconds of rest (BUDGET). Cause: only answers to callers' requests were read for what an upstream states about itself; the prober took the status of an answer to an inquiry and the placer that of an order or a report. After a failed connection a host inquires at two upstreams at once, as in the users' record, where two ask for a pause in one millisecond and no request is named. Class: a statement of an upstream put down to the call that carried it. Also lost before: a pause of an upstream that restarted under its id, left the list for a moment, or was not listed yet. Change: Prober and Placer pass on what every answer states. HoldOffs keeps pauses by upstream, apart from the list of upstreams, and is asked before requests, inquiries, orders, reports and health checks. The check whether a lost request has crashed its upstream is still made. The order in which the users' upstreams were asked is not in their record, so that the cause of it is inferred.

--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -95,7 +95,7 @@
                [this](std::vector<core::UpstreamId> upstreams) {
                  node_.ReportSuspected(std::move(upstreams));
                }),
-        placer_(context_, protocol,
+        placer_(context_, protocol, proxy_.relay().upstreams().hold_offs(),
                 [this](const core::UpstreamId& upstream,
                        const std::optional<schema::LayerRange>& layers) {
                   node_.HandleLayers(upstream, layers);
--- a/src/foxquay/gateway/placer.cc
+++ b/src/foxquay/gateway/placer.cc
@@ -32,20 +32,43 @@
 }  // namespace internal
 
 Placer::Placer(boost::asio::io_context& context, const Protocol& protocol,
-               LayersHandler on_layers)
+               relay::HoldOffs& hold_offs, LayersHandler on_layers)
     : protocol_(protocol),
+      hold_offs_(hold_offs),
       on_layers_(std::move(on_layers)),
-      client_(context, {[this](net::CallId id, unsigned status, net::Fields&&) {
-                          calls_.at(id).status = status;
-                        },
-                        [this](net::CallId id, const std::string& data) {
-                          HandleData(id, data);
-                        },
-                        [this](net::CallId id) { FinishCall(id, true); },
-                        [this](net::CallId id, net::Failure) {
-                          FinishCall(id, false);
-                        }}),
-      prober_(context, protocol) {}
+      client_(
+          context,
+          {[this](net::CallId id, unsigned status, net::Fields&& fields) {
+             HandleHead(id, status, fields);
+           },
+           [this](net::CallId id, const std::string& data) {
+             HandleData(id, data);
+           },
+           [this](net::CallId id) { FinishCall(id, true); },
+           [this](net::CallId id, net::Failure) { FinishCall(id, false); }}),
+      prober_(
+          context, protocol,
+          [this](const core::UpstreamId& upstream, const ResponseInfo& info) {
+            RecordStatements(upstream, info);
+          }) {}
+
+void Placer::HandleHead(net::CallId id, unsigned status,
+                        const net::Fields& fields) {
+  Call& call = calls_.at(id);
+  call.status = status;
+  RecordStatements(call.upstream, protocol_.read_response(status, fields));
+}
+
+void Placer::RecordStatements(const core::UpstreamId& upstream,
+                              const ResponseInfo& info) {
+  if (!info.hold_off) return;
+  if (!hold_offs_.Record(upstream, net::SteadyNow() + *info.hold_off)) return;
+  log::Write(log::Level::kInfo, "upstream_declines",
+             {{"request", ""},
+              {"upstream", upstream},
+              {"leaving", info.leaving},
+              {"hold_off_ms", core::ToMilliseconds(*info.hold_off)}});
+}
 
 void Placer::HandleData(net::CallId id, const std::string& data) {
   std::string& body = calls_.at(id).body;
@@ -57,6 +80,10 @@
 
 void Placer::Probe(const schema::Announcement& upstream,
                    std::function<void(bool)> done) {
+  if (hold_offs_.Active(upstream.id, net::SteadyNow())) {
+    done(true);
+    return;
+  }
   prober_.Probe(upstream.id, upstream.address, true,
                 [done = std::move(done)](ProbeResult result) {
                   done(result == ProbeResult::kReached);
@@ -105,6 +132,12 @@
                   const placement::Action& action, core::Instant now) {
   std::string address;
   net::Request request;
+  const core::UpstreamId upstream =
+      std::visit([](const auto& typed) { return typed.upstream; }, action);
+  if (hold_offs_.Active(upstream, now)) {
+    Skip(service, action, now);
+    return;
+  }
   if (const auto* order = std::get_if<placement::Order>(&action)) {
     address = order->address;
     request = protocol_.write_order(*order);
@@ -120,7 +153,21 @@
     request = protocol_.write_inquiry(inquiry.upstream);
   }
   const net::CallId id = client_.Call(address, net::Serialize(request), {});
-  calls_[id] = {service, action, now + kResponseTimeout, 0, {}};
+  calls_[id] = {service, action, now + kResponseTimeout, 0, {}, upstream};
+}
+
+void Placer::Skip(const core::ServiceId& service,
+                  const placement::Action& action, core::Instant now) {
+  placement::Reconciler& reconciler = reconcilers_.at(service);
+  if (const auto* order = std::get_if<placement::Order>(&action)) {
+    log::Write(log::Level::kInfo, "order_held",
+               {{"upstream", order->upstream}});
+    reconciler.HandleOrderOutcome(order->upstream,
+                                  placement::OrderOutcome::kUnanswered, now);
+    return;
+  }
+  reconciler.HandleReport(std::get<placement::Inquiry>(action).upstream,
+                          std::nullopt, now);
 }
 
 void Placer::FinishCall(net::CallId id, bool answered) {
@@ -163,6 +210,7 @@
   const core::Instant now = net::SteadyNow();
   client_.Sweep(now);
   prober_.Review(now);
+  hold_offs_.Expire(now);
   std::vector<net::CallId> expired;
   for (const auto& [id, call] : calls_) {
     if (now >= call.deadline) expired.push_back(id);
--- a/src/foxquay/gateway/placer.h
+++ b/src/foxquay/gateway/placer.h
@@ -18,6 +18,7 @@
 #include "foxquay/gateway/protocol.h"
 #include "foxquay/net/client.h"
 #include "foxquay/placement/reconciler.h"
+#include "foxquay/relay/hold_offs.h"
 
 namespace foxquay::gateway {
 
@@ -42,8 +43,10 @@
   using LayersHandler = std::function<void(
       const core::UpstreamId&, const std::optional<schema::LayerRange>&)>;
 
+  /// `hold_offs` holds the pauses that upstreams have asked this process for,
+  /// and outlives the placer.
   Placer(boost::asio::io_context& context, const Protocol& protocol,
-         LayersHandler on_layers);
+         relay::HoldOffs& hold_offs, LayersHandler on_layers);
 
   /// Starts or stops sending orders, when this host gains or loses leadership
   /// of the replicated log. `term` is the term of that leadership.
@@ -54,7 +57,8 @@
   void SetUpstreams(std::vector<schema::Announcement> upstreams);
 
   /// Sends an inquiry to an upstream and calls `done` with whether the expected
-  /// upstream responded in time.
+  /// upstream responded in time. One that asked for a pause has responded and
+  /// is not sent an inquiry before its end.
   void Probe(const schema::Announcement& upstream,
              std::function<void(bool)> done);
 
@@ -70,6 +74,7 @@
     core::Instant deadline;
     unsigned status = 0;
     std::string body;
+    core::UpstreamId upstream;
   };
 
   /// Passes the current upstreams and engines to the reconcilers.
@@ -80,9 +85,17 @@
   /// response arrived.
   /// Adds to the body of an answer; ends the call if it is too large.
   void HandleData(net::CallId id, const std::string& data);
+  void HandleHead(net::CallId id, unsigned status, const net::Fields& fields);
+  /// Records the pause that an upstream asks for in an answer.
+  void RecordStatements(const core::UpstreamId& upstream,
+                        const ResponseInfo& info);
+  /// Handles an order or inquiry that is not sent to an upstream that pauses.
+  void Skip(const core::ServiceId& service, const placement::Action& action,
+            core::Instant now);
   void FinishCall(net::CallId id, bool answered);
 
   Protocol protocol_;
+  relay::HoldOffs& hold_offs_;
   LayersHandler on_layers_;
   net::Client client_;
   Prober prober_;
--- a/src/foxquay/gateway/prober.cc
+++ b/src/foxquay/gateway/prober.cc
@@ -48,21 +48,24 @@
   return "";
 }
 
-Prober::Prober(boost::asio::io_context& context, const Protocol& protocol)
+Prober::Prober(boost::asio::io_context& context, const Protocol& protocol,
+               StatementsHandler on_statements)
     : protocol_(protocol),
-      client_(context, {[this](net::CallId id, unsigned status, net::Fields&&) {
-                          pending_.at(id).status = status;
-                        },
-                        [](net::CallId, const std::string&) {},
-                        [this](net::CallId id) {
-                          const bool replaced =
-                              pending_.at(id).status == internal::kMisdirected;
-                          Finish(id, replaced ? ProbeResult::kReplaced
-                                              : ProbeResult::kReached);
-                        },
-                        [this](net::CallId id, net::Failure failure) {
-                          Finish(id, internal::ToProbeResult(failure));
-                        }}) {}
+      on_statements_(std::move(on_statements)),
+      client_(context,
+              {[this](net::CallId id, unsigned status, net::Fields&& fields) {
+                 HandleHead(id, status, fields);
+               },
+               [](net::CallId, const std::string&) {},
+               [this](net::CallId id) {
+                 const bool replaced =
+                     pending_.at(id).status == internal::kMisdirected;
+                 Finish(id, replaced ? ProbeResult::kReplaced
+                                     : ProbeResult::kReached);
+               },
+               [this](net::CallId id, net::Failure failure) {
+                 Finish(id, internal::ToProbeResult(failure));
+               }}) {}
 
 void Prober::Probe(const core::UpstreamId& upstream, const std::string& address,
                    bool reuse_connection, Done done) {
@@ -70,8 +73,17 @@
   options.reuse = reuse_connection;
   const net::CallId id = client_.Call(
       address, net::Serialize(protocol_.write_inquiry(upstream)), options);
-  pending_[id] = {std::move(done), net::SteadyNow() + internal::kProbeTimeout,
-                  0};
+  pending_[id] = {upstream, std::move(done),
+                  net::SteadyNow() + internal::kProbeTimeout, 0};
+}
+
+void Prober::HandleHead(net::CallId id, unsigned status,
+                        const net::Fields& fields) {
+  Pending& probe = pending_.at(id);
+  probe.status = status;
+  // Another upstream that answers at the address speaks for itself.
+  if (status == internal::kMisdirected) return;
+  on_statements_(probe.upstream, protocol_.read_response(status, fields));
 }
 
 void Prober::Finish(net::CallId id, ProbeResult result) {
--- a/src/foxquay/gateway/prober.h
+++ b/src/foxquay/gateway/prober.h
@@ -33,7 +33,9 @@
  public:
   using Done = std::function<void(ProbeResult)>;
 
-  Prober(boost::asio::io_context& context, const Protocol& protocol);
+  /// `on_statements` takes what an upstream states in the head of its answer.
+  Prober(boost::asio::io_context& context, const Protocol& protocol,
+         StatementsHandler on_statements);
 
   /// Sends an inquiry to an upstream and calls `done` once. Without
   /// `reuse_connection` the result is never that of an idle connection.
@@ -45,14 +47,17 @@
 
  private:
   struct Pending {
+    core::UpstreamId upstream;
     Done done;
     core::Instant deadline;
     unsigned status = 0;
   };
 
+  void HandleHead(net::CallId id, unsigned status, const net::Fields& fields);
   void Finish(net::CallId id, ProbeResult result);
 
   Protocol protocol_;
+  StatementsHandler on_statements_;
   net::Client client_;
   std::unordered_map<net::CallId, Pending> pending_;
 };
--- a/src/foxquay/gateway/protocol.h
+++ b/src/foxquay/gateway/protocol.h
@@ -61,6 +61,10 @@
   std::optional<core::Duration> hold_off;
 };
 
+/// Takes what an upstream states about itself in an answer.
+using StatementsHandler =
+    std::function<void(const core::UpstreamId&, const ResponseInfo&)>;
+
 /// Functions that read and write the messages exchanged with callers and
 /// upstreams.
 struct Protocol {
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -106,7 +106,11 @@
                [this](net::CallId call, net::Failure failure) {
                  HandleFailure(call, failure);
                }}),
-      prober_(context, protocol),
+      prober_(
+          context, protocol,
+          [this](const core::UpstreamId& upstream, const ResponseInfo& info) {
+            RecordStatements(upstream, info, "");
+          }),
       relay_(budget, seed),
       registry_(registry),
       on_suspects_(std::move(on_suspects)),
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -217,8 +217,6 @@
   void ReviewPending(core::Instant now);
   void HandleCallerDisconnected(net::ExchangeId exchange);
   void HandleHead(net::CallId call, unsigned status, net::Fields&& fields);
-  /// Handles that the upstream leaves or asks for a pause.
-  void RecordWish(net::CallId call, const ResponseInfo& info);
   void HandleData(net::CallId call, const std::string& data);
   void HandleEnd(net::CallId call);
   void HandleFailure(net::CallId call, net::Failure failure);
@@ -244,8 +242,12 @@
   Job TakeJob(core::RequestId id);
   /// Handles a send that ended without a complete response.
   void HandleLoss(core::RequestId id, const relay::Loss& loss);
-  /// Records the limit that an answer states, or that it states none.
-  void RecordLimit(net::CallId call, const ResponseInfo& info);
+  /// Records that an upstream leaves or asks for a pause, and its limit.
+  /// `request` is the one that it answered; empty for an inquiry.
+  void RecordStatements(const core::UpstreamId& upstream,
+                        const ResponseInfo& info, const std::string& request);
+  void RecordLimit(const core::UpstreamId& upstream, const ResponseInfo& info,
+                   const std::string& request);
   /// Buffers data of a response that is not a stream, or passes it on.
   void HandleBody(net::CallId call, const std::string& data);
   /// Ends a response of which parts have been passed on.
--- a/src/foxquay/gateway/proxy_losses.cc
+++ b/src/foxquay/gateway/proxy_losses.cc
@@ -82,7 +82,9 @@
 
 void Proxy::Inquire() {
   ReportPathChanges();
-  for (const relay::Hop& hop : relay_.DueInquiries(net::SteadyNow())) {
+  const core::Instant now = net::SteadyNow();
+  for (const relay::Hop& hop : relay_.DueInquiries(now)) {
+    if (relay_.upstreams().hold_offs().Active(hop.upstream, now)) continue;
     prober_.Probe(hop.upstream, hop.address, false,
                   [this, upstream = hop.upstream](ProbeResult result) {
                     RecordInquiry(upstream, result);
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -199,8 +199,10 @@
   // What the answer of another host states is meant for that host.
   if (!relay_.ViaPartner(by_call_.at(call))) {
     const ResponseInfo info = protocol_.read_response(status, fields);
-    if (info.leaving || info.hold_off) RecordWish(call, info);
-    RecordLimit(call, info);
+    const auto& hops = relay_.Path(by_call_.at(call));
+    if (!hops.empty()) {
+      RecordStatements(hops.front().upstream, info, job.caller.id);
+    }
     job.not_run = info.not_run;
     job.fault_address = info.fault_address;
   }
@@ -221,17 +223,18 @@
   }
 }
 
-void Proxy::RecordWish(net::CallId call, const ResponseInfo& info) {
-  const core::RequestId id = by_call_.at(call);
-  const bool changed =
-      relay_.RecordWish(id, info.leaving, info.hold_off, net::SteadyNow());
-  if (!changed) return;
-  const relay::Hop& first = relay_.Path(id).front();
+void Proxy::RecordStatements(const core::UpstreamId& upstream,
+                             const ResponseInfo& info,
+                             const std::string& request) {
+  RecordLimit(upstream, info, request);
+  if (!relay_.RecordWish(upstream, info.leaving, info.hold_off,
+                         net::SteadyNow())) {
+    return;
+  }
   log::Write(
       log::Level::kInfo, "upstream_declines",
-      {{"request", jobs_.at(id).caller.id},
-       {"upstream", first.upstream},
-       {"address", first.address},
+      {{"request", request},
+       {"upstream", upstream},
        {"leaving", info.leaving},
        {"hold_off_ms",
         core::ToMilliseconds(info.hold_off.value_or(core::Duration::zero()))}});
@@ -239,24 +242,22 @@
                 info.leaving ? "reason=\"leaving\"" : "reason=\"hold-off\"");
 }
 
-void Proxy::RecordLimit(net::CallId call, const ResponseInfo& info) {
-  const core::RequestId id = by_call_.at(call);
-  const std::vector<relay::Hop>& hops = relay_.Path(id);
-  if (hops.empty()) return;
+void Proxy::RecordLimit(const core::UpstreamId& upstream,
+                        const ResponseInfo& info, const std::string& request) {
   if (info.invalid_limit) {
     registry_.Add("foxquay_upstream_limits_invalid_total", "");
     log::Write(log::Level::kDebug, "upstream_limit_invalid",
-               {{"request", jobs_.at(id).caller.id},
-                {"upstream", hops.front().upstream}});
+               {{"request", request}, {"upstream", upstream}});
+    return;
+  }
+  if (!relay_.upstreams().RecordLimit(upstream, info.limit, net::SteadyNow())) {
     return;
   }
-  if (!relay_.RecordLimit(id, info.limit, net::SteadyNow())) return;
   registry_.Add("foxquay_upstream_limits_total",
                 info.limit ? "change=\"stated\"" : "change=\"ended\"");
   log::Write(log::Level::kInfo, "upstream_limit",
-             {{"request", jobs_.at(id).caller.id},
-              {"upstream", hops.front().upstream},
-              {"address", hops.front().address},
+             {{"request", request},
+              {"upstream", upstream},
               {"limited", info.limit.has_value()},
               {"per_second", info.limit.value_or(0)}});
 }
--- a/src/foxquay/relay/fwd.h
+++ b/src/foxquay/relay/fwd.h
@@ -10,6 +10,7 @@
 class LimitPool;
 class RateLimits;
 class EventFilter;
+class HoldOffs;
 class Partners;
 class Reachability;
 struct RequestContext;
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -349,25 +349,15 @@
   recorder_.RecordAnswer(state.context.service->id, state.context.parts, now);
 }
 
-bool Relay::RecordWish(core::RequestId id, bool leaving,
+bool Relay::RecordWish(const core::UpstreamId& upstream, bool leaving,
                        std::optional<core::Duration> hold_off,
                        core::Instant now) {
-  const State& state = requests_.at(id);
-  if (state.hops.empty()) return false;
-  const core::UpstreamId& upstream = state.hops.front().upstream;
   const bool leaves = leaving && upstreams_.RecordLeaving(upstream, now);
   const bool pauses =
       hold_off && upstreams_.RecordHoldOff(upstream, now + *hold_off);
   return leaves || pauses;
 }
 
-bool Relay::RecordLimit(core::RequestId id, std::optional<double> rate,
-                        core::Instant now) {
-  const State& state = requests_.at(id);
-  if (state.hops.empty()) return false;
-  return upstreams_.RecordLimit(state.hops.front().upstream, rate, now);
-}
-
 schema::LimitReport Relay::ReportLimits(core::Instant now) {
   std::map<core::ServiceId, std::size_t> held;
   if (held_ > 0 && !upstreams_.limits().table().empty()) {
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -103,17 +103,10 @@
                                 core::Instant now);
   /// Records that the first part of the answer was passed on to the caller.
   void BeginAnswer(core::RequestId id, core::Instant now);
-  /// Records what the upstream of the request's current send has asked for in
-  /// the head of its answer: that it leaves, or a pause. Returns whether that
-  /// is new. Precondition: the request is known.
-  bool RecordWish(core::RequestId id, bool leaving,
+  /// Records what an upstream has asked for in the head of an answer: that it
+  /// leaves, or a pause. Returns whether that is new.
+  bool RecordWish(const core::UpstreamId& upstream, bool leaving,
                   std::optional<core::Duration> hold_off, core::Instant now);
-  /// Records how many requests a second the upstream of the request's current
-  /// send takes from all hosts, by the head of its answer; nothing if it states
-  /// no limit. Returns whether that changed. Precondition: the request is
-  /// known.
-  bool RecordLimit(core::RequestId id, std::optional<double> rate,
-                   core::Instant now);
   /// Returns whether a request has begun to wait for a leave since the last
   /// call; the report should then reach the control host at once.
   [[nodiscard]] bool TakeLeaveWanted() {
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -94,7 +94,6 @@
       entry.avoid_until = {};
       entry.failed_until = {};
       entry.left_at.reset();
-      entry.hold_off_until = {};
       entry.latency = {};
     }
     entry.announcement = announcement;
@@ -104,6 +103,7 @@
     return !item.second.present && item.second.in_flight == 0 &&
            !Remembered(item.second, now);
   });
+  hold_offs_.Expire(now);
 }
 
 bool FirstHops::Allows(const core::UpstreamId& upstream) const {
@@ -113,9 +113,9 @@
   return !in(avoid) && (only.empty() || in(only));
 }
 
-bool Upstreams::Usable(const Entry& entry, core::Instant now) {
+bool Upstreams::Usable(const Entry& entry, core::Instant now) const {
   return entry.present && now >= entry.avoid_until && !entry.left_at &&
-         now >= entry.hold_off_until;
+         !hold_offs_.Active(entry.announcement.id, now);
 }
 
 bool Upstreams::Limited(const Entry& entry) const {
@@ -138,8 +138,7 @@
 }
 
 bool Upstreams::Remembered(const Entry& entry, core::Instant now) {
-  return now < entry.hold_off_until ||
-         (entry.left_at && now - *entry.left_at < internal::kLeavingMemory);
+  return entry.left_at && now - *entry.left_at < internal::kLeavingMemory;
 }
 
 std::vector<Hop> Upstreams::ChoosePath(const schema::Service& service,
@@ -409,8 +408,7 @@
     Entry& entry = found->second;
     if (entry.in_flight > 0) --entry.in_flight;
     entry.tokens = std::max(0.0, entry.tokens - work.MeanTokens());
-    const bool asked = entry.left_at || entry.hold_off_until > core::Instant{};
-    if (!entry.present && entry.in_flight == 0 && !asked) {
+    if (!entry.present && entry.in_flight == 0 && !entry.left_at) {
       entries_.erase(found);
     }
   }
@@ -458,12 +456,8 @@
 
 bool Upstreams::RecordHoldOff(const core::UpstreamId& upstream,
                               core::Instant until) {
-  const auto found = entries_.find(upstream);
-  if (found == entries_.end()) return false;
-  Entry& entry = found->second;
-  if (until <= entry.hold_off_until) return false;
+  if (!hold_offs_.Record(upstream, until)) return false;
   ++changes_;
-  entry.hold_off_until = until;
   return true;
 }
 
@@ -473,7 +467,7 @@
   std::vector<placement::Candidate> accepting;
   for (const auto& [id, entry] : entries_) {
     if (!entry.present || entry.announcement.service != service.id) continue;
-    if (entry.left_at || time < entry.hold_off_until) continue;
+    if (entry.left_at || hold_offs_.Active(id, time)) continue;
     if (!leave_expected && !WithinLimit(entry, now)) continue;
     placement::Candidate candidate;
     candidate.layers = placement::HeldLayers(entry.announcement);
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -13,6 +13,7 @@
 #include "foxquay/core/time.h"
 #include "foxquay/placement/chain.h"
 #include "foxquay/relay/chain_mix.h"
+#include "foxquay/relay/hold_offs.h"
 #include "foxquay/relay/latency_tracker.h"
 #include "foxquay/relay/rate_limits.h"
 #include "foxquay/relay/stage_cost.h"
@@ -106,14 +107,17 @@
   /// Excludes an upstream that has stated in an answer that it leaves, until it
   /// has restarted. Returns whether it was not excluded before.
   bool RecordLeaving(const core::UpstreamId& upstream, core::Instant now);
-  /// Excludes an upstream that asks this host for no requests until `until`, or
-  /// until it has restarted. Returns whether it had not asked for as long.
+  /// Excludes an upstream that asks this host for no requests until `until`,
+  /// whether it is in use or not. Returns whether it had not asked for as long.
   bool RecordHoldOff(const core::UpstreamId& upstream, core::Instant until);
   /// Records what the answer of an upstream states about the requests a second
   /// that it takes, or that it states nothing; returns whether the limit in
   /// force changed.
   bool RecordLimit(const core::UpstreamId& upstream, std::optional<double> rate,
                    core::Instant now);
+  /// Returns the pauses that upstreams have asked for, for all that this
+  /// process sends to them.
+  [[nodiscard]] HoldOffs& hold_offs() noexcept { return hold_offs_; }
   /// Returns this host's part in the limits that upstreams state.
   [[nodiscard]] RateLimits& limits() noexcept { return limits_; }
   [[nodiscard]] const RateLimits& limits() const noexcept { return limits_; }
@@ -168,7 +172,6 @@
     core::Instant avoid_until;  ///< Not used before.
     /// When an answer stated that it leaves; not used any more.
     std::optional<core::Instant> left_at;
-    core::Instant hold_off_until;  ///< It asks for nothing before.
     /// Before this, used only if there is no other path.
     core::Instant deprioritized_until;
   };
@@ -226,7 +229,7 @@
   [[nodiscard]] NoPath ReasonWithoutChain(const schema::Service& service) const;
   [[nodiscard]] static bool IsChain(const std::vector<Hop>& hops);
   /// Returns whether an upstream may be used if it has no limit.
-  [[nodiscard]] static bool Usable(const Entry& entry, core::Instant now);
+  [[nodiscard]] bool Usable(const Entry& entry, core::Instant now) const;
   /// Returns whether the limit of an upstream, if it has one, allows a request.
   [[nodiscard]] bool WithinLimit(const Entry& entry, core::Instant now) const;
   [[nodiscard]] bool Limited(const Entry& entry) const;
@@ -240,6 +243,7 @@
   double own_requests_ = 0;  ///< Requests of this host on chains.
   std::map<core::ServiceId, Mix> mixes_;
   RateLimits limits_;
+  HoldOffs hold_offs_;
   std::uint64_t changes_ = 0;  ///< Changes of the upstreams that may be used.
   std::mt19937_64 random_;
   std::uint64_t uses_ = 0;  ///< Requests sent, counted once for each hop.
--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -424,8 +424,9 @@
   leaving.born = core::WallTime(milliseconds(1000));
   Relay relay = MakeRelay({leaving});
   (void)relay.Arrive(kId, MakeContext(table, 0), At(0));
-  CHECK(relay.RecordWish(kId, true, std::nullopt, At(5)));
-  CHECK_FALSE(relay.RecordWish(kId, true, std::nullopt, At(6)));
+  CHECK(relay.RecordWish(core::UpstreamId("a"), true, std::nullopt, At(5)));
+  CHECK_FALSE(
+      relay.RecordWish(core::UpstreamId("a"), true, std::nullopt, At(6)));
   relay.Complete(kId, At(10));
   // Nothing else can serve it: it is refused at once.
   CHECK(Refused(relay.Arrive(kId, MakeContext(table, 20), At(20))).status ==
@@ -445,7 +446,8 @@
   const auto table = MakeTable(schema::RequestKind::kRepeatable, 2);
   Relay relay = MakeRelay({Plain("a")});
   (void)relay.Arrive(kId, MakeContext(table, 0), At(0));
-  CHECK(relay.RecordWish(kId, false, milliseconds(3000), At(0)));
+  CHECK(relay.RecordWish(core::UpstreamId("a"), false, milliseconds(3000),
+                         At(0)));
   const Decision lost = relay.HandleLoss(kId, {LossKind::kNotRun, ""}, At(1));
   CHECK(Refused(lost).status == 503);
   // A shorter pause does not replace the longer one.
--- a/tests/foxquay/relay/wishes_test.cc
+++ b/tests/foxquay/relay/wishes_test.cc
@@ -205,7 +205,8 @@
       const bool declines = now_ < upstream.declines_until;
       std::optional<core::Duration> pause;
       if (declines) pause = milliseconds(upstream.declines_until - now_);
-      (void)relay.RecordWish(open.id, upstream.leaving, pause, At(now_));
+      (void)relay.RecordWish(core::UpstreamId(upstream.id), upstream.leaving,
+                             pause, At(now_));
       if (upstream.leaving) upstream.told_leaving.try_emplace(by, now_);
       if (declines) {
         upstream.pauses[by].emplace_back(now_, upstream.declines_until);
