Remember which upstreams turn requests away, and try others

Cause: an upstream that refuses a request without naming another one was recorded nowhere, and it used up an attempt of the route, which bounds the upstreams on which a request runs, so that a third one was never tried. Measured: the first of the two new tests fails before (a is tried again while c and d are free).

--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -257,9 +257,10 @@
                           const core::UpstreamId& first,
                           const std::optional<core::UpstreamId>& fault) {
   std::vector<core::UpstreamId>& attempted = state.attempted;
-  if (std::find(attempted.begin(), attempted.end(), first) == attempted.end()) {
-    attempted.push_back(first);
-  }
+  const bool known =
+      std::find(attempted.begin(), attempted.end(), first) != attempted.end();
+  // An upstream that has not run the request uses no attempt of the route.
+  if (!known && kind != LossKind::kNotRun) attempted.push_back(first);
   const bool elsewhere = kind == LossKind::kNotRun && fault && *fault != first;
   state.failed.reset();
   if (!elsewhere) state.failed = first;
@@ -317,8 +318,11 @@
       // later hop shows as a stall.
       upstreams_.RecordPossibleFailure(hops.front().upstream, now);
       return;
-    case LossKind::kNotSent:
     case LossKind::kNotRun:
+      // Only the first hop answers without naming an upstream.
+      upstreams_.RecordRefusal(hops.front().upstream, now);
+      return;
+    case LossKind::kNotSent:
     case LossKind::kError:
       return;
   }
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -160,7 +160,7 @@
                                         core::Instant now, NoPath& reason) {
   reason = NoPath::kNoUpstream;
   const Entry* best = nullptr;
-  std::tuple<core::Duration, std::uint64_t> least;
+  std::tuple<bool, core::Duration, std::uint64_t> least;
   for (const auto& [id, entry] : entries_) {
     if (!entry.present || entry.announcement.service != service.id) continue;
     reason = NoPath::kBusy;
@@ -172,7 +172,8 @@
     const core::Duration wait =
         std::max(entry.latency.RecentLatency(now), internal::kMinLatency) *
         static_cast<std::int64_t>(1 + entry.in_flight);
-    const auto cost = std::make_tuple(wait, entry.last_used);
+    const auto cost =
+        std::make_tuple(now < entry.deprioritized_until, wait, entry.last_used);
     if (best == nullptr || cost < least) {
       best = &entry;
       least = cost;
@@ -445,6 +446,15 @@
       std::max(entry.avoid_until, now + internal::kRejectionAvoidance);
 }
 
+void Upstreams::RecordRefusal(const core::UpstreamId& upstream,
+                              core::Instant now) {
+  const auto found = entries_.find(upstream);
+  if (found == entries_.end()) return;
+  core::Instant& until = found->second.deprioritized_until;
+  ++changes_;
+  until = std::max(until, now + internal::kRejectionAvoidance);
+}
+
 bool Upstreams::RecordLeaving(const core::UpstreamId& upstream,
                               core::Instant now) {
   const auto found = entries_.find(upstream);
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -101,6 +101,9 @@
   /// Avoids an upstream that rejected a request until about its next
   /// announcement, which shows why it did.
   void RecordRejection(const core::UpstreamId& upstream, core::Instant now);
+  /// Records that an upstream turned a request away. Until about its next
+  /// announcement it is used only if there is no other.
+  void RecordRefusal(const core::UpstreamId& upstream, core::Instant now);
   /// Records that one hop of a path failed and it is not known which. A single
   /// hop counts as failed; several are avoided unless there is no other path.
   void RecordPathFailure(const std::vector<Hop>& hops, core::Instant now);
--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -1,6 +1,7 @@
 #include "foxquay/relay/relay.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace foxquay::relay {
 namespace {
@@ -210,6 +211,42 @@
   CHECK_FALSE(std::holds_alternative<Send>(fourth));
 }
 
+// Guards against requests that use up their sends at two upstreams that turn
+// them away, while others would serve them.
+TEST_CASE("a request that was turned away goes on to upstreams that were not") {
+  const auto table = MakeTable(schema::RequestKind::kStream, 2, true);
+  Relay relay = MakeRelay({Plain("a"), Plain("b"), Plain("c"), Plain("d")});
+  std::set<core::UpstreamId> shedding;
+  Decision decision = relay.Arrive(kId, MakeContext(table, 0), At(0));
+  for (int send = 0; send < 3; ++send) {
+    REQUIRE(std::holds_alternative<Send>(decision));
+    const core::UpstreamId first =
+        std::get<Send>(decision).hops.front().upstream;
+    CHECK(shedding.insert(first).second);
+    decision = relay.HandleLoss(kId, {LossKind::kNotRun, ""}, At(send + 1));
+  }
+  // Later requests try the fourth one first.
+  REQUIRE(std::holds_alternative<Send>(decision));
+  for (std::uint64_t id = 2; id < 5; ++id) {
+    const Decision sent =
+        relay.Arrive(core::RequestId(id), MakeContext(table, 0), At(10));
+    REQUIRE(std::holds_alternative<Send>(sent));
+    CHECK_FALSE(shedding.contains(std::get<Send>(sent).hops.front().upstream));
+  }
+}
+
+// Upstreams that all turn away a part of the requests are used all the same.
+TEST_CASE("a request that every upstream turned away is sent again") {
+  const auto table = MakeTable(schema::RequestKind::kStream, 2, true);
+  Relay relay = MakeRelay({Plain("a"), Plain("b")});
+  Decision decision = relay.Arrive(kId, MakeContext(table, 0), At(0));
+  for (int send = 0; send < 4; ++send) {
+    REQUIRE(std::holds_alternative<Send>(decision));
+    decision = relay.HandleLoss(kId, {LossKind::kNotRun, ""}, At(send + 1));
+  }
+  CHECK(std::holds_alternative<Send>(decision));
+}
+
 // A stalled stream that is aborted while no other path exists is lost; one that
 // waits may continue.
 TEST_CASE("a stalled stream moves only if another path can take it") {
