Play inquiries that are answered with a pause with real processes

Three entry hosts and three upstreams of a plain service; one crashes, so that the hosts inquire at the others, and one of these answers inquiries 503 with a pause.

--- a/tests/platform/scenarios/declining_upstream_test.cc
+++ b/tests/platform/scenarios/declining_upstream_test.cc
@@ -85,6 +85,41 @@
   CHECK(scenario.violations().empty());
 }
 
+// Guards against requests to an upstream that asks for a pause in its answer to
+// an inquiry: hosts inquire at the others when they cannot connect to one.
+TEST_CASE("a pause in the answer to an inquiry is kept") {
+  constexpr seconds kPause{5};
+  Scenario scenario(PlainUpstreams());
+  scenario.AwaitServing();
+  SendReads(scenario);
+  scenario.RunFor(seconds(1));
+  const core::Instant start = net::SteadyNow();
+  scenario.upstream(1).DeclineInquiries(start + kPause);
+  scenario.upstream(0).Crash();
+  REQUIRE(scenario.RunUntil(
+      [&] {
+        return scenario.upstream(1).declined_inquiries() >= soak::kEntryHosts;
+      },
+      seconds(2)));
+  const core::Instant asked = net::SteadyNow();
+  scenario.RunFor(start + kPause - asked);
+  std::map<char, int> in_pause;
+  for (const Scenario::Arrival& arrival : scenario.arrivals()) {
+    const bool counts = arrival.upstream == 1 &&
+                        arrival.at > asked + kDeclineGrace &&
+                        arrival.at < start + kPause;
+    if (counts) ++in_pause[arrival.id.front()];
+  }
+  for (const auto& [host, count] : in_pause) {
+    CAPTURE(host);
+    CHECK(count <= kMaxInPause);
+  }
+  const core::Instant end = net::SteadyNow();
+  CHECK(scenario.RunUntil([&] { return ArrivalsAt(scenario, 1, end) > 5; },
+                          kPatience));
+  CHECK(scenario.violations().empty());
+}
+
 TEST_CASE("an upstream that asks for a pause gets almost nothing in it") {
   constexpr seconds kPause{4};
   Scenario scenario(PlainUpstreams());
--- a/tests/platform/soak/fake_upstream.cc
+++ b/tests/platform/soak/fake_upstream.cc
@@ -165,8 +165,10 @@
   if (says_leaving_) response.fields.set("Server-Leaving", "1");
   if (!limit_.empty()) response.fields.set("Server-Limit", limit_);
   const core::Instant now = net::SteadyNow();
-  if (status == 503 && now < declines_until_) {
-    const std::chrono::duration<double> left = declines_until_ - now;
+  const core::Instant until =
+      std::max(declines_until_, declines_inquiries_until_);
+  if (status == 503 && now < until) {
+    const std::chrono::duration<double> left = until - now;
     response.fields.set("Retry-After", std::to_string(left.count()));
   }
   const auto found = jobs_.find(exchange);
@@ -186,6 +188,10 @@
         net::MakeResponse(draining_ ? 503 : 200, "text/plain", "");
     response.fields.set("X-Instance-Id", options_.id);
     server_.Respond(exchange, response);
+  } else if (request.target == "/v1/report" &&
+             net::SteadyNow() < declines_inquiries_until_) {
+    ++declined_inquiries_;
+    Respond(exchange, 503, "{}", "", true);
   } else if (request.target == "/v1/report") {
     Respond(exchange, 200,
             R"({"stage":"both","models":[{"name":"m","version":1,)"
--- a/tests/platform/soak/fake_upstream.h
+++ b/tests/platform/soak/fake_upstream.h
@@ -75,6 +75,15 @@
   void StateLimit(std::string limit) { limit_ = std::move(limit); }
   /// Answers requests with 503 and a Retry-After until `until`.
   void Decline(core::Instant until) { declines_until_ = until; }
+  /// Answers inquiries with 503 and a Retry-After until `until`, and requests
+  /// as before.
+  void DeclineInquiries(core::Instant until) {
+    declines_inquiries_until_ = until;
+  }
+  /// Returns how many inquiries were answered so.
+  [[nodiscard]] unsigned declined_inquiries() const noexcept {
+    return declined_inquiries_;
+  }
   /// Sets the approximate share of answers that are aborted.
   void SetAbortProbability(double probability) {
     abort_probability_ = probability;
@@ -141,6 +150,8 @@
   bool says_leaving_ = false;
   std::string limit_;
   core::Instant declines_until_;
+  core::Instant declines_inquiries_until_;
+  unsigned declined_inquiries_ = 0;
   double abort_probability_ = 0;
   double slowdown_ = 1;
 };
