--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 	@cmake --build --preset $(PRESET)
 
 test: build
+	@tools/build_previous.sh $(BUILD)
 	@tools/run_tests.sh $(BUILD)
 
 demo: build
--- a/tests/platform/soak/cluster.cc
+++ b/tests/platform/soak/cluster.cc
@@ -19,10 +19,9 @@
 
 }  // namespace
 
-Cluster::Cluster(boost::asio::io_context& context, std::string binary,
+Cluster::Cluster(boost::asio::io_context& context, const std::string& binary,
                  std::string connect_filter)
-    : binary_(std::move(binary)),
-      connect_filter_(std::move(connect_filter)),
+    : connect_filter_(std::move(connect_filter)),
       peer_port_(PortOf(daemon::FreeAddress())),
       partner_port_(PortOf(daemon::FreeAddress())),
       port_(PortOf(daemon::FreeAddress())),
@@ -32,6 +31,7 @@
   folder_ = name;
   for (std::size_t host = 0; host < kHosts; ++host) {
     Host& state = hosts_[host];
+    state.binary = binary;
     state.ip = "127.0." + std::to_string(host < kControlHosts ? 1 : 2) + "." +
                std::to_string(host + 1);
     state.proxy = &proxies_.emplace_back(context, "127.0.3.1");
@@ -93,7 +93,7 @@
     command = {"/usr/bin/env", "LD_PRELOAD=" + connect_filter_,
                "FOXQUAY_CUT_FILE=" + Path(host, ".cut")};
   }
-  command.push_back(binary_);
+  command.push_back(hosts_[host].binary);
   command.push_back(Path(host, ".yaml"));
   hosts_[host].process.emplace(command, Path(host, ".log"));
 }
--- a/tests/platform/soak/cluster.h
+++ b/tests/platform/soak/cluster.h
@@ -32,7 +32,7 @@
  public:
   /// Starts every host; `binary` is the program that they run, and
   /// `connect_filter` the library for CutFromUpstreams, if it is used.
-  Cluster(boost::asio::io_context& context, std::string binary,
+  Cluster(boost::asio::io_context& context, const std::string& binary,
           std::string connect_filter = "");
   Cluster(const Cluster&) = delete;
   Cluster& operator=(const Cluster&) = delete;
@@ -44,6 +44,10 @@
   [[nodiscard]] bool running(std::size_t host) const {
     return hosts_[host].process.has_value();
   }
+  /// Sets the program that a host runs from its next start on.
+  void SetBinary(std::size_t host, const std::string& binary) {
+    hosts_[host].binary = binary;
+  }
   /// Writes the settings of a host that is not running, and starts it.
   void Start(std::size_t host);
   /// Kills the process of a host.
@@ -73,6 +77,7 @@
   struct Host {
     std::string ip;
     Proxy* proxy = nullptr;
+    std::string binary;    ///< The program that it runs.
     bool started = false;  ///< Whether it was ever started.
     std::optional<daemon::Process> process;
   };
@@ -83,7 +88,6 @@
   [[nodiscard]] std::string Path(std::size_t host,
                                  const std::string& suffix) const;
 
-  std::string binary_;
   std::string connect_filter_;
   std::string folder_;
   // The same on every host, each with a leading colon.
--- a/tests/platform/soak/soak.cc
+++ b/tests/platform/soak/soak.cc
@@ -42,9 +42,14 @@
 /// injection.
 class Soak {
  public:
-  Soak(const std::string& binary, std::uint64_t seed)
+  /// With a `previous` build, every host starts with it, and with either build
+  /// after each restart, mostly with `binary`.
+  Soak(const std::string& binary, const std::string& previous,
+       std::uint64_t seed)
       : random_(seed),
-        cluster_(context_, binary),
+        binary_(binary),
+        previous_(previous),
+        cluster_(context_, previous.empty() ? binary : previous),
         operator_(context_, checker_, cluster_.ProxyAddresses(true), seed + 1),
         load_(context_, checker_, operator_, cluster_.ProxyAddresses(false),
               seed + 2) {
@@ -160,6 +165,10 @@
       if (cluster_.running(host)) return;
       termination_requested_[host] = false;
       frozen_[host] = false;
+      if (!previous_.empty()) {
+        const bool back = injecting_ && Draw(0, 3) == 0;
+        cluster_.SetBinary(host, back ? previous_ : binary_);
+      }
       cluster_.Start(host);
       checker_.RecordFault(net::SteadyNow());
     });
@@ -368,6 +377,8 @@
   boost::asio::io_context context_{1};
   std::mt19937_64 random_;
   InvariantChecker checker_;
+  const std::string binary_;
+  const std::string previous_;  ///< Empty unless two builds run.
   Cluster cluster_;
   Operator operator_;
   LoadGenerator load_;
@@ -389,11 +400,14 @@
 
 int main(int argc, const char** argv) {
   char* binary = nullptr;
+  char* previous = nullptr;
   std::int64_t seed = 0;
   int seconds = 30;
   int recovery_seconds = 15;
   const poptOption table[] = {
       {"binary", 'b', POPT_ARG_STRING, &binary, 0, "foxquay-platform", "FILE"},
+      {"previous", 'o', POPT_ARG_STRING, &previous, 0,
+       "foxquay-platform of the build that runs before", "FILE"},
       {"seed", 's', POPT_ARG_LONGLONG, &seed, 0, "Seed; random if 0", "N"},
       {"seconds", 't', POPT_ARG_INT, &seconds, 0, "Seconds with faults", "N"},
       {"patience", 'p', POPT_ARG_INT, &recovery_seconds, 0,
@@ -407,7 +421,9 @@
   }
   if (seed == 0) seed = std::random_device()();
   std::cout << "seed " << seed << std::endl;
-  foxquay::platform::soak::Soak soak(binary, static_cast<std::uint64_t>(seed));
+  foxquay::platform::soak::Soak soak(binary,
+                                     previous == nullptr ? "" : previous,
+                                     static_cast<std::uint64_t>(seed));
   const bool passed = soak.Run(std::chrono::seconds(seconds),
                                std::chrono::seconds(recovery_seconds));
   soak.EndProcesses();
