Check that no host takes a configuration that it lacks for confirmed

The simulated fleets of 8, 60 and 291 hosts now also state that a reply without content confirms nothing: a host that has not got the configuration yet may not deny by the old one what the new one allows.

--- a/tests/foxquay/control/followed_fleet.cc
+++ b/tests/foxquay/control/followed_fleet.cc
@@ -144,6 +144,11 @@
     if (!host.applied && host.observer.fleet_version() == version_) {
       host.applied = now_;
     }
+    const auto& confirmed = host.observer.confirmed();
+    const bool lacks = host.observer.fleet_version() < version_;
+    if (lacks && confirmed && *confirmed > core::Instant(put_at_)) {
+      ++false_confirmations_;
+    }
     host.selector.HandleReply(core::HostId(std::to_string(reply.control)), age,
                               Now());
   }
--- a/tests/foxquay/control/followed_fleet.h
+++ b/tests/foxquay/control/followed_fleet.h
@@ -49,6 +49,11 @@
   [[nodiscard]] core::Duration longest_wait() const noexcept {
     return longest_wait_;
   }
+  /// Returns how often a host without the configuration took it for confirmed
+  /// after the call of Put, and so might have denied what it allows.
+  [[nodiscard]] std::size_t false_confirmations() const noexcept {
+    return false_confirmations_;
+  }
   /// Returns the hosts whose lease has ended at least once.
   [[nodiscard]] std::size_t expired() const;
 
@@ -93,6 +98,7 @@
   core::Duration put_at_{};
   std::size_t sent_bytes_ = 0;
   core::Duration longest_wait_{};
+  std::size_t false_confirmations_ = 0;
 };
 
 }  // namespace foxquay::control
--- a/tests/foxquay/control/followed_fleet_test.cc
+++ b/tests/foxquay/control/followed_fleet_test.cc
@@ -45,6 +45,7 @@
   REQUIRE(fleet.InForce());
   CHECK(fleet.sent_bytes() <= size.hosts * bytes * 5 / 4);
   CHECK(fleet.longest_wait() < kElectionTimeout);
+  CHECK(fleet.false_confirmations() == 0);
   if (bytes <= kLargestPut) CHECK(fleet.expired() == 0);
   if (bytes < 200'000) CHECK(*fleet.InForce() < kInForceBound);
 }
