--- a/src/foxquay/consensus/log.cc
+++ b/src/foxquay/consensus/log.cc
@@ -31,6 +31,7 @@
 }
 
 void Log::Append(schema::LogEntry entry) {
+  bytes_ += entry.payload.size();
   entries_.push_back(std::move(entry));
   RecordConfiguration(last(), entries_.back());
 }
@@ -38,6 +39,9 @@
 void Log::TruncateFrom(Index index) {
   assert(index > base_ && "entries up to the base must not be truncated");
   if (index > last()) return;
+  for (Index removed = index; removed <= last(); ++removed) {
+    bytes_ -= At(removed).payload.size();
+  }
   entries_.resize(index - base_ - 1);
   while (configurations_.back().first >= index) configurations_.pop_back();
 }
@@ -47,6 +51,9 @@
   assert(index <= last() && "only existing entries can be compacted");
   base_term_ = At(index).term;
   base_wall_ = At(index).wall;
+  for (Index removed = base_ + 1; removed <= index; ++removed) {
+    bytes_ -= At(removed).payload.size();
+  }
   entries_.erase(
       entries_.begin(),
       std::next(entries_.begin(), static_cast<std::ptrdiff_t>(index - base_)));
--- a/src/foxquay/consensus/log.h
+++ b/src/foxquay/consensus/log.h
@@ -24,6 +24,8 @@
   [[nodiscard]] Index base() const noexcept { return base_; }
   /// Returns the index of the last entry, or the base if none is kept.
   [[nodiscard]] Index last() const noexcept { return base_ + entries_.size(); }
+  /// Returns the bytes of the payloads that are kept.
+  [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
   /// Returns the term of the entry at `index` or of the base; nullopt if the
   /// entry is compacted or does not exist.
   [[nodiscard]] std::optional<Term> TermAt(Index index) const;
@@ -64,6 +66,7 @@
   Term base_term_ = 0;
   core::WallTime base_wall_{};
   std::deque<schema::LogEntry> entries_;
+  std::size_t bytes_ = 0;  ///< Of their payloads.
   /// Configurations by ascending index; the first one applies at the base.
   std::vector<std::pair<Index, schema::Configuration>> configurations_;
 };
--- a/src/foxquay/consensus/replica.cc
+++ b/src/foxquay/consensus/replica.cc
@@ -34,6 +34,9 @@
 }
 Index Replica::commit() const noexcept { return state_->commit(); }
 Index Replica::applied() const noexcept { return state_->applied(); }
+std::size_t Replica::log_bytes() const noexcept {
+  return state_->log().bytes();
+}
 bool Replica::HoldsLease(core::Instant now) const {
   return state_->HoldsLease(now);
 }
@@ -110,11 +113,22 @@
 
 void Replica::State::On(const Persisted& event) {
   const Index compact_to = writes_.Finish(event.write_id);
-  const Index trailing = options_.limits.trailing_entries;
-  if (compact_to > trailing) log_.Compact(compact_to - trailing);
+  CompactBefore(compact_to);
   if (role_ == Role::kCandidate) CountVotes();
 }
 
+void Replica::State::CompactBefore(Index snapshot) {
+  const Limits& limits = options_.limits;
+  Index index = snapshot;
+  std::size_t bytes = 0;
+  while (index > log_.base() && snapshot - index < limits.trailing_entries) {
+    bytes += log_.At(index).payload.size();
+    if (bytes > limits.trailing_bytes) break;
+    --index;
+  }
+  log_.Compact(index);
+}
+
 void Replica::State::On(const SnapshotTaken& event) {
   if (event.index > applied_ || event.index <= snapshot_.meta.index) return;
   schema::SnapshotMeta meta;
@@ -125,6 +139,7 @@
   meta.size = event.data.size();
   snapshot_ = {std::move(meta), event.data};
   snapshot_requested_ = false;
+  applied_bytes_ = 0;
   SaveCurrentSnapshot();
 }
 
@@ -161,17 +176,20 @@
   if (applied_ < meta.index) {
     if (writes_.durable_index() < meta.index) return;
     applied_ = meta.index;
+    applied_bytes_ = 0;
     actions_.emplace_back(Restore{meta.index, meta.wall, snapshot_.data});
   }
   // A quorum has these entries on disk; this replica's own write may be slow.
   while (applied_ < commit_) {
     ++applied_;
+    applied_bytes_ += log_.At(applied_).payload.size();
     ApplyEntry(log_.At(applied_));
   }
   const Index entries_since_snapshot =
       applied_ - std::min(applied_, meta.index);
-  if (entries_since_snapshot >= options_.limits.snapshot_entries &&
-      !snapshot_requested_) {
+  const bool due = entries_since_snapshot >= options_.limits.snapshot_entries ||
+                   applied_bytes_ >= options_.limits.snapshot_bytes;
+  if (due && !snapshot_requested_) {
     snapshot_requested_ = true;
     actions_.emplace_back(TakeSnapshot{});
   }
--- a/src/foxquay/consensus/replica.h
+++ b/src/foxquay/consensus/replica.h
@@ -49,7 +49,11 @@
   std::size_t max_chunk_bytes = 64U << 10U;      ///< Per SnapshotChunk.
   std::size_t max_snapshot_bytes = 256U << 20U;  ///< Per received snapshot.
   std::size_t snapshot_entries = 10000;  ///< Entries applied between snapshots.
-  std::size_t trailing_entries = 1000;   ///< Kept in memory before a snapshot.
+  /// Bytes applied between snapshots: a small part of the memory and the disk
+  /// of a control host.
+  std::size_t snapshot_bytes = 8U << 20U;
+  std::size_t trailing_entries = 1000;  ///< Kept in memory before a snapshot.
+  std::size_t trailing_bytes = 2U << 20U;  ///< As trailing_entries.
 };
 
 /// Configuration of a replica.
@@ -115,6 +119,8 @@
   [[nodiscard]] Index commit() const noexcept;
   /// Returns the index of the last entry passed to the state machine.
   [[nodiscard]] Index applied() const noexcept;
+  /// Returns the bytes of the entries that are kept in memory.
+  [[nodiscard]] std::size_t log_bytes() const noexcept;
 
   /// Returns whether this replica is the leader and no other replica can have
   /// been elected by `now`.
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -73,6 +73,9 @@
   void AppendEntry(schema::EntryKind kind, std::string payload,
                    core::WallTime wall);
   void ApplyCommitted();
+  /// Discards the entries that a snapshot holds, but for the last ones, which
+  /// replicas that are a little behind still need.
+  void CompactBefore(Index snapshot);
   void ApplyEntry(const schema::LogEntry& entry);
   void AdvanceFreshness();
   void PersistChanges();
@@ -199,6 +202,7 @@
 
   std::optional<Transfer> transfer_;
   bool snapshot_requested_ = false;
+  std::size_t applied_bytes_ = 0;  ///< Of entries after the snapshot.
   /// Points whose `commit` has not been applied yet, in order of arrival.
   std::deque<FreshnessPoint> freshness_;
   std::optional<core::Instant> fresh_as_of_;
--- a/tests/foxquay/daemon/control_replica_test.cc
+++ b/tests/foxquay/daemon/control_replica_test.cc
@@ -1,5 +1,6 @@
 #include "foxquay/daemon/control_replica.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <optional>
@@ -50,6 +51,8 @@
   }
 
   [[nodiscard]] const ControlReplica& replica() const { return replica_; }
+  /// Returns the bytes that the latest snapshot leaves on the disk.
+  [[nodiscard]] std::size_t saved_bytes() const { return saved_bytes_; }
 
  private:
   static consensus::Options Options() {
@@ -65,7 +68,15 @@
     output.persist = [this](consensus::Persist&& action) {
       writes_.push_back(action.write_id);
     };
-    output.save_snapshot = [](consensus::SaveSnapshot&&) {};
+    output.save_snapshot = [this](consensus::SaveSnapshot&& action) {
+      writes_.push_back(action.write_id);
+      saved_bytes_ = action.snapshot.data.size();
+      for (const schema::LogRecord& record : action.log) {
+        for (const auto& entry : record.entries) {
+          saved_bytes_ += entry.payload.size();
+        }
+      }
+    };
     output.changed = [] {};
     output.failed = [](std::error_code) {};
     return output;
@@ -73,6 +84,7 @@
 
   core::Instant now_ = core::Instant(seconds(6));
   std::vector<consensus::WriteId> writes_;
+  std::size_t saved_bytes_ = 0;
   ControlReplica replica_;
 };
 
@@ -101,5 +113,23 @@
   CHECK_FALSE(lone.replica().FindResult(MakePut(8)));
 }
 
+// Guards against a process that runs out of memory, or of disk, by hundreds of
+// changes of a large configuration: 10,000 entries of 500 KB have 5 GB.
+TEST_CASE("large changes do not fill the memory of a control host") {
+  constexpr std::size_t kMemory = std::size_t{16} << 20U;
+  LoneReplica lone;
+  std::vector<core::Result<schema::ControlResult>> results;
+  std::size_t most = 0;
+  for (std::uint64_t version = 1; version <= 300; ++version) {
+    lone.Put(version, results);
+    lone.FinishWrites();
+    most = std::max(most, lone.replica().replica().log_bytes());
+  }
+  CHECK(lone.replica().state().fleet().version == 300);
+  CHECK(most < kMemory);
+  CHECK(lone.saved_bytes() > 0);
+  CHECK(lone.saved_bytes() < kMemory);
+}
+
 }  // namespace
 }  // namespace foxquay::daemon
