--- a/src/foxquay/consensus/replica.cc
+++ b/src/foxquay/consensus/replica.cc
@@ -187,8 +187,10 @@
   }
   const Index entries_since_snapshot =
       applied_ - std::min(applied_, meta.index);
-  const bool due = entries_since_snapshot >= options_.limits.snapshot_entries ||
-                   applied_bytes_ >= options_.limits.snapshot_bytes;
+  const bool due =
+      entries_since_snapshot >= options_.limits.snapshot_entries ||
+      applied_bytes_ >= (TransfersSnapshot() ? options_.limits.transfer_bytes
+                                             : options_.limits.snapshot_bytes);
   if (due && !snapshot_requested_) {
     snapshot_requested_ = true;
     actions_.emplace_back(TakeSnapshot{});
--- a/src/foxquay/consensus/replica.h
+++ b/src/foxquay/consensus/replica.h
@@ -52,6 +52,9 @@
   /// Bytes applied between snapshots: a small part of the memory and the disk
   /// of a control host.
   std::size_t snapshot_bytes = 8U << 20U;
+  /// As snapshot_bytes, while a replica receives a snapshot, which a newer one
+  /// would start anew.
+  std::size_t transfer_bytes = 32U << 20U;
   std::size_t trailing_entries = 1000;  ///< Kept in memory before a snapshot.
   std::size_t trailing_bytes = 2U << 20U;  ///< As trailing_entries.
 };
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -73,6 +73,8 @@
   void AppendEntry(schema::EntryKind kind, std::string payload,
                    core::WallTime wall);
   void ApplyCommitted();
+  /// Returns whether a replica that answers is being sent the current snapshot.
+  [[nodiscard]] bool TransfersSnapshot() const;
   /// Discards the entries that a snapshot holds, but for the last ones, which
   /// replicas that are a little behind still need.
   void CompactBefore(Index snapshot);
--- a/src/foxquay/consensus/transfer.cc
+++ b/src/foxquay/consensus/transfer.cc
@@ -25,6 +25,17 @@
   SendAfterWrite(std::move(chunk), writes_.vote_write());
 }
 
+bool Replica::State::TransfersSnapshot() const {
+  return std::any_of(
+      progress_.begin(), progress_.end(), [this](const auto& item) {
+        const internal::Progress& progress = item.second;
+        return progress.transfer_index == snapshot_.meta.index &&
+               progress.transfer_offset > 0 &&
+               progress.match < snapshot_.meta.index &&
+               now_ - progress.last_reply_at < options_.timing.max_election;
+      });
+}
+
 void Replica::State::On(const schema::SnapshotChunk& chunk) {
   const schema::SnapshotMeta& meta = chunk.meta;
   if (!AcceptLeader(chunk.header)) {
