--- a/tests/foxquay/control/followed_fleet.cc
+++ b/tests/foxquay/control/followed_fleet.cc
@@ -75,7 +75,8 @@
     Deliver();
     for (std::size_t index = 0; index < hosts_.size(); ++index) {
       // Their timers are spread.
-      const auto step = now_ / internal::kStep + static_cast<long>(index) * 7;
+      const auto step =
+          now_ / internal::kStep + static_cast<std::int64_t>(index) * 7;
       if (step % (internal::kHostTick / internal::kStep) == 0) Poll(index);
     }
     for (std::size_t index = 0; index < controls_.size(); ++index) {
