Pass requests to join on to the leader

Cause: a replica whose disk was lost, and standbys, ask the hosts that they were given as seeds to join; if a control host that is no seed leads, nobody takes the request, and a lost voter is never replaced. Change: a replica that does not lead passes such a request on to the leader that it knows, once.

--- a/src/foxquay/consensus/join.cc
+++ b/src/foxquay/consensus/join.cc
@@ -32,6 +32,7 @@
   reply.header = Header(joiner);
   reply.fresh = IsNew();
   SendAfterWrite(reply, writes_.latest_write());
+  if (role_ != Role::kLeader) ForwardToLeader(request);
   if (role_ != Role::kLeader || progress_.contains(joiner)) return;
   if (progress_.size() >= kMaxReplicas) return;
   std::erase_if(progress_, [&](const auto& item) {
@@ -45,6 +46,16 @@
   Replicate(joiner, progress, false);
 }
 
+void Replica::State::ForwardToLeader(schema::JoinRequest request) {
+  // A request that names an incarnation has been forwarded.
+  const bool forwarded = request.header.to.incarnation != 0;
+  if (forwarded || !leader_ || leader_->host == request.header.from.host) {
+    return;
+  }
+  request.header.to = *leader_;
+  SendAfterWrite(request, writes_.vote_write());
+}
+
 void Replica::State::On(const schema::JoinReply& reply) {
   // Replies are addressed to one incarnation, so a founder that lost its disk
   // never counts replies to its former incarnation.
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -172,6 +172,9 @@
 
   // join.cc
   void RequestJoin();
+  /// Passes the request of a replica that knows only this host on to the
+  /// leader.
+  void ForwardToLeader(schema::JoinRequest request);
   void TryFormGroup();
   void On(const schema::JoinRequest& request);
   void On(const schema::JoinReply& reply);
--- /dev/null
+++ b/tests/foxquay/consensus/join_test.cc
@@ -0,0 +1,81 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "member.h"
+
+namespace foxquay::consensus {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Replicas of which all know only the first, as hosts that find each other
+/// through seeds do.
+class SeededGroup {
+ public:
+  void Add(const std::string& name) {
+    Options options;
+    options.self = {core::HostId(name), 1};
+    options.founders = {core::HostId("seed")};
+    options.standbys = {core::HostId("seed")};
+    options.voters = 3;
+    options.seed = members_.size() + 1;
+    members_.try_emplace(name, std::move(options));
+  }
+
+  /// Advances the time; replicas in `cut` neither get nor send messages.
+  void Run(milliseconds span, const std::set<std::string>& cut = {}) {
+    for (const core::Instant end = now_ + span; now_ < end;) {
+      now_ += milliseconds(10);
+      for (auto& [name, member] : members_) member.Handle(Tick{}, now_);
+      for (auto& [name, member] : members_) {
+        for (Send& send : std::exchange(member.sent, {})) {
+          const auto to = members_.find(send.to.value());
+          const bool lost = cut.contains(name) || cut.contains(send.to.value());
+          if (to == members_.end() || lost) continue;
+          to->second.Handle(Received{std::move(send.message)}, now_);
+        }
+      }
+    }
+  }
+
+  [[nodiscard]] bool Leads(const std::string& name) const {
+    return members_.at(name).replica().role() == Role::kLeader;
+  }
+  [[nodiscard]] std::size_t Voters(const std::string& name) const {
+    return members_.at(name).replica().configuration().voters.size();
+  }
+
+ private:
+  std::map<std::string, Member> members_;
+  core::Instant now_ = core::Instant(std::chrono::seconds(1));
+};
+
+}  // namespace
+
+// Guards against a lost replica that is never replaced: those that would join
+// ask only the hosts that they know, of which none leads.
+TEST_CASE("a replica joins although no host that it knows leads") {
+  SeededGroup group;
+  group.Add("seed");
+  group.Add("other");
+  group.Add("third");
+  group.Run(std::chrono::seconds(5));
+  REQUIRE(group.Voters("seed") == 3);
+  for (int attempt = 0; attempt < 20 && !group.Leads("other"); ++attempt) {
+    const std::string leader = group.Leads("seed") ? "seed" : "third";
+    group.Run(milliseconds(2500), {leader});
+    group.Run(milliseconds(500));
+  }
+  REQUIRE(group.Leads("other"));
+  // A host that was lost is replaced by one that comes now.
+  group.Add("late");
+  group.Run(std::chrono::seconds(20), {"third"});
+  REQUIRE(group.Leads("other"));
+  CHECK(group.Voters("late") == 3);
+}
+
+}  // namespace foxquay::consensus
--- a/tests/foxquay/consensus/snapshot_transfer_test.cc
+++ b/tests/foxquay/consensus/snapshot_transfer_test.cc
@@ -1,11 +1,9 @@
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <deque>
 #include <string>
 #include <utility>
-#include <variant>
 
-#include "foxquay/consensus/replica.h"
+#include "member.h"
 
 namespace foxquay::consensus {
 namespace {
@@ -17,56 +15,22 @@
 /// Changes that are committed while the new replica answers once.
 constexpr int kChangesForAnswer = 4;
 
-/// A replica whose writes finish at once; messages that it sends are kept.
-class Member {
- public:
-  explicit Member(const std::string& name)
-      : replica_(MakeOptions(name), {}, {}) {}
-
-  void Handle(const Event& event, core::Instant now) {
-    std::deque<Event> events = {event};
-    while (!events.empty()) {
-      const Event next = std::move(events.front());
-      events.pop_front();
-      for (Action& action : replica_.Handle(next, now)) {
-        if (auto* persist = std::get_if<Persist>(&action)) {
-          events.emplace_back(Persisted{persist->write_id});
-        } else if (auto* save = std::get_if<SaveSnapshot>(&action)) {
-          events.emplace_back(Persisted{save->write_id});
-        } else if (std::holds_alternative<TakeSnapshot>(action)) {
-          events.emplace_back(
-              SnapshotTaken{replica_.applied(), std::string(kStateBytes, 's')});
-        } else if (auto* send = std::get_if<Send>(&action)) {
-          sent.push_back(std::move(*send));
-        }
-      }
-    }
-  }
-
-  [[nodiscard]] const Replica& replica() const { return replica_; }
-
-  std::deque<Send> sent;
-
- private:
-  static Options MakeOptions(const std::string& name) {
-    Options options;
-    options.self = {core::HostId(name), 1};
-    options.founders = {core::HostId("a")};
-    options.standbys = {core::HostId("a"), core::HostId("b")};
-    options.seed = 1;
-    return options;
-  }
-
-  Replica replica_;
-};
+Options MakeOptions(const std::string& name) {
+  Options options;
+  options.self = {core::HostId(name), 1};
+  options.founders = {core::HostId("a")};
+  options.standbys = {core::HostId("a"), core::HostId("b")};
+  options.seed = 1;
+  return options;
+}
 
 }  // namespace
 
 // Guards against snapshots that follow each other so fast, while large changes
 // go on, that a replica with an empty disk never has one whole.
 TEST_CASE("a new replica gets a snapshot while large changes go on") {
-  Member leader("a");
-  Member joining("b");
+  Member leader(MakeOptions("a"), kStateBytes);
+  Member joining(MakeOptions("b"), kStateBytes);
   core::Instant now(std::chrono::seconds(1));
   std::uint64_t proposal = 1;
   const auto exchange = [&now](Member& from, Member& to) {
