--- a/src/foxquay/control/state.h
+++ b/src/foxquay/control/state.h
@@ -58,7 +58,7 @@
   /// quorum has acknowledged. Precondition: the leader has applied an entry of
   /// its own term; before that, commits of an earlier leader may be missing.
   /// Content of the fleet configuration beyond `max_content` bytes is left out;
-  /// its version tells the observer that it lacks it.
+  /// the version in the reply keeps the observer from confirming.
   [[nodiscard]] schema::ConfigReply Answer(
       const schema::ConfigPoll& poll, core::Duration age,
       std::size_t max_content = kUnlimitedContent) const;
--- a/src/foxquay/gateway/placer.h
+++ b/src/foxquay/gateway/placer.h
@@ -43,8 +43,8 @@
   using LayersHandler = std::function<void(
       const core::UpstreamId&, const std::optional<schema::LayerRange>&)>;
 
-  /// `hold_offs` holds the pauses that upstreams have asked this process for,
-  /// and outlives the placer.
+  /// `hold_offs` holds the pauses that upstreams have requested from this
+  /// process. Precondition: it outlives the placer.
   Placer(boost::asio::io_context& context, const Protocol& protocol,
          relay::HoldOffs& hold_offs, LayersHandler on_layers);
 
@@ -89,7 +89,7 @@
   /// Records the pause that an upstream asks for in an answer.
   void RecordStatements(const core::UpstreamId& upstream,
                         const ResponseInfo& info);
-  /// Handles an order or inquiry that is not sent to an upstream that pauses.
+  /// Handles an order or inquiry that is not sent because of a pause.
   void Skip(const core::ServiceId& service, const placement::Action& action,
             core::Instant now);
   void FinishCall(net::CallId id, bool answered);
--- a/src/foxquay/relay/hold_offs.h
+++ b/src/foxquay/relay/hold_offs.h
@@ -8,20 +8,18 @@
 
 namespace foxquay::relay {
 
-/// Pauses for which upstreams have asked this host.
+/// Pauses that upstreams have requested from this host.
 ///
-/// Whatever this host sends to an upstream, on whatever connection, asks here
-/// first. A pause belongs to the upstream: it outlasts its restart under the
-/// same id and its absence from the list of upstreams. Not thread-safe;
-/// performs no I/O.
+/// Must be consulted before anything is sent to an upstream, on any connection.
+/// A pause is kept by the id of the upstream, so that it outlasts a restart and
+/// an absence from the list of upstreams. Not thread-safe; performs no I/O.
 class HoldOffs {
  public:
-  /// Records that an upstream asks for nothing before `until`; a shorter pause
-  /// does not replace a longer one. Returns whether it had not asked for as
-  /// long.
+  /// Records a pause until `until`; a shorter one does not replace a longer
+  /// one. Returns whether the pause of the upstream became longer.
   bool Record(const core::UpstreamId& upstream, core::Instant until);
 
-  /// Returns whether an upstream has asked for nothing at `now`.
+  /// Returns whether the pause of an upstream includes `now`.
   [[nodiscard]] bool Active(const core::UpstreamId& upstream,
                             core::Instant now) const;
 
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -118,8 +118,7 @@
   /// force changed.
   bool RecordLimit(const core::UpstreamId& upstream, std::optional<double> rate,
                    core::Instant now);
-  /// Returns the pauses that upstreams have asked for, for all that this
-  /// process sends to them.
+  /// Returns the pauses that upstreams have requested from this process.
   [[nodiscard]] HoldOffs& hold_offs() noexcept { return hold_offs_; }
   /// Returns this host's part in the limits that upstreams state.
   [[nodiscard]] RateLimits& limits() noexcept { return limits_; }
