Claim nothing of upstreams that may not be inquired at during their pause

Found in the last read: a health check of an upstream that had asked a control host for a pause was answered with "reached" without being sent. An upstream that crashed in its pause would have been renewed in the roster, and reports of the crash refuted, for as long as its Retry-After said. Change: no inquiry is sent and no result reported; the announcement expires as without an answer.

--- a/src/foxquay/gateway/placer.cc
+++ b/src/foxquay/gateway/placer.cc
@@ -80,10 +80,8 @@
 
 void Placer::Probe(const schema::Announcement& upstream,
                    std::function<void(bool)> done) {
-  if (hold_offs_.Active(upstream.id, net::SteadyNow())) {
-    done(true);
-    return;
-  }
+  // Its earlier answer does not show that it still runs.
+  if (hold_offs_.Active(upstream.id, net::SteadyNow())) return;
   prober_.Probe(upstream.id, upstream.address, true,
                 [done = std::move(done)](ProbeResult result) {
                   done(result == ProbeResult::kReached);
--- a/src/foxquay/gateway/placer.h
+++ b/src/foxquay/gateway/placer.h
@@ -57,8 +57,7 @@
   void SetUpstreams(std::vector<schema::Announcement> upstreams);
 
   /// Sends an inquiry to an upstream and calls `done` with whether the expected
-  /// upstream responded in time. One that asked for a pause has responded and
-  /// is not sent an inquiry before its end.
+  /// upstream responded in time. Does neither during a pause of the upstream.
   void Probe(const schema::Announcement& upstream,
              std::function<void(bool)> done);
 
