Count what updates of feeds hold, and why

peer_messages counts bytes by kind of message; it cannot tell whether replies of 25 to 80 KB are complete feeds, states of hosts or announcements. The line feed_updates of control hosts, once a second, and the counters foxquay_feed_items_total and foxquay_feed_changes_total state it by reason.

--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -309,9 +309,35 @@
                  std::string(MessageKindName(message_stats_.longest_kind()))},
                 {"delay_ms", core::ToMilliseconds(message_stats_.delay())}});
   }
+  ReportFeeds();
   message_stats_.Reset();
 }
 
+void ControlNode::ReportFeeds() {
+  const roster::FeedStats stats = roster_.TakeStats();
+  for (std::size_t index = 0; index < stats.updates.size(); ++index) {
+    const roster::UpdateCount& count = stats.updates.at(index);
+    if (count.updates == 0) continue;
+    const std::string reason(
+        roster::Name(static_cast<roster::UpdateReason>(index)));
+    Count("foxquay_feed_items_total",
+          "reason=\"" + reason + "\",item=\"upstream\"", count.upstreams);
+    Count("foxquay_feed_items_total",
+          "reason=\"" + reason + "\",item=\"host\"", count.hosts);
+  }
+  for (std::size_t index = 0; index < stats.changes.size(); ++index) {
+    if (stats.changes.at(index) == 0) continue;
+    const std::string change(
+        roster::Name(static_cast<roster::FeedChange>(index)));
+    Count("foxquay_feed_changes_total", "change=\"" + change + "\"",
+          stats.changes.at(index));
+  }
+  if (!replica_) return;
+  log::Write(log::Level::kInfo, "feed_updates",
+             {{"sent", roster::FormatUpdates(stats)},
+              {"changes", roster::FormatChanges(stats)}});
+}
+
 core::HostId ControlNode::KnownLeader() const {
   if (replica_) {
     core::HostId leader = replica_->leader();
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -338,6 +338,8 @@
   }
   /// Logs and counts the messages of the last second.
   void ReportMessages(core::Instant now);
+  /// Logs and counts what was sent in updates of feeds, and why.
+  void ReportFeeds();
   void UpdateParentCandidates();
   /// Takes the states of hosts over from the feeds.
   void FollowHosts(core::Instant now);
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -57,7 +57,9 @@
 }
 
 void Roster::SetAnnouncement(Entry& entry,
-                             const schema::Announcement& announcement) {
+                             const schema::Announcement& announcement,
+                             FeedChange change) {
+  Count(change);
   entry.announcement = announcement;
   entry.version = ++OwnFeed().version;
   ++changes_;
@@ -66,7 +68,9 @@
                                       : options_.announcement_ttl));
 }
 
-void Roster::SetHost(HostEntry& entry, const schema::HostState& state) {
+void Roster::SetHost(HostEntry& entry, const schema::HostState& state,
+                     FeedChange change) {
+  Count(change);
   entry.state = state;
   entry.version = ++OwnFeed().version;
   ++changes_;
@@ -87,7 +91,11 @@
   heard.silent = false;
   schema::HostState same = heard;
   same.number = entry.state.number;
-  if (inserted || same != entry.state) SetHost(entry, heard);
+  if (inserted || entry.state.silent) {
+    SetHost(entry, heard, FeedChange::kHostNew);
+  } else if (same != entry.state) {
+    SetHost(entry, heard, FeedChange::kHostChanged);
+  }
 }
 
 std::vector<schema::HostState> Roster::Hosts(core::Instant now) {
@@ -130,10 +138,10 @@
     return false;
   }
   entry.heard_at = now;
-  const bool changed =
-      inserted || ChangesFeed(entry.announcement, announcement);
-  if (changed) {
-    SetAnnouncement(entry, announcement);
+  if (inserted) {
+    SetAnnouncement(entry, announcement, FeedChange::kUpstreamNew);
+  } else if (ChangesFeed(entry.announcement, announcement)) {
+    SetAnnouncement(entry, announcement, FeedChange::kUpstreamChanged);
   } else {
     entry.announcement.sequence = announcement.sequence;
   }
@@ -162,7 +170,7 @@
   leaving->leaving = true;
   Entry& entry = OwnFeed().entries[upstream];
   entry.heard_at = now;
-  SetAnnouncement(entry, *leaving);
+  SetAnnouncement(entry, *leaving, FeedChange::kUpstreamLeft);
   return true;
 }
 
@@ -176,7 +184,7 @@
   observed->layers = layers.value_or(schema::LayerRange{});
   Entry& entry = OwnFeed().entries[upstream];
   entry.heard_at = now;
-  SetAnnouncement(entry, *observed);
+  SetAnnouncement(entry, *observed, FeedChange::kUpstreamChanged);
 }
 
 std::vector<schema::Announcement> Roster::Silent(core::Duration silence,
@@ -228,7 +236,7 @@
     }
     schema::Announcement leaving = entry.announcement;
     leaving.leaving = true;
-    SetAnnouncement(entry, leaving);
+    SetAnnouncement(entry, leaving, FeedChange::kUpstreamLeft);
   }
 }
 
@@ -253,7 +261,7 @@
     }
     schema::HostState silent = entry.state;
     silent.silent = true;
-    SetHost(entry, silent);
+    SetHost(entry, silent, FeedChange::kHostSilent);
   }
 }
 
@@ -281,12 +289,18 @@
   update.version = feed.version;
   update.age = now - feed.confirmed_at;
   std::uint64_t known = 0;
+  UpdateReason reason = UpdateReason::kUnknown;
   for (const schema::FeedVersion& version : poll.known) {
-    const bool same =
-        version.host == host && version.incarnation == feed.incarnation;
-    if (same) known = version.version;
+    if (version.host != host || version.version == 0) continue;
+    if (version.incarnation != feed.incarnation) {
+      reason = UpdateReason::kRestarted;
+      continue;
+    }
+    known = version.version;
+    reason = known < feed.gc_version ? UpdateReason::kErased
+                                     : UpdateReason::kChanges;
   }
-  update.complete = known == 0 || known < feed.gc_version;
+  update.complete = reason != UpdateReason::kChanges;
   if (update.complete) known = 0;
   if (known == feed.version && !update.complete) return update;
   for (const auto& [id, entry] : feed.entries) {
@@ -295,6 +309,10 @@
   for (const auto& [id, entry] : feed.hosts) {
     if (entry.version > known) update.hosts.push_back(entry.state);
   }
+  UpdateCount& count = stats_.updates.at(static_cast<std::size_t>(reason));
+  ++count.updates;
+  count.upstreams += update.changes.size();
+  count.hosts += update.hosts.size();
   return update;
 }
 
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -6,10 +6,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
+#include "foxquay/roster/feed_stats.h"
 #include "foxquay/roster/fwd.h"
 #include "foxquay/schema/announcement.h"
 #include "foxquay/schema/roster.h"
@@ -140,6 +142,10 @@
   /// host's own feed is not removed.
   void RemoveFeed(const core::HostId& host);
 
+  /// Returns what was sent in updates of feeds, and how this host's feed
+  /// changed, since the last call.
+  [[nodiscard]] FeedStats TakeStats() { return std::exchange(stats_, {}); }
+
   /// Returns the number of announcements in all feeds, including tombstones.
   [[nodiscard]] std::size_t size() const noexcept;
 
@@ -185,11 +191,17 @@
   }
   /// Returns the changes of `feed`, which belongs to `host`, for a reply to
   /// `poll`.
-  [[nodiscard]] static schema::FeedUpdate MakeUpdate(
-      const core::HostId& host, const Feed& feed,
-      const schema::RosterPoll& poll, core::Instant now);
-  void SetAnnouncement(Entry& entry, const schema::Announcement& announcement);
-  void SetHost(HostEntry& entry, const schema::HostState& state);
+  [[nodiscard]] schema::FeedUpdate MakeUpdate(const core::HostId& host,
+                                              const Feed& feed,
+                                              const schema::RosterPoll& poll,
+                                              core::Instant now);
+  void SetAnnouncement(Entry& entry, const schema::Announcement& announcement,
+                       FeedChange change);
+  void SetHost(HostEntry& entry, const schema::HostState& state,
+               FeedChange change);
+  void Count(FeedChange change) {
+    ++stats_.changes.at(static_cast<std::size_t>(change));
+  }
   /// Applies the changes of another host's feed, which was current at
   /// `confirmed_at`.
   void ApplyFeed(const schema::FeedUpdate& update, core::Instant confirmed_at,
@@ -202,6 +214,7 @@
   std::map<std::uint64_t, core::Instant> polls_;  ///< Send times by number.
   std::uint64_t next_poll_ = 1;
   std::uint64_t changes_ = 0;
+  FeedStats stats_;
   /// No entry of any feed expires before this time.
   core::Instant next_expiry_ = core::Instant::max();
 };
