Keep a parent that answers while no control host confirms

A host now leaves a parent that answers without a confirmation only if another control host confirms, or if it has never had a configuration and so asks nobody else; and it asks the others ever more rarely while none confirms.

--- a/src/foxquay/membership/parent_selector.cc
+++ b/src/foxquay/membership/parent_selector.cc
@@ -67,9 +67,9 @@
   return age;
 }
 
-int ParentSelector::SilenceDoublings() const {
+int ParentSelector::Doublings(std::size_t replies) const {
   const std::size_t rounds =
-      unanswered_ / std::max<std::size_t>(1, 2 * candidates_.size());
+      replies / std::max<std::size_t>(1, 2 * candidates_.size());
   return static_cast<int>(std::min<std::size_t>(rounds, kMaxSilenceDoublings));
 }
 
@@ -113,13 +113,23 @@
   Choose(change, now);
 }
 
+bool ParentSelector::OtherConfirms(core::Instant now) const {
+  return std::any_of(
+      records_.begin(), records_.end(), [this, now](const auto& item) {
+        return item.first != *parent_ && Confirmed(item.second, now);
+      });
+}
+
 std::optional<ParentChange> ParentSelector::ReasonToLeave(
     core::Instant now) const {
   const Record& record = records_.at(*parent_);
   if (record.open_poll && now - *record.open_poll >= ReplyTimeout()) {
     return ParentChange::kSilent;
   }
-  if (now - confirmed_at_ >= kMaxUnconfirmed + ReplyTimeout()) {
+  const bool unconfirmed =
+      now - confirmed_at_ >= kMaxUnconfirmed + ReplyTimeout();
+  // A host without a configuration asks nobody but its parent.
+  if (unconfirmed && (OtherConfirms(now) || !ever_confirmed_)) {
     return ParentChange::kUnconfirmed;
   }
   return std::nullopt;
@@ -167,7 +177,8 @@
   if (Searching(now) && now >= next_ask_) {
     if (const core::HostId* other = NextToAsk(now)) {
       Poll(*other, now, due);
-      next_ask_ = now + kAskInterval * (1 << SilenceDoublings());
+      const std::size_t replies = std::max(unanswered_, unconfirmed_);
+      next_ask_ = now + kAskInterval * (1 << Doublings(replies));
     }
   }
   AddPreferred(due, now);
@@ -195,6 +206,8 @@
   unanswered_ = 0;
   const bool confirmed = age && *age <= kMaxConfirmationAge;
   if (confirmed) record.confirmed_at = now;
+  ever_confirmed_ = ever_confirmed_ || confirmed;
+  unconfirmed_ = confirmed ? 0 : unconfirmed_ + 1;
   if (from == *parent_) {
     parent_confirms_ = confirmed;
     if (!confirmed) return;
--- a/src/foxquay/membership/parent_selector.h
+++ b/src/foxquay/membership/parent_selector.h
@@ -51,9 +51,9 @@
 /// not confirm, if they are answered.
 inline constexpr core::Duration kAskInterval = kFollowInterval;
 
-/// Maximum number of times that the interval between questions and the time-out
-/// of polls are doubled while no control host answers, so that control hosts
-/// that are busy get less to do.
+/// Maximum number of times that the interval between questions is doubled while
+/// no control host answers or confirms, and the time-out of polls while none
+/// answers, so that control hosts that are busy get less to do.
 inline constexpr int kMaxSilenceDoublings = 2;
 
 /// Returns the interval between two polls of a host if `followers` hosts follow
@@ -97,8 +97,10 @@
 /// configuration, the others are asked in turn whether they can, so that a
 /// parent that is stuck costs two intervals. Answers a cluster of hundreds of
 /// hosts that start, restart or lose a control host at the same time: each host
-/// has one poll open at a time, and asks ever more rarely while no candidate
-/// answers. Not thread-safe; performs no I/O.
+/// has one poll open at a time, asks ever more rarely while no candidate
+/// answers or confirms, and keeps a parent that answers while no other one
+/// confirms, since a move is work for all control hosts. Not thread-safe;
+/// performs no I/O.
 class ParentSelector {
  public:
   explicit ParentSelector(core::HostId self) : self_(std::move(self)) {}
@@ -161,11 +163,15 @@
   /// Returns the candidate to ask next; null if each was polled within an
   /// interval.
   [[nodiscard]] const core::HostId* NextToAsk(core::Instant now) const;
-  /// Returns how often waiting times are doubled.
-  [[nodiscard]] int SilenceDoublings() const;
+  /// Returns how often waiting times are doubled after `replies` polls in a row
+  /// without the reply that was hoped for.
+  [[nodiscard]] int Doublings(std::size_t replies) const;
+  /// Returns whether a candidate other than the parent has confirmed lately.
+  [[nodiscard]] bool OtherConfirms(core::Instant now) const;
   /// Returns the time without a reply after which the parent is left.
   [[nodiscard]] core::Duration ReplyTimeout() const {
-    return std::max(kReplyTimeout, Interval() * 2) * (1 << SilenceDoublings());
+    return std::max(kReplyTimeout, Interval() * 2) *
+           (1 << Doublings(unanswered_));
   }
   [[nodiscard]] bool Confirmed(const Record& record, core::Instant now) const;
   void Poll(const core::HostId& host, core::Instant now,
@@ -186,7 +192,9 @@
   core::Instant confirmed_at_;  ///< Last confirmed reply, or when chosen.
   core::Instant next_return_;
   std::size_t followers_ = 0;
-  std::size_t unanswered_ = 0;  ///< Polls since the last reply.
+  std::size_t unanswered_ = 0;   ///< Polls since the last reply.
+  std::size_t unconfirmed_ = 0;  ///< Replies since the last confirmation.
+  bool ever_confirmed_ = false;
 };
 
 }  // namespace foxquay::membership
--- a/tests/foxquay/membership/parent_selector_test.cc
+++ b/tests/foxquay/membership/parent_selector_test.cc
@@ -268,6 +268,48 @@
   CHECK(cluster.followers_of(3) > 30);
 }
 
+// Guards against hosts that move from one control host to the next while no
+// leader is elected: each move is work for all control hosts.
+TEST_CASE("hosts keep their parents while no control host confirms") {
+  for (const int followers : {8, 60, 291, 730}) {
+    SimulatedCluster cluster(followers, 5);
+    cluster.Run(0, 3000);
+    std::vector<int> before;
+    for (int control = 0; control < 5; ++control) {
+      before.push_back(cluster.followers_of(control));
+      cluster.Set(control, true, false);
+    }
+    cluster.Run(3000, 13000);
+    for (int control = 0; control < 5; ++control) {
+      CHECK(cluster.followers_of(control) ==
+            before[static_cast<std::size_t>(control)]);
+    }
+    // Those that ask others do so ever more rarely.
+    cluster.Run(13000, 23000);
+    CHECK(cluster.max_polls() <= 10 * kMaxFollowerPollRate * 2);
+    for (int control = 0; control < 5; ++control) {
+      cluster.Set(control, true, true);
+    }
+    cluster.Run(23000, 24000);
+    cluster.Run(24000, 30000);
+    CHECK(cluster.longest_gap() < milliseconds(1500));
+  }
+}
+
+// A host without a configuration asks nobody else, so that it does not learn
+// which control host confirms.
+TEST_CASE("a host leaves a parent that has never confirmed") {
+  ParentSelector selector(core::HostId("a"));
+  selector.SetCandidates({{Control(0), true}, {Control(1), false}});
+  for (int ms = 0; ms < 5000 && selector.parent() != Control(1); ms += 50) {
+    const auto due = selector.Due(At(ms));
+    const bool asked =
+        std::find(due.begin(), due.end(), Control(0)) != due.end();
+    if (asked) selector.HandleReply(Control(0), std::nullopt, At(ms));
+  }
+  CHECK(selector.parent() == Control(1));
+}
+
 TEST_CASE("without candidates nothing is polled") {
   ParentSelector selector(core::HostId("a"));
   CHECK(selector.Due(At(0)).empty());
