Answer polls after all other messages, and only those that still count

Control hosts answered messages in the order of arrival, so that votes and acknowledgements of the log waited behind the polls of hundreds of hosts: the leader stepped down 7 s after the start of 291 hosts, with nothing wrong. And under overload every reply came after its host had stopped waiting for it.

membership::PollQueue holds polls while other messages are handled. One poll of each sender waits, those older than 700 ms (when their senders give up) are dropped, and while the oldest waits for more than 125 ms the newest goes first. What a poll reports (the host, crashes, limits) is recorded at its arrival, so that a host whose poll is dropped does not count as silent.

--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
+#include <variant>
 
 #include "foxquay/daemon/clock.h"
 #include "foxquay/daemon/control_node.h"
@@ -138,6 +139,35 @@
   follower_requests_[from.sender] = {now, poll.report.open_requests};
   detector_.Record(poll.quarantine, now);
   quarantine_news_.Add(poll.quarantine, now);
+  limit_pool_.Record(poll.limits.statements, now);
+  QueuePoll(from, poll);
+}
+
+void ControlNode::QueuePoll(
+    const schema::Envelope& from,
+    std::variant<schema::FollowerPoll, schema::ConfigPoll> poll) {
+  polls_.Push(from.sender, {from.sender, from.incarnation, std::move(poll)},
+              Now());
+  AnswerPollsSoon();
+}
+
+void ControlNode::AnswerPollsSoon() {
+  if (answering_polls_) return;
+  answering_polls_ = true;
+  boost::asio::post(context_, [this] {
+    answering_polls_ = false;
+    const auto waiting = polls_.Pop(Now());
+    if (!waiting || stopping_) return;
+    std::visit([&](const auto& poll) { AnswerPoll(*waiting, poll); },
+               waiting->poll);
+    // Messages that have arrived meanwhile are handled in between.
+    if (!polls_.empty()) AnswerPollsSoon();
+  });
+}
+
+void ControlNode::AnswerPoll(const WaitingPoll& from,
+                             const schema::FollowerPoll& poll) {
+  const core::Instant now = Now();
   schema::FollowerReply reply;
   reply.watched = watched_parts_;
   const std::size_t max_content =
@@ -152,6 +182,14 @@
   const std::size_t content = reply.config ? reply.config->fleet.size() : 0;
   Send(from.sender, std::move(reply));
   RecordContent(from.sender, version, content, now);
+  message_stats_.RecordTime(MessageKind<schema::FollowerPoll>(), Now() - now);
+}
+
+void ControlNode::AnswerPoll(const WaitingPoll& from,
+                             const schema::ConfigPoll& poll) {
+  const core::Instant now = Now();
+  AnswerConfigPoll(from.sender, poll, now);
+  message_stats_.RecordTime(MessageKind<schema::ConfigPoll>(), Now() - now);
 }
 
 void ControlNode::On(const schema::Envelope& from,
--- a/src/foxquay/daemon/control_limits.cc
+++ b/src/foxquay/daemon/control_limits.cc
@@ -46,7 +46,6 @@
                                const schema::FollowerPoll& poll,
                                core::Instant now,
                                schema::FollowerReply& reply) {
-  limit_pool_.Record(poll.limits.statements, now);
   const relay::LimitTable& table = limit_pool_.table();
   if (table.empty()) return;
   const auto refresh = static_cast<std::uint64_t>(now.time_since_epoch() /
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -300,6 +300,8 @@
   };
   count("sent", message_stats_.sent());
   count("received", message_stats_.received());
+  const std::uint64_t dropped = polls_.TakeDropped();
+  if (dropped > 0) Count("foxquay_polls_dropped_total", "", dropped);
   if (replica_) {
     log::Write(log::Level::kInfo, "peer_messages",
                {{"sent", FormatCounts(message_stats_.sent())},
@@ -307,7 +309,9 @@
                 {"longest_ms", core::ToMilliseconds(message_stats_.longest())},
                 {"longest_kind",
                  std::string(MessageKindName(message_stats_.longest_kind()))},
-                {"delay_ms", core::ToMilliseconds(message_stats_.delay())}});
+                {"delay_ms", core::ToMilliseconds(message_stats_.delay())},
+                {"polls_waiting", polls_.size()},
+                {"polls_dropped", dropped}});
   }
   ReportFeeds();
   message_stats_.Reset();
@@ -322,8 +326,8 @@
         roster::Name(static_cast<roster::UpdateReason>(index)));
     Count("foxquay_feed_items_total",
           "reason=\"" + reason + "\",item=\"upstream\"", count.upstreams);
-    Count("foxquay_feed_items_total",
-          "reason=\"" + reason + "\",item=\"host\"", count.hosts);
+    Count("foxquay_feed_items_total", "reason=\"" + reason + "\",item=\"host\"",
+          count.hosts);
   }
   for (std::size_t index = 0; index < stats.changes.size(); ++index) {
     if (stats.changes.at(index) == 0) continue;
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -16,6 +16,7 @@
 #include <system_error>
 #include <thread>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "foxquay/control/content_share.h"
@@ -32,6 +33,7 @@
 #include "foxquay/dispatch/event.h"
 #include "foxquay/entry/distances.h"
 #include "foxquay/membership/parent_selector.h"
+#include "foxquay/membership/poll_queue.h"
 #include "foxquay/quarantine/bundle.h"
 #include "foxquay/quarantine/detector.h"
 #include "foxquay/relay/limit_pool.h"
@@ -274,6 +276,23 @@
   void Run();
   void Tick();
   void Receive(schema::Envelope envelope);
+  /// A poll that waits for its answer.
+  struct WaitingPoll {
+    core::HostId sender;
+    std::uint64_t incarnation = 0;
+    std::variant<schema::FollowerPoll, schema::ConfigPoll> poll;
+  };
+
+  /// Adds a poll to those that are answered when no other message waits.
+  void QueuePoll(const schema::Envelope& from,
+                 std::variant<schema::FollowerPoll, schema::ConfigPoll> poll);
+  /// Answers the next poll after the messages that have arrived, and so on
+  /// until no poll waits.
+  void AnswerPollsSoon();
+  void AnswerPoll(const WaitingPoll& from, const schema::FollowerPoll& poll);
+  void AnswerPoll(const WaitingPoll& from, const schema::ConfigPoll& poll);
+  void AnswerConfigPoll(const core::HostId& sender,
+                        const schema::ConfigPoll& poll, core::Instant now);
   void On(const schema::Envelope& from, schema::ConsensusMessage message);
   void On(const schema::Envelope& from, const schema::ConfigPoll& poll);
   void On(const schema::Envelope& from, const schema::ConfigReply& reply);
@@ -450,6 +469,8 @@
   std::map<core::HostId, ReportedRequests> control_requests_;
   std::uint64_t followers_open_ = 0;  ///< Sum over this host's followers.
   std::uint64_t total_open_ = 0;      ///< Sum over all hosts.
+  membership::PollQueue<WaitingPoll> polls_;
+  bool answering_polls_ = false;  ///< AnswerPollsSoon is under way.
   MessageStats message_stats_;
   core::Instant next_message_report_{};
   core::Instant next_tick_{};  ///< When the current tick was due.
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -122,20 +122,29 @@
 
 void ControlNode::On(const schema::Envelope& from,
                      const schema::ConfigPoll& poll) {
-  const core::Instant now = Now();
+  if (uses_seeds() && !hosts_.IsControl(from.sender)) {
+    QueuePoll(from, poll);
+  } else {
+    AnswerConfigPoll(from.sender, poll, Now());
+  }
+}
+
+void ControlNode::AnswerConfigPoll(const core::HostId& sender,
+                                   const schema::ConfigPoll& poll,
+                                   core::Instant now) {
   // A host that follows another control host only asks for a confirmation.
-  const bool follows = !uses_seeds() || hosts_.IsControl(from.sender);
+  const bool follows = !uses_seeds() || hosts_.IsControl(sender);
   const std::size_t max_content =
-      follows ? content_share_.Allowed(from.sender, poll.fleet_version, now)
+      follows ? content_share_.Allowed(sender, poll.fleet_version, now)
               : control::kInlineContentBytes;
-  auto reply = AnswerConfig(from.sender, poll, max_content, now);
+  auto reply = AnswerConfig(sender, poll, max_content, now);
   if (!reply) return;
   const std::uint64_t version = reply->fleet_version;
   const std::size_t content = reply->fleet.size();
   // A host that follows another control host is known from its feed only.
-  const bool linked = !uses_seeds() || SetLink(from.sender);
-  if (linked) Send(from.sender, *std::move(reply));
-  RecordContent(from.sender, version, content, now);
+  const bool linked = !uses_seeds() || SetLink(sender);
+  if (linked) Send(sender, *std::move(reply));
+  RecordContent(sender, version, content, now);
 }
 
 void ControlNode::On(const schema::Envelope& from,
--- a/src/foxquay/daemon/message_stats.cc
+++ b/src/foxquay/daemon/message_stats.cc
@@ -28,7 +28,11 @@
   MessageCount& count = received_.at(kind);
   ++count.messages;
   count.bytes += bytes;
-  count.handled += time;
+  RecordTime(kind, time);
+}
+
+void MessageStats::RecordTime(std::size_t kind, core::Duration time) {
+  received_.at(kind).handled += time;
   if (time <= longest_) return;
   longest_ = time;
   longest_kind_ = kind;
--- a/src/foxquay/daemon/message_stats.h
+++ b/src/foxquay/daemon/message_stats.h
@@ -21,6 +21,12 @@
 /// Precondition: `kind` is an index of schema::PeerMessage. Thread-safe.
 [[nodiscard]] std::string_view MessageKindName(std::size_t kind) noexcept;
 
+/// Returns the number of a kind of message. Thread-safe.
+template <class Message>
+[[nodiscard]] std::size_t MessageKind() {
+  return schema::PeerMessage(Message()).index();
+}
+
 /// Messages of one kind in one direction since the last reset.
 struct MessageCount {
   std::uint64_t messages = 0;
@@ -39,6 +45,8 @@
   void RecordSent(std::size_t kind, std::size_t bytes);
   /// Records a message that was handled within `time`.
   void RecordReceived(std::size_t kind, std::size_t bytes, core::Duration time);
+  /// Records work on a message that was received before.
+  void RecordTime(std::size_t kind, core::Duration time);
   /// Records by how much a timer of the control thread fired too late.
   void RecordDelay(core::Duration delay);
   /// Starts a new period.
--- /dev/null
+++ b/src/foxquay/membership/poll_queue.h
@@ -0,0 +1,96 @@
+#ifndef FOXQUAY_MEMBERSHIP_POLL_QUEUE_H_
+#define FOXQUAY_MEMBERSHIP_POLL_QUEUE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "foxquay/core/id.h"
+#include "foxquay/core/time.h"
+#include "foxquay/membership/parent_selector.h"
+
+namespace foxquay::membership {
+
+/// Time after which a poll is no longer answered: its sender has stopped
+/// waiting for the reply.
+inline constexpr core::Duration kPollValidity = kReplyTimeout;
+
+/// Waiting time of the oldest poll above which the newest is answered first.
+/// Replies in the order of arrival would all be late then.
+inline constexpr core::Duration kCongestedWait = kFollowInterval / 2;
+
+/// Polls of followers that wait while a control host handles the messages of
+/// other control hosts and the log, which go first.
+///
+/// Answers the load of hundreds of hosts that poll faster than a control host
+/// can answer. In the order of arrival, every reply would come too late, so
+/// that all hosts poll again and nothing that was done counts, and votes and
+/// acknowledgements of the log would wait behind polls, so that the leader is
+/// lost too. Each sender has one poll waiting, the last one; polls that have
+/// waited too long are dropped; and while polls wait for long the newest is
+/// answered first, so that a part of the hosts is served in time. Not
+/// thread-safe; performs no I/O.
+template <class Poll>
+class PollQueue {
+ public:
+  /// Adds a poll that arrived at `now`; one of the same sender that still waits
+  /// is dropped.
+  void Push(const core::HostId& sender, Poll poll, core::Instant now) {
+    const auto former = by_sender_.find(sender);
+    if (former != by_sender_.end()) {
+      waiting_.erase(former->second);
+      ++dropped_;
+    }
+    const std::uint64_t number = next_number_++;
+    by_sender_[sender] = number;
+    waiting_.emplace(number, Item{sender, std::move(poll), now});
+  }
+
+  /// Takes the poll to answer next at `now`; nothing if none is worth an
+  /// answer.
+  [[nodiscard]] std::optional<Poll> Pop(core::Instant now) {
+    while (!waiting_.empty() &&
+           now - waiting_.begin()->second.arrived >= kPollValidity) {
+      Take(waiting_.begin());
+      ++dropped_;
+    }
+    if (waiting_.empty()) return std::nullopt;
+    const bool congested =
+        now - waiting_.begin()->second.arrived >= kCongestedWait;
+    return Take(congested ? std::prev(waiting_.end()) : waiting_.begin());
+  }
+
+  [[nodiscard]] bool empty() const noexcept { return waiting_.empty(); }
+  [[nodiscard]] std::size_t size() const noexcept { return waiting_.size(); }
+  /// Returns the number of polls that were dropped since the last call.
+  [[nodiscard]] std::uint64_t TakeDropped() noexcept {
+    return std::exchange(dropped_, 0);
+  }
+
+ private:
+  struct Item {
+    core::HostId sender;
+    Poll poll;
+    core::Instant arrived;
+  };
+  using Items = std::map<std::uint64_t, Item>;
+
+  Poll Take(typename Items::iterator item) {
+    Poll poll = std::move(item->second.poll);
+    by_sender_.erase(item->second.sender);
+    waiting_.erase(item);
+    return poll;
+  }
+
+  Items waiting_;  ///< By arrival.
+  std::map<core::HostId, std::uint64_t> by_sender_;
+  std::uint64_t next_number_ = 1;
+  std::uint64_t dropped_ = 0;
+};
+
+}  // namespace foxquay::membership
+
+#endif  // FOXQUAY_MEMBERSHIP_POLL_QUEUE_H_
--- a/tests/foxquay/daemon/loaded_cluster.cc
+++ b/tests/foxquay/daemon/loaded_cluster.cc
@@ -172,18 +172,30 @@
   }
 }
 
+bool LoadedCluster::IsPoll(const Content& content) {
+  return std::holds_alternative<FollowerQuestion>(content) ||
+         std::holds_alternative<Question>(content);
+}
+
 std::optional<core::Duration> LoadedCluster::HandleNext(std::size_t index) {
   Control& control = controls_[index];
   if (now_ >= control.next_tick) {
     control.next_tick = now_ + internal::kControlTick;
     return Tick(index);
   }
-  if (control.queue.empty() || control.queue.front().arrives > now_) {
-    return std::nullopt;
+  if (!control.queue.empty() && control.queue.front().arrives <= now_) {
+    Message message = std::move(control.queue.front());
+    control.queue.pop_front();
+    if (!IsPoll(message.content)) {
+      return internal::kReadTime + Handle(index, message);
+    }
+    const core::HostId& sender = hosts_[message.from].address.id;
+    control.polls.Push(sender, std::move(message), Now());
+    return internal::kReadTime;
   }
-  const Message message = std::move(control.queue.front());
-  control.queue.pop_front();
-  return internal::kReadTime + Handle(index, message);
+  const auto poll = control.polls.Pop(Now());
+  if (!poll) return std::nullopt;
+  return Handle(index, *poll);
 }
 
 core::Duration LoadedCluster::Tick(std::size_t index) {
@@ -217,6 +229,11 @@
       }
     } else if (auto* persist = std::get_if<consensus::Persist>(&action)) {
       Send(index, index, Written{persist->write_id});
+    } else if (auto* saved = std::get_if<consensus::SaveSnapshot>(&action)) {
+      Send(index, index, Written{saved->write_id});
+    } else if (std::holds_alternative<consensus::TakeSnapshot>(action)) {
+      time += Perform(
+          index, consensus::SnapshotTaken{control.replica.applied(), "state"});
     }
   }
   return time;
--- a/tests/foxquay/daemon/loaded_cluster.h
+++ b/tests/foxquay/daemon/loaded_cluster.h
@@ -14,6 +14,7 @@
 #include "foxquay/consensus/replica.h"
 #include "foxquay/core/time.h"
 #include "foxquay/membership/parent_selector.h"
+#include "foxquay/membership/poll_queue.h"
 #include "foxquay/roster/roster.h"
 #include "foxquay/schema/consensus.h"
 #include "foxquay/schema/roster.h"
@@ -80,6 +81,7 @@
     consensus::Replica replica;
     roster::Roster roster;
     std::deque<Message> queue = {};  ///< By arrival.
+    membership::PollQueue<Message> polls = {};
     core::Duration free_at{};
     core::Duration next_tick{};
     core::Duration next_poll{};
@@ -105,6 +107,7 @@
     std::uint64_t reports = 0;
   };
 
+  [[nodiscard]] static bool IsPoll(const Content& content);
   void RunControl(std::size_t index);
   /// Handles what is due at a control host and returns the time that it takes;
   /// nothing if there is nothing.
