Send a change of a host once, and nothing for hosts that move

A host that polls another control host was published in that one's feed and turned silent in the former one's: two changes that all hosts are sent, 290 times over.

- Control hosts poll each other again only after an answer, or after 1 s: an answer that is late was made several times.
- A copied feed goes to another control host only if its owner has not brought it within 500 ms; each change came from every control host.

--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -84,6 +84,7 @@
   boost::asio::post(context_, [this, host = loss.host] {
     if (stopping_) return;
     content_share_.RecordLoss(host);
+    roster_.RecordLoss(host);
     PollAfterLoss(host);
   });
   if (!loss.established) return;
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -310,6 +310,7 @@
   void On(const schema::Envelope& from, const schema::QuarantineReport& report);
   void On(const schema::Envelope& from, const schema::LimitReport& report);
   void On(const schema::Envelope& from, const schema::LimitGrant& grant);
+  void On(const schema::Envelope& from, const schema::HeardHosts& heard);
 
   bool NeedsHostList(const core::HostId& sender, const schema::HostList& list,
                      core::Instant now);
@@ -397,6 +398,8 @@
   void SumOpenRequests(core::Instant now);
   void PollConfig(core::Instant now);
   void PollRoster(core::Instant now);
+  /// Tells the other control hosts which of their hosts this one hears.
+  void ShareHeardHosts(core::Instant now);
   void GossipHosts(core::Instant now);
   void RemoveSilentHosts(core::Instant now);
   void Register(core::Instant now);
@@ -484,6 +487,8 @@
   core::Instant next_config_poll_{};
   core::Instant synced_at_{};  ///< Last call of SyncObserver.
   core::Instant next_roster_poll_{};
+  core::Instant next_heard_{};
+  core::Instant heard_shared_at_{};
   core::Instant next_registration_{};
   core::Instant next_gossip_{};
   std::size_t next_gossip_peer_ = 0;
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -92,8 +92,21 @@
   ShareLimits(now);
   for (const core::HostId& peer : peers_) {
     links_.SendDatagram(peer, encoded);
-    Send(peer, roster_.Poll(now));
+    const auto poll = roster_.PollIfAnswered(peer, now);
+    if (poll) Send(peer, *poll);
   }
+  if (uses_seeds() && now >= next_heard_) ShareHeardHosts(now);
+}
+
+void ControlNode::ShareHeardHosts(core::Instant now) {
+  schema::HeardHosts heard = roster_.Heard(now);
+  const bool due = !heard.hosts.empty() ||
+                   now - heard_shared_at_ >= roster::kEmptyHeardInterval;
+  if (!due) return;
+  next_heard_ = now + roster::kHeardInterval;
+  heard_shared_at_ = now;
+  const schema::PeerMessage message = std::move(heard);
+  for (const core::HostId& peer : peers_) Send(peer, message);
 }
 
 void ControlNode::GossipHosts(core::Instant now) {
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -157,7 +157,15 @@
 
 void ControlNode::On(const schema::Envelope& from,
                      const schema::RosterPoll& poll) {
-  Send(from.sender, roster_.Answer(poll, Now()));
+  // With seeds, only control hosts poll like this, and all of them each other.
+  const core::Duration relay_delay =
+      uses_seeds() ? roster::kRelayDelay : core::Duration::zero();
+  Send(from.sender, roster_.Answer(poll, Now(), relay_delay));
+}
+
+void ControlNode::On(const schema::Envelope& from,
+                     const schema::HeardHosts& heard) {
+  if (!parent_) roster_.Renew(from.sender, heard, Now());
 }
 
 void ControlNode::On(const schema::Envelope&,
--- a/src/foxquay/daemon/message_stats.cc
+++ b/src/foxquay/daemon/message_stats.cc
@@ -13,7 +13,7 @@
       "propose_reply", "in_force_request", "in_force_reply",
       "host_report",   "host_list",        "upstream_doubts",
       "follower_poll", "follower_reply",   "quarantine_report",
-      "limit_report",  "limit_grant"};
+      "limit_report",  "limit_grant",      "heard_hosts"};
   return kNames.at(kind);
 }
 
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -80,21 +80,85 @@
 
 void Roster::HearHost(const schema::HostState& state, core::Instant now) {
   Expire(now);
+  const core::HostId& id = state.address.id;
+  const auto own = OwnFeed().hosts.find(id);
+  const bool published =
+      own != OwnFeed().hosts.end() && !own->second.state.silent;
+  if (published && ReportOrder(state) < ReportOrder(own->second.state)) return;
+  schema::HostState heard = state;
+  heard.silent = false;
+  if (!published && IsPublished(heard, now)) {
+    unpublished_[id] = {heard, 0, now};
+    return;
+  }
+  unpublished_.erase(id);
+  PublishHost(heard, now);
+}
+
+bool Roster::IsPublished(const schema::HostState& state,
+                         core::Instant now) const {
+  return std::any_of(feeds_.begin(), feeds_.end(), [&](const auto& item) {
+    const auto& [owner, feed] = item;
+    // The others take its hosts for silent when it does not answer them.
+    const bool renews = owner != self_ && feed.renewed_at &&
+                        now - *feed.renewed_at <= kRenewalSilence &&
+                        now - feed.confirmed_at <= kMaxHostFeedAge / 2;
+    if (!renews) return false;
+    const auto found = feed.hosts.find(state.address.id);
+    if (found == feed.hosts.end()) return false;
+    schema::HostState same = state;
+    same.number = found->second.state.number;
+    return same == found->second.state;
+  });
+}
+
+void Roster::PublishHost(const schema::HostState& state,
+                         core::Instant heard_at) {
   const auto [found, inserted] =
       OwnFeed().hosts.try_emplace(state.address.id, HostEntry{});
   HostEntry& entry = found->second;
-  const bool outdated = !inserted && !entry.state.silent &&
-                        ReportOrder(state) < ReportOrder(entry.state);
-  if (outdated) return;
-  entry.heard_at = now;
-  schema::HostState heard = state;
-  heard.silent = false;
-  schema::HostState same = heard;
+  entry.heard_at = heard_at;
+  schema::HostState same = state;
   same.number = entry.state.number;
   if (inserted || entry.state.silent) {
-    SetHost(entry, heard, FeedChange::kHostNew);
+    SetHost(entry, state, FeedChange::kHostNew);
   } else if (same != entry.state) {
-    SetHost(entry, heard, FeedChange::kHostChanged);
+    SetHost(entry, state, FeedChange::kHostChanged);
+  }
+}
+
+void Roster::ReviewUnpublished(core::Instant now) {
+  std::erase_if(unpublished_, [this, now](const auto& item) {
+    const HostEntry& entry = item.second;
+    if (now - entry.heard_at > kHostSilence) return true;
+    if (IsPublished(entry.state, now)) return false;
+    PublishHost(entry.state, entry.heard_at);
+    return true;
+  });
+}
+
+schema::HeardHosts Roster::Heard(core::Instant now) const {
+  schema::HeardHosts heard;
+  for (const auto& [id, entry] : unpublished_) {
+    heard.hosts.push_back(
+        {id, entry.state.address.incarnation, now - entry.heard_at});
+  }
+  return heard;
+}
+
+void Roster::Renew(const core::HostId& from, const schema::HeardHosts& heard,
+                   core::Instant now) {
+  const auto feed = feeds_.find(from);
+  if (feed != feeds_.end() && from != self_) feed->second.renewed_at = now;
+  for (const schema::HeardHost& host : heard.hosts) {
+    const auto found = OwnFeed().hosts.find(host.host);
+    if (found == OwnFeed().hosts.end() || host.age < core::Duration::zero()) {
+      continue;
+    }
+    HostEntry& entry = found->second;
+    if (entry.state.address.incarnation != host.incarnation) continue;
+    entry.heard_at =
+        std::max(entry.heard_at, now - core::WithClockError(host.age));
   }
 }
 
@@ -266,6 +330,7 @@
 }
 
 schema::RosterPoll Roster::Poll(core::Instant now) {
+  ReviewUnpublished(now);
   schema::RosterPoll poll;
   poll.incarnation = OwnFeed().incarnation;
   poll.number = next_poll_++;
@@ -279,10 +344,23 @@
   return poll;
 }
 
-schema::FeedUpdate Roster::MakeUpdate(const core::HostId& host,
-                                      const Feed& feed,
-                                      const schema::RosterPoll& poll,
-                                      core::Instant now) {
+std::optional<schema::RosterPoll> Roster::PollIfAnswered(const core::HostId& to,
+                                                         core::Instant now) {
+  const auto last = last_polls_.find(to);
+  if (last != last_polls_.end()) {
+    const auto open = polls_.find(last->second);
+    if (open != polls_.end() && now - open->second < kPollTimeout) {
+      return std::nullopt;
+    }
+  }
+  schema::RosterPoll poll = Poll(now);
+  last_polls_[to] = poll.number;
+  return poll;
+}
+
+std::optional<schema::FeedUpdate> Roster::MakeUpdate(
+    const core::HostId& host, const Feed& feed, const schema::RosterPoll& poll,
+    core::Instant now, core::Duration relay_delay) {
   schema::FeedUpdate update;
   update.host = host;
   update.incarnation = feed.incarnation;
@@ -303,12 +381,18 @@
   update.complete = reason != UpdateReason::kChanges;
   if (update.complete) known = 0;
   if (known == feed.version && !update.complete) return update;
+  core::Instant arrived = now;
   for (const auto& [id, entry] : feed.entries) {
-    if (entry.version > known) update.changes.push_back(entry.announcement);
+    if (entry.version <= known) continue;
+    update.changes.push_back(entry.announcement);
+    arrived = std::min(arrived, entry.heard_at);
   }
   for (const auto& [id, entry] : feed.hosts) {
-    if (entry.version > known) update.hosts.push_back(entry.state);
+    if (entry.version <= known) continue;
+    update.hosts.push_back(entry.state);
+    arrived = std::min(arrived, entry.heard_at);
   }
+  if (host != self_ && now - arrived < relay_delay) return std::nullopt;
   UpdateCount& count = stats_.updates.at(static_cast<std::size_t>(reason));
   ++count.updates;
   count.upstreams += update.changes.size();
@@ -317,13 +401,15 @@
 }
 
 schema::RosterReply Roster::Answer(const schema::RosterPoll& poll,
-                                   core::Instant now) {
+                                   core::Instant now,
+                                   core::Duration relay_delay) {
   Expire(now);
   schema::RosterReply reply;
   reply.incarnation = poll.incarnation;
   reply.number = poll.number;
   for (const auto& [host, feed] : feeds_) {
-    reply.feeds.push_back(MakeUpdate(host, feed, poll, now));
+    auto update = MakeUpdate(host, feed, poll, now, relay_delay);
+    if (update) reply.feeds.push_back(*std::move(update));
   }
   return reply;
 }
@@ -417,6 +503,7 @@
 }
 
 void Roster::RemoveFeed(const core::HostId& host) {
+  last_polls_.erase(host);
   if (host == self_ || feeds_.erase(host) == 0) return;
   ++changes_;
 }
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -47,9 +47,30 @@
 /// Time for which a feed retains a silent host.
 inline constexpr core::Duration kSilentHostRetention = std::chrono::seconds(60);
 
+/// Interval at which a control host tells the others which hosts it hears that
+/// they have published; several times within kHostSilence.
+inline constexpr core::Duration kHeardInterval = std::chrono::milliseconds(500);
+
+/// As kHeardInterval, while there are none: the message shows that its sender
+/// renews hosts.
+inline constexpr core::Duration kEmptyHeardInterval = std::chrono::seconds(2);
+
+/// Time without HeardHosts after which its owner counts as a build that does
+/// not renew hosts.
+inline constexpr core::Duration kRenewalSilence = std::chrono::seconds(5);
+
+/// Time after which a copied feed is sent to a host that polls its owner too:
+/// until then, the owner's own reply brings it.
+inline constexpr core::Duration kRelayDelay = std::chrono::milliseconds(500);
+
 /// Interval at which a host polls the other hosts.
 inline constexpr core::Duration kPollInterval = std::chrono::milliseconds(200);
 
+/// Time after which a host that has not answered is polled again. Each answer
+/// to a poll holds all that the sender lacked, so that a second poll to a busy
+/// host costs as much as the first.
+inline constexpr core::Duration kPollTimeout = std::chrono::milliseconds(1000);
+
 /// Time bounds of a Roster.
 struct Options {
   core::Duration announcement_ttl = kAnnouncementTtl;  ///< See the constant.
@@ -90,9 +111,16 @@
   /// Returns a poll to send to another host at `now`.
   [[nodiscard]] schema::RosterPoll Poll(core::Instant now);
 
-  /// Returns the reply to another host's poll.
-  [[nodiscard]] schema::RosterReply Answer(const schema::RosterPoll& poll,
-                                           core::Instant now);
+  /// As Poll, for a host that is polled every kPollInterval: returns nothing
+  /// while a poll to it is open for less than kPollTimeout.
+  [[nodiscard]] std::optional<schema::RosterPoll> PollIfAnswered(
+      const core::HostId& to, core::Instant now);
+
+  /// Returns the reply to another host's poll. Copied feeds of which the other
+  /// host lacks only what arrived here within `relay_delay` are left out.
+  [[nodiscard]] schema::RosterReply Answer(
+      const schema::RosterPoll& poll, core::Instant now,
+      core::Duration relay_delay = core::Duration::zero());
 
   /// Applies a reply received at `now`; ignored if its poll is unknown or has
   /// already been answered.
@@ -127,8 +155,21 @@
   [[nodiscard]] std::vector<schema::Announcement> Usable(core::Instant now);
 
   /// Applies the report of a host that this host received at `now`.
+  ///
+  /// A host that moves from one control host to another changes nothing for the
+  /// others: while the feed of a host that takes part in Renew states the same
+  /// of it, it is not published a second time but renewed there.
   void HearHost(const schema::HostState& state, core::Instant now);
 
+  /// Returns the hosts that this host hears and another one has published, to
+  /// be sent to the other control hosts every kHeardInterval, and every
+  /// kEmptyHeardInterval if there are none.
+  [[nodiscard]] schema::HeardHosts Heard(core::Instant now) const;
+
+  /// Applies what `from` hears: hosts in this host's feed are not silent.
+  void Renew(const core::HostId& from, const schema::HeardHosts& heard,
+             core::Instant now);
+
   /// Returns the hosts in all feeds, ordered by id: the newest state of each,
   /// which is silent unless a feed that is not too old holds it as heard.
   [[nodiscard]] std::vector<schema::HostState> Hosts(core::Instant now);
@@ -138,6 +179,9 @@
   /// differ by the time that has passed.
   [[nodiscard]] std::uint64_t changes() const noexcept { return changes_; }
 
+  /// Records that messages to a host may be lost: it is polled again at once.
+  void RecordLoss(const core::HostId& host) { last_polls_.erase(host); }
+
   /// Removes the feed of a host that is permanently dead or was replaced; this
   /// host's own feed is not removed.
   void RemoveFeed(const core::HostId& host);
@@ -175,6 +219,8 @@
     core::Instant confirmed_at;  ///< Latest time when it was known as current.
     std::map<core::UpstreamId, Entry> entries;
     std::map<core::HostId, HostEntry> hosts;
+    /// Last HeardHosts of the owner; not set if it does not send them.
+    std::optional<core::Instant> renewed_at;
     /// Announcements that the host received before its restart and has not
     /// received again since.
     std::map<core::UpstreamId, schema::Announcement> pre_restart;
@@ -190,11 +236,18 @@
     next_expiry_ = std::min(next_expiry_, time);
   }
   /// Returns the changes of `feed`, which belongs to `host`, for a reply to
-  /// `poll`.
-  [[nodiscard]] schema::FeedUpdate MakeUpdate(const core::HostId& host,
-                                              const Feed& feed,
-                                              const schema::RosterPoll& poll,
-                                              core::Instant now);
+  /// `poll`; nothing if all of them arrived within `relay_delay`.
+  [[nodiscard]] std::optional<schema::FeedUpdate> MakeUpdate(
+      const core::HostId& host, const Feed& feed,
+      const schema::RosterPoll& poll, core::Instant now,
+      core::Duration relay_delay);
+  /// Returns whether the feed of another host that renews it states `state`.
+  [[nodiscard]] bool IsPublished(const schema::HostState& state,
+                                 core::Instant now) const;
+  /// Adds a host to this host's feed, or changes it there.
+  void PublishHost(const schema::HostState& state, core::Instant heard_at);
+  /// Publishes hosts that no other feed states any more.
+  void ReviewUnpublished(core::Instant now);
   void SetAnnouncement(Entry& entry, const schema::Announcement& announcement,
                        FeedChange change);
   void SetHost(HostEntry& entry, const schema::HostState& state,
@@ -211,7 +264,11 @@
   core::HostId self_;
   Options options_;
   std::map<core::HostId, Feed> feeds_;
+  /// Hosts that this host hears and another one has published.
+  std::map<core::HostId, HostEntry> unpublished_;
   std::map<std::uint64_t, core::Instant> polls_;  ///< Send times by number.
+  /// Last poll to each host that PollIfAnswered has returned.
+  std::map<core::HostId, std::uint64_t> last_polls_;
   std::uint64_t next_poll_ = 1;
   std::uint64_t changes_ = 0;
   FeedStats stats_;
--- a/src/foxquay/schema/peer.h
+++ b/src/foxquay/schema/peer.h
@@ -259,7 +259,7 @@
                  RosterReply, ProposeRequest, ProposeReply, InForceRequest,
                  InForceReply, HostReport, HostList, UpstreamDoubts,
                  FollowerPoll, FollowerReply, QuarantineReport, LimitReport,
-                 LimitGrant>;
+                 LimitGrant, HeardHosts>;
 
 }  // namespace foxquay::schema
 
--- a/src/foxquay/schema/roster.h
+++ b/src/foxquay/schema/roster.h
@@ -147,6 +147,37 @@
   }
 };
 
+/// A host that the sender hears and another control host has published.
+struct HeardHost {
+  core::HostId host;              ///< Name of the host.
+  std::uint64_t incarnation = 0;  ///< Its incarnation.
+  core::Duration age =
+      {};  ///< Time since its last report when the message was sent.
+
+  friend bool operator==(const HeardHost&, const HeardHost&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(host);
+    archive(incarnation);
+    archive(age);
+  }
+};
+
+/// Hosts that the sender hears without stating them in its own feed; their
+/// state stays in the feeds of others. Sent between control hosts several times
+/// a second, also if there are none.
+struct HeardHosts {
+  std::vector<HeardHost> hosts;  ///< The hosts.
+
+  friend bool operator==(const HeardHosts&, const HeardHosts&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(Bound(hosts, 4096));
+  }
+};
+
 }  // namespace foxquay::schema
 
 #endif  // FOXQUAY_SCHEMA_ROSTER_H_
--- a/tests/foxquay/daemon/loaded_cluster.cc
+++ b/tests/foxquay/daemon/loaded_cluster.cc
@@ -189,6 +189,9 @@
     if (!IsPoll(message.content)) {
       return internal::kReadTime + Handle(index, message);
     }
+    if (const auto* poll = std::get_if<FollowerQuestion>(&message.content)) {
+      control.roster.HearHost(poll->state, Now());
+    }
     const core::HostId& sender = hosts_[message.from].address.id;
     control.polls.Push(sender, std::move(message), Now());
     return internal::kReadTime;
@@ -211,7 +214,14 @@
   own.admitting = control.replica.FreshAsOf().has_value();
   control.roster.HearHost(own, Now());
   for (std::size_t other = 0; other < controls_.size(); ++other) {
-    if (other != index) Send(index, other, control.roster.Poll(Now()));
+    if (other == index) continue;
+    auto poll = control.roster.PollIfAnswered(controls_[other].id, Now());
+    if (poll) Send(index, other, *std::move(poll));
+  }
+  if (now_ < control.next_heard) return time;
+  control.next_heard = now_ + roster::kHeardInterval;
+  for (std::size_t other = 0; other < controls_.size(); ++other) {
+    if (other != index) Send(index, other, control.roster.Heard(Now()));
   }
   return time;
 }
@@ -245,7 +255,6 @@
   const auto confirmed = control.replica.FreshAsOf();
   const auto age = confirmed ? std::optional(Now() - *confirmed) : std::nullopt;
   if (const auto* poll = std::get_if<FollowerQuestion>(&message.content)) {
-    control.roster.HearHost(poll->state, Now());
     Reply reply{now_,  message.from,
                 index, poll->asked,
                 age,   control.roster.Answer(poll->roster, Now())};
@@ -260,7 +269,8 @@
     return internal::kQuestionTime;
   }
   if (const auto* poll = std::get_if<schema::RosterPoll>(&message.content)) {
-    schema::RosterReply reply = control.roster.Answer(*poll, Now());
+    schema::RosterReply reply =
+        control.roster.Answer(*poll, Now(), roster::kRelayDelay);
     const auto items = static_cast<std::int64_t>(internal::CountItems(reply));
     Send(index, message.from, std::move(reply));
     return internal::kRosterTime + internal::kItemTime * items * 2;
@@ -271,6 +281,10 @@
            internal::kItemTime *
                static_cast<std::int64_t>(internal::CountItems(*reply));
   }
+  if (const auto* heard = std::get_if<schema::HeardHosts>(&message.content)) {
+    control.roster.Renew(controls_[message.from].id, *heard, Now());
+    return internal::kRosterTime;
+  }
   if (const auto* written = std::get_if<Written>(&message.content)) {
     return Perform(index, consensus::Persisted{written->id});
   }
--- a/tests/foxquay/daemon/loaded_cluster.h
+++ b/tests/foxquay/daemon/loaded_cluster.h
@@ -68,9 +68,9 @@
   struct Written {
     consensus::WriteId id;
   };
-  using Content =
-      std::variant<FollowerQuestion, Question, schema::RosterPoll,
-                   schema::RosterReply, schema::ConsensusMessage, Written>;
+  using Content = std::variant<FollowerQuestion, Question, schema::RosterPoll,
+                               schema::RosterReply, schema::HeardHosts,
+                               schema::ConsensusMessage, Written>;
   struct Message {
     std::size_t from;  ///< Index of a host or a control host.
     core::Duration arrives;
@@ -85,6 +85,7 @@
     core::Duration free_at{};
     core::Duration next_tick{};
     core::Duration next_poll{};
+    core::Duration next_heard{};
     core::Duration spent{};
     std::uint64_t reports = 0;
     bool stopped = false;
--- a/tests/foxquay/daemon/loaded_cluster_test.cc
+++ b/tests/foxquay/daemon/loaded_cluster_test.cc
@@ -27,7 +27,8 @@
     std::size_t hosts;
     std::size_t controls;
   };
-  const auto size = GENERATE(Size{8, 3}, Size{60, 3}, Size{291, 5}, Size{730, 13});
+  const auto size =
+      GENERATE(Size{8, 3}, Size{60, 3}, Size{291, 5}, Size{730, 13});
   return Sized(size.hosts, size.controls, seed);
 }
 
