Refuse heartbeats and configurations with values out of range

Another operator's report: one odd entry ended the machines that read it, or stopped them from following the list. Here, ReadHeartbeat checked types and not ranges: a start time or count beyond what the sequence holds outranked all that the upstream announced later (the shift overflowed), slots and layers were cut to 32 bits, an address was any text, and a field longer than the schema's bound made the feed of the control host that took it unreadable for every host. Lists in lists were read by recursion.

Numbers are read within ranges, documents up to 64 levels deep, durations up to a year. daemon::CheckAnnouncement refuses what no message can hold, addresses without a port, and start times more than ten minutes ahead, on both programs; a configuration that no host could decode is refused and not acknowledged.

--- a/src/foxquay/daemon/control_server.cc
+++ b/src/foxquay/daemon/control_server.cc
@@ -5,6 +5,8 @@
 #include <variant>
 
 #include "foxquay/core/finding.h"
+#include "foxquay/daemon/announcement_check.h"
+#include "foxquay/daemon/clock.h"
 #include "foxquay/fleet/validate.h"
 #include "foxquay/log/log.h"
 #include "foxquay/schema/codec.h"
@@ -69,6 +71,12 @@
     server_.Respond(exchange, internal::Unavailable(internal::kCutOff));
     return;
   }
+  const core::Findings findings =
+      CheckAnnouncement(call.announcement, WallNow());
+  if (!findings.empty()) {
+    Handle(exchange, gateway::InvalidCall{400, findings});
+    return;
+  }
   node_.Announce(call.announcement);
   server_.Respond(exchange, internal::Empty());
 }
@@ -87,15 +95,20 @@
 
 void ControlServer::Handle(net::ExchangeId exchange,
                            const gateway::ReplaceFleet& call) {
-  const core::Findings findings = fleet::Validate(call.fleet);
-  if (!findings.empty()) {
-    Handle(exchange, gateway::InvalidCall{400, findings});
-    return;
-  }
+  core::Findings findings = fleet::Validate(call.fleet);
   schema::PutFleet command;
   command.version = call.fleet.version;
   command.fleet = schema::Encode(call.fleet);
   command.source = call.source;
+  // What no host could read must not be acknowledged.
+  if (!schema::Decode<schema::Fleet>(command.fleet) ||
+      !schema::Decode<schema::PutFleet>(schema::Encode(command))) {
+    findings.push_back({"", 0, "", "a field exceeds its largest size"});
+  }
+  if (!findings.empty()) {
+    Handle(exchange, gateway::InvalidCall{400, findings});
+    return;
+  }
   node_.PutFleet(
       std::move(command), internal::kCallTimeout,
       [this, exchange](const core::Result<schema::FleetResult>& put) {
--- a/src/foxquay/daemon/host.cc
+++ b/src/foxquay/daemon/host.cc
@@ -7,6 +7,8 @@
 #include <variant>
 
 #include "foxquay/core/hash.h"
+#include "foxquay/daemon/announcement_check.h"
+#include "foxquay/daemon/clock.h"
 #include "foxquay/http/upstream.h"
 
 namespace foxquay::daemon {
@@ -141,6 +143,11 @@
     return http::Render(*problem);
   }
   auto& announcement = std::get<schema::Announcement>(form);
+  const core::Findings findings = CheckAnnouncement(announcement, WallNow());
+  if (!findings.empty()) {
+    const core::Finding& first = findings.front();
+    return http::Render(http::Problem{400, first.path, first.message});
+  }
   if (hooks_.announcement_received) {
     hooks_.announcement_received(announcement);
     return internal::Accepted();
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -106,6 +106,74 @@
   }
 }
 
+// Guards against entries of another writer that outrank what the upstream says,
+// or that end the processes that read them.
+TEST_CASE("a heartbeat with a number out of range has findings") {
+  for (const char* number : {"18446744073709551615", "4294967296", "1e300"}) {
+    CAPTURE(number);
+    for (const char* field : {"\"from\":20", "\"to\":31", "\"seq\":4"}) {
+      const std::string name =
+          std::string(field).substr(0, std::string(field).find(':') + 1);
+      CHECK_FALSE(
+          FindingsOf(Replace(kHeartbeat, field, name + number)).empty());
+    }
+    Json slots = Json::parse(kHeartbeat);
+    slots["slots"] = Json::parse(number);
+    CHECK_FALSE(FindingsOf(slots.dump()).empty());
+  }
+  CHECK_FALSE(
+      FindingsOf(Replace(kHeartbeat, "1700000000000", "9007199254740993"))
+          .empty());
+  // The largest count of heartbeats sorts before the next start.
+  core::Findings findings;
+  const auto sequence = [&](const std::string& body) {
+    return ReadHeartbeat("u", body, findings).sequence;
+  };
+  const std::string last =
+      Replace(kHeartbeat, "\"seq\":4", "\"seq\":134217727");
+  CHECK(sequence(last) <
+        sequence(Replace(kHeartbeat, "1700000000000", "1700000000128")));
+  CHECK(findings.empty());
+}
+
+TEST_CASE("documents nested too deeply are malformed") {
+  for (const std::size_t depth : {65U, 10'000U, 500'000U}) {
+    CAPTURE(depth);
+    const std::string lists = std::string(depth, '[') + std::string(depth, ']');
+    CHECK_FALSE(FindingsOf(lists).empty());
+    Json entry = Json::parse(kHeartbeat);
+    entry["layers"] = "LAYERS";
+    CHECK_FALSE(FindingsOf(Replace(entry.dump(), "\"LAYERS\"", lists)).empty());
+    CHECK_FALSE(ReadReport(lists));
+    CHECK_FALSE(ReadReport(std::string(depth, '[')));
+    core::Findings findings;
+    (void)ReadFleet(lists, findings);
+    CHECK_FALSE(findings.empty());
+    std::string objects;
+    for (std::size_t level = 0; level < depth; ++level) objects += "{\"a\":";
+    CHECK_FALSE(ReadReport(objects));
+  }
+  // Brackets in strings are no nesting.
+  Json entry = Json::parse(kHeartbeat);
+  entry["note"] = std::string(1000, '[') + "\"" + std::string(1000, '{');
+  CHECK(FindingsOf(entry.dump()).empty());
+}
+
+TEST_CASE("a configuration with a number out of range has findings") {
+  for (const auto& [from, to] :
+       {std::pair("\"timeout_ms\":20000", "\"timeout_ms\":1e300"),
+        std::pair("\"timeout_ms\":20000", "\"timeout_ms\":1e15"),
+        std::pair("\"max_attempts\":2", "\"max_attempts\":4294967296"),
+        std::pair("\"load_s\":14", "\"load_s\":1e12")}) {
+    CAPTURE(to);
+    const std::string odd = Replace(kFleet, from, to);
+    REQUIRE(odd != kFleet);
+    core::Findings findings;
+    (void)ReadFleet(odd, findings);
+    CHECK_FALSE(findings.empty());
+  }
+}
+
 TEST_CASE("a configuration is read into routes, services and workspaces") {
   core::Findings findings;
   const schema::Fleet fleet = ReadFleet(kFleet, findings);
--- a/tests/platform/scenarios/scenario.h
+++ b/tests/platform/scenarios/scenario.h
@@ -70,6 +70,10 @@
   [[nodiscard]] soak::FakeUpstream& upstream(std::size_t index) {
     return *active_.at(index);
   }
+  /// Returns the id under which a fake upstream announces itself.
+  [[nodiscard]] const std::string& upstream_id(std::size_t index) const {
+    return ids_.at(index);
+  }
   /// Ends a fake upstream, which restarts under its former id.
   void Restart(std::size_t index);
   [[nodiscard]] const std::vector<Arrival>& arrivals() const {
