Take no earlier answer on a kept connection for that of a request

The client discarded answers with another request's id; it took an earlier refusal of the same request (sent again to the same upstream), one without an id, and one that lay in the socket before the request was written.

- A connection on which a request was answered with another status than 2xx is not reused for the same request.
- Before a request is written to an idle connection, what has arrived is read; if there is anything, the call moves to a new connection.
- A response without the echo on a connection that has served other calls is malformed: what it says is not passed on, and the request may have run.
- Inquiries, health checks and orders name no request, so that they use a connection of their own.

--- a/src/foxquay/gateway/placer.cc
+++ b/src/foxquay/gateway/placer.cc
@@ -82,7 +82,7 @@
                    std::function<void(bool)> done) {
   // Its earlier answer does not show that it still runs.
   if (hold_offs_.Active(upstream.id, net::SteadyNow())) return;
-  prober_.Probe(upstream.id, upstream.address, true,
+  prober_.Probe(upstream.id, upstream.address,
                 [done = std::move(done)](ProbeResult result) {
                   done(result == ProbeResult::kReached);
                 });
@@ -150,7 +150,13 @@
     address = inquiry.address;
     request = protocol_.write_inquiry(inquiry.upstream);
   }
-  const net::CallId id = client_.Call(address, net::Serialize(request), {});
+  // Answers name no order: on a kept connection, that of an earlier one could
+  // be taken for this one's.
+  net::CallOptions options;
+  options.reuse = false;
+  options.keep = false;
+  const net::CallId id =
+      client_.Call(address, net::Serialize(request), options);
   calls_[id] = {service, action, now + kResponseTimeout, 0, {}, upstream};
 }
 
--- a/src/foxquay/gateway/prober.cc
+++ b/src/foxquay/gateway/prober.cc
@@ -68,9 +68,10 @@
                }}) {}
 
 void Prober::Probe(const core::UpstreamId& upstream, const std::string& address,
-                   bool reuse_connection, Done done) {
+                   Done done) {
   net::CallOptions options;
-  options.reuse = reuse_connection;
+  options.reuse = false;
+  options.keep = false;
   const net::CallId id = client_.Call(
       address, net::Serialize(protocol_.write_inquiry(upstream)), options);
   pending_[id] = {upstream, std::move(done),
--- a/src/foxquay/gateway/prober.h
+++ b/src/foxquay/gateway/prober.h
@@ -37,10 +37,11 @@
   Prober(boost::asio::io_context& context, const Protocol& protocol,
          StatementsHandler on_statements);
 
-  /// Sends an inquiry to an upstream and calls `done` once. Without
-  /// `reuse_connection` the result is never that of an idle connection.
+  /// Sends an inquiry to an upstream, on a new connection, and calls `done`
+  /// once. The answer to an inquiry names none, so that on a kept connection an
+  /// earlier one could be taken for it.
   void Probe(const core::UpstreamId& upstream, const std::string& address,
-             bool reuse_connection, Done done);
+             Done done);
 
   /// Ends probes without a response. Must be called at least every second.
   void Review(core::Instant now);
--- a/src/foxquay/gateway/proxy_losses.cc
+++ b/src/foxquay/gateway/proxy_losses.cc
@@ -85,7 +85,7 @@
   const core::Instant now = net::SteadyNow();
   for (const relay::Hop& hop : relay_.DueInquiries(now)) {
     if (relay_.upstreams().hold_offs().Active(hop.upstream, now)) continue;
-    prober_.Probe(hop.upstream, hop.address, false,
+    prober_.Probe(hop.upstream, hop.address,
                   [this, upstream = hop.upstream](ProbeResult result) {
                     RecordInquiry(upstream, result);
                   });
@@ -179,7 +179,7 @@
                            const std::string& address,
                            const Prober::Done& done) {
   const core::Instant start = net::SteadyNow();
-  prober_.Probe(upstream, address, false,
+  prober_.Probe(upstream, address,
                 [this, upstream, address, start, done](ProbeResult result) {
                   // The listener of a process that ends may accept one more
                   // connection and close it.
@@ -190,7 +190,7 @@
                     done(result);
                     return;
                   }
-                  prober_.Probe(upstream, address, false, done);
+                  prober_.Probe(upstream, address, done);
                 });
 }
 
--- a/src/foxquay/net/client.cc
+++ b/src/foxquay/net/client.cc
@@ -26,6 +26,10 @@
 /// and those to earlier requests on the connection.
 constexpr unsigned kMaxDiscarded = 8;
 
+/// Maximum number of refused calls that a connection remembers; it is closed
+/// after more.
+constexpr std::size_t kMaxRefused = 64;
+
 /// Returns half of the time for which the peer keeps an idle connection open
 /// according to its field Keep-Alive, so that this side closes it first; zero
 /// if the field is missing or has no valid timeout.
@@ -66,19 +70,17 @@
 CallId Client::Call(const std::string& address, std::string request,
                     const CallOptions& options) {
   const CallId call(next_call_++);
-  std::vector<SocketId>& idle = idle_[address];
-  SocketId id;
-  if (options.reuse && !idle.empty()) {
-    id = idle.back();
-    idle.pop_back();
-  } else {
-    id = SocketId(next_socket_++);
-    Connection& opened = connections_.try_emplace(id, context_).first->second;
-    opened.address = address;
+  const std::optional<SocketId> idle = TakeIdle(address, options);
+  const SocketId id = idle.value_or(SocketId(next_socket_));
+  if (!idle) {
+    ++next_socket_;
+    connections_.try_emplace(id, context_).first->second.address = address;
   }
   Connection& connection = connections_.at(id);
   connection.call = call;
   connection.options = options;
+  connection.reused = idle.has_value();
+  connection.started = false;
   connection.out = std::move(request);
   connection.head_reported = false;
   connection.discarding = false;
@@ -89,12 +91,56 @@
     Connect(id);
     return call;
   }
-  boost::asio::post(context_, [this, id] {
-    if (connections_.contains(id)) Flush(id);
+  boost::asio::post(context_, [this, id, call] {
+    const auto found = connections_.find(id);
+    const bool current =
+        found != connections_.end() && found->second.call == call;
+    if (current && !found->second.started) FlushReused(id);
   });
   return call;
 }
 
+std::optional<SocketId> Client::TakeIdle(const std::string& address,
+                                         const CallOptions& options) {
+  if (!options.reuse) return std::nullopt;
+  std::vector<SocketId>& idle = idle_[address];
+  const auto usable =
+      std::find_if(idle.rbegin(), idle.rend(), [&](SocketId id) {
+        const auto& refused = connections_.at(id).refused;
+        return std::find(refused.begin(), refused.end(), options.echo_value) ==
+               refused.end();
+      });
+  if (usable == idle.rend()) return std::nullopt;
+  const SocketId id = *usable;
+  std::erase(idle, id);
+  return id;
+}
+
+void Client::FlushReused(SocketId id) {
+  Connection& connection = connections_.at(id);
+  const IoResult result = Read(connection.socket, connection.in);
+  if (result == IoResult::kWouldBlock && connection.in.empty()) {
+    Flush(id);
+  } else {
+    // Its peer has closed it, or has written what belongs to no request.
+    Reconnect(id);
+  }
+}
+
+void Client::Reconnect(SocketId id) {
+  const SocketId fresh(next_socket_++);
+  Connection& connection =
+      connections_.try_emplace(fresh, context_).first->second;
+  Connection& former = connections_.at(id);
+  connection.address = former.address;
+  connection.call = former.call;
+  connection.options = former.options;
+  connection.out = std::move(former.out);
+  Close(id);
+  calls_[*connection.call] = fresh;
+  Connect(fresh);
+}
+
 void Client::Connect(SocketId id) {
   Connection& connection = connections_.at(id);
   connection.deadline = SteadyNow() + internal::kConnectTimeout;
@@ -125,6 +171,7 @@
 
 void Client::Flush(SocketId id) {
   Connection& connection = connections_.at(id);
+  connection.started = true;
   const IoResult result = Write(connection.socket, connection.out);
   if (result == IoResult::kFailed) {
     HandleDisconnect(id, result);
@@ -158,6 +205,10 @@
     }
     return;
   }
+  if (!connection.started && result != IoResult::kWouldBlock) {
+    Reconnect(id);
+    return;
+  }
   if (result == IoResult::kClosed || result == IoResult::kFailed) {
     HandleDisconnect(id, result);
     return;
@@ -209,8 +260,13 @@
     const bool other =
         !echo.empty() &&
         std::string_view(echo.data(), echo.size()) != options.echo_value;
+    const bool unknown =
+        echo.empty() && !options.echo_value.empty() && connection.reused;
     if (interim || other) {
       connection.discarding = true;
+    } else if (unknown) {
+      Fail(id, Failure::kMalformed);
+      return false;
     } else {
       connection.head_reported = true;
       connection.idle_timeout = internal::IdleTimeout(message.base());
@@ -239,7 +295,13 @@
     return false;
   }
   const CallId call = *connection.call;
-  const bool reusable = connection.parser->keep_alive() &&
+  const CallOptions& options = connection.options;
+  const bool success = connection.parser->get().result_int() / 100 == 2;
+  if (!success && !options.echo_value.empty()) {
+    connection.refused.push_back(options.echo_value);
+  }
+  const bool reusable = options.keep && connection.parser->keep_alive() &&
+                        connection.refused.size() <= internal::kMaxRefused &&
                         connection.in.empty() && connection.out.empty() &&
                         connection.idle_timeout > core::Duration::zero();
   calls_.erase(call);
--- a/src/foxquay/net/client.h
+++ b/src/foxquay/net/client.h
@@ -48,11 +48,20 @@
   /// than `echo_value` belongs to an earlier request and is discarded.
   std::string echo_field;
   std::string echo_value;
+  /// Whether the connection may be reused afterwards. Without an echo, a
+  /// response that is written once more would be taken for that of a later
+  /// call.
+  bool keep = true;
 };
 
 /// An event-driven HTTP/1.1 client without a thread of its own. A connection
 /// carries one request at a time; idle connections are pooled by address.
 ///
+/// A faulty peer may write a response once more. What arrives on a connection
+/// before the request is written to it, or without the echo on a connection
+/// that has served other calls, is not taken for the response; and a connection
+/// on which a call was refused is not reused for one with the same echo.
+///
 /// Not thread-safe: calls and handlers run on the thread of the io_context.
 /// Call does not invoke handlers.
 class Client {
@@ -84,6 +93,10 @@
     std::string address;
     std::optional<CallId> call;
     CallOptions options;
+    /// Echo values of calls that were answered with another status than 2xx.
+    std::vector<std::string> refused;
+    bool reused = false;   ///< It has served an earlier call.
+    bool started = false;  ///< Parts of the current request may be written.
     std::string in;
     std::string out;
     std::optional<Parser> parser;
@@ -99,7 +112,14 @@
     core::Duration idle_timeout{};
   };
 
+  /// Takes an idle connection for a call, if there is one.
+  [[nodiscard]] std::optional<SocketId> TakeIdle(const std::string& address,
+                                                 const CallOptions& options);
   void Connect(SocketId id);
+  /// Writes the request to a connection that was idle.
+  void FlushReused(SocketId id);
+  /// Moves a call of which nothing was written to a new connection.
+  void Reconnect(SocketId id);
   void HandleConnected(SocketId id, const boost::system::error_code& error);
   void WaitRead(SocketId id);
   void WaitWrite(SocketId id);
--- a/tests/foxquay/net/exchange_test.cc
+++ b/tests/foxquay/net/exchange_test.cc
@@ -29,6 +29,11 @@
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
 
+  /// Writes to the last connection, without a request.
+  void Write(const std::string& bytes) {
+    boost::asio::write(*sockets_.back(), boost::asio::buffer(bytes));
+  }
+
   /// Bytes to write after each request, in order; with `close` the connection
   /// is closed after each request.
   std::vector<std::string> responses;
@@ -165,6 +170,77 @@
 
 }  // namespace
 
+namespace {
+
+std::string Refusal(const std::string& name) {
+  return "HTTP/1.1 503 Busy\r\nKeep-Alive: timeout=9\r\n" +
+         (name.empty() ? "" : "Name: " + name + "\r\n") +
+         "Content-Length: 0\r\n\r\n";
+}
+
+std::string Success(const std::string& name) {
+  return kKeepAliveHead + "Name: " + name + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+CallOptions Named(const std::string& name) {
+  CallOptions options;
+  options.echo_field = "Name";
+  options.echo_value = name;
+  return options;
+}
+
+}  // namespace
+
+// Guards against "not run" for a request that the upstream runs: a faulty
+// upstream writes its earlier refusal of the same request once more.
+TEST_CASE("a request is not repeated on a connection that has refused it") {
+  Fixture fixture;
+  Peer peer(fixture.context);
+  peer.responses = {Refusal("r1"), Refusal("r1") + Success("r1")};
+  CHECK(fixture.Run(peer.address(), Named("r1")).status == 503);
+  peer.responses = {Success("r1"), Success("r2")};
+  CHECK(fixture.Run(peer.address(), Named("r1")).status == 200);
+  CHECK(peer.connections == 2);
+  // Another request may use either.
+  CHECK(fixture.Run(peer.address(), Named("r2")).status == 200);
+  CHECK(peer.connections == 2);
+}
+
+TEST_CASE("what arrives before a request is written is not its response") {
+  Fixture fixture;
+  Peer peer(fixture.context);
+  peer.responses = {Success("r1"), Success("r2")};
+  CHECK(fixture.Run(peer.address(), Named("r1")).status == 200);
+  peer.Write(Refusal("r2"));
+  CHECK(fixture.Run(peer.address(), Named("r2")).status == 200);
+  CHECK(peer.connections == 2);
+}
+
+TEST_CASE("a response without the echo on a kept connection is not taken") {
+  Fixture fixture;
+  Peer peer(fixture.context);
+  peer.responses = {Refusal("")};
+  // On a new connection it can only be the response.
+  CHECK(fixture.Run(peer.address(), Named("r1")).status == 503);
+  peer.responses = {Success("r2"), Refusal("")};
+  CHECK(fixture.Run(peer.address(), Named("r2")).status == 200);
+  const CallResult unknown = fixture.Run(peer.address(), Named("r3"));
+  CHECK(unknown.status == 0);
+  CHECK(unknown.failure == Failure::kMalformed);
+}
+
+TEST_CASE("a connection that is not kept serves one call") {
+  Fixture fixture;
+  Peer peer(fixture.context);
+  CallOptions options;
+  options.reuse = false;
+  options.keep = false;
+  peer.responses = {Success("r1"), Success("r1")};
+  CHECK(fixture.Run(peer.address(), options).status == 200);
+  CHECK(fixture.Run(peer.address(), {}).status == 200);
+  CHECK(peer.connections == 2);
+}
+
 TEST_CASE("bodies with a length, in chunks or up to the end are complete") {
   Fixture fixture;
   Peer peer(fixture.context);
