End no stream as complete that went on at an upstream without an event

Another operator's report: after a stream had broken off the next worker answered with an error, and clients found its text in their stream or took the stream for complete. Shown for eleven second answers, each after a break inside an event and between two: no byte of an error, nor of its head, reaches the caller, and the stream is broken off. One case failed: a second answer 200 of events without one (an empty chunk, the end of its connection, or an event without an id) ended the stream as complete, because the events of the first answer counted. It is a loss now, and the stream goes on or is broken off.

--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -343,10 +343,14 @@
 
 void Proxy::FinishStream(core::RequestId id) {
   Job& job = jobs_.at(id);
-  // An answer that ends with its connection shows no difference between a
-  // stream without events and an upstream that ended before the first one.
-  const bool empty = job.ends_with_connection && !job.caller.resume_after &&
-                     job.filter->passed() == 0;
+  // A stream that goes on at another upstream is complete only if that one has
+  // sent an event of it: an answer without any may be that of an upstream that
+  // failed. One that ends with its connection is not told from an upstream that
+  // ended before the first event.
+  const bool goes_on = job.filter->passed() > 0;
+  const bool empty =
+      !job.event_received &&
+      (goes_on || (job.ends_with_connection && !job.caller.resume_after));
   if (empty || !job.filter->between_events()) {
     HandleLoss(id, {relay::LossKind::kCut, job.fault_address, EndedEarly(job)});
     return;
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -378,6 +378,51 @@
 
 // Each host that buffered an answer without an end would end for want of
 // memory.
+// Guards against callers that find the error of the next upstream in the middle
+// of their stream, or whose stream ends as if it were complete.
+TEST_CASE("a stream that goes on at an upstream that fails is broken off") {
+  const std::string broken = std::string("HTTP/1.1 200 OK\r\nName: r1\r\n") +
+                             "Content-Type: text/event-stream\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string text = "the model is not loaded";
+  const std::string length =
+      "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+  const std::string second = GENERATE_COPY(
+      "HTTP/1.1 500 Error\r\nName: r1\r\n" + length,
+      "HTTP/1.1 503 Busy\r\nName: r1\r\nNot-Run: 1\r\n" + length,
+      "HTTP/1.1 404 Not Found\r\nName: r1\r\n" + length,
+      "HTTP/1.1 200 OK\r\nName: r1\r\nContent-Type: text/plain\r\n" + length,
+      "HTTP/1.1 500 Error\r\nName: r1\r\n\r\n" + text,
+      // An error that claims to be a stream, in several forms.
+      "HTTP/1.1 500 Error\r\nName: r1\r\nContent-Type: "
+      "text/event-stream\r\n" +
+          length,
+      broken + "0\r\n\r\n", std::string(kStreamHead),
+      kStreamHead + std::string("data: no id\n\n"), kStreamHead + Event(9),
+      kStreamHead + text);
+  CAPTURE(second);
+  const std::string first = GENERATE_COPY(
+      // The break comes inside an event, or between two.
+      kStreamHead + Event(1) + Event(2) + "id: 3\nda",
+      broken + "f\r\n" + Event(1) + "\r\n");
+  RawFixture fixture({{first, true}, {second}});
+  const CallResult& result = fixture.AwaitResponse(fixture.Send("/stream/1"));
+  CHECK(result.body.find("model") == std::string::npos);
+  CHECK(result.body.find("HTTP") == std::string::npos);
+  CHECK(result.body.find("no id") == std::string::npos);
+  CHECK(result.body.find(Event(9)) == std::string::npos);
+  CHECK_FALSE((result.status == 200 && result.ended));
+}
+
+TEST_CASE("a caller that resumes after the last event gets no more") {
+  RawFixture fixture({{std::string("HTTP/1.1 200 OK\r\nName: r1\r\n") +
+                       "Content-Type: text/event-stream\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}});
+  const CallResult& result = fixture.AwaitResponse(fixture.Send("/stream/1"));
+  CHECK(result.ended);
+  CHECK(result.body.empty());
+}
+
 TEST_CASE("a large answer is passed on while it arrives") {
   const std::string body(std::size_t{3} << 20U, 'x');
   RawFixture fixture({{kPlainHead + body}});
