Judge the silence of hosts by a longer time while polls are behind

A host whose polls are not answered waits up to four times 700 ms between two of them; it turned silent after 1.5 s and was heard again with the next one. Each of these is a change that all hosts are sent by a control host that had no time for the polls. While a control host has dropped polls within 5 s, hosts count as silent after 3.5 s.

--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -254,6 +254,8 @@
     message_stats_.RecordDelay(now - next_tick_);
   }
   ReportMessages(now);
+  roster_.SetHostSilence(polls_.Behind(now) ? roster::kBehindHostSilence
+                                            : roster::kHostSilence);
   if (replica_) replica_->Handle(consensus::Tick{}, now);
   proposer_.Tick(now);
   ExpireInForceChecks(now);
--- a/src/foxquay/membership/poll_queue.h
+++ b/src/foxquay/membership/poll_queue.h
@@ -22,6 +22,9 @@
 /// Replies in the order of arrival would all be late then.
 inline constexpr core::Duration kCongestedWait = kFollowInterval / 2;
 
+/// Time after which a control host that has dropped a poll is no longer behind.
+inline constexpr core::Duration kBehindMemory = std::chrono::seconds(5);
+
 /// Polls of followers that wait while a control host handles the messages of
 /// other control hosts and the log, which go first.
 ///
@@ -42,7 +45,7 @@
     const auto former = by_sender_.find(sender);
     if (former != by_sender_.end()) {
       waiting_.erase(former->second);
-      ++dropped_;
+      RecordDrop(now);
     }
     const std::uint64_t number = next_number_++;
     by_sender_[sender] = number;
@@ -55,7 +58,7 @@
     while (!waiting_.empty() &&
            now - waiting_.begin()->second.arrived >= kPollValidity) {
       Take(waiting_.begin());
-      ++dropped_;
+      RecordDrop(now);
     }
     if (waiting_.empty()) return std::nullopt;
     const bool congested =
@@ -65,6 +68,11 @@
 
   [[nodiscard]] bool empty() const noexcept { return waiting_.empty(); }
   [[nodiscard]] std::size_t size() const noexcept { return waiting_.size(); }
+  /// Returns whether polls were dropped shortly before `now`: hosts then poll
+  /// more rarely, and their silence tells less.
+  [[nodiscard]] bool Behind(core::Instant now) const {
+    return dropped_at_ && now - *dropped_at_ < kBehindMemory;
+  }
   /// Returns the number of polls that were dropped since the last call.
   [[nodiscard]] std::uint64_t TakeDropped() noexcept {
     return std::exchange(dropped_, 0);
@@ -85,10 +93,16 @@
     return poll;
   }
 
+  void RecordDrop(core::Instant now) {
+    ++dropped_;
+    dropped_at_ = now;
+  }
+
   Items waiting_;  ///< By arrival.
   std::map<core::HostId, std::uint64_t> by_sender_;
   std::uint64_t next_number_ = 1;
   std::uint64_t dropped_ = 0;
+  std::optional<core::Instant> dropped_at_;
 };
 
 }  // namespace foxquay::membership
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -75,7 +75,7 @@
   entry.version = ++OwnFeed().version;
   ++changes_;
   CheckExpiryAt(entry.heard_at +
-                (state.silent ? kSilentHostRetention : kHostSilence));
+                (state.silent ? kSilentHostRetention : host_silence_));
 }
 
 void Roster::HearHost(const schema::HostState& state, core::Instant now) {
@@ -130,7 +130,7 @@
 void Roster::ReviewUnpublished(core::Instant now) {
   std::erase_if(unpublished_, [this, now](const auto& item) {
     const HostEntry& entry = item.second;
-    if (now - entry.heard_at > kHostSilence) return true;
+    if (now - entry.heard_at > host_silence_) return true;
     if (IsPublished(entry.state, now)) return false;
     PublishHost(entry.state, entry.heard_at);
     return true;
@@ -319,8 +319,8 @@
   if (!own) return;
   for (auto& [id, entry] : feed.hosts) {
     if (entry.state.silent) continue;
-    if (now - entry.heard_at <= kHostSilence) {
-      CheckExpiryAt(entry.heard_at + kHostSilence);
+    if (now - entry.heard_at <= host_silence_) {
+      CheckExpiryAt(entry.heard_at + host_silence_);
       continue;
     }
     schema::HostState silent = entry.state;
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -38,6 +38,13 @@
 /// marks it as silent, so that callers are no longer directed to it.
 inline constexpr core::Duration kHostSilence = std::chrono::milliseconds(1500);
 
+/// As kHostSilence, at a host that is behind with the polls of its followers.
+/// Longer than the longest time between two polls of a host that gets no answer
+/// (four times 700 ms), so that hosts do not turn silent, which is a change
+/// that all hosts are sent, because this one is busy.
+inline constexpr core::Duration kBehindHostSilence =
+    std::chrono::milliseconds(3500);
+
 /// Age above which the hosts of a feed count as silent. Longer than a follower
 /// needs to find another control host, so that the loss of one control host
 /// does not take its followers out of service.
@@ -161,6 +168,13 @@
   /// of it, it is not published a second time but renewed there.
   void HearHost(const schema::HostState& state, core::Instant now);
 
+  /// Sets the time without a report after which hosts are silent.
+  void SetHostSilence(core::Duration silence) {
+    if (silence == host_silence_) return;
+    host_silence_ = silence;
+    next_expiry_ = core::Instant::min();
+  }
+
   /// Returns the hosts that this host hears and another one has published, to
   /// be sent to the other control hosts every kHeardInterval, and every
   /// kEmptyHeardInterval if there are none.
@@ -266,6 +280,7 @@
   std::map<core::HostId, Feed> feeds_;
   /// Hosts that this host hears and another one has published.
   std::map<core::HostId, HostEntry> unpublished_;
+  core::Duration host_silence_ = kHostSilence;
   std::map<std::uint64_t, core::Instant> polls_;  ///< Send times by number.
   /// Last poll to each host that PollIfAnswered has returned.
   std::map<core::HostId, std::uint64_t> last_polls_;
--- a/tests/foxquay/daemon/loaded_cluster.cc
+++ b/tests/foxquay/daemon/loaded_cluster.cc
@@ -204,6 +204,9 @@
 core::Duration LoadedCluster::Tick(std::size_t index) {
   Control& control = controls_[index];
   core::Duration time = internal::kTickTime + Perform(index, consensus::Tick{});
+  control.roster.SetHostSilence(control.polls.Behind(Now())
+                                    ? roster::kBehindHostSilence
+                                    : roster::kHostSilence);
   if (now_ < control.next_poll) return time;
   control.next_poll = now_ + roster::kPollInterval;
   schema::HostState own;
--- a/tests/foxquay/membership/poll_queue_test.cc
+++ b/tests/foxquay/membership/poll_queue_test.cc
@@ -69,6 +69,8 @@
   CHECK(queue.Pop(At(700)) == 2);
   CHECK(queue.Pop(At(700)) == std::nullopt);
   CHECK(queue.TakeDropped() == 1);
+  CHECK(queue.Behind(At(5'000)));
+  CHECK_FALSE(queue.Behind(At(6'000)));
 }
 
 }  // namespace foxquay::membership
--- a/tests/foxquay/roster/renewal_test.cc
+++ b/tests/foxquay/roster/renewal_test.cc
@@ -146,6 +146,19 @@
   }
 }
 
+// Guards against hosts that turn silent because the host that they report to is
+// behind with their polls.
+TEST_CASE("a host that reports rarely is not silent while polls are behind") {
+  Roster roster(core::HostId("a"), 1);
+  roster.SetHostSilence(kBehindHostSilence);
+  roster.HearHost(MakeHost(1), At(0));
+  CHECK_FALSE(roster.Hosts(At(3000)).front().silent);
+  CHECK(roster.Hosts(At(3600)).front().silent);
+  roster.HearHost(MakeHost(2), At(4000));
+  roster.SetHostSilence(kHostSilence);
+  CHECK(roster.Hosts(At(5600)).front().silent);
+}
+
 // Guards against feeds that are sent again because an answer is late.
 TEST_CASE("a host that has not answered is not polled again at once") {
   Roster a(core::HostId("a"), 1);
