Answer the host that was answered least recently while polls wait

While polls wait, the newest went first, so that it was chance which host got an answer, and some got none for longer than a change may take.

--- a/src/foxquay/membership/poll_queue.h
+++ b/src/foxquay/membership/poll_queue.h
@@ -18,8 +18,8 @@
 /// waiting for the reply.
 inline constexpr core::Duration kPollValidity = kReplyTimeout;
 
-/// Waiting time of the oldest poll above which the newest is answered first.
-/// Replies in the order of arrival would all be late then.
+/// Waiting time of the oldest poll above which polls are not answered in the
+/// order of arrival. All replies would be late then.
 inline constexpr core::Duration kCongestedWait = kFollowInterval / 2;
 
 /// Time after which a control host that has dropped a poll is no longer behind.
@@ -33,8 +33,9 @@
 /// that all hosts poll again and nothing that was done counts, and votes and
 /// acknowledgements of the log would wait behind polls, so that the leader is
 /// lost too. Each sender has one poll waiting, the last one; polls that have
-/// waited too long are dropped; and while polls wait for long the newest is
-/// answered first, so that a part of the hosts is served in time. Not
+/// waited too long are dropped; and while polls wait for long, of those that
+/// can still be answered in time the one whose sender was answered least
+/// recently goes first, so that no host is left without an answer. Not
 /// thread-safe; performs no I/O.
 template <class Poll>
 class PollQueue {
@@ -63,7 +64,10 @@
     if (waiting_.empty()) return std::nullopt;
     const bool congested =
         now - waiting_.begin()->second.arrived >= kCongestedWait;
-    return Take(congested ? std::prev(waiting_.end()) : waiting_.begin());
+    const auto next = congested ? LeastServed(now) : waiting_.begin();
+    answered_[next->second.sender] = now;
+    if (answered_.size() > kMaxRemembered) answered_.clear();
+    return Take(next);
   }
 
   [[nodiscard]] bool empty() const noexcept { return waiting_.empty(); }
@@ -86,6 +90,27 @@
   };
   using Items = std::map<std::uint64_t, Item>;
 
+  /// Number of senders above which the times of their answers are forgotten;
+  /// several times the followers of a control host.
+  static constexpr std::size_t kMaxRemembered = 4096;
+
+  /// Returns the poll whose sender was answered least recently, of those that
+  /// arrived within kFollowInterval; the newest if there is none.
+  typename Items::iterator LeastServed(core::Instant now) {
+    auto best = std::prev(waiting_.end());
+    core::Instant best_answer = core::Instant::max();
+    for (auto item = waiting_.begin(); item != waiting_.end(); ++item) {
+      if (now - item->second.arrived >= kFollowInterval) continue;
+      const auto found = answered_.find(item->second.sender);
+      const core::Instant answer =
+          found == answered_.end() ? core::Instant::min() : found->second;
+      if (answer >= best_answer) continue;
+      best = item;
+      best_answer = answer;
+    }
+    return best;
+  }
+
   Poll Take(typename Items::iterator item) {
     Poll poll = std::move(item->second.poll);
     by_sender_.erase(item->second.sender);
@@ -100,6 +125,7 @@
 
   Items waiting_;  ///< By arrival.
   std::map<core::HostId, std::uint64_t> by_sender_;
+  std::map<core::HostId, core::Instant> answered_;  ///< Last answers.
   std::uint64_t next_number_ = 1;
   std::uint64_t dropped_ = 0;
   std::optional<core::Instant> dropped_at_;
--- a/tests/foxquay/membership/poll_queue_test.cc
+++ b/tests/foxquay/membership/poll_queue_test.cc
@@ -1,8 +1,11 @@
 #include "foxquay/membership/poll_queue.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace foxquay::membership {
 namespace {
@@ -37,29 +40,37 @@
   CHECK(queue.TakeDropped() == 0);
 }
 
-// Guards against replies that all come too late: 200 hosts poll again as soon
-// as they have waited for the validity of a poll, twice as fast as polls can be
-// answered.
-TEST_CASE("a part of the polls is answered in time at any load") {
+// Guards against replies that all come too late, and against hosts that get
+// none: 200 hosts poll again as soon as they have waited for the validity of a
+// poll, twice as fast as polls can be answered.
+TEST_CASE("polls are answered in time, and every host's, at any load") {
   constexpr int kHosts = 200;
   constexpr milliseconds kAnswerTime{7};
-  PollQueue<core::Instant> queue;
+  PollQueue<std::pair<int, core::Instant>> queue;
   int in_time = 0;
   int answered = 0;
+  std::map<int, core::Instant> last;
+  core::Duration longest{};
   core::Instant free = At(0);
   for (int ms = 0; ms < 20'000; ++ms) {
     for (int host = 0; host < kHosts; ++host) {
-      if (ms % 700 == host * 3) queue.Push(Host(host), At(ms), At(ms));
+      if (ms % 700 == host * 3) queue.Push(Host(host), {host, At(ms)}, At(ms));
     }
     if (At(ms) < free) continue;
     const auto poll = queue.Pop(At(ms));
     if (!poll) continue;
     free = At(ms) + kAnswerTime;
     ++answered;
-    if (At(ms) - *poll < kFollowInterval) ++in_time;
+    const auto& [host, polled] = *poll;
+    if (At(ms) - polled < kFollowInterval) ++in_time;
+    longest = std::max(longest, At(ms) - last[host]);
+    last[host] = At(ms);
   }
   CHECK(answered > 2'000);
   CHECK(in_time > answered * 9 / 10);
+  CHECK(last.size() == kHosts);
+  // A site's shortest bound on changes, less the time of a poll.
+  CHECK(longest < milliseconds(2'000));
 }
 
 TEST_CASE("a poll whose sender has stopped waiting is dropped") {
