--- a/tests/foxquay/daemon/loaded_cluster.cc
+++ b/tests/foxquay/daemon/loaded_cluster.cc
@@ -82,10 +82,11 @@
     controls_.push_back({id, internal::MakeReplica(index, options),
                          roster::Roster(id, 1, internal::RosterOptions())});
   }
+  const std::size_t zones = std::max<std::size_t>(1, options.controls);
   for (std::size_t index = 0; index < options.hosts; ++index) {
-    const std::size_t zone = index % options.controls;
+    const std::size_t zone = index % zones;
     const std::string ip = "10." + std::to_string(zone + 1) + ".2." +
-                           std::to_string(index / options.controls);
+                           std::to_string(index / zones);
     schema::HostAddress address;
     address.id = core::HostId(ip);
     address.incarnation = 1;
