--- a/tests/foxquay/roster/renewal_test.cc
+++ b/tests/foxquay/roster/renewal_test.cc
@@ -36,7 +36,7 @@
     for (; now_ < end; now_ += 100) {
       if (control >= 0 && now_ % 300 == 0) {
         Get(control).HearHost(
-            MakeHost(static_cast<std::uint64_t>(now_ + 1), draining), At(now_));
+            MakeHost(static_cast<std::uint64_t>(now_) + 1, draining), At(now_));
       }
       if (now_ % 200 == 0) PollAll();
       if (renew_ && now_ % 500 == 0) RenewAll();
