--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -399,7 +399,7 @@
   void SumOpenRequests(core::Instant now);
   void PollConfig(core::Instant now);
   void PollRoster(core::Instant now);
-  /// Tells the other control hosts which of their hosts this one hears.
+  /// Sends the other control hosts the list of their hosts that report here.
   void ShareHeardHosts(core::Instant now);
   void GossipHosts(core::Instant now);
   void RemoveSilentHosts(core::Instant now);
--- a/src/foxquay/membership/poll_queue.h
+++ b/src/foxquay/membership/poll_queue.h
@@ -72,8 +72,8 @@
 
   [[nodiscard]] bool empty() const noexcept { return waiting_.empty(); }
   [[nodiscard]] std::size_t size() const noexcept { return waiting_.size(); }
-  /// Returns whether polls were dropped shortly before `now`: hosts then poll
-  /// more rarely, and their silence tells less.
+  /// Returns whether polls were dropped shortly before `now`. Hosts without an
+  /// answer poll more rarely, so that a longer silence is normal.
   [[nodiscard]] bool Behind(core::Instant now) const {
     return dropped_at_ && now - *dropped_at_ < kBehindMemory;
   }
