Ignore renewals of hosts with an age out of range

Found by reading the change: HeardHost::age was used before its range was checked; the allowance for clock errors overflows from about 14 years on, and a host could have been renewed far into the future. a renewal with an age out of range changes nothing.

--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -152,9 +152,9 @@
   if (feed != feeds_.end() && from != self_) feed->second.renewed_at = now;
   for (const schema::HeardHost& host : heard.hosts) {
     const auto found = OwnFeed().hosts.find(host.host);
-    if (found == OwnFeed().hosts.end() || host.age < core::Duration::zero()) {
-      continue;
-    }
+    const bool recent =
+        host.age >= core::Duration::zero() && host.age <= kBehindHostSilence;
+    if (found == OwnFeed().hosts.end() || !recent) continue;
     HostEntry& entry = found->second;
     if (entry.state.address.incarnation != host.incarnation) continue;
     entry.heard_at =
--- a/tests/foxquay/roster/renewal_test.cc
+++ b/tests/foxquay/roster/renewal_test.cc
@@ -159,6 +159,18 @@
   CHECK(roster.Hosts(At(5600)).front().silent);
 }
 
+// Guards against messages whose values are out of range.
+TEST_CASE("a renewal with an age out of range changes nothing") {
+  Roster roster(core::HostId("a"), 1);
+  roster.HearHost(MakeHost(1), At(0));
+  const core::HostId host = MakeHost(1).address.id;
+  for (const core::Duration age :
+       {core::Duration::max(), core::Duration::min(), core::Duration(-1)}) {
+    roster.Renew(core::HostId("b"), {{{host, 7, age}}}, At(1400));
+  }
+  CHECK(roster.Hosts(At(1600)).front().silent);
+}
+
 // Guards against feeds that are sent again because an answer is late.
 TEST_CASE("a host that has not answered is not polled again at once") {
   Roster a(core::HostId("a"), 1);
