Publish a host whose newest known state differs from its own

Found by reading the change. A host that moves is not published again if some feed states the same of it; but another feed may hold a newer state that differs (draining, or without a lease). It outranked the sound one, and the renewals of the third control host kept it: the host stayed out of the directory although it was ready, for as long as it stayed there.

The newest state of all feeds is compared now. a host that is ready again after moves is ready everywhere: failed before.

--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -97,19 +97,26 @@
 
 bool Roster::IsPublished(const schema::HostState& state,
                          core::Instant now) const {
-  return std::any_of(feeds_.begin(), feeds_.end(), [&](const auto& item) {
-    const auto& [owner, feed] = item;
-    // The others take its hosts for silent when it does not answer them.
-    const bool renews = owner != self_ && feed.renewed_at &&
-                        now - *feed.renewed_at <= kRenewalSilence &&
-                        now - feed.confirmed_at <= kMaxHostFeedAge / 2;
-    if (!renews) return false;
+  // What other hosts take for the state: the newest one that is heard.
+  const schema::HostState* newest = nullptr;
+  bool renewed = false;
+  for (const auto& [owner, feed] : feeds_) {
     const auto found = feed.hosts.find(state.address.id);
-    if (found == feed.hosts.end()) return false;
-    schema::HostState same = state;
-    same.number = found->second.state.number;
-    return same == found->second.state;
-  });
+    if (found == feed.hosts.end() || found->second.state.silent) continue;
+    const schema::HostState& known = found->second.state;
+    if (newest != nullptr && ReportOrder(known) <= ReportOrder(*newest)) {
+      continue;
+    }
+    newest = &known;
+    // The others take its hosts for silent when it does not answer them.
+    renewed = owner != self_ && feed.renewed_at &&
+              now - *feed.renewed_at <= kRenewalSilence &&
+              now - feed.confirmed_at <= kMaxHostFeedAge / 2;
+  }
+  if (newest == nullptr || !renewed) return false;
+  schema::HostState same = state;
+  same.number = newest->number;
+  return same == *newest;
 }
 
 void Roster::PublishHost(const schema::HostState& state,
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -255,7 +255,8 @@
       const core::HostId& host, const Feed& feed,
       const schema::RosterPoll& poll, core::Instant now,
       core::Duration relay_delay);
-  /// Returns whether the feed of another host that renews it states `state`.
+  /// Returns whether the newest state of a host in any feed is `state`, and the
+  /// owner of that feed renews its hosts.
   [[nodiscard]] bool IsPublished(const schema::HostState& state,
                                  core::Instant now) const;
   /// Adds a host to this host's feed, or changes it there.
--- a/tests/foxquay/roster/renewal_test.cc
+++ b/tests/foxquay/roster/renewal_test.cc
@@ -135,6 +135,19 @@
   }
 }
 
+// Guards against an outdated state that is newer than the one it differs from
+// and is kept by the renewals of a third control host.
+TEST_CASE("a host that is ready again after moves is ready everywhere") {
+  Controls controls(true);
+  controls.Run(2000, 0);
+  controls.Run(2400, 1, true);
+  controls.Run(8000, 2);
+  for (int control = 0; control < 3; ++control) {
+    CHECK_FALSE(controls.draining(control));
+    CHECK_FALSE(controls.silent(control));
+  }
+}
+
 // A build before this one does not renew hosts and would mark them silent.
 TEST_CASE("a host is published again beside builds that do not renew") {
   Controls controls(false);
