State what a reply to a poll left out

It now names the version of the sender and that of the host, and a counter counts replies without content.

--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -201,9 +201,7 @@
     if (observer_.HandleReply(*reply.config)) PublishPolicy();
     PublishAdmission(now);
   }
-  RecordReply(from.sender,
-              reply.config ? std::optional(reply.config->age) : std::nullopt,
-              now);
+  RecordReply(from.sender, reply.config ? &*reply.config : nullptr, now);
   roster_.Apply(reply.roster, now);
   PublishRoster(now);
   if (sink_.set_open_requests) sink_.set_open_requests(reply.open_requests);
@@ -227,17 +225,23 @@
 }
 
 void ControlNode::RecordReply(const core::HostId& from,
-                              std::optional<core::Duration> age,
+                              const schema::ConfigReply* reply,
                               core::Instant now) {
+  const auto age = reply != nullptr ? std::optional(reply->age) : std::nullopt;
   const bool confirmed = age && *age <= membership::kMaxConfirmationAge;
+  const std::uint64_t version = reply != nullptr ? reply->fleet_version : 0;
+  const bool lacks_content = version > observer_.fleet_version();
+  if (lacks_content) Count("foxquay_replies_without_content_total", "");
   Count("foxquay_parent_replies_total",
         confirmed ? "confirmed=\"true\"" : "confirmed=\"false\"");
-  if (!confirmed) {
+  if (!confirmed || lacks_content) {
     log::Write(
         log::Level::kInfo, "reply_unconfirmed",
         {{"host", from},
          {"answered", age.has_value()},
          {"age_ms", core::ToMilliseconds(age.value_or(core::Duration::zero()))},
+         {"version", version},
+         {"own_version", observer_.fleet_version()},
          {"fleet_age_ms", FormatAge(now)}});
   }
   const auto former = parent_->parent();
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -346,9 +346,10 @@
   /// Returns the time since the configuration was last known to be current, in
   /// milliseconds; empty if it never was.
   [[nodiscard]] std::string FormatAge(core::Instant now) const;
-  /// Records a reply to a poll; `age` is that of the configuration that it
-  /// confirms. Precondition: this host follows a control host.
-  void RecordReply(const core::HostId& from, std::optional<core::Duration> age,
+  /// Records a reply to a poll after it was applied; null if the sender could
+  /// not tell the state of the configuration. Precondition: this host follows a
+  /// control host.
+  void RecordReply(const core::HostId& from, const schema::ConfigReply* reply,
                    core::Instant now);
   void HandleConnectionLoss(const transport::ConnectionLoss& loss);
   /// Polls again if a poll was lost with the connection to a host.
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -152,7 +152,7 @@
   const core::Instant now = Now();
   if (observer_.HandleReply(reply)) PublishPolicy();
   PublishAdmission(now);
-  if (parent_) RecordReply(from.sender, reply.age, now);
+  if (parent_) RecordReply(from.sender, &reply, now);
 }
 
 void ControlNode::On(const schema::Envelope& from,
