Check the age of configuration and upstreams when they are used

An entry host denied by a copy that was confirmed within 0.9 x limits.change_in_force, but allowed by one up to the end of its lease, 4.5 s; upstreams stayed usable for as long.

A host now allows as it denies: by a configuration and by feeds of upstreams that are known to contain what could have been acknowledged up to 0.9 x change_in_force ago. A new request goes through another entry host; without one it waits for a confirmation and is decided by that configuration, or is refused as not run. Requests that are to be sent again go through another host or wait. While no control host confirms, the time counts as of which a majority of them was down or without a leader (membership::ControlOutage), so that requests are served through an election; silence is no evidence.

Shown by: "an outdated configuration allows no request", "a request at an outdated host is answered through another", "a request passed on to an outdated host is refused as not run" and "an outdated host sends no request to an upstream again" fail with the age not checked (4 of 5 cases, 26 checks) and pass. "an outdated configuration does not deny a route or a key" keeps its checks; its lease states that the configuration may still allow.

--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -42,6 +42,11 @@
     }
   }
   const std::size_t controls = candidates.size();
+  std::vector<core::HostId> control_hosts;
+  for (const membership::ParentCandidate& candidate : candidates) {
+    control_hosts.push_back(candidate.host);
+  }
+  outage_.SetControls(control_hosts);
   parent_->SetCandidates(std::move(candidates));
   parent_->SetFollowers(followers);
   const core::Duration age = membership::MaxConfigurationAge(
@@ -77,7 +82,32 @@
           .count());
 }
 
+std::optional<core::Instant> ControlNode::CompleteAsOf() const {
+  if (!parent_) return observer_.confirmed();
+  std::optional<core::Instant> known;
+  if (observer_.confirmed() && upstreams_confirmed_) {
+    known = std::min(*observer_.confirmed(), *upstreams_confirmed_);
+  }
+  return std::max(known, outage_.AsOf());
+}
+
+void ControlNode::RecordFeeds(const core::HostId& from,
+                              const schema::FollowerReply& reply) {
+  const auto feeds = roster_.ConfirmedAt(from);
+  if (!feeds || !reply.config) return;
+  // A control host that is cut off from the others lacks what they hear.
+  const core::Duration age =
+      std::max(reply.config->age, core::Duration::zero());
+  upstreams_confirmed_ = std::max(
+      upstreams_confirmed_, std::optional(*feeds - core::WithClockError(age)));
+}
+
 void ControlNode::HandleConnectionLoss(const transport::ConnectionLoss& loss) {
+  const bool refused = loss.error == std::errc::connection_refused ||
+                       loss.error == std::errc::connection_reset;
+  if (parent_ && !loss.established && refused) {
+    outage_.RecordRefusal(loss.host, Now());
+  }
   Count("foxquay_peer_connections_lost_total",
         loss.established ? "established=\"true\"" : "established=\"false\"");
   // The transport is in the middle of an operation.
@@ -197,13 +227,13 @@
                      const schema::FollowerReply& reply) {
   if (!parent_) return;
   const core::Instant now = Now();
-  if (reply.config) {
-    if (observer_.HandleReply(*reply.config)) PublishPolicy();
-    PublishAdmission(now);
-  }
+  if (reply.config && observer_.HandleReply(*reply.config)) PublishPolicy();
   RecordReply(from.sender, reply.config ? &*reply.config : nullptr, now);
   roster_.Apply(reply.roster, now);
+  RecordFeeds(from.sender, reply);
+  // The lease holds for the upstreams that were published before it.
   PublishRoster(now);
+  PublishAdmission(now);
   if (sink_.set_open_requests) sink_.set_open_requests(reply.open_requests);
   if (sink_.set_watched_parts) sink_.set_watched_parts(reply.watched);
   // Another control host answers only for its own followers.
@@ -231,7 +261,11 @@
   const bool confirmed = age && *age <= membership::kMaxConfirmationAge;
   const std::uint64_t version = reply != nullptr ? reply->fleet_version : 0;
   const bool lacks_content = version > observer_.fleet_version();
-  if (lacks_content) Count("foxquay_replies_without_content_total", "");
+  if (lacks_content) {
+    Count("foxquay_replies_without_content_total", "");
+  } else {
+    outage_.RecordReply(from, age, now);
+  }
   Count("foxquay_parent_replies_total",
         confirmed ? "confirmed=\"true\"" : "confirmed=\"false\"");
   if (!confirmed || lacks_content) {
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -32,6 +32,7 @@
 #include "foxquay/daemon/message_stats.h"
 #include "foxquay/dispatch/event.h"
 #include "foxquay/entry/distances.h"
+#include "foxquay/membership/control_outage.h"
 #include "foxquay/membership/parent_selector.h"
 #include "foxquay/membership/poll_queue.h"
 #include "foxquay/quarantine/bundle.h"
@@ -351,6 +352,14 @@
   /// control host.
   void RecordReply(const core::HostId& from, const schema::ConfigReply* reply,
                    core::Instant now);
+  /// Returns the time as of which this host has every change of the
+  /// configuration and of the upstreams that could have been acknowledged;
+  /// nothing if it is not known.
+  [[nodiscard]] std::optional<core::Instant> CompleteAsOf() const;
+  /// Records that a control host has answered with its feeds, which were
+  /// applied.
+  void RecordFeeds(const core::HostId& from,
+                   const schema::FollowerReply& reply);
   void HandleConnectionLoss(const transport::ConnectionLoss& loss);
   /// Polls again if a poll was lost with the connection to a host.
   void PollAfterLoss(const core::HostId& host);
@@ -441,6 +450,9 @@
   Proposer proposer_;
   /// Set on a host that follows a control host.
   std::optional<membership::ParentSelector> parent_;
+  membership::ControlOutage outage_;  ///< Used if parent_ is set.
+  /// Time as of which the feeds of a control host with a leader are known.
+  std::optional<core::Instant> upstreams_confirmed_;
   std::uint64_t next_report_ = 1;  ///< Number of the next report.
   core::Duration warned_age_{};    ///< Largest age that was logged as too old.
   relay::RetryPool retry_pool_;    ///< Of the hosts that follow this one.
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -190,9 +190,11 @@
   changed.reason = internal::AdmissionReason(admission.state);
   if (changed.open) changed.until = admission.until;
   changed.confirmed = observer_.confirmed();
-  const bool same = published_admission_ &&
-                    published_admission_->open == changed.open &&
-                    published_admission_->until == changed.until;
+  changed.complete_as_of = CompleteAsOf();
+  const bool same =
+      published_admission_ && published_admission_->open == changed.open &&
+      published_admission_->until == changed.until &&
+      published_admission_->complete_as_of == changed.complete_as_of;
   if (same) return;
   if (!published_admission_ || published_admission_->open != changed.open) {
     log::Write(log::Level::kInfo, "admission_changed",
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -48,9 +48,9 @@
 /// messages that have already arrived are answered.
 constexpr core::Duration kControlShutdownDelay = std::chrono::milliseconds(300);
 
-/// Fraction of the time in which a change has to be in force for which a
-/// configuration counts as current after its confirmation. The rest allows for
-/// the rates of clocks and for requests on their way.
+/// Fraction of the time in which a change has to be in force for which the
+/// configuration and the upstreams count as current after their confirmation.
+/// The rest allows for the rates of clocks and for requests on their way.
 constexpr double kCurrentFraction = 0.9;
 
 /// Maximum size in bytes of the encoded fleet configuration.
@@ -228,10 +228,12 @@
       Post([this, admission] {
         if (!admission.confirmed) return;
         const core::Instant confirmed = *admission.confirmed;
+        const core::Duration valid =
+            core::Scale(settings_.limits.change_in_force, kCurrentFraction);
         proxy_.SetLease(gateway::Lease{
-            confirmed,
-            confirmed +
-                core::Scale(settings_.limits.change_in_force, kCurrentFraction),
+            confirmed, confirmed + valid,
+            admission.complete_as_of ? *admission.complete_as_of + valid
+                                     : confirmed,
             admission.open ? *admission.until : confirmed});
       });
     };
--- a/src/foxquay/dispatch/event.h
+++ b/src/foxquay/dispatch/event.h
@@ -147,6 +147,9 @@
   /// Time at which the configuration was last known to be current, if it is
   /// known.
   std::optional<core::Instant> confirmed = std::nullopt;
+  /// Time as of which the configuration and the upstreams contained every
+  /// change that could have been acknowledged, if it is known.
+  std::optional<core::Instant> complete_as_of = std::nullopt;
 };
 
 /// Time passed. Every other event also fires the timers that are due.
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -29,10 +29,10 @@
 /// seconds after which callers abandon a host that does not respond.
 constexpr core::Duration kConfirmationWait = std::chrono::milliseconds(1600);
 
-/// Maximum time that a request waits which the configuration denies while it
-/// may be outdated: that of three polls (membership::MaxConfigurationAge). A
-/// host that gets no reply in it is cut off, and another one can serve.
-constexpr core::Duration kDenialWait = std::chrono::milliseconds(750);
+/// Maximum time that a request waits while what this host knows may be
+/// outdated: that of three polls (membership::MaxConfigurationAge). A host that
+/// gets no reply in it is cut off, and another one can serve.
+constexpr core::Duration kOutdatedWait = std::chrono::milliseconds(750);
 
 /// Maximum number of requests on one host that wait for the configuration.
 constexpr std::size_t kMaxPending = 256;
@@ -199,6 +199,10 @@
   return table_ != nullptr && lease_ && net::LeaseNow() < lease_->until;
 }
 
+bool Proxy::outdated() const {
+  return lease_ && net::LeaseNow() >= lease_->usable_until;
+}
+
 std::optional<core::Duration> Proxy::configuration_age() const {
   if (!lease_) return std::nullopt;
   return net::LeaseNow() - lease_->confirmed;
@@ -230,20 +234,28 @@
 std::optional<Proxy::Match> Proxy::Decide(const net::Request& request,
                                           const CallerInfo& caller) const {
   if (!can_admit()) return std::nullopt;
-  const Match match = FindMatch(request, caller);
-  const bool outdated = net::LeaseNow() >= lease_->current_until;
-  if (match.status != 0 && outdated) return std::nullopt;
+  Match match = FindMatch(request, caller);
+  if (match.status != 0) {
+    const bool current = net::LeaseNow() < lease_->current_until;
+    return current ? std::optional(match) : std::nullopt;
+  }
+  if (!outdated()) return match;
+  // A request is passed on once at most.
+  const bool passed = request.listener == internal::kPartnerListener;
+  if (passed || !relay_.HasPartners()) return std::nullopt;
+  match.outdated = true;
   return match;
 }
 
 void Proxy::HandleRequest(net::ExchangeId exchange, net::Request&& request) {
+  ReviewOutdated();
   CallerInfo caller = protocol_.read_caller(request);
   if (const auto match = Decide(request, caller)) {
     RouteRequest(exchange, std::move(request), std::move(caller), *match);
     return;
   }
   const core::Duration longest =
-      can_admit() ? internal::kDenialWait : internal::kConfirmationWait;
+      can_admit() ? internal::kOutdatedWait : internal::kConfirmationWait;
   const core::Duration wait =
       std::min(longest, caller.timeout.value_or(longest * 4) / 4);
   if (pending_.size() >= internal::kMaxPending) {
@@ -259,6 +271,18 @@
                         net::SteadyNow() + wait};
 }
 
+void Proxy::ReviewOutdated() {
+  const bool outdated = this->outdated();
+  relay_.SetOutdated(outdated);
+  if (outdated == outdated_) return;
+  outdated_ = outdated;
+  log::Write(log::Level::kWarn, "outdated",
+             {{"outdated", outdated},
+              {"fleet", table_ ? table_->version() : 0},
+              {"fleet_age_ms", internal::FormatAge(configuration_age())}});
+  registry_.Set("foxquay_outdated", outdated ? 1 : 0);
+}
+
 void Proxy::ReviewPending(core::Instant now) {
   std::map<net::ExchangeId, PendingRequest> waiting;
   for (auto& [exchange, pending] : std::exchange(pending_, {})) {
@@ -278,7 +302,7 @@
                               const CallerInfo& caller) {
   if (can_admit()) {
     Reject(exchange, caller, 503, internal::kOtherHostRetryAfter,
-           "the configuration that denies the request may be outdated");
+           "the configuration or the upstreams may be outdated");
   } else {
     Reject(exchange, caller, 503, internal::kNoLeaseRetryAfter,
            "configuration is not confirmed");
@@ -293,14 +317,13 @@
   } else if (match.status != 0) {
     Reject(exchange, caller, match.status, std::nullopt, match.reason);
   } else {
-    Admit(exchange, std::move(request), std::move(caller), *match.route,
-          match.workspace, match.priority);
+    Admit(exchange, std::move(request), std::move(caller), match);
   }
 }
 
 void Proxy::Admit(net::ExchangeId exchange, net::Request&& request,
-                  CallerInfo caller, const schema::Route& route,
-                  const core::WorkspaceId& workspace, std::uint32_t priority) {
+                  CallerInfo caller, const Match& match) {
+  const schema::Route& route = *match.route;
   const core::Instant now = net::SteadyNow();
   const core::RequestId id(next_request_++);
   relay::RequestContext context;
@@ -310,8 +333,10 @@
   std::uniform_real_distribution<double> uniform;
   context.service =
       table_->FindService(fleet::PickService(route, uniform(random_)));
-  context.workspace = workspace;
-  context.priority = priority;
+  context.workspace = match.workspace;
+  context.priority = match.priority;
+  context.outdated = match.outdated;
+  if (match.outdated) registry_.Add("foxquay_outdated_requests_total", "");
   context.work = caller.work;
   context.arrived = now;
   context.deadline =
@@ -328,12 +353,12 @@
   }
   Job& job = jobs_[id];
   job.exchange = exchange;
-  job.digest = internal::RequestDigest(request, workspace);
+  job.digest = internal::RequestDigest(request, match.workspace);
   context.parts = quarantine::MakeParts(caller.prompt_parts, job.digest);
   job.request = std::move(request);
   job.stall_timeout = internal::StallTimeout(route);
   job.arrived = now;
-  job.workspace = workspace;
+  job.workspace = match.workspace;
   job.caller = std::move(caller);
   by_exchange_[exchange] = id;
   Apply(id, relay_.Arrive(id, std::move(context), now));
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -44,9 +44,12 @@
 struct Lease {
   core::Instant confirmed;  ///< When it was last known to be current.
   /// Until when it contains every change that has to be in force. Later it
-  /// still admits requests, but denies none: the route or key that it lacks may
-  /// have been added.
+  /// denies no request: the route or key that it lacks may have been added.
   core::Instant current_until;
+  /// Until when the configuration and the upstreams contain every change that
+  /// can have been acknowledged and has to be in force. Later, requests go to
+  /// other hosts, or wait for a confirmation.
+  core::Instant usable_until;
   core::Instant until;  ///< When requests may no longer be admitted.
 };
 
@@ -125,6 +128,9 @@
   [[nodiscard]] bool ready() const;
   /// Returns whether there is a configuration with a valid lease.
   [[nodiscard]] bool can_admit() const;
+  /// Returns whether the configuration or the upstreams may lack a change that
+  /// has to be in force.
+  [[nodiscard]] bool outdated() const;
   /// Returns the time since the configuration was last known to be current;
   /// nothing if it never was.
   [[nodiscard]] std::optional<core::Duration> configuration_age() const;
@@ -195,7 +201,8 @@
     const schema::Route* route = nullptr;
     core::WorkspaceId workspace;
     std::uint32_t priority = 0;
-    unsigned status = 0;  ///< Of the denial; 0 if there is none.
+    unsigned status = 0;    ///< Of the denial; 0 if there is none.
+    bool outdated = false;  ///< Only another host may serve the request.
     std::string_view reason;
   };
 
@@ -204,7 +211,7 @@
   [[nodiscard]] Match FindMatch(const net::Request& request,
                                 const CallerInfo& caller) const;
   /// Returns what the configuration says of a request; nothing while there is
-  /// no lease or while a denial may be outdated.
+  /// no lease, or while it may be outdated and no other host can serve.
   [[nodiscard]] std::optional<Match> Decide(const net::Request& request,
                                             const CallerInfo& caller) const;
   /// Admits or rejects a request.
@@ -221,10 +228,11 @@
   void HandleEnd(net::CallId call);
   void HandleFailure(net::CallId call, net::Failure failure);
 
-  /// `priority` 0 is the most urgent.
   void Admit(net::ExchangeId exchange, net::Request&& request,
-             CallerInfo caller, const schema::Route& route,
-             const core::WorkspaceId& workspace, std::uint32_t priority);
+             CallerInfo caller, const Match& match);
+  /// Tells the relay whether what this host knows may be outdated, and logs a
+  /// change of it.
+  void ReviewOutdated();
   void Reject(net::ExchangeId exchange, const CallerInfo& caller,
               unsigned status, std::optional<core::Duration> retry_after,
               std::string_view reason);
@@ -309,6 +317,7 @@
   std::mt19937_64 random_;
   std::shared_ptr<const fleet::Table> table_;
   std::optional<Lease> lease_;
+  bool outdated_ = false;  ///< As last logged.
   std::map<core::RequestId, Job> jobs_;
   std::unordered_map<net::ExchangeId, core::RequestId> by_exchange_;
   std::unordered_map<net::CallId, core::RequestId> by_call_;
--- a/src/foxquay/gateway/proxy_losses.cc
+++ b/src/foxquay/gateway/proxy_losses.cc
@@ -45,6 +45,8 @@
 }
 
 void Proxy::HandleLoss(core::RequestId id, const relay::Loss& loss) {
+  // This may be the first event after the process was suspended.
+  ReviewOutdated();
   Job& job = jobs_.at(id);
   const core::Instant now = net::SteadyNow();
   log::Write(log::Level::kInfo, "send_lost",
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -440,6 +440,7 @@
 
 void Proxy::Review() {
   const core::Instant now = net::SteadyNow();
+  ReviewOutdated();
   if (now >= next_sweep_) {
     next_sweep_ = now + internal::kSweepInterval;
     client_.Sweep(now);
--- a/src/foxquay/membership/fwd.h
+++ b/src/foxquay/membership/fwd.h
@@ -5,6 +5,7 @@
 
 namespace foxquay::membership {
 
+class ControlOutage;
 class ParentSelector;
 template <class Poll>
 class PollQueue;
--- a/src/foxquay/relay/decision.h
+++ b/src/foxquay/relay/decision.h
@@ -32,7 +32,10 @@
   core::Instant deadline;  ///< Earlier of the caller's and the route's limit.
   /// Id of the last event that the caller has.
   std::optional<std::uint64_t> resume_after;
-  /// Another host that reaches no upstream has passed it to this one.
+  /// The configuration may lack changes that have to be in force, so that only
+  /// another host may serve the request.
+  bool outdated = false;
+  /// Another host that cannot serve it has passed it to this one.
   bool relayed = false;
   unsigned prior_sends = 0;  ///< That host's sends that reached upstreams.
 };
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -103,6 +103,7 @@
     return HoldOrGiveUp(id, state, "budget of repeated sends is spent", now);
   }
   state.awaits_budget = false;
+  if (auto decision = AvoidOutdated(id, state, now)) return *decision;
   if (LacksPath(state, now)) {
     if (const auto send = PassToPartner(state, now)) return *send;
     if (reachability_.CutOff(context.service->id) && !state.answer_begun) {
@@ -226,7 +227,7 @@
 
 std::optional<Send> Relay::Move(core::RequestId id, core::Instant now) {
   State& state = requests_.at(id);
-  if (state.partner) return std::nullopt;
+  if (state.partner || outdated_) return std::nullopt;
   const RequestContext& context = state.context;
   const bool movable = internal::Repeatable(*context.route) &&
                        !state.hops.empty() &&
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -41,9 +41,14 @@
   /// Replaces the upstreams in use.
   void SetUpstreams(const std::vector<schema::Announcement>& announcements,
                     core::Instant now);
+  /// Sets whether the upstreams may have changed in a way that has to be heeded
+  /// by now, e.g. leave. While it is set, requests go to other hosts or wait.
+  void SetOutdated(bool outdated) noexcept { outdated_ = outdated; }
   /// Returns the hosts to which requests are passed that this host can send to
   /// no upstream.
   [[nodiscard]] Partners& partners() noexcept { return partners_; }
+  /// Returns whether there are such hosts.
+  [[nodiscard]] bool HasPartners() const noexcept { return !partners_.empty(); }
   /// Records the result of an inquiry, or another attempt to connect.
   void RecordInquiry(const core::UpstreamId& upstream, bool reached,
                      core::Instant now);
@@ -183,6 +188,10 @@
   /// Returns whether this host has no path to the upstreams of the request's
   /// service, which other hosts may have.
   [[nodiscard]] bool LacksPath(const State& state, core::Instant now) const;
+  /// Passes the request to another host, lets it wait or gives it up if what
+  /// this host knows may be outdated.
+  std::optional<Decision> AvoidOutdated(core::RequestId id, State& state,
+                                        core::Instant now);
   /// Passes the request to another host; nothing if there is none, or if it has
   /// come from one.
   std::optional<Send> PassToPartner(State& state, core::Instant now);
@@ -246,6 +255,7 @@
   quarantine::Recorder recorder_;
   bool quarantines_changed_ = false;
   bool leave_wanted_ = false;
+  bool outdated_ = false;  ///< See SetOutdated.
   RetryBudget budget_;
   std::mt19937_64 random_;
   std::map<core::RequestId, State> requests_;
--- a/src/foxquay/relay/relay_partners.cc
+++ b/src/foxquay/relay/relay_partners.cc
@@ -1,4 +1,5 @@
-// Requests that this host can send to no upstream and passes to another host.
+// Requests that this host cannot send to an upstream and passes to another
+// host.
 #include <algorithm>
 #include <utility>
 
@@ -11,6 +12,10 @@
 /// the place of one that has just ended or lost its own path.
 constexpr std::size_t kMaxPartnersTried = 2;
 
+/// Retry-After of a request that only another host may serve: the caller can go
+/// there at once.
+constexpr core::Duration kOutdatedRetryAfter = std::chrono::milliseconds(50);
+
 }  // namespace internal
 
 void Relay::SetUpstreams(const std::vector<schema::Announcement>& announcements,
@@ -69,6 +74,18 @@
   return reachability_.CutOff(service) || upstreams_.AllFailed(service, now);
 }
 
+std::optional<Decision> Relay::AvoidOutdated(core::RequestId id, State& state,
+                                             core::Instant now) {
+  const bool outdated = state.context.outdated;
+  if (!outdated && !outdated_) return std::nullopt;
+  if (const auto send = PassToPartner(state, now)) return *send;
+  if (outdated) {
+    return GiveUp(id, "the configuration may be outdated",
+                  internal::kOutdatedRetryAfter, now);
+  }
+  return HoldOrGiveUp(id, state, "the upstreams may be outdated", now);
+}
+
 std::optional<Send> Relay::PassToPartner(State& state, core::Instant now) {
   const bool possible =
       !state.context.relayed &&
--- a/tests/foxquay/gateway/partner_test.cc
+++ b/tests/foxquay/gateway/partner_test.cc
@@ -28,6 +28,8 @@
   }
 
   FakeUpstream c{context};
+  FakeUpstream d{context};
+  FakeUpstream e{context};
   metrics::Registry partner_registry;
   Proxy partner{context,
                 MakeProtocol(),
@@ -65,6 +67,64 @@
   CHECK(fixture.partner.relay().size() == 0);
 }
 
+// Requests ran by old configurations at hosts that control hosts answered late,
+// although other hosts were up to date.
+TEST_CASE("a request at an outdated host is answered through another") {
+  PartnerFixture fixture;
+  fixture.proxy.SetUpstreams({ProxyFixture::Announce("d", fixture.d)});
+  fixture.proxy.SetLease(OutdatedLease());
+  const std::string target = GENERATE("/once/1", "/safe/1", "/stream/1");
+  const net::CallId call = fixture.Send(target);
+  const net::ExchangeId exchange = fixture.Reached().first;
+  if (target == "/stream/1") {
+    fixture.c.server.Start(exchange, Stream());
+    fixture.c.server.Send(exchange, Event(1));
+    fixture.c.server.End(exchange);
+  } else {
+    fixture.c.server.Respond(exchange,
+                             net::MakeResponse(201, "text/plain", "done"));
+  }
+  const CallResult& result = fixture.AwaitResponse(call);
+  CHECK(result.status == (target == "/stream/1" ? 200 : 201));
+  CHECK(result.ended);
+  CHECK(fixture.d.requests.empty());
+}
+
+TEST_CASE("a request passed on to an outdated host is refused as not run") {
+  PartnerFixture fixture;
+  fixture.proxy.SetUpstreams({ProxyFixture::Announce("d", fixture.d)});
+  fixture.proxy.SetLease(OutdatedLease());
+  fixture.partner.SetLease(OutdatedLease());
+  const net::CallId call = fixture.Send("/once/1");
+  const CallResult& result = fixture.AwaitResponse(call);
+  CHECK(result.status == 503);
+  CHECK(result.fields.find("Retry-After") != result.fields.end());
+  CHECK(fixture.c.requests.empty());
+  CHECK(fixture.d.requests.empty());
+}
+
+// The copy of the upstreams turns old while a request is at one of them, which
+// does not run it; another may have left meanwhile.
+TEST_CASE("an outdated host sends no request to an upstream again") {
+  PartnerFixture fixture;
+  fixture.proxy.SetUpstreams({ProxyFixture::Announce("d", fixture.d),
+                              ProxyFixture::Announce("e", fixture.e)});
+  const net::CallId call = fixture.Send("/safe/1");
+  fixture.RunUntil([&] {
+    return fixture.d.requests.size() + fixture.e.requests.size() == 1;
+  });
+  fixture.proxy.SetLease(OutdatedLease());
+  FakeUpstream& first = fixture.d.requests.empty() ? fixture.e : fixture.d;
+  net::Response response = net::MakeResponse(503, "text/plain", "full");
+  response.fields.set("Not-Run", "1");
+  first.server.Respond(first.requests[0].first, response);
+  const net::ExchangeId exchange = fixture.Reached().first;
+  fixture.c.server.Respond(exchange,
+                           net::MakeResponse(200, "text/plain", "done"));
+  CHECK(fixture.AwaitResponse(call).body == "done");
+  CHECK(fixture.d.requests.size() + fixture.e.requests.size() == 1);
+}
+
 TEST_CASE("a stream passes through another host event by event") {
   PartnerFixture fixture;
   const net::CallId call = fixture.Send("/stream/1");
--- a/tests/foxquay/gateway/proxy_fixture.h
+++ b/tests/foxquay/gateway/proxy_fixture.h
@@ -117,7 +117,15 @@
 /// Returns a lease on a configuration that has just been confirmed.
 inline Lease ValidLease() {
   const core::Instant now = net::LeaseNow();
-  return {now, now + std::chrono::hours(1), now + std::chrono::hours(1)};
+  const core::Instant end = now + std::chrono::hours(1);
+  return {now, end, end, end};
+}
+
+/// Returns a lease that is valid on a configuration that may be outdated.
+inline Lease OutdatedLease() {
+  const core::Instant now = net::LeaseNow();
+  const core::Instant confirmed = now - std::chrono::seconds(3);
+  return {confirmed, now, now, confirmed + std::chrono::hours(1)};
 }
 
 /// A caller, a proxy and two upstreams on one thread.
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -39,6 +39,7 @@
   CHECK(fixture.AwaitResponse(fixture.Send("/none/")).status == 404);
   CHECK(fixture.AwaitResponse(fixture.Send("/once/1", "wrong")).status == 401);
   fixture.proxy.SetLease(Lease{net::LeaseNow() - std::chrono::seconds(6),
+                               net::LeaseNow() - std::chrono::seconds(4),
                                net::LeaseNow() - std::chrono::seconds(4),
                                net::LeaseNow() - std::chrono::seconds(1)});
   const CallResult& result = fixture.AwaitResponse(fixture.Send("/once/1"));
@@ -150,16 +151,16 @@
 TEST_CASE("an outdated configuration does not deny a route or a key") {
   ProxyFixture fixture;
   const core::Instant now = net::LeaseNow();
-  fixture.proxy.SetLease(Lease{now - std::chrono::seconds(4),
-                               now - std::chrono::seconds(2),
-                               now + std::chrono::seconds(10)});
+  fixture.proxy.SetLease(
+      Lease{now - std::chrono::seconds(4), now - std::chrono::seconds(2),
+            now + std::chrono::seconds(10), now + std::chrono::seconds(10)});
   const net::CallId route = fixture.Send("/none/1");
   const net::CallId key = fixture.Send("/safe/1", "wrong");
   const CallResult& no_route = fixture.AwaitResponse(route);
   CHECK(no_route.status == 503);
   CHECK(no_route.fields.find("Retry-After") != no_route.fields.end());
   CHECK(fixture.AwaitResponse(key).status == 503);
-  // What the configuration allows is served.
+  // What the configuration allows is served as long as it is usable.
   const net::CallId served = fixture.Send("/safe/2");
   FakeUpstream& upstream = fixture.FirstReached();
   upstream.server.Respond(upstream.requests[0].first,
@@ -172,6 +173,33 @@
   CHECK(fixture.AwaitResponse(waiting).status == 404);
 }
 
+// Hosts whose control hosts answered late ran requests by a configuration that
+// was older than a change may take to be in force.
+TEST_CASE("an outdated configuration allows no request") {
+  ProxyFixture fixture;
+  fixture.proxy.SetLease(OutdatedLease());
+  CHECK(fixture.proxy.ready());
+  const std::string target = GENERATE("/safe/1", "/once/1", "/stream/1");
+  const net::CallId refused = fixture.Send(target);
+  const CallResult& result = fixture.AwaitResponse(refused);
+  CHECK(result.status == 503);
+  CHECK(result.fields.find("Retry-After") != result.fields.end());
+  CHECK(fixture.a.requests.empty());
+  CHECK(fixture.b.requests.empty());
+  // The configuration that is confirmed meanwhile decides, not the one that was
+  // known when the request came.
+  const net::CallId waiting = fixture.Send(target);
+  fixture.RunUntil([&] { return fixture.proxy.open_requests() == 1; });
+  schema::Fleet without_routes = fixture.table->fleet();
+  without_routes.version = 4;
+  without_routes.routes.clear();
+  fixture.proxy.SetFleet(std::make_shared<const fleet::Table>(without_routes));
+  fixture.proxy.SetLease(ValidLease());
+  CHECK(fixture.AwaitResponse(waiting).status == 404);
+  CHECK(fixture.a.requests.empty());
+  CHECK(fixture.b.requests.empty());
+}
+
 // The upstream ends while it begins to answer: its connections close and no new
 // one is accepted.
 TEST_CASE("an upstream that crashes when it begins to answer is recorded") {
