Ignore a change for a version that a host no longer has

While a control host is slow, a host asks another one, and both replies may carry the change from the version that the host stated. The second one did not fit the content that the first one had brought, which the host took for a content that differs from the sender's: its next polls stated version 0 and asked for the whole configuration. That is left out of the replies of control hosts that the host does not follow, and its own one sends it once in 1.5 s, so that the host stayed unconfirmed meanwhile.

Only a change for the version that the host has can show that the content differs; any other one is out of date and is ignored. The next poll states the version that the host has.

The test states version 0 in place of 4 on the code before.

--- a/src/foxquay/control/observer.cc
+++ b/src/foxquay/control/observer.cc
@@ -68,7 +68,9 @@
     if (config_.Apply(entry)) feed_.Append(entry);
   }
   const std::uint64_t fleet_before = fleet_version_;
-  if (reply.fleet_version > fleet_version_ && !reply.fleet.empty()) {
+  // A change for a version that another reply has replaced is out of date.
+  const bool fits = reply.fleet_base == 0 || reply.fleet_base == fleet_version_;
+  if (reply.fleet_version > fleet_version_ && !reply.fleet.empty() && fits) {
     auto fleet = ReadFleet(reply, fleet_version_, fleet_);
     needs_whole_fleet_ = !fleet;
     if (fleet) {
--- a/tests/foxquay/control/fleet_history_test.cc
+++ b/tests/foxquay/control/fleet_history_test.cc
@@ -89,6 +89,32 @@
   CHECK(observer.StartPoll({}).fleet_version == 0);
 }
 
+// Guards against hosts that ask for the whole configuration, which other
+// control hosts leave out, since two of them answered at the same time.
+TEST_CASE("a change for the version that a host had before is ignored") {
+  Observer observer(core::HostId("h"), 1, kConfigLease, false);
+  const std::string base = Encoded(3, 10);
+  const auto reply_to = [&observer](std::uint64_t version) {
+    schema::ConfigReply reply;
+    reply.incarnation = 1;
+    reply.poll = observer.StartPoll({}).poll;
+    reply.fleet_version = version;
+    return reply;
+  };
+  schema::ConfigReply first = reply_to(3);
+  first.fleet = base;
+  REQUIRE(observer.HandleReply(first));
+  FleetHistory history;
+  history.Add(3, base);
+  schema::ConfigReply second = reply_to(4);
+  schema::ConfigReply third = reply_to(5);
+  history.Write(Encoded(4, 10, 5), 3, second);
+  history.Write(Encoded(5, 10, 6), 3, third);
+  CHECK(observer.HandleReply(second));
+  CHECK_FALSE(observer.HandleReply(third));
+  CHECK(observer.StartPoll({}).fleet_version == 4);
+}
+
 // Guards against a control host that confirms a configuration to others which
 // it did not manage to take over from its own replica.
 TEST_CASE("a host confirms only the configuration that it has") {
