Keep what successive configurations share in place of their contents

A host that was more than eight versions behind got the whole configuration, however small the changes were: at ten changes a second after 0.8 s.

FleetHistory kept the last eight contents. It now keeps for each step the number of bytes that both contents share at each end. What all contents since some version share with their successors, the first and the last one share too, and it fits into each of them, so that the minima of the steps give the change. 1000 steps take 16 KB in place of up to eight contents of 400 KB. Contents are compared where a change is committed; hosts that take it from a reply take over the lengths stated there, so that entry hosts compare nothing. Replies keep their format.

A random test builds contents of few letters from all earlier ones.

--- a/src/foxquay/control/fleet_history.cc
+++ b/src/foxquay/control/fleet_history.cc
@@ -7,75 +7,80 @@
 namespace foxquay::control {
 namespace internal {
 
-/// Contents that are kept. Hosts poll several times a second, so that one which
-/// is further behind has been cut off.
-constexpr std::size_t kMaxContents = 8;
+/// Steps that are kept: those of a lease (4.5 s) at 200 changes a second.
+constexpr std::size_t kMaxSteps = 1000;
 
 /// Bytes that are always sent: the version and the number of routes, which
 /// differ between almost all versions.
 constexpr std::size_t kBeginBytes = 16;
 
-/// Returns the fields that carry `content` to a host that has `base`.
-schema::ConfigReply MakeChange(const std::string& base, std::uint64_t version,
-                               const std::string& content) {
-  const std::size_t begin = kBeginBytes;
-  schema::ConfigReply reply;
-  const std::size_t common = std::min(base.size(), content.size()) - begin;
-  const auto first = content.begin() + static_cast<std::ptrdiff_t>(begin);
+}  // namespace internal
+
+void FleetHistory::Add(std::uint64_t version, const std::string& base,
+                       const std::string& content) {
+  const std::size_t size = std::min(base.size(), content.size());
+  if (version == 0 || size < internal::kBeginBytes) {
+    steps_.clear();
+    return;
+  }
+  const std::size_t common = size - internal::kBeginBytes;
+  const auto first = content.begin() + internal::kBeginBytes;
   const auto differs =
       std::mismatch(first, first + static_cast<std::ptrdiff_t>(common),
-                    base.begin() + static_cast<std::ptrdiff_t>(begin));
+                    base.begin() + internal::kBeginBytes);
   const auto prefix = static_cast<std::size_t>(differs.first - first);
   const auto tail = std::mismatch(
       content.rbegin(),
       content.rbegin() + static_cast<std::ptrdiff_t>(common - prefix),
       base.rbegin());
-  const auto suffix = static_cast<std::size_t>(tail.first - content.rbegin());
-  reply.fleet_base = version;
-  reply.fleet_begin = static_cast<std::uint32_t>(begin);
-  reply.fleet_prefix = static_cast<std::uint32_t>(prefix);
-  reply.fleet_suffix = static_cast<std::uint32_t>(suffix);
-  reply.fleet_digest = core::Hash(content);
-  reply.fleet =
-      content.substr(0, begin) +
-      content.substr(begin + prefix, content.size() - begin - prefix - suffix);
-  return reply;
+  AddStep({version, static_cast<std::uint32_t>(prefix),
+           static_cast<std::uint32_t>(tail.first - content.rbegin())});
 }
 
-}  // namespace internal
+void FleetHistory::Add(const schema::ConfigReply& change) {
+  if (change.fleet_begin != internal::kBeginBytes) {
+    steps_.clear();
+    return;
+  }
+  AddStep({change.fleet_base, change.fleet_prefix, change.fleet_suffix});
+}
 
-void FleetHistory::Add(std::uint64_t version, std::string content) {
-  if (version == 0) return;
-  contents_.emplace_back(version, std::move(content));
-  if (contents_.size() > internal::kMaxContents) contents_.pop_front();
+void FleetHistory::AddStep(const Step& step) {
+  steps_.push_back(step);
+  if (steps_.size() > internal::kMaxSteps) steps_.pop_front();
 }
 
 void FleetHistory::Write(const std::string& content, std::uint64_t version,
                          schema::ConfigReply& reply,
                          std::size_t max_bytes) const {
   const auto known = std::find_if(
-      contents_.begin(), contents_.end(),
-      [version](const auto& item) { return item.first == version; });
+      steps_.begin(), steps_.end(),
+      [version](const Step& step) { return step.version == version; });
+  // What all contents since then share with their successors, the first and the
+  // last one share, and it fits into each of them.
+  std::size_t prefix = content.size();
+  std::size_t suffix = content.size();
+  for (auto step = known; step != steps_.end(); ++step) {
+    prefix = std::min<std::size_t>(prefix, step->prefix);
+    suffix = std::min<std::size_t>(suffix, step->suffix);
+  }
   const std::size_t begin = internal::kBeginBytes;
-  const bool usable = known != contents_.end() &&
-                      known->second.size() >= begin && content.size() >= begin;
-  if (!usable) {
+  if (known == steps_.end() || begin + prefix + suffix > content.size()) {
     if (content.size() <= max_bytes) reply.fleet = content;
     return;
   }
-  if (!written_ || written_->from != version ||
-      written_->to != reply.fleet_version) {
-    written_ = {version, reply.fleet_version,
-                internal::MakeChange(known->second, version, content)};
+  const std::size_t end = content.size() - suffix;
+  if (end - prefix > max_bytes) return;
+  if (!digest_ || digest_->first != reply.fleet_version) {
+    digest_ = {reply.fleet_version, core::Hash(content)};
   }
-  const schema::ConfigReply& change = written_->reply;
-  if (change.fleet.size() > max_bytes) return;
-  reply.fleet = change.fleet;
-  reply.fleet_base = change.fleet_base;
-  reply.fleet_begin = change.fleet_begin;
-  reply.fleet_prefix = change.fleet_prefix;
-  reply.fleet_suffix = change.fleet_suffix;
-  reply.fleet_digest = change.fleet_digest;
+  reply.fleet_base = version;
+  reply.fleet_begin = static_cast<std::uint32_t>(begin);
+  reply.fleet_prefix = static_cast<std::uint32_t>(prefix);
+  reply.fleet_suffix = static_cast<std::uint32_t>(suffix);
+  reply.fleet_digest = digest_->second;
+  reply.fleet = content.substr(0, begin) +
+                content.substr(begin + prefix, end - begin - prefix);
 }
 
 std::optional<std::string> ReadFleet(const schema::ConfigReply& reply,
--- a/src/foxquay/control/fleet_history.h
+++ b/src/foxquay/control/fleet_history.h
@@ -13,34 +13,48 @@
 
 namespace foxquay::control {
 
-/// Earlier contents of the fleet configuration, so that hosts which have one of
-/// them are sent only what changed.
+/// What successive contents of the fleet configuration have in common, so that
+/// hosts which have an earlier one are sent only what changed.
 ///
 /// A change touches few routes, while the whole configuration may have hundreds
-/// of kilobytes and go to hundreds of hosts. Not thread-safe; performs no I/O.
+/// of kilobytes and go to hundreds of hosts. Earlier contents are not kept: the
+/// bytes that each one shares with its successor at its ends suffice, so that a
+/// host may be hundreds of versions behind. Not thread-safe; performs no I/O.
 class FleetHistory {
  public:
-  /// Adds a content that is about to be replaced.
-  void Add(std::uint64_t version, std::string content);
+  /// Adds the step from `base`, the content of `version`, to `content`, which
+  /// replaces it. A `version` of 0 stands for no content.
+  /// Precondition: `base` is the content that the last step led to.
+  void Add(std::uint64_t version, const std::string& base,
+           const std::string& content);
+
+  /// Adds the step that a reply carried, without a comparison of contents.
+  /// Preconditions: ReadFleet accepted the reply, `fleet_base` is set and the
+  /// version that the last step led to.
+  void Add(const schema::ConfigReply& change);
 
   /// Sets the fields of `reply` that carry `content`, the one of version
   /// `reply.fleet_version`, for a host that has `version`; 0 if it has none.
   /// Sets none of them if they would carry more than `max_bytes`.
+  /// Precondition: `content` is the content that the last step led to.
   void Write(const std::string& content, std::uint64_t version,
              schema::ConfigReply& reply,
              std::size_t max_bytes = kUnlimitedContent) const;
 
  private:
-  /// What was written last; most hosts have the same version.
-  struct Written {
-    std::uint64_t from = 0;
-    std::uint64_t to = 0;
-    schema::ConfigReply reply;  ///< Only the fields of the content are set.
+  /// Bytes that a content and its successor have in common. They do not overlap
+  /// in either of them.
+  struct Step {
+    std::uint64_t version = 0;  ///< Of the earlier content.
+    std::uint32_t prefix = 0;   ///< After the bytes that are always sent.
+    std::uint32_t suffix = 0;   ///< At the end.
   };
 
-  mutable std::optional<Written> written_;
-  std::deque<std::pair<std::uint64_t, std::string>>
-      contents_;  ///< Oldest first.
+  void AddStep(const Step& step);
+
+  std::deque<Step> steps_;  ///< Oldest first.
+  /// Version of the content that was written last, and its hash.
+  mutable std::optional<std::pair<std::uint64_t, std::uint64_t>> digest_;
 };
 
 /// Returns the content that a reply carries for a host that has `base` under
--- a/src/foxquay/control/observer.cc
+++ b/src/foxquay/control/observer.cc
@@ -74,7 +74,11 @@
     auto fleet = ReadFleet(reply, fleet_version_, fleet_);
     needs_whole_fleet_ = !fleet;
     if (fleet) {
-      fleet_history_.Add(fleet_version_, std::move(fleet_));
+      if (reply.fleet_base == 0) {
+        fleet_history_.Add(fleet_version_, fleet_, *fleet);
+      } else {
+        fleet_history_.Add(reply);
+      }
       fleet_version_ = reply.fleet_version;
       fleet_ = *std::move(fleet);
     }
--- a/src/foxquay/control/state.cc
+++ b/src/foxquay/control/state.cc
@@ -222,7 +222,7 @@
 schema::FleetResult State::Apply(const schema::PutFleet& command) {
   const bool newer = command.version > fleet_.version;
   if (newer) {
-    fleet_history_.Add(fleet_.version, std::move(fleet_.fleet));
+    fleet_history_.Add(fleet_.version, fleet_.fleet, command.fleet);
     fleet_ = command;
   }
   return {fleet_.version, newer};
--- a/tests/foxquay/control/fleet_history_test.cc
+++ b/tests/foxquay/control/fleet_history_test.cc
@@ -1,7 +1,9 @@
 #include "foxquay/control/fleet_history.h"
 
 #include <catch2/catch.hpp>
+#include <random>
 #include <string>
+#include <vector>
 
 #include "foxquay/control/observer.h"
 #include "foxquay/control/state.h"
@@ -32,9 +34,7 @@
 // Guards against changes that take longer to send to all hosts than they may
 // take to be in force.
 TEST_CASE("a change of one route of many is sent as such") {
-  FleetHistory history;
   const std::string base = Encoded(3, kRoutes);
-  history.Add(3, base);
   const std::string unrelated = "short";
   std::uint64_t version = 3;
   for (const std::string& content :
@@ -42,19 +42,78 @@
         Encoded(4, kRoutes - 1), Encoded(4, 0), base, unrelated}) {
     schema::ConfigReply reply;
     reply.fleet_version = ++version;
+    FleetHistory history;
+    history.Add(3, base, content);
     history.Write(content, 3, reply);
     CHECK((ReadFleet(reply, 3, base) == content));
     if (content.size() > base.size() / 2) CHECK(reply.fleet.size() < 512);
   }
 }
 
+// Guards against hosts that need the whole configuration after less than a
+// second without it, as it changes several times a second.
+TEST_CASE("a host that is many versions behind is sent what changed since") {
+  const std::uint64_t versions = GENERATE(2, 9, 45, 900);
+  const std::uint32_t first = kRoutes / 2;
+  const auto content = [first](std::uint64_t version) {
+    const auto step = static_cast<std::uint32_t>(version);
+    // Routes that follow each other change, are added and are removed.
+    return Encoded(version, kRoutes + step % 3, first + step % 7);
+  };
+  FleetHistory history;
+  Observer observer(core::HostId("h"), 1, kConfigLease, false);
+  schema::ConfigReply reply;
+  reply.incarnation = 1;
+  for (std::uint64_t version = 0; version < versions; ++version) {
+    reply = schema::ConfigReply();
+    reply.incarnation = 1;
+    reply.poll = observer.StartPoll({}).poll;
+    reply.fleet_version = version + 1;
+    const std::string base = version == 0 ? "" : content(version);
+    history.Add(version, base, content(version + 1));
+    history.Write(content(version + 1), version, reply);
+    REQUIRE(observer.HandleReply(reply));
+  }
+  schema::ConfigReply direct;
+  direct.fleet_version = versions;
+  history.Write(content(versions), 1, direct);
+  CHECK((ReadFleet(direct, 1, content(1)) == content(versions)));
+  CHECK(direct.fleet.size() < content(versions).size() * 3 / 5);
+  // A host that took over each change answers alike.
+  schema::ConfigPoll poll;
+  poll.fleet_version = 1;
+  const auto passed = observer.Answer(poll, {});
+  REQUIRE(passed);
+  CHECK((passed->fleet == direct.fleet));
+  CHECK((ReadFleet(*passed, 1, content(1)) == content(versions)));
+}
+
+TEST_CASE("any content follows from any earlier one") {
+  std::mt19937_64 random(GENERATE(range(0U, 200U)));
+  std::vector<std::string> contents = {""};
+  FleetHistory history;
+  for (std::uint64_t version = 1; version <= 20; ++version) {
+    // Few letters, so that what two contents share at their ends overlaps.
+    std::string next(random() % 40 + (random() % 8 == 0 ? 0 : 16), 'a');
+    for (char& byte : next) byte = random() % 8 == 0 ? 'b' : 'a';
+    history.Add(version - 1, contents.back(), next);
+    contents.push_back(next);
+    for (std::uint64_t from = 0; from < version; ++from) {
+      schema::ConfigReply reply;
+      reply.fleet_version = version;
+      history.Write(next, from, reply);
+      REQUIRE(ReadFleet(reply, from, contents.at(from)) == next);
+    }
+  }
+}
+
 TEST_CASE("a host with an unknown version gets the whole configuration") {
   FleetHistory history;
   const std::string content = Encoded(20, 10);
-  for (std::uint64_t version = 1; version < 20; ++version) {
-    history.Add(version, Encoded(version, 10));
+  for (std::uint64_t version = 0; version < 1020; ++version) {
+    history.Add(version, content, content);
   }
-  for (const std::uint64_t version : {0, 1, 25}) {
+  for (const std::uint64_t version : {0, 1, 1025}) {
     schema::ConfigReply reply;
     history.Write(content, version, reply);
     CHECK(reply.fleet_base == 0);
@@ -65,8 +124,8 @@
 TEST_CASE("a change that does not fit the base is not applied") {
   FleetHistory history;
   const std::string base = Encoded(3, 10);
-  history.Add(3, base);
   const std::string content = Encoded(4, 10, 5);
+  history.Add(3, base, content);
   schema::ConfigReply reply;
   history.Write(content, 3, reply);
   CHECK_FALSE(ReadFleet(reply, 2, base));
@@ -105,10 +164,11 @@
   first.fleet = base;
   REQUIRE(observer.HandleReply(first));
   FleetHistory history;
-  history.Add(3, base);
   schema::ConfigReply second = reply_to(4);
   schema::ConfigReply third = reply_to(5);
+  history.Add(3, base, Encoded(4, 10, 5));
   history.Write(Encoded(4, 10, 5), 3, second);
+  history.Add(4, Encoded(4, 10, 5), Encoded(5, 10, 6));
   history.Write(Encoded(5, 10, 6), 3, third);
   CHECK(observer.HandleReply(second));
   CHECK_FALSE(observer.HandleReply(third));
