Accept a response whose body comes after its head

A response with a Content-Length whose head arrived in one read and whose body came later failed as malformed: an at-most-once request got 502 although its upstream answered, and others were sent again. Responses whose head and first byte of the body come together were not affected.

Boost.Beast 1.74 compares a length with an optional limit, and each length is larger than "no limit". The error is lost if the parser goes on with bytes of the body in the same call, which is why it was not seen before.

The client sets the largest limit instead of none.

Evidence: "a response whose body comes after its head is not malformed" fails without the change (the call has failed once the head is there). "a response that ends at any byte of its head or body fails" cuts responses with a length, in chunks, with a trailer and up to the end of the connection, on new and kept connections, with and without an interim one and the echo; without the change 16 of its checks fail, all where a head with a length ends its connection (malformed instead of cut). With it both pass. A head that is not whole was reported as lost, and never passed on, before and after.

--- a/src/foxquay/net/client.cc
+++ b/src/foxquay/net/client.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <charconv>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 namespace foxquay::net {
@@ -22,6 +23,11 @@
 /// chunk, and the trailer.
 constexpr std::uint32_t kMaxHeaderBytes = 65536;
 
+/// Maximum size in bytes of a response body: none, as its parts are passed on.
+/// Boost.Beast takes each length for too large if there is no limit.
+constexpr std::uint64_t kMaxBodyBytes =
+    std::numeric_limits<std::uint64_t>::max();
+
 /// Maximum number of responses to one call that are discarded: interim ones,
 /// and those to earlier requests on the connection.
 constexpr unsigned kMaxDiscarded = 8;
@@ -225,7 +231,7 @@
       connection.parser.emplace();
       connection.parser->eager(true);
       connection.parser->header_limit(internal::kMaxHeaderBytes);
-      connection.parser->body_limit(boost::none);
+      connection.parser->body_limit(internal::kMaxBodyBytes);
     }
     Parser& parser = *connection.parser;
     boost::beast::error_code error;
--- a/tests/foxquay/net/exchange_test.cc
+++ b/tests/foxquay/net/exchange_test.cc
@@ -273,6 +273,81 @@
   CHECK(fixture.Run(peer.address()).failure == Failure::kLost);
 }
 
+// Guards against callers that get an error while their upstream, which sends
+// the head first, still prepares the body.
+TEST_CASE("a response whose body comes after its head is not malformed") {
+  Fixture fixture;
+  Peer peer(fixture.context);
+  peer.responses = {kKeepAliveHead + "Content-Length: 5\r\n\r\n"};
+  Request request;
+  request.method = "GET";
+  request.target = "/";
+  const CallId id = fixture.client.Call(peer.address(), Serialize(request), {});
+  CallResult& result = fixture.results[id];
+  const auto run_until = [&](const std::function<bool()>& condition) {
+    const auto end = SteadyNow() + kTimeout;
+    while (!condition() && SteadyNow() < end) {
+      fixture.context.run_one_for(std::chrono::milliseconds(20));
+    }
+  };
+  run_until([&] { return result.status != 0 || result.failure; });
+  REQUIRE_FALSE(result.failure);
+  peer.Write("hel");
+  run_until([&] { return result.body == "hel" || result.failure; });
+  peer.Write("lo");
+  run_until([&] { return result.ended || result.failure; });
+  CHECK(result.ended);
+  CHECK(result.body == "hello");
+}
+
+// A peer may stop inside the head of its response and close the connection.
+TEST_CASE("a response that ends at any byte of its head or body fails") {
+  const bool kept = GENERATE(false, true);
+  const std::string interim =
+      GENERATE("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+  const std::string echo = GENERATE("", "Name: r2\r\n");
+  struct Case {
+    std::string lines;
+    std::string body;
+  };
+  for (const Case& framing :
+       {Case{"Content-Length: 12\r\n", "hello, world"},
+        Case{"Transfer-Encoding: chunked\r\n",
+             "c\r\nhello, world\r\n0\r\n\r\n"},
+        Case{"Transfer-Encoding: chunked\r\n",
+             "c\r\nhello, world\r\n0\r\nStamp: s\r\n\r\n"},
+        Case{"", "hello, world"}}) {
+    const std::string head =
+        interim + "HTTP/1.1 200 OK\r\n" + framing.lines + echo + "\r\n";
+    const std::string response = head + framing.body;
+    for (std::size_t cut = 0; cut <= response.size(); ++cut) {
+      const std::string bytes = response.substr(0, cut);
+      CAPTURE(kept, bytes);
+      Fixture fixture;
+      Peer peer(fixture.context);
+      if (kept) {
+        peer.responses = {Success("r1")};
+        REQUIRE(fixture.Run(peer.address(), Named("r1")).ended);
+      }
+      peer.responses = {bytes};
+      peer.close = true;
+      const CallOptions options = echo.empty() ? CallOptions{} : Named("r2");
+      const CallResult result = fixture.Run(peer.address(), options);
+      CHECK(peer.connections == 1);
+      if (cut < head.size()) {
+        CHECK(result.status == 0);
+        CHECK(result.failure == Failure::kLost);
+        continue;
+      }
+      CHECK(result.status == 200);
+      // Without a length, the end of the connection is that of the response.
+      const bool complete = cut == response.size() || framing.lines.empty();
+      CHECK(result.ended == complete);
+      CHECK((result.failure == Failure::kCut) == !complete);
+    }
+  }
+}
+
 // A faulty upstream sends bytes after a complete response. They must not become
 // the response to the next request on the connection.
 TEST_CASE("bytes after a response are not passed to the next request") {
