--- a/tests/foxquay/consensus/simulated_cluster.cc
+++ b/tests/foxquay/consensus/simulated_cluster.cc
@@ -291,9 +291,18 @@
   Handle(index, Persisted{last});
 }
 
+bool SimulatedCluster::ProposalIsDue() {
+  if (!proposal_interval_) return Chance(20);
+  if (real_time_ < next_proposal_) return false;
+  next_proposal_ = real_time_ + *proposal_interval_;
+  return true;
+}
+
 void SimulatedCluster::ProposeSome() {
-  if (!proposing_ || !Chance(20)) return;
-  const std::size_t index = random_() % nodes_.size();
+  if (!proposing_ || !ProposalIsDue()) return;
+  const std::size_t any = random_() % nodes_.size();
+  const std::size_t index =
+      proposal_interval_ ? Target({FaultKind::kNone, Fault::kLeader, 0}) : any;
   Node& node = nodes_[index];
   if (!node.replica || node.paused) return;
   const ProposalId id(++serial_);
--- a/tests/foxquay/consensus/simulated_cluster.h
+++ b/tests/foxquay/consensus/simulated_cluster.h
@@ -66,6 +66,11 @@
   [[nodiscard]] const Oracle& oracle() const { return oracle_; }
   /// Delays every message from now on by at least `delay`, as busy hosts do.
   void SetMinDelay(core::Duration delay) { min_delay_ = delay; }
+  /// From now on proposes one command at the leader in each `interval`, in
+  /// place of many at random replicas.
+  void SetProposalInterval(core::Duration interval) {
+    proposal_interval_ = interval;
+  }
   /// Returns the number of proposals that were reported as committed.
   [[nodiscard]] std::size_t decided() const { return decided_; }
   /// Returns role, term, commit index and voters of each replica.
@@ -105,6 +110,9 @@
   void DeliverSome();
   void SyncSome(std::size_t index);
   void ProposeSome();
+  /// Returns whether a proposal is due; the leader gets it if they come at an
+  /// interval, else any replica.
+  [[nodiscard]] bool ProposalIsDue();
   void Handle(std::size_t index, const Event& event);
   void Perform(std::size_t index, const Action& action);
   void Transmit(std::size_t index, const Send& send);
@@ -127,6 +135,8 @@
   int loss_percent_ = 0;
   int delay_percent_ = 2;
   core::Duration min_delay_{};
+  std::optional<core::Duration> proposal_interval_;
+  core::Instant next_proposal_{};
   bool split_vote_armed_ = false;
   bool proposing_ = true;
   core::Instant real_time_{std::chrono::hours(1)};  ///< Of the simulation.
