--- a/tests/foxquay/storage/store_test.cc
+++ b/tests/foxquay/storage/store_test.cc
@@ -5,37 +5,19 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <string>
 #include <vector>
 
 #include "foxquay/storage/frame.h"
+#include "store_fixture.h"
 
 namespace foxquay::storage {
 namespace {
 
 namespace fs = std::filesystem;
 
-const core::HostId kHost("h1");
-
-/// A temporary folder, removed on destruction.
-class TempFolder {
- public:
-  TempFolder() {
-    std::string name = (fs::temp_directory_path() / "foxquay-XXXXXX").string();
-    path_ = mkdtemp(name.data());
-  }
-  ~TempFolder() { fs::remove_all(path_); }
-  TempFolder(const TempFolder&) = delete;
-  TempFolder& operator=(const TempFolder&) = delete;
-  [[nodiscard]] const fs::path& path() const { return path_; }
-
- private:
-  fs::path path_;
-};
-
 std::string ReadBytes(const fs::path& path) { return ReadFile(path).value(); }
 
 void WriteBytes(const fs::path& path, const std::string& bytes) {
@@ -84,14 +66,6 @@
                        record.entries.end());
 }
 
-bool Equal(const consensus::PersistentState& left,
-           const consensus::PersistentState& right) {
-  return left.term == right.term && left.vote == right.vote &&
-         left.entries == right.entries &&
-         left.snapshot.meta == right.snapshot.meta &&
-         left.snapshot.data == right.snapshot.data;
-}
-
 /// Returns a snapshot of the model that leaves its last `uncovered` entries in
 /// the log.
 consensus::SaveSnapshot MakeSnapshot(const consensus::PersistentState& model,
