State as of when a host knows the feed of another one

Callers need the age of the copies of feeds when they use the upstreams in them. Roster kept it and compared it with one bound only.

Roster::ConfirmedAt returns the time as of which the feed of a host is known, counted over all hosts that forwarded it. A part of a feed that arrived before the feed itself has no such time.

--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -169,6 +169,16 @@
   }
 }
 
+std::optional<core::Instant> Roster::ConfirmedAt(
+    const core::HostId& host) const {
+  const auto found = feeds_.find(host);
+  // Without an incarnation, only a part of the feed has arrived.
+  const bool known =
+      host != self_ && found != feeds_.end() && found->second.incarnation != 0;
+  if (!known) return std::nullopt;
+  return found->second.confirmed_at;
+}
+
 std::vector<schema::HostState> Roster::Hosts(core::Instant now) {
   Expire(now);
   struct Newest {
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -184,6 +184,13 @@
   void Renew(const core::HostId& from, const schema::HeardHosts& heard,
              core::Instant now);
 
+  /// Returns the time as of which this host knows all of the feed of `host`;
+  /// nothing if it has no copy of it, and for this host itself. The time of a
+  /// copy that was received from a third host counts from when that host had
+  /// it from the owner.
+  [[nodiscard]] std::optional<core::Instant> ConfirmedAt(
+      const core::HostId& host) const;
+
   /// Returns the hosts in all feeds, ordered by id: the newest state of each,
   /// which is silent unless a feed that is not too old holds it as heard.
   [[nodiscard]] std::vector<schema::HostState> Hosts(core::Instant now);
--- a/tests/foxquay/roster/roster_test.cc
+++ b/tests/foxquay/roster/roster_test.cc
@@ -100,6 +100,39 @@
   CHECK_FALSE(Uses(c, "gpu", At(1100)));
 }
 
+// Guards against a copy of a feed that passes for current since a host that
+// has forwarded it, or has begun to own it, is.
+TEST_CASE("the time of a copy is that at which the owner's feed was known") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  Roster c(core::HostId("c"), 1);
+  CHECK(c.ConfirmedAt(core::HostId("a")) == std::nullopt);
+  PollFrom(b, a, At(0));
+  const auto poll = c.Poll(At(900));
+  c.Apply(b.Answer(poll, At(1000)), At(1500));
+  const auto direct = c.ConfirmedAt(core::HostId("b"));
+  REQUIRE(direct);
+  CHECK(*direct <= At(900));
+  CHECK(*direct > At(899));
+  const auto forwarded = c.ConfirmedAt(core::HostId("a"));
+  REQUIRE(forwarded);
+  CHECK(*forwarded <= At(0));
+  CHECK(*forwarded >= At(-200));
+  CHECK(c.ConfirmedAt(core::HostId("c")) == std::nullopt);
+
+  // Only the changes since a version that this host does not have.
+  schema::FeedUpdate part;
+  part.host = core::HostId("d");
+  part.incarnation = 1;
+  part.version = 7;
+  schema::RosterReply reply;
+  reply.incarnation = 1;
+  reply.number = c.Poll(At(2000)).number;
+  reply.feeds.push_back(part);
+  c.Apply(reply, At(2010));
+  CHECK(c.ConfirmedAt(core::HostId("d")) == std::nullopt);
+}
+
 // Guards against a restarted host whose new feed is ignored as an old one.
 TEST_CASE("a new incarnation replaces the feed") {
   Roster a(core::HostId("a"), 1);
