Acknowledge a leave when the other control hosts know it

Callers saw requests sent to an upstream more than the bound after a control host had acknowledged that it leaves.

A control host acknowledged a leave (a withdrawal, or a heartbeat that states it) before any other control host had it, and before its own control thread had handled it. An entry host that follows another one could be current there and not know of the leave: its age tells nothing.

What a host had before a restart, its own or this host's, does not count. Ordinary heartbeats are answered at once as before. If the control host stops meanwhile, the connection ends without an acknowledgement, and the upstream says it again elsewhere.

'no host is current without a leave that has been acknowledged' runs hosts under load.

--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -128,6 +128,7 @@
       observer_(self_, incarnation, internal::LeaseDuration(settings),
                 static_cast<bool>(sink_.decide_claim)),
       roster_(self_, incarnation, internal::RosterOptions(settings)),
+      spread_(self_, incarnation),
       hosts_(settings_),
       proposer_(incarnation, internal::ControlHosts(settings_),
                 [this](const core::HostId& to, schema::ProposeRequest request) {
@@ -260,6 +261,7 @@
   proposer_.Tick(now);
   ExpireInForceChecks(now);
   AnswerFleetReads(now);
+  AnswerLeaves(now);
   PublishLeadership();
   ProbeOverdue(now);
   if (parent_) {
@@ -385,20 +387,6 @@
   return answer;
 }
 
-void ControlNode::Announce(const schema::Announcement& announcement) {
-  boost::asio::post(context_, [this, announcement] {
-    const core::Instant now = Now();
-    if (roster_.Announce(announcement, now)) PublishRoster(now);
-  });
-}
-
-void ControlNode::Withdraw(const core::UpstreamId& upstream) {
-  boost::asio::post(context_, [this, upstream] {
-    const core::Instant now = Now();
-    if (roster_.Withdraw(upstream, now)) PublishRoster(now);
-  });
-}
-
 void ControlNode::StartDrain() {
   boost::asio::post(context_, [this] {
     draining_ = true;
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -41,6 +41,7 @@
 #include "foxquay/relay/retry_pool.h"
 #include "foxquay/roster/doubts.h"
 #include "foxquay/roster/roster.h"
+#include "foxquay/roster/spread.h"
 #include "foxquay/schema/peer.h"
 #include "foxquay/schema/settings.h"
 #include "foxquay/transport/peer_transport.h"
@@ -192,8 +193,15 @@
   [[nodiscard]] bool AcceptsAnnouncements() const noexcept {
     return accepts_announcements_;
   }
-  void Announce(const schema::Announcement& announcement);
-  void Withdraw(const core::UpstreamId& upstream);
+  /// Applies an announcement. `done` may be empty; it runs on the control
+  /// thread, for an upstream that leaves once all other control hosts that are
+  /// alive know it or roster::kSpreadTimeout after the call. If this host stops
+  /// before, `done` does not run.
+  void Announce(const schema::Announcement& announcement,
+                std::function<void()> done = {});
+  /// As Announce, for an upstream that withdraws.
+  void Withdraw(const core::UpstreamId& upstream,
+                std::function<void()> done = {});
   /// Handles the result of a probe; `probed` is the announcement of the
   /// upstream at that time. An upstream that was reached stays in the roster.
   /// One that was not is withdrawn if it is suspected and has not announced
@@ -271,6 +279,13 @@
     std::function<void(core::Result<std::string>)> done;
   };
 
+  /// A leave that waits for its acknowledgement.
+  struct Leave {
+    core::UpstreamId upstream;
+    core::Instant called;
+    std::function<void()> done;
+  };
+
   template <class Function>
   auto Call(Function function);
 
@@ -418,6 +433,16 @@
                     InForceDone done);
   void ExpireInForceChecks(core::Instant now);
   void AnswerFleetReads(core::Instant now);
+  /// Calls `done` when the other control hosts know that an upstream leaves, of
+  /// which this host was told at `called`; at once if this host's feed does not
+  /// state it, as a newer announcement has been received.
+  void AwaitSpread(const core::UpstreamId& upstream, core::Instant called,
+                   std::function<void()> done);
+  /// Acknowledges the leaves that wait no longer.
+  void AnswerLeaves(core::Instant now);
+  /// Returns the other control hosts that are alive; if none is known to be,
+  /// all that this host knows, since it may just have started.
+  [[nodiscard]] std::vector<core::HostId> OtherControls() const;
   void PublishLeadership();
   void ProbeOverdue(core::Instant now);
   void Probe(std::vector<schema::Announcement> upstreams, core::Instant now);
@@ -437,6 +462,9 @@
   control::Observer observer_;
   control::ContentShare content_share_;
   roster::Roster roster_;
+  roster::Spread spread_;  ///< Of this host's feed; tasks are keys of leaves_.
+  std::map<std::uint64_t, Leave> leaves_;
+  std::uint64_t next_leave_ = 1;
   Hosts hosts_;
   Proposer proposer_;
   /// Set on a host that follows a control host.
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -160,7 +160,10 @@
   // With seeds, only control hosts poll like this, and all of them each other.
   const core::Duration relay_delay =
       uses_seeds() ? roster::kRelayDelay : core::Duration::zero();
-  Send(from.sender, roster_.Answer(poll, Now(), relay_delay));
+  const core::Instant now = Now();
+  spread_.Record(from.sender, poll);
+  AnswerLeaves(now);
+  Send(from.sender, roster_.Answer(poll, now, relay_delay));
 }
 
 void ControlNode::On(const schema::Envelope& from,
--- a/src/foxquay/daemon/control_server.cc
+++ b/src/foxquay/daemon/control_server.cc
@@ -77,6 +77,12 @@
     Handle(exchange, gateway::InvalidCall{400, findings});
     return;
   }
+  if (call.announcement.leaving) {
+    node_.Announce(call.announcement, [this, exchange] {
+      RespondLater(exchange, internal::Empty());
+    });
+    return;
+  }
   node_.Announce(call.announcement);
   server_.Respond(exchange, internal::Empty());
 }
@@ -89,8 +95,9 @@
   }
   log::Write(log::Level::kInfo, "upstream_withdrawn",
              {{"upstream", call.upstream}});
-  node_.Withdraw(call.upstream);
-  server_.Respond(exchange, internal::Empty());
+  node_.Withdraw(call.upstream, [this, exchange] {
+    RespondLater(exchange, internal::Empty());
+  });
 }
 
 void ControlServer::Handle(net::ExchangeId exchange,
--- a/src/foxquay/roster/fwd.h
+++ b/src/foxquay/roster/fwd.h
@@ -7,6 +7,7 @@
 
 class Doubts;
 class Roster;
+class Spread;
 enum class FeedChange : std::uint8_t;
 enum class UpdateReason : std::uint8_t;
 struct FeedStats;
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -255,6 +255,16 @@
   return true;
 }
 
+std::optional<std::uint64_t> Roster::LeavingSince(
+    const core::UpstreamId& upstream) const {
+  const auto& entries = feeds_.at(self_).entries;
+  const auto found = entries.find(upstream);
+  if (found == entries.end() || !found->second.announcement.leaving) {
+    return std::nullopt;
+  }
+  return found->second.version;
+}
+
 void Roster::ObserveLayers(const core::UpstreamId& upstream,
                            const std::optional<schema::LayerRange>& layers,
                            core::Instant now) {
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -115,6 +115,11 @@
   /// upstream is unknown.
   bool Withdraw(const core::UpstreamId& upstream, core::Instant now);
 
+  /// Returns the version of this host's feed since which it states that an
+  /// upstream leaves; nothing if it does not state that.
+  [[nodiscard]] std::optional<std::uint64_t> LeavingSince(
+      const core::UpstreamId& upstream) const;
+
   /// Returns a poll to send to another host at `now`.
   [[nodiscard]] schema::RosterPoll Poll(core::Instant now);
 
--- a/tests/foxquay/daemon/loaded_cluster.cc
+++ b/tests/foxquay/daemon/loaded_cluster.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <numeric>
 #include <utility>
 
 namespace foxquay::daemon {
@@ -37,6 +38,8 @@
 /// Time between two looks of a host at who follows.
 constexpr core::Duration kReview = milliseconds(1000);
 
+constexpr const char* kLeaving = "upstream-0";
+
 core::HostId ControlId(std::size_t index) {
   return core::HostId("10." + std::to_string(index + 1) + ".0.5");
 }
@@ -80,7 +83,8 @@
     const core::HostId id = internal::ControlId(index);
     candidates.push_back({id, false});
     controls_.push_back({id, internal::MakeReplica(index, options),
-                         roster::Roster(id, 1, internal::RosterOptions())});
+                         roster::Roster(id, 1, internal::RosterOptions()),
+                         roster::Spread(id, 1)});
   }
   const std::size_t zones = std::max<std::size_t>(1, options.controls);
   for (std::size_t index = 0; index < options.hosts; ++index) {
@@ -126,7 +130,60 @@
     for (std::size_t index = 0; index < controls_.size(); ++index) {
       RunControl(index);
     }
+    if (left_at_) FollowLeave();
+  }
+}
+
+void LoadedCluster::Leave() {
+  left_at_ = now_;
+  unaware_.resize(hosts_.size());
+  std::iota(unaware_.begin(), unaware_.end(), std::size_t{0});
+  roster::Roster& roster = controls_.front().roster;
+  (void)roster.Withdraw(core::UpstreamId(internal::kLeaving), Now());
+  const auto version =
+      roster.LeavingSince(core::UpstreamId(internal::kLeaving));
+  controls_.front().spread.Await(1, version.value_or(UINT64_MAX),
+                                 Now() + roster::kSpreadTimeout);
+}
+
+bool LoadedCluster::KnowsLeave(const roster::Roster& roster) {
+  const auto newest = roster.Newest(core::UpstreamId(internal::kLeaving));
+  return newest && newest->leaving;
+}
+
+void LoadedCluster::FollowLeave() {
+  const core::Duration since = now_ - *left_at_;
+  std::vector<core::HostId> others;
+  for (const Control& control : controls_) {
+    if (&control != &controls_.front() && !control.stopped) {
+      others.push_back(control.id);
+    }
+  }
+  for (const auto& settled : controls_.front().spread.Take(others, Now())) {
+    leave_.acknowledged = since;
+    leave_.incomplete = !settled.lacking.empty();
   }
+  const bool controls = std::all_of(
+      controls_.begin(), controls_.end(), [](const Control& control) {
+        return control.stopped || KnowsLeave(control.roster);
+      });
+  if (controls && !leave_.controls) leave_.controls = since;
+  std::erase_if(unaware_, [this](std::size_t index) {
+    return KnowsLeave(hosts_[index].roster);
+  });
+  const auto misled = static_cast<std::size_t>(std::count_if(
+      unaware_.begin(), unaware_.end(), [this](std::size_t index) {
+        return std::any_of(
+            controls_.begin(), controls_.end(), [&](const Control& control) {
+              const auto confirmed =
+                  hosts_[index].roster.ConfirmedAt(control.id);
+              return leave_.acknowledged && confirmed &&
+                     *confirmed >=
+                         core::Instant(*left_at_ + *leave_.acknowledged);
+            });
+      }));
+  if (unaware_.empty() && !leave_.hosts) leave_.hosts = since;
+  leave_.misled = std::max(leave_.misled, misled);
 }
 
 void LoadedCluster::Announce() {
@@ -135,7 +192,7 @@
   ++announcements_;
   for (std::size_t index = 0; index < options_.upstreams; ++index) {
     Control& control = controls_[index % controls_.size()];
-    if (control.stopped) continue;
+    if (control.stopped || (left_at_ && index == 0)) continue;
     schema::Announcement announcement;
     announcement.id = core::UpstreamId("upstream-" + std::to_string(index));
     announcement.sequence = announcements_;
@@ -273,6 +330,7 @@
     return internal::kQuestionTime;
   }
   if (const auto* poll = std::get_if<schema::RosterPoll>(&message.content)) {
+    control.spread.Record(controls_[message.from].id, *poll);
     schema::RosterReply reply =
         control.roster.Answer(*poll, Now(), roster::kRelayDelay);
     const auto items = static_cast<std::int64_t>(internal::CountItems(reply));
--- a/tests/foxquay/daemon/loaded_cluster.h
+++ b/tests/foxquay/daemon/loaded_cluster.h
@@ -16,6 +16,7 @@
 #include "foxquay/membership/parent_selector.h"
 #include "foxquay/membership/poll_queue.h"
 #include "foxquay/roster/roster.h"
+#include "foxquay/roster/spread.h"
 #include "foxquay/schema/consensus.h"
 #include "foxquay/schema/roster.h"
 
@@ -43,6 +44,21 @@
   void Resume(std::size_t control) { controls_[control].stopped = false; }
   void Run(core::Duration length);
 
+  /// Makes upstream 0 withdraw at control host 0.
+  void Leave();
+  /// Times since Leave.
+  struct LeaveTimes {
+    std::optional<core::Duration> acknowledged;
+    bool incomplete = false;  ///< Acknowledged at the deadline.
+    /// When the last control host, and the last other host, had it.
+    std::optional<core::Duration> controls;
+    std::optional<core::Duration> hosts;
+    /// Largest number of hosts that did not have it although a control host
+    /// confirmed its feed to them as of the acknowledgement or later.
+    std::size_t misled = 0;
+  };
+  [[nodiscard]] const LeaveTimes& leave() const noexcept { return leave_; }
+
   /// Returns the control host that leads; nothing if none or several do.
   [[nodiscard]] std::optional<std::size_t> leader() const;
   /// Returns the number of hosts whose lease on the configuration is valid.
@@ -80,6 +96,7 @@
     core::HostId id;
     consensus::Replica replica;
     roster::Roster roster;
+    roster::Spread spread;
     std::deque<Message> queue = {};  ///< By arrival.
     membership::PollQueue<Message> polls = {};
     core::Duration free_at{};
@@ -118,6 +135,8 @@
   core::Duration Perform(std::size_t index, const consensus::Event& event);
   void Send(std::size_t from, std::size_t to, Content content);
   void Announce();
+  void FollowLeave();
+  [[nodiscard]] static bool KnowsLeave(const roster::Roster& roster);
   void Deliver();
   void RunHost(std::size_t index);
   [[nodiscard]] bool Serves(const Host& host) const;
@@ -133,6 +152,9 @@
   core::Duration next_announcements_{};
   std::uint64_t announcements_ = 0;
   std::size_t moves_ = 0;
+  std::optional<core::Duration> left_at_;
+  std::vector<std::size_t> unaware_;  ///< Hosts that do not know of the leave.
+  LeaveTimes leave_;
 };
 
 }  // namespace foxquay::daemon
--- a/tests/foxquay/daemon/loaded_cluster_test.cc
+++ b/tests/foxquay/daemon/loaded_cluster_test.cc
@@ -66,5 +66,31 @@
   CHECK(cluster.serving() == options.hosts);
 }
 
+// Guards against requests to an upstream whose leave was acknowledged, by hosts
+// that were current by a control host that did not know of it.
+TEST_CASE("no host is current without a leave that has been acknowledged") {
+  const std::size_t hosts = GENERATE(60, 291);
+  const LoadedClusterOptions options = Sized(hosts, hosts > 60 ? 5 : 3, 1);
+  const double slowdown = GENERATE(1.0, 2.0, 4.0);
+  CAPTURE(options.hosts, slowdown);
+  LoadedCluster cluster(options);
+  cluster.Run(seconds(12));
+  cluster.SetSlowdown(slowdown);
+  cluster.Run(seconds(2));
+  cluster.Leave();
+  cluster.Run(seconds(4));
+  const auto& leave = cluster.leave();
+  REQUIRE(leave.acknowledged);
+  CAPTURE(core::ToMilliseconds(*leave.acknowledged), leave.incomplete);
+  CHECK(*leave.acknowledged <=
+        roster::kSpreadTimeout + std::chrono::milliseconds(1));
+  CHECK_FALSE(leave.incomplete);
+  CHECK(leave.misled == 0);
+  if (slowdown == 1) {
+    REQUIRE(leave.hosts);
+    CHECK(*leave.hosts - *leave.acknowledged < seconds(1));
+  }
+}
+
 }  // namespace
 }  // namespace foxquay::daemon
