Reserve no memory for the length that a response announces

The client takes the body's parts out as they arrive and needs no reserve, so its parser uses a body of its own (PartBody) that appends what has arrived.

Evidence: "a length that is only announced takes no memory" ends with std::bad_alloc without the change; with it the call fails as cut after the bytes that came.

--- a/src/foxquay/net/client.h
+++ b/src/foxquay/net/client.h
@@ -3,7 +3,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -15,6 +14,7 @@
 #include "foxquay/core/time.h"
 #include "foxquay/net/fwd.h"
 #include "foxquay/net/message.h"
+#include "foxquay/net/part_body.h"
 #include "foxquay/net/socket.h"
 
 namespace foxquay::net {
@@ -84,8 +84,7 @@
   void Sweep(core::Instant now);
 
  private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<PartBody>;
 
   struct Connection {
     explicit Connection(boost::asio::io_context& context) : socket(context) {}
--- a/tests/foxquay/net/exchange_test.cc
+++ b/tests/foxquay/net/exchange_test.cc
@@ -300,6 +300,20 @@
   CHECK(result.body == "hello");
 }
 
+// The process ended for want of memory.
+TEST_CASE("a length that is only announced takes no memory") {
+  Fixture fixture;
+  Peer peer(fixture.context);
+  peer.close = true;
+  for (const char* length : {"100000000000000", "18446744073709551615"}) {
+    peer.responses = {kKeepAliveHead + "Content-Length: " + length +
+                      "\r\n\r\nhello"};
+    const CallResult result = fixture.Run(peer.address());
+    CHECK(result.body == "hello");
+    CHECK(result.failure == Failure::kCut);
+  }
+}
+
 // A peer may stop inside the head of its response and close the connection.
 TEST_CASE("a response that ends at any byte of its head or body fails") {
   const bool kept = GENERATE(false, true);
