Answer every open request before a host that stops ends

In a planned stop, callers whose requests were open at 0.95 of the grace period lost them: the process ended and closed their connections without an answer, also of requests that may run at most once and had been passed on. New requests were taken until 0.35 of the period, however long requests of their route take.

gateway::DrainPlan decides, free of I/O, from the start of the drain and the grace period. A new request, or one that no upstream has yet, is refused as not run (503, Retry-After 50 ms) if its deadline lies beyond the time of the final answers and nine of ten requests of its route would not end before it (AnswerTimes). 300 ms before the process ends, at most a tenth of the period, every open request gets its final answer: 503 if it has not run, 502 if it may have, and an answer that has begun is broken off. The process ends when all of it is written, at 0.95 of the period at the latest. Requests that wait for a configuration are refused once no more connections are accepted.

Requests are not passed to another entry host for this: its answer comes back through the host that stops, so it has no more time there.

With the two calls of the plan disabled, three of the eight drain tests of the proxy fail. The soak, 12 s, held every invariant.

--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -25,6 +25,7 @@
 #include "foxquay/daemon/control_server.h"
 #include "foxquay/daemon/settings_reloader.h"
 #include "foxquay/fleet/table.h"
+#include "foxquay/gateway/drain_plan.h"
 #include "foxquay/gateway/placer.h"
 #include "foxquay/gateway/proxy.h"
 #include "foxquay/log/log.h"
@@ -35,15 +36,6 @@
 namespace foxquay::daemon {
 namespace internal {
 
-/// Fraction of the grace period (SIGTERM to kill) during which new requests are
-/// still accepted: callers cache an entry answer for its time to live, and
-/// accepted requests need the rest of the period to finish.
-constexpr double kAcceptFraction = 0.35;
-
-/// Fraction of the grace period after which the process ends even if requests
-/// are open.
-constexpr double kEndFraction = 0.95;
-
 /// Time that a host without the entry role keeps running after SIGTERM, so that
 /// messages that have already arrived are answered.
 constexpr core::Duration kControlShutdownDelay = std::chrono::milliseconds(300);
@@ -357,6 +349,7 @@
     if (!settings) return;
     log::SetLevel(log::ParseLevel(settings->log.level));
     grace_ = settings->limits.grace;
+    if (drain_started_) proxy_.StartDrain(MakeDrainPlan());
     node_.AddSeeds(settings->join.seeds);
   }
 
@@ -367,26 +360,30 @@
       context_.stop();
       return;
     }
-    drain_started_ = Now();
+    drain_started_ = net::SteadyNow();
     log::Write(log::Level::kInfo, "drain_started",
                {{"open", proxy_.open_requests()}});
     node_.StartDrain();
-    proxy_.StartDrain();
+    proxy_.StartDrain(MakeDrainPlan());
+  }
+
+  [[nodiscard]] gateway::DrainPlan MakeDrainPlan() const {
+    return {*drain_started_, grace_};
   }
 
-  void CheckDrain(core::Instant now) {
+  /// Ends the process once its requests are answered. Answers that are not
+  /// written yet count as open.
+  void CheckDrain() {
     if (!drain_started_) return;
-    const core::Duration since = now - *drain_started_;
+    const core::Instant now = net::SteadyNow();
     if (!has_entry_role_) {
-      if (since >= kControlShutdownDelay) context_.stop();
+      if (now >= *drain_started_ + kControlShutdownDelay) context_.stop();
       return;
     }
-    if (since < core::Scale(grace_, kAcceptFraction)) return;
-    proxy_.StopAccepting();
-    if (proxy_.open_requests() == 0 ||
-        since >= core::Scale(grace_, kEndFraction)) {
-      context_.stop();
-    }
+    const gateway::DrainPlan plan = MakeDrainPlan();
+    const bool answered =
+        now >= plan.accept_until() && proxy_.open_requests() == 0;
+    if (answered || now >= plan.end_by()) context_.stop();
   }
 
   core::Duration TickInterval() const {
@@ -412,7 +409,7 @@
       control_server_.Sweep(std::chrono::steady_clock::now());
       ready_server_.Sweep(std::chrono::steady_clock::now());
       metrics_server_.Sweep(std::chrono::steady_clock::now());
-      CheckDrain(now);
+      CheckDrain();
     }
     if (now >= next_settings_check_) {
       next_settings_check_ = now + kSettingsPollInterval;
@@ -479,7 +476,7 @@
   std::atomic<std::shared_ptr<const TimedReport<schema::LimitReport>>>
       limit_report_;
   bool watches_parts_ = false;  ///< Used by the control node's thread.
-  std::optional<core::Instant> drain_started_;
+  std::optional<core::Instant> drain_started_;  ///< Of net::SteadyNow.
   std::size_t upstreams_ = 0;
   bool leads_ = false;
   core::Instant next_maintenance_;
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -19,10 +19,6 @@
 /// Minimum time that callers wait between two events.
 constexpr core::Duration kMinEventTimeout = std::chrono::seconds(2);
 
-/// Retry-After while this host stops or is cut off, as another host can serve
-/// at once.
-constexpr core::Duration kOtherHostRetryAfter = std::chrono::milliseconds(50);
-
 /// Maximum time that a request waits until the configuration is confirmed, e.g.
 /// after a restart of all hosts. Requests wait because callers that lost their
 /// connection to the previous process have no retry left. Less than the two
@@ -183,17 +179,7 @@
   ReviewHeld(net::SteadyNow());
 }
 
-void Proxy::StartDrain() {
-  draining_ = true;
-  server_.StartDrain();
-}
-
-void Proxy::StopAccepting() {
-  stopping_ = true;
-  server_.StopAccepting();
-}
-
-bool Proxy::ready() const { return !draining_ && can_admit(); }
+bool Proxy::ready() const { return !drain_ && can_admit(); }
 
 bool Proxy::can_admit() const {
   return table_ != nullptr && lease_ && net::LeaseNow() < lease_->until;
@@ -277,7 +263,7 @@
 void Proxy::RejectUnconfirmed(net::ExchangeId exchange,
                               const CallerInfo& caller) {
   if (can_admit()) {
-    Reject(exchange, caller, 503, internal::kOtherHostRetryAfter,
+    Reject(exchange, caller, 503, kOtherHostRetryAfter,
            "the configuration that denies the request may be outdated");
   } else {
     Reject(exchange, caller, 503, internal::kNoLeaseRetryAfter,
@@ -287,10 +273,10 @@
 
 void Proxy::RouteRequest(net::ExchangeId exchange, net::Request&& request,
                          CallerInfo caller, const Match& match) {
-  if (stopping_) {
-    Reject(exchange, caller, 503, internal::kOtherHostRetryAfter,
-           "host is shutting down");
-  } else if (match.status != 0) {
+  const bool denied = match.status != 0;
+  if (stopping_ || (!denied && !Takes(*match.route, caller))) {
+    RejectForShutdown(exchange, caller);
+  } else if (denied) {
     Reject(exchange, caller, match.status, std::nullopt, match.reason);
   } else {
     Admit(exchange, std::move(request), std::move(caller), *match.route,
@@ -314,8 +300,7 @@
   context.priority = priority;
   context.work = caller.work;
   context.arrived = now;
-  context.deadline =
-      now + std::min(route.timeout, caller.timeout.value_or(route.timeout));
+  context.deadline = Deadline(route, caller, now);
   context.resume_after = caller.resume_after;
   context.relayed = request.listener == internal::kPartnerListener;
   if (context.relayed) {
@@ -334,6 +319,7 @@
   job.stall_timeout = internal::StallTimeout(route);
   job.arrived = now;
   job.workspace = workspace;
+  job.route = MakeRouteKey(route);
   job.caller = std::move(caller);
   by_exchange_[exchange] = id;
   Apply(id, relay_.Arrive(id, std::move(context), now));
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -18,6 +18,8 @@
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
 #include "foxquay/fleet/table.h"
+#include "foxquay/gateway/answer_times.h"
+#include "foxquay/gateway/drain_plan.h"
 #include "foxquay/gateway/prober.h"
 #include "foxquay/gateway/protocol.h"
 #include "foxquay/metrics/registry.h"
@@ -40,6 +42,11 @@
 /// sent to upstreams before.
 inline constexpr const char* kPriorSendsField = "Foxquay-Prior-Sends";
 
+/// Retry-After while this host stops or is cut off, as another host can serve
+/// at once.
+inline constexpr core::Duration kOtherHostRetryAfter =
+    std::chrono::milliseconds(50);
+
 /// Leave to use the configuration. All times are of net::LeaseNow.
 struct Lease {
   core::Instant confirmed;  ///< When it was last known to be current.
@@ -116,10 +123,9 @@
                  core::Duration since);
 
   /// Stops being ready and sends `Connection: close` with each response from
-  /// now on.
-  void StartDrain();
-  /// Stops accepting connections and rejects new requests.
-  void StopAccepting();
+  /// now on. Review follows the plan, whose times are of net::SteadyNow. May be
+  /// called again to replace the plan.
+  void StartDrain(const DrainPlan& plan);
 
   /// Returns whether requests can be admitted and no drain has started.
   [[nodiscard]] bool ready() const;
@@ -156,6 +162,7 @@
     CallerInfo caller;
     std::string digest;  ///< Equal for repeats of the request by its caller.
     core::WorkspaceId workspace;
+    RouteKey route;
     core::Instant arrived;
     std::optional<net::CallId> call;  ///< The current send, if any.
     core::Instant sent;               ///< Start of the current send.
@@ -212,6 +219,19 @@
                     CallerInfo caller, const Match& match);
   /// Rejects a request that has waited for a confirmed configuration.
   void RejectUnconfirmed(net::ExchangeId exchange, const CallerInfo& caller);
+  /// Returns when a request is given up: the earlier of the caller's and the
+  /// route's limit.
+  [[nodiscard]] static core::Instant Deadline(const schema::Route& route,
+                                              const CallerInfo& caller,
+                                              core::Instant now);
+  /// Returns whether a new request is taken, which may not end before this host
+  /// does.
+  [[nodiscard]] bool Takes(const schema::Route& route,
+                           const CallerInfo& caller) const;
+  void RejectForShutdown(net::ExchangeId exchange, const CallerInfo& caller);
+  /// Stops accepting, and ends requests that are not answered before this host
+  /// stops.
+  void ReviewDrain(core::Instant now);
   /// Routes the waiting requests once the configuration is confirmed, and
   /// rejects those that have waited too long.
   void ReviewPending(core::Instant now);
@@ -315,8 +335,9 @@
   std::map<net::ExchangeId, PendingRequest> pending_;
   std::uint64_t next_request_ = 1;
   core::Instant next_sweep_;
-  bool draining_ = false;
-  bool stopping_ = false;
+  AnswerTimes answer_times_;
+  std::optional<DrainPlan> drain_;
+  bool stopping_ = false;  ///< No more connections are accepted.
 };
 
 }  // namespace foxquay::gateway
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -170,6 +170,7 @@
   const core::Duration total = net::SteadyNow() - job.arrived;
   registry_.Record(metrics::Series::kTotal, job.workspace, core::TrafficClass{},
                    total);
+  if (outcome == "complete") answer_times_.Record(job.route, total);
   registry_.Add("foxquay_requests_total",
                 "outcome=\"" + std::string(outcome) + "\"");
   log::Write(log::Level::kInfo, "request_ended",
@@ -440,6 +441,7 @@
 
 void Proxy::Review() {
   const core::Instant now = net::SteadyNow();
+  ReviewDrain(now);
   if (now >= next_sweep_) {
     next_sweep_ = now + internal::kSweepInterval;
     client_.Sweep(now);
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -66,6 +66,15 @@
   [[nodiscard]] bool MayHaveRun(core::RequestId id) const {
     return requests_.at(id).may_have_run;
   }
+  /// Returns whether an upstream may run a request or has run it. Precondition:
+  /// the request is known.
+  [[nodiscard]] bool Started(core::RequestId id) const;
+  /// Ends a request that is not answered completely before this host stops:
+  /// aborts an answer that has begun, else refuses it with 502 if it may have
+  /// run and with 503 if not. Precondition: the request is known.
+  [[nodiscard]] Decision EndForShutdown(core::RequestId id,
+                                        core::Duration retry_after,
+                                        core::Instant now);
   /// Returns whether the current send of a request goes to another host.
   /// Precondition: the request is known.
   [[nodiscard]] bool ViaPartner(core::RequestId id) const;
--- a/tests/platform/scenarios/scenario.cc
+++ b/tests/platform/scenarios/scenario.cc
@@ -185,6 +185,7 @@
       [this, id, entry, generation = tally_generation_](
           unsigned status, const net::Fields& fields, const std::string& body) {
         ++statuses_[status];
+        answers_[id] = status;
         const bool served = status / 100 == 2;
         if (served && generation == tally_generation_) {
           ++tallies_[entry].served;
--- a/tests/platform/scenarios/scenario.h
+++ b/tests/platform/scenarios/scenario.h
@@ -117,6 +117,10 @@
   [[nodiscard]] const std::map<unsigned, unsigned>& statuses() const {
     return statuses_;
   }
+  /// Returns the status of each request that has ended; 0 if it broke off.
+  [[nodiscard]] const std::map<std::string, unsigned>& answers() const {
+    return answers_;
+  }
   [[nodiscard]] const std::vector<std::string>& violations() const {
     return checker_.violations();
   }
@@ -156,8 +160,9 @@
   std::vector<Arrival> arrivals_;
   std::map<std::size_t, std::string> ids_;  ///< Of the fake upstreams.
   std::map<unsigned, unsigned> statuses_;
-  std::map<std::size_t, Tally> tallies_;  ///< By entry host.
-  unsigned tally_generation_ = 0;         ///< Counts resets.
+  std::map<std::string, unsigned> answers_;  ///< By request.
+  std::map<std::size_t, Tally> tallies_;     ///< By entry host.
+  unsigned tally_generation_ = 0;            ///< Counts resets.
   std::uint64_t incarnations_ = 0;
   std::uint64_t heartbeats_ = 0;
   std::uint64_t next_id_ = 1;
