Count only lost quorums as an outage, and the oldest feed for leaves

- An old confirmation of a control host counted as evidence that nothing can be acknowledged.
A busy control host has one while others acknowledge, and an entry that it has stored may have been acknowledged.
Evidence is now that a control host refuses connections or has just started; it ends with the next reply, with any reply that holds what this host lacks, and counts together within 1.5 s only.
As many as leave no quorum are needed, in place of a majority of those that run a replica.
- It counted for upstreams as well, although any control host acknowledges a leave.
For these, all must refuse connections.
- A control host that has not heard of another one for long does not know the leaves that this one acknowledged after waiting in vain.
The oldest feed of a living control host, plus that wait (900 ms), now bounds the time as of which a host knows the leaves; all known control hosts are waited for.
- A live announcement with the sequence of a withdrawal was taken for newer by Roster::Newest, so that an observation of layers undid the withdrawal.
- The relay is told whether the copies are outdated before each decision.

--- a/src/foxquay/control/observer.h
+++ b/src/foxquay/control/observer.h
@@ -63,6 +63,9 @@
   /// leaves the configuration behind the sender's does not extend the lease.
   bool HandleReply(const schema::ConfigReply& reply);
 
+  /// Returns whether this host has all that the sender of a reply had.
+  [[nodiscard]] bool HasAll(const schema::ConfigReply& reply) const;
+
   /// Copies the configuration of the replica on this host; returns whether the
   /// configuration changed.
   ///
@@ -109,8 +112,6 @@
 
  private:
   [[nodiscard]] schema::ConfigPoll MakePoll(std::uint64_t number) const;
-  /// Returns whether this host has all that the sender of a reply had.
-  [[nodiscard]] bool HasAll(const schema::ConfigReply& reply) const;
   /// Returns whether the configuration changed.
   bool ApplyReply(const schema::ConfigReply& reply);
   /// Records that the configuration was current at `at`.
--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -46,7 +46,7 @@
   for (const membership::ParentCandidate& candidate : candidates) {
     control_hosts.push_back(candidate.host);
   }
-  outage_.SetControls(control_hosts);
+  outage_.SetControls(control_hosts, settings_.join.tolerated_losses);
   parent_->SetCandidates(std::move(candidates));
   parent_->SetFollowers(followers);
   const core::Duration age = membership::MaxConfigurationAge(
@@ -84,11 +84,11 @@
 
 std::optional<core::Instant> ControlNode::CompleteAsOf() const {
   if (!parent_) return observer_.confirmed();
-  std::optional<core::Instant> known;
-  if (observer_.confirmed() && upstreams_confirmed_) {
-    known = std::min(*observer_.confirmed(), *upstreams_confirmed_);
-  }
-  return std::max(known, outage_.AsOf());
+  const auto configuration =
+      std::max(observer_.confirmed(), outage_.ConfigurationAsOf());
+  const auto upstreams =
+      std::min(upstreams_confirmed_, roster_.SpreadAsOf(alive_controls_));
+  return std::min(configuration, std::max(upstreams, outage_.UpstreamsAsOf()));
 }
 
 void ControlNode::RecordFeeds(const core::HostId& from,
@@ -261,11 +261,8 @@
   const bool confirmed = age && *age <= membership::kMaxConfirmationAge;
   const std::uint64_t version = reply != nullptr ? reply->fleet_version : 0;
   const bool lacks_content = version > observer_.fleet_version();
-  if (lacks_content) {
-    Count("foxquay_replies_without_content_total", "");
-  } else {
-    outage_.RecordReply(from, age, now);
-  }
+  if (lacks_content) Count("foxquay_replies_without_content_total", "");
+  RecordEvidence(from, reply, now);
   Count("foxquay_parent_replies_total",
         confirmed ? "confirmed=\"true\"" : "confirmed=\"false\"");
   if (!confirmed || lacks_content) {
@@ -283,6 +280,18 @@
   LogParentChange(former, now);
 }
 
+void ControlNode::RecordEvidence(const core::HostId& from,
+                                 const schema::ConfigReply* reply,
+                                 core::Instant now) {
+  if (reply == nullptr) {
+    outage_.RecordStart(from, now);
+  } else if (observer_.HasAll(*reply)) {
+    outage_.RecordReply(from);
+  } else {
+    outage_.Clear();
+  }
+}
+
 void ControlNode::ReviewConfirmation(core::Instant now) {
   // Before the first confirmation, announcements are kept for the others.
   const auto& confirmed = observer_.confirmed();
--- a/src/foxquay/daemon/control_leaves.cc
+++ b/src/foxquay/daemon/control_leaves.cc
@@ -55,9 +55,11 @@
 }
 
 std::vector<core::HostId> ControlNode::OtherControls() const {
+  // One that is only taken for lost may still serve followers.
+  if (uses_seeds()) return peers_;
   std::vector<core::HostId> others = alive_controls_;
   std::erase(others, self_);
-  return others.empty() && uses_seeds() ? peers_ : others;
+  return others;
 }
 
 void ControlNode::AnswerLeaves(core::Instant now) {
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -375,6 +375,10 @@
   /// applied.
   void RecordFeeds(const core::HostId& from,
                    const schema::FollowerReply& reply);
+  /// Records what a reply, null as in RecordReply, says of whether changes are
+  /// acknowledged.
+  void RecordEvidence(const core::HostId& from,
+                      const schema::ConfigReply* reply, core::Instant now);
   void HandleConnectionLoss(const transport::ConnectionLoss& loss);
   /// Polls again if a poll was lost with the connection to a host.
   void PollAfterLoss(const core::HostId& host);
@@ -449,8 +453,7 @@
                    std::function<void()> done);
   /// Acknowledges the leaves that wait no longer.
   void AnswerLeaves(core::Instant now);
-  /// Returns the other control hosts that are alive; if none is known to be,
-  /// all that this host knows, since it may just have started.
+  /// Returns the other control hosts that may tell followers of upstreams.
   [[nodiscard]] std::vector<core::HostId> OtherControls() const;
   void PublishLeadership();
   void ProbeOverdue(core::Instant now);
--- a/src/foxquay/gateway/proxy.cc
+++ b/src/foxquay/gateway/proxy.cc
@@ -170,6 +170,7 @@
 void Proxy::SetLimits(const std::vector<schema::LimitStatement>& statements,
                       const std::vector<schema::LimitLeave>& leaves,
                       core::Duration since) {
+  ReviewOutdated();
   const core::Instant received = net::SteadyNow() - since;
   relay::RateLimits& limits = relay_.upstreams().limits();
   limits.Learn(statements, received);
--- a/src/foxquay/gateway/proxy_losses.cc
+++ b/src/foxquay/gateway/proxy_losses.cc
@@ -157,6 +157,7 @@
 }
 
 void Proxy::FinishCheck(core::RequestId id, unsigned sends, bool crashed) {
+  ReviewOutdated();
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
   Job& job = found->second;
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -391,6 +391,7 @@
 }
 
 void Proxy::FinishResponse(core::RequestId id) {
+  ReviewOutdated();
   Job& job = jobs_.at(id);
   const net::ExchangeId exchange = job.exchange;
   const net::Response response = std::move(job.response);
--- a/src/foxquay/membership/control_outage.cc
+++ b/src/foxquay/membership/control_outage.cc
@@ -4,36 +4,69 @@
 #include <functional>
 
 namespace foxquay::membership {
+namespace internal {
 
-void ControlOutage::SetControls(const std::vector<core::HostId>& controls) {
+/// Returns the oldest of the `count` newest times if they lie within
+/// kOutageSpan.
+std::optional<core::Instant> OldestOf(std::vector<core::Instant> times,
+                                      std::size_t count) {
+  if (count == 0 || times.size() < count) return std::nullopt;
+  std::sort(times.begin(), times.end(), std::greater<>());
+  const core::Instant oldest = times[count - 1];
+  if (times.front() - oldest > kOutageSpan) return std::nullopt;
+  return oldest;
+}
+
+}  // namespace internal
+
+void ControlOutage::SetControls(const std::vector<core::HostId>& controls,
+                                std::size_t tolerated_losses) {
   std::erase_if(controls_, [&controls](const auto& item) {
     return std::find(controls.begin(), controls.end(), item.first) ==
            controls.end();
   });
   for (const core::HostId& control : controls) controls_.try_emplace(control);
+  tolerated_losses_ = tolerated_losses;
 }
 
 void ControlOutage::RecordRefusal(const core::HostId& control,
                                   core::Instant now) {
   const auto found = controls_.find(control);
-  if (found != controls_.end()) found->second = now;
+  if (found != controls_.end()) found->second = Evidence{now, true};
 }
 
-void ControlOutage::RecordReply(const core::HostId& control,
-                                std::optional<core::Duration> age,
+void ControlOutage::RecordStart(const core::HostId& control,
                                 core::Instant now) {
-  if (!age || *age >= kLeaderlessAge) RecordRefusal(control, now);
+  const auto found = controls_.find(control);
+  if (found != controls_.end()) found->second = Evidence{now, false};
+}
+
+void ControlOutage::RecordReply(const core::HostId& control) {
+  const auto found = controls_.find(control);
+  if (found != controls_.end()) found->second.reset();
+}
+
+void ControlOutage::Clear() {
+  for (auto& [control, evidence] : controls_) evidence.reset();
+}
+
+std::optional<core::Instant> ControlOutage::ConfigurationAsOf() const {
+  std::vector<core::Instant> times;
+  for (const auto& [control, evidence] : controls_) {
+    if (evidence) times.push_back(evidence->at);
+  }
+  // A quorum has one host more than may be lost, whichever of them vote.
+  const std::size_t needed =
+      controls_.size() - std::min(controls_.size(), tolerated_losses_);
+  return internal::OldestOf(std::move(times), needed);
 }
 
-std::optional<core::Instant> ControlOutage::AsOf() const {
-  std::vector<core::Instant> seen;
-  for (const auto& [control, at] : controls_) {
-    if (at) seen.push_back(*at);
+std::optional<core::Instant> ControlOutage::UpstreamsAsOf() const {
+  std::vector<core::Instant> times;
+  for (const auto& [control, evidence] : controls_) {
+    if (evidence && evidence->refused) times.push_back(evidence->at);
   }
-  const std::size_t majority = controls_.size() / 2 + 1;
-  if (seen.size() < majority) return std::nullopt;
-  std::sort(seen.begin(), seen.end(), std::greater<>());
-  return seen[majority - 1];
+  return internal::OldestOf(std::move(times), controls_.size());
 }
 
 }  // namespace foxquay::membership
--- a/src/foxquay/membership/control_outage.h
+++ b/src/foxquay/membership/control_outage.h
@@ -1,6 +1,8 @@
 #ifndef FOXQUAY_MEMBERSHIP_CONTROL_OUTAGE_H_
 #define FOXQUAY_MEMBERSHIP_CONTROL_OUTAGE_H_
 
+#include <chrono>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <vector>
@@ -10,39 +12,56 @@
 
 namespace foxquay::membership {
 
-/// Age from which the confirmation of a control host shows that it hears no
-/// leader: the time after which a leader without a quorum steps down.
-inline constexpr core::Duration kLeaderlessAge = std::chrono::seconds(1);
+/// Time within which control hosts must have been seen to be down for them to
+/// count together: a host asks each of several within it.
+inline constexpr core::Duration kOutageSpan = std::chrono::milliseconds(1500);
 
 /// Time as of which no change could be acknowledged, although no control host
 /// confirms the configuration.
 ///
-/// A change needs a majority of the control hosts. A host that cannot confirm
-/// its configuration may still act on it as of the time at which a majority was
-/// seen to be down (it refuses connections, or has just started) or without a
-/// leader. A control host that does not answer is no evidence: it may be busy,
-/// and may have acknowledged a change. Not thread-safe; performs no I/O.
+/// A change of the configuration needs a quorum of control hosts, and the leave
+/// of an upstream any of them. A host that cannot confirm what it knows may
+/// still act on it as of the time at which so many were seen to be down that no
+/// quorum was left: they refused connections, or had just started. Neither a
+/// control host that is silent nor one with an old confirmation is evidence: it
+/// may be busy, and a change that it has stored may have been acknowledged. Not
+/// thread-safe; performs no I/O.
 class ControlOutage {
  public:
   /// Replaces the control hosts; what is known of the others is dropped.
-  void SetControls(const std::vector<core::HostId>& controls);
+  /// `tolerated_losses` of them may be lost without the loss of the quorum.
+  void SetControls(const std::vector<core::HostId>& controls,
+                   std::size_t tolerated_losses);
 
   /// Records that a control host refused a connection at `now`.
   void RecordRefusal(const core::HostId& control, core::Instant now);
 
-  /// Records a reply that arrived at `now`. `age` is that of the confirmation
-  /// of the sender, whose configuration is not newer than that of this host;
-  /// nothing if it has never confirmed one.
-  void RecordReply(const core::HostId& control,
-                   std::optional<core::Duration> age, core::Instant now);
+  /// Records a reply of a control host that has not confirmed a configuration
+  /// since its start.
+  void RecordStart(const core::HostId& control, core::Instant now);
 
-  /// Returns the latest time as of which a majority of the control hosts could
-  /// acknowledge nothing; nothing if there is no such time.
-  [[nodiscard]] std::optional<core::Instant> AsOf() const;
+  /// Records a reply of a control host that has: it takes part in changes.
+  void RecordReply(const core::HostId& control);
+
+  /// Forgets all evidence: a change was made that this host lacks.
+  void Clear();
+
+  /// Returns the latest time as of which no change of the configuration could
+  /// be acknowledged; nothing if there is none.
+  [[nodiscard]] std::optional<core::Instant> ConfigurationAsOf() const;
+
+  /// As ConfigurationAsOf, for leaves of upstreams.
+  [[nodiscard]] std::optional<core::Instant> UpstreamsAsOf() const;
 
  private:
-  /// Last evidence that a control host could take part in no change.
-  std::map<core::HostId, std::optional<core::Instant>> controls_;
+  /// When a control host was last seen to be down.
+  struct Evidence {
+    core::Instant at;
+    bool refused = false;  ///< There was no process; else one had started.
+  };
+
+  std::map<core::HostId, std::optional<Evidence>> controls_;
+  std::size_t tolerated_losses_ = 0;
 };
 
 }  // namespace foxquay::membership
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "foxquay/roster/spread.h"
+
 namespace foxquay::roster {
 namespace {
 
@@ -236,9 +238,11 @@
     const auto found = feed.entries.find(upstream);
     if (found == feed.entries.end()) continue;
     const schema::Announcement& known = found->second.announcement;
-    if (newest == nullptr || newest->sequence < known.sequence) {
-      newest = &known;
-    }
+    // A withdrawal has the sequence of the last announcement.
+    const bool newer =
+        newest == nullptr || std::make_pair(newest->sequence, newest->leaving) <
+                                 std::make_pair(known.sequence, known.leaving);
+    if (newer) newest = &known;
   }
   if (newest == nullptr) return std::nullopt;
   return *newest;
@@ -356,6 +360,17 @@
   }
 }
 
+std::optional<core::Instant> Roster::SpreadAsOf(
+    const std::vector<core::HostId>& controls) const {
+  std::optional<core::Instant> oldest;
+  for (const core::HostId& control : controls) {
+    const auto known = ConfirmedAt(control);
+    if (known && (!oldest || *known < *oldest)) oldest = known;
+  }
+  if (!oldest) return std::nullopt;
+  return *oldest + kSpreadTimeout;
+}
+
 schema::RosterPoll Roster::Poll(core::Instant now) {
   ReviewUnpublished(now);
   schema::RosterPoll poll;
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -120,6 +120,13 @@
   [[nodiscard]] std::optional<std::uint64_t> LeavingSince(
       const core::UpstreamId& upstream) const;
 
+  /// Returns the time up to which this host knows each leave that any of
+  /// `controls` acknowledged without knowing that the others have it: no
+  /// earlier than kSpreadTimeout after its feed had it, see Spread. Feeds that
+  /// this host does not know are left out; nothing if it knows none.
+  [[nodiscard]] std::optional<core::Instant> SpreadAsOf(
+      const std::vector<core::HostId>& controls) const;
+
   /// Returns a poll to send to another host at `now`.
   [[nodiscard]] schema::RosterPoll Poll(core::Instant now);
 
--- a/src/foxquay/roster/spread.h
+++ b/src/foxquay/roster/spread.h
@@ -15,8 +15,10 @@
 
 /// Time after which a leave is acknowledged although other control hosts may
 /// lack it. Less than the second after which upstreams try another host, by the
-/// delay of a timer and of the response.
-inline constexpr core::Duration kSpreadTimeout = std::chrono::milliseconds(800);
+/// delay of a timer and of the response; with the age at which copies are no
+/// longer used, more than kMaxHostFeedAge, so that the feed of a control host
+/// that is lost stops to count before it makes all hosts outdated.
+inline constexpr core::Duration kSpreadTimeout = std::chrono::milliseconds(900);
 
 /// Versions of this host's feed that other hosts have, and waiting tasks, each
 /// until all others have a version.
--- a/tests/foxquay/roster/roster_test.cc
+++ b/tests/foxquay/roster/roster_test.cc
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "foxquay/roster/spread.h"
+
 namespace foxquay::roster {
 namespace {
 
@@ -133,6 +135,41 @@
   CHECK(c.ConfirmedAt(core::HostId("d")) == std::nullopt);
 }
 
+// Guards against requests to an upstream whose leave was acknowledged by a
+// control host that the parent of the requests' host had not heard of for long.
+TEST_CASE("the oldest feed of a control host bounds what leaves are known") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  Roster c(core::HostId("c"), 1);
+  const core::HostId host_a("a");
+  const core::HostId host_b("b");
+  CHECK_FALSE(c.SpreadAsOf({host_a, host_b}));
+  PollFrom(b, a, At(0));
+  PollFrom(c, b, At(2000));
+  const auto all = c.SpreadAsOf({host_a, host_b});
+  REQUIRE(all);
+  CHECK(*all <= At(0) + kSpreadTimeout);
+  CHECK(*all > At(-50) + kSpreadTimeout);
+  // One that is lost no longer counts.
+  const auto alive = c.SpreadAsOf({host_b, core::HostId("unknown")});
+  REQUIRE(alive);
+  CHECK(*alive > At(1950) + kSpreadTimeout);
+}
+
+// Guards against a withdrawal that an observation of layers under way undoes.
+TEST_CASE("a withdrawal outranks the announcement that it ends") {
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  const core::UpstreamId gpu("gpu");
+  b.Announce(MakeAnnouncement("gpu", 5), At(0));
+  PollFrom(a, b, At(10));
+  REQUIRE(a.Withdraw(gpu, At(20)));
+  PollFrom(b, a, At(30));
+  CHECK(b.Newest(gpu)->leaving);
+  b.ObserveLayers(gpu, schema::LayerRange{0, 8}, At(40));
+  CHECK_FALSE(Uses(b, "gpu", At(40)));
+}
+
 // Guards against a restarted host whose new feed is ignored as an old one.
 TEST_CASE("a new incarnation replaces the feed") {
   Roster a(core::HostId("a"), 1);
