Keep an upstream that has withdrawn out of use until it starts anew

Callers' requests could reach an upstream long after its withdrawal had been acknowledged.

A withdrawal was stored with the newest sequence that its receiver knew. A heartbeat that had been sent before and arrived late, with a higher sequence, made the upstream usable again for 6 s, at the receiver itself or, through another control host, everywhere. Sequences that change nothing are not sent to other hosts, so that the receiver often knows an old one. Another control host that the upstream had announced to went on probing it, and kept it as long as it answered; it was used again when the withdrawal expired after 10 s.

Roster::Leave stores the last sequence of the upstream's start. Announcements of that start no longer outrank it, and other hosts see it as newer, so that they do not probe. A restart has sequences beyond it. Upstreams without a start time are handled as before, and so is the withdrawal of upstreams that are unreachable, which a heartbeat ends.

--- a/src/foxquay/daemon/control_leaves.cc
+++ b/src/foxquay/daemon/control_leaves.cc
@@ -35,7 +35,7 @@
   boost::asio::post(context_, [this, upstream, called = Now(),
                                done = std::move(done)]() mutable {
     const core::Instant now = Now();
-    if (roster_.Withdraw(upstream, now)) PublishRoster(now);
+    if (roster_.Leave(upstream, now)) PublishRoster(now);
     if (done) AwaitSpread(upstream, called, std::move(done));
   });
 }
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -244,11 +244,19 @@
   return *newest;
 }
 
-bool Roster::Withdraw(const core::UpstreamId& upstream, core::Instant now) {
+bool Roster::Leave(const core::UpstreamId& upstream, core::Instant now) {
+  const auto newest = Newest(upstream);
+  const bool started = newest && newest->born != core::WallTime();
+  return MarkLeaving(upstream, started, now);
+}
+
+bool Roster::MarkLeaving(const core::UpstreamId& upstream, bool ends,
+                         core::Instant now) {
   Expire(now);
   std::optional<schema::Announcement> leaving = Newest(upstream);
   if (!leaving) return false;
   leaving->leaving = true;
+  if (ends) leaving->sequence |= kStartSequences - 1;
   Entry& entry = OwnFeed().entries[upstream];
   entry.heard_at = now;
   SetAnnouncement(entry, *leaving, FeedChange::kUpstreamLeft);
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -30,6 +30,11 @@
 /// from the others.
 inline constexpr core::Duration kMaxFeedAge = std::chrono::milliseconds(1000);
 
+/// Size of the blocks of sequences of which the last one ends a start of an
+/// upstream. More than it announces in a month, since other hosts do not know
+/// of announcements that change nothing.
+inline constexpr std::uint64_t kStartSequences = std::uint64_t{1} << 24;
+
 /// Time for which a feed retains the tombstone of an upstream that left. Longer
 /// than an announcement of the upstream can stay usable on any other host.
 inline constexpr core::Duration kTombstoneTtl = std::chrono::seconds(10);
@@ -112,8 +117,18 @@
 
   /// Marks an upstream as leaving in this host's feed at `now`, whether this
   /// host or another one received its announcements; returns false if the
-  /// upstream is unknown.
-  bool Withdraw(const core::UpstreamId& upstream, core::Instant now);
+  /// upstream is unknown. A later announcement makes it usable again.
+  bool Withdraw(const core::UpstreamId& upstream, core::Instant now) {
+    return MarkLeaving(upstream, false, now);
+  }
+
+  /// As Withdraw, for an upstream that has said itself that it leaves. If its
+  /// start time is known, announcements of the same start that arrive later do
+  /// not make it usable: they were sent before, or it still serves.
+  ///
+  /// Precondition: of upstreams with a start time, the sequences of two starts
+  /// lie in different blocks of kStartSequences.
+  bool Leave(const core::UpstreamId& upstream, core::Instant now);
 
   /// Returns the version of this host's feed since which it states that an
   /// upstream leaves; nothing if it does not state that.
@@ -271,6 +286,10 @@
   /// owner of that feed renews its hosts.
   [[nodiscard]] bool IsPublished(const schema::HostState& state,
                                  core::Instant now) const;
+  /// Marks an upstream as leaving, with its newest sequence or, if `ends`, with
+  /// the last one of its start; returns false if the upstream is unknown.
+  bool MarkLeaving(const core::UpstreamId& upstream, bool ends,
+                   core::Instant now);
   /// Adds a host to this host's feed, or changes it there.
   void PublishHost(const schema::HostState& state, core::Instant heard_at);
   /// Publishes hosts that no other feed states any more.
--- a/tests/foxquay/roster/roster_test.cc
+++ b/tests/foxquay/roster/roster_test.cc
@@ -351,6 +351,42 @@
   CHECK(Uses(a, "gpu", At(70)));
 }
 
+// Guards against an upstream that is used again after it has withdrawn, as a
+// heartbeat of its arrives late, or as a host that it announced to before still
+// reaches it.
+TEST_CASE("announcements do not undo the withdrawal of their start") {
+  const bool elsewhere = GENERATE(false, true);
+  Roster a(core::HostId("a"), 1);
+  Roster b(core::HostId("b"), 1);
+  Roster c(core::HostId("c"), 1);
+  schema::Announcement announced = MakeAnnouncement("gpu", 100);
+  announced.born = core::WallTime(milliseconds(1000));
+  a.Announce(announced, At(0));
+  PollFrom(b, a, At(10));
+  PollFrom(c, a, At(10));
+  announced.sequence = 140;  // Not sent to others, as nothing has changed.
+  a.Announce(announced, At(500));
+  REQUIRE((elsewhere ? b : a).Leave(core::UpstreamId("gpu"), At(600)));
+  PollFrom(a, b, At(700));
+  PollFrom(b, a, At(700));
+  announced.sequence = 142;
+  announced.load = 4;
+  a.Announce(announced, At(800));
+  PollFrom(c, a, At(900));
+  PollFrom(c, b, At(900));
+  CHECK_FALSE(Uses(a, "gpu", At(900)));
+  CHECK_FALSE(Uses(b, "gpu", At(900)));
+  CHECK_FALSE(Uses(c, "gpu", At(900)));
+  // Nor is it kept by probes until the withdrawal has expired.
+  CHECK(a.Silent(milliseconds(100), At(1000)).empty());
+
+  announced.sequence = 100 + 2 * kStartSequences;
+  announced.born = core::WallTime(milliseconds(5000));
+  a.Announce(announced, At(1000));
+  PollFrom(c, a, At(1100));
+  CHECK(Uses(c, "gpu", At(1100)));
+}
+
 // The address of an upstream that ended may be reused.
 TEST_CASE("of two upstreams at one address only the later one is usable") {
   Roster a(core::HostId("a"), 1);
