Send a host what it has lacked for long, whichever control host it asks

Two causes, measured in the simulated fleet with changes of 35 KB, ten a second, and one control host silent for a second in turn. Contents take a quarter of a control host's time, and time that was not used is lost: of hosts that poll at the same time the first ones got the content each time, the others never. And a control host sent no more than 4 KB to a host that does not follow it, so that one whose own control host is silent was told only that it is out of date.

ContentShare now knows since when a version has been stated. Any control host sends the content to a host that has lacked the next version for 450 ms, which is longer than the interval of polls, under the same share and once while it may be on its way. Contents of up to 64 KB may then run ahead of the share by 250 ms, an interval of polls; larger ones may not: they would delay the replies so that hosts ask around and are sent them again.

--- a/src/foxquay/control/content_share.h
+++ b/src/foxquay/control/content_share.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <limits>
 #include <map>
 
@@ -24,6 +25,22 @@
 inline constexpr core::Duration kContentTimeout =
     std::chrono::milliseconds(1500);
 
+/// Content that takes a control host about as long to make and to send as the
+/// rest of the reply.
+inline constexpr std::size_t kPromptContentBytes = 65'536;
+
+/// Time without the next version after which a host is sent content by any
+/// control host. Longer than the interval of polls at hundreds of hosts (364 ms
+/// at 291 hosts and five control hosts), so that the one that it follows, if it
+/// answers, has done so.
+inline constexpr core::Duration kContentOverdue =
+    std::chrono::milliseconds(450);
+
+/// Time by which contents of up to kPromptContentBytes may run ahead of their
+/// share: an interval of polls, since polls may all come at one time of it.
+inline constexpr core::Duration kMaxContentAdvance =
+    std::chrono::milliseconds(250);
+
 /// Decides to which hosts a control host sends a large configuration, and when.
 ///
 /// Answers the load of hundreds of hosts that all lack the same configuration:
@@ -31,17 +48,24 @@
 /// control hosts too, and are sent it again. A host is sent content once while
 /// that may be on its way, and contents take a fixed part of the sender's time;
 /// replies without it go out at once and show that the sender is up. The time
-/// is measured, so that the rate follows the machine and the size. Not
-/// thread-safe; performs no I/O.
+/// is measured, so that the rate follows the machine and the size.
+///
+/// Answers the load of changes that follow each other, too: a host whose
+/// control host is silent, or whose polls come right after those of others,
+/// would never have what replies state. Any control host sends the content to a
+/// host that has lacked it for kContentOverdue, if it is not large ahead of its
+/// share. Not thread-safe; performs no I/O.
 class ContentShare {
  public:
   /// Returns how many bytes of content a reply may carry to a host whose poll
-  /// states that it has `version`.
+  /// states that it has `version`. `follows` tells that it follows this control
+  /// host; others are only asked for a confirmation.
   [[nodiscard]] std::size_t Allowed(const core::HostId& host,
-                                    std::uint64_t version, core::Instant now);
+                                    std::uint64_t version, core::Instant now,
+                                    bool follows = true);
 
-  /// Records a reply with content of `bytes` that brings a host to `version`;
-  /// `spent` is the time that it took this host to make it.
+  /// Records a reply that states `version` and carries `bytes` of content,
+  /// which may be none; `spent` is the time that it took this host to make it.
   void RecordSent(const core::HostId& host, std::uint64_t version,
                   std::size_t bytes, core::Duration spent, core::Instant now);
 
@@ -49,13 +73,19 @@
   void RecordLoss(const core::HostId& host) { sent_.erase(host); }
 
  private:
-  struct Sent {
+  /// A version, and when it was sent or first known.
+  struct Version {
     std::uint64_t version = 0;
     core::Instant at;
   };
 
-  std::map<core::HostId, Sent> sent_;  ///< What may be on its way.
-  core::Instant next_;                 ///< When the next content may be sent.
+  /// Returns whether a host with `version` has lacked the next one for
+  /// kContentOverdue.
+  [[nodiscard]] bool Overdue(std::uint64_t version, core::Instant now);
+
+  std::map<core::HostId, Version> sent_;  ///< What may be on its way.
+  std::deque<Version> known_;  ///< Versions that replies stated, oldest first.
+  core::Instant next_;         ///< When the next content may be sent.
 };
 
 /// No bound on the content of a reply.
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -132,11 +132,9 @@
 void ControlNode::AnswerConfigPoll(const core::HostId& sender,
                                    const schema::ConfigPoll& poll,
                                    core::Instant now) {
-  // A host that follows another control host only asks for a confirmation.
   const bool follows = !uses_seeds() || hosts_.IsControl(sender);
   const std::size_t max_content =
-      follows ? content_share_.Allowed(sender, poll.fleet_version, now)
-              : control::kInlineContentBytes;
+      content_share_.Allowed(sender, poll.fleet_version, now, follows);
   auto reply = AnswerConfig(sender, poll, max_content, now);
   if (!reply) return;
   const std::uint64_t version = reply->fleet_version;
--- a/tests/foxquay/control/followed_fleet.cc
+++ b/tests/foxquay/control/followed_fleet.cc
@@ -56,16 +56,28 @@
 }
 
 void FollowedFleet::Put() {
+  content_ = internal::RandomContent(options_.content_bytes, version_ + 1);
+  sent_bytes_ = 0;
+  largest_age_ = {};
+  Commit();
+}
+
+void FollowedFleet::Change() {
+  const std::size_t at = std::mt19937_64(version_)() % content_.size();
+  content_[at] = static_cast<char>(content_[at] + 1);
+  Commit();
+}
+
+void FollowedFleet::Commit() {
   ++version_;
   schema::PutFleet command;
   command.version = version_;
-  command.fleet = internal::RandomContent(options_.content_bytes, version_);
+  command.fleet = content_;
   const std::string encoded = schema::Encode(schema::ControlCommand(command));
   for (Control& control : controls_) {
     control.state.Apply(version_, core::WallTime(), encoded);
   }
   for (Host& host : hosts_) host.applied.reset();
-  sent_bytes_ = 0;
   put_at_ = now_;
 }
 
@@ -91,6 +103,8 @@
     const bool open =
         polling.observer.Admit(Now()).state == AdmissionState::kOpen;
     polling.expired = polling.expired || !open;
+    largest_age_ =
+        std::max(largest_age_, Now() - *polling.observer.confirmed());
   }
   for (const core::HostId& to : polling.selector.Due(Now())) {
     const bool follows = polling.selector.parent() == to;
@@ -111,10 +125,8 @@
     control.queue.pop_front();
     longest_wait_ = std::max(longest_wait_, now_ - message.arrived);
     const core::HostId& host = message.poll.host;
-    const std::size_t max_content =
-        message.follows
-            ? control.share.Allowed(host, message.poll.fleet_version, Now())
-            : kInlineContentBytes;
+    const std::size_t max_content = control.share.Allowed(
+        host, message.poll.fleet_version, Now(), message.follows);
     schema::ConfigReply reply =
         control.state.Answer(message.poll, internal::kAge, max_content);
     const std::size_t bytes = reply.fleet.size();
--- a/tests/foxquay/control/followed_fleet.h
+++ b/tests/foxquay/control/followed_fleet.h
@@ -34,8 +34,15 @@
 
   /// Replaces the configuration at all control hosts.
   void Put();
-  /// Stops a control host: what reaches it from now on is lost.
-  void Stop(std::size_t control) { controls_[control].stopped = true; }
+  /// Changes a few bytes of the configuration, each time in another place.
+  void Change();
+  /// Stops a control host: what waits there or reaches it from now on is lost.
+  void Stop(std::size_t control) {
+    controls_[control].stopped = true;
+    controls_[control].queue.clear();
+  }
+  /// Lets a stopped control host answer again.
+  void Resume(std::size_t control) { controls_[control].stopped = false; }
   /// Runs until `end`, counted from the start.
   void Run(core::Duration end);
 
@@ -54,6 +61,11 @@
   [[nodiscard]] std::size_t false_confirmations() const noexcept {
     return false_confirmations_;
   }
+  /// Returns the largest age that the configuration of a host has reached since
+  /// the last call of Put.
+  [[nodiscard]] core::Duration largest_age() const noexcept {
+    return largest_age_;
+  }
   /// Returns the hosts whose lease has ended at least once.
   [[nodiscard]] std::size_t expired() const;
 
@@ -84,6 +96,8 @@
     bool expired = false;
   };
 
+  /// Replaces the configuration at all control hosts by `content_`.
+  void Commit();
   void Handle(std::size_t control);
   void Deliver();
   void Poll(std::size_t host);
@@ -93,11 +107,13 @@
   std::vector<Control> controls_;
   std::vector<Host> hosts_;
   std::deque<Reply> replies_;
+  std::string content_;
   std::uint64_t version_ = 0;
   core::Duration now_{};
   core::Duration put_at_{};
   std::size_t sent_bytes_ = 0;
   core::Duration longest_wait_{};
+  core::Duration largest_age_{};
   std::size_t false_confirmations_ = 0;
 };
 
