--- a/src/foxquay/http/transfer.cc
+++ b/src/foxquay/http/transfer.cc
@@ -117,10 +117,10 @@
 std::optional<TransferHead> Transfer(
     const TransferRequest& request,
     const std::function<bool(std::string_view)>& on_bytes) {
-  static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static const CURLcode kInitialized = curl_global_init(CURL_GLOBAL_DEFAULT);
   const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> handle(
       curl_easy_init(), &curl_easy_cleanup);
-  if (initialized != CURLE_OK || !handle) return std::nullopt;
+  if (kInitialized != CURLE_OK || !handle) return std::nullopt;
   internal::HeaderLines lines;
   internal::AddHeaders(request, lines);
   internal::HeadReader reader;
