Do not pass on an empty success that only a closed connection ends

A caller got 200 with `Content-Length: 0` when an upstream had ended after a head with neither a length nor chunks. Such a head cannot be told from one that stops before the line that would have stated the framing and the rest; streams were already treated so. A stream with `Transfer-Encoding: identity` was passed on as a whole empty one, since any transfer coding counted as chunks.

A success (2xx) that ends with its connection and has no byte now counts as cut: the request is sent again, or answered with 502 if it may run once only. A 204, the answer to HEAD and other statuses need no body and are passed on as before. Only the coding `chunked` shows the end of a body.

A cut inside a head was never passed on before either: net::Client reports a head when its parser has read the empty line, and fails the call as lost otherwise (Client::HandleDisconnect).

--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -1,6 +1,8 @@
 // Sends of requests and their responses.
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <utility>
 #include <variant>
 
@@ -19,11 +21,17 @@
 /// as it arrives instead of being buffered until it is complete.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} << 10U;
 
+/// Status of a success that has no body.
+constexpr unsigned kNoContent = 204;
+
 /// Returns whether a response has neither a length nor chunks.
 bool EndsWithConnection(const net::Fields& fields) {
-  using boost::beast::http::field;
-  return fields.find(field::content_length) == fields.end() &&
-         fields.find(field::transfer_encoding) == fields.end();
+  namespace http = boost::beast::http;
+  if (fields.find(http::field::content_length) != fields.end()) return false;
+  const http::token_list codings(fields[http::field::transfer_encoding]);
+  return std::none_of(codings.begin(), codings.end(), [](const auto& coding) {
+    return boost::beast::iequals(coding, "chunked");
+  });
 }
 
 /// Returns whether a status tells callers that the request has not run and will
@@ -391,6 +399,15 @@
 
 void Proxy::FinishResponse(core::RequestId id) {
   Job& job = jobs_.at(id);
+  // Not told from an upstream that ended after the head.
+  const bool empty = job.ends_with_connection && job.response.body.empty() &&
+                     job.status / 100 == 2 &&
+                     job.status != internal::kNoContent &&
+                     job.request.method != "HEAD";
+  if (empty) {
+    HandleLoss(id, {relay::LossKind::kCut, job.fault_address, EndedEarly(job)});
+    return;
+  }
   const net::ExchangeId exchange = job.exchange;
   const net::Response response = std::move(job.response);
   if (relay_.ViaPartner(id) && response.status / 100 != 2) {
--- a/tests/foxquay/gateway/proxy_fixture.h
+++ b/tests/foxquay/gateway/proxy_fixture.h
@@ -154,6 +154,14 @@
     return announcement;
   }
 
+  /// Returns an announcement whose address refuses connections. The port of a
+  /// listener that was closed may be taken by the next one.
+  [[nodiscard]] schema::Announcement Unreachable(const std::string& id) const {
+    schema::Announcement announcement = Announce(id, a);
+    announcement.address = "127.0.0.1:1";
+    return announcement;
+  }
+
   net::CallId Send(const std::string& target, const std::string& key = "secret",
                    const std::string& parts = "") {
     net::Request request;
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "proxy_fixture.h"
-#include "raw_upstream.h"
+#include "raw_fixture.h"
 
 namespace foxquay::gateway {
 
@@ -296,34 +296,6 @@
 
 namespace {
 
-/// A proxy fixture whose only upstream is a RawUpstream.
-struct RawFixture : ProxyFixture {
-  explicit RawFixture(std::vector<RawUpstream::Answer> answers)
-      : upstream(
-            context, "127.0.0.1",
-            [this, answers = std::move(answers)](const std::string& request) {
-              // Inquiries after a loss are no requests of callers.
-              if (request.starts_with("GET /report ")) {
-                return RawUpstream::Answer{
-                    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
-              }
-              const std::size_t index =
-                  std::min(received++, answers.size() - 1);
-              return answers[index];
-            }) {
-    std::vector<schema::Announcement> announcements;
-    for (const char* id : {"c", "d"}) {
-      schema::Announcement announcement = Announce(id, a);
-      announcement.address = upstream.address();
-      announcements.push_back(announcement);
-    }
-    proxy.SetUpstreams(announcements);
-  }
-
-  std::size_t received = 0;
-  RawUpstream upstream;
-};
-
 constexpr const char* kPlainHead = "HTTP/1.1 200 OK\r\nName: r1\r\n\r\n";
 constexpr const char* kStreamHead =
     "HTTP/1.1 200 OK\r\nName: r1\r\nContent-Type: "
