Keep the tests of partners off ports that were closed

Two tests of partner_test.cc failed in one run of test_gateway: the host that is to stand for another one received a request in the form for upstreams (without the key). The fixture closes the listeners of a and b to make them unreachable, and a listener that is opened later, by the test or by another process, may get such a port, so that the upstream is reachable again.

The upstreams are now announced at a port at which nothing listens, 127.0.0.1:1. No check is changed.

The reuse of the port itself was not observed, only its effect.

--- a/tests/foxquay/gateway/partner_test.cc
+++ b/tests/foxquay/gateway/partner_test.cc
@@ -14,8 +14,7 @@
     REQUIRE_FALSE(partner.ListenForPartners("127.0.0.1:0"));
     partner.SetUpstreams({Announce("c", c)});
     proxies.push_back(&partner);
-    a.server.StopAccepting();
-    b.server.StopAccepting();
+    proxy.SetUpstreams({Unreachable("a"), Unreachable("b")});
     proxy.SetPartners(core::HostId("self"),
                       {{core::HostId("partner"), partner.partner_address()}});
   }
