--- a/tests/foxquay/control/content_share_test.cc
+++ b/tests/foxquay/control/content_share_test.cc
@@ -90,7 +90,7 @@
     for (std::size_t index = 0; index < kHosts; ++index) {
       const core::HostId host(std::to_string(index));
       const core::Instant now = At(start + static_cast<int>(index) * 2);
-      const auto newest = static_cast<std::uint64_t>(start / 100 + 1);
+      const std::uint64_t newest = static_cast<std::uint64_t>(start) / 100 + 1;
       const std::size_t allowed =
           share.Allowed(host, versions.at(index), now, true);
       const std::size_t bytes = allowed < kBytes ? 0 : kBytes;
