--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -43,6 +43,7 @@
   }
   const std::size_t controls = candidates.size();
   std::vector<core::HostId> control_hosts;
+  control_hosts.reserve(controls);
   for (const membership::ParentCandidate& candidate : candidates) {
     control_hosts.push_back(candidate.host);
   }
--- a/tests/foxquay/daemon/control_disk_test.cc
+++ b/tests/foxquay/daemon/control_disk_test.cc
@@ -55,6 +55,18 @@
         {consensus::WriteId(write_id),
          {1, {}, index, {{1, schema::EntryKind::kCommand, {}, "c"}}}});
   }
+  /// Saves a snapshot of the entries up to `index`, which is the last one.
+  void SaveSnapshot(std::uint64_t write_id, std::uint64_t index) {
+    consensus::SaveSnapshot save;
+    save.write_id = consensus::WriteId(write_id);
+    save.snapshot.meta.index = index;
+    save.snapshot.meta.term = 1;
+    save.snapshot.data = std::string(100'000, 's');
+    save.snapshot.meta.size = save.snapshot.data.size();
+    save.log.push_back({1, {}, index + 1, {}});
+    disk_->SaveSnapshot(std::move(save));
+  }
+
   /// Returns whether a write is confirmed within `limit`.
   [[nodiscard]] bool Confirms(std::uint64_t write_id, milliseconds limit) {
     constexpr milliseconds kPause(10);
@@ -102,4 +114,31 @@
   CHECK(disk.Restart().entries.size() == 3);
 }
 
+// A snapshot that did not fit held up all later records, on all replicas at
+// about the same entry, although there was room for records.
+TEST_CASE("records are confirmed although a snapshot does not fit") {
+  LimitedDisk disk;
+  disk.Persist(1, 1);
+  REQUIRE(disk.Confirms(1, milliseconds(5000)));
+  constexpr rlim_t kRoomForRecords = 50'000;
+  disk.SetLimit(kRoomForRecords);
+  disk.Persist(2, 2);
+  disk.SaveSnapshot(3, 2);
+  disk.Persist(4, 3);
+  CHECK(disk.Confirms(4, milliseconds(2000)));
+  disk.Stop();
+  const auto without = disk.Restart();
+  CHECK(without.snapshot.meta.index == 0);
+  CHECK(without.entries.size() == 3);
+
+  disk.MakeRoom();
+  disk.Persist(5, 4);
+  disk.SaveSnapshot(6, 4);
+  disk.Persist(7, 5);
+  disk.Stop();
+  const auto with = disk.Restart();
+  CHECK(with.snapshot.meta.index == 4);
+  CHECK(with.entries.size() == 1);
+}
+
 }  // namespace foxquay::daemon
--- a/tests/foxquay/membership/control_outage_test.cc
+++ b/tests/foxquay/membership/control_outage_test.cc
@@ -1,7 +1,9 @@
 #include "foxquay/membership/control_outage.h"
 
 #include <catch2/catch.hpp>
+#include <cstddef>
 #include <string>
+#include <vector>
 
 namespace foxquay::membership {
 namespace {
@@ -12,6 +14,7 @@
 
 std::vector<core::HostId> Controls(int count) {
   std::vector<core::HostId> controls;
+  controls.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) controls.emplace_back(std::to_string(i));
   return controls;
 }
