--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,32 +1,27 @@
-"""A heartbeat of another writer for a service that isn't named."""
+"""The keys of all tenants are taken away, one tenant after the other."""
 import asyncio
-import json
 import os
 import sys
-import time
 
 from cluster import Cluster
-from wire import NOW, Client, Operator, Record, Worker, await_serving, call, config
+from wire import NOW, Client, Operator, Record, Worker, await_serving, config
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "desk.example"
 TARGET = "/app/safe/stock"
-IN_FORCE = 2.0  # drain_ms, config_apply_ms
-WATCH = 15.0
+REVOKE = 5.0  # revoke_ms
+TENANTS = ("tenant-1", "tenant-2", "tenant-3")
 
 
-async def write_odd_entries(cluster, workers, record):
-    """One heartbeat for each worker's id; its service is in no configuration."""
-    for worker in workers:
-        body = {"service": "not-a-service", "address": worker.address, "zone": "zone-1",
-                "version": "v0", "slots": 6, "state": "ready", "cold_left_ms": 0,
-                "seq": 1, "born": int(time.time() * 1000)}
-        for control in cluster.control_addresses():
-            answer = await call(control, "PUT", f"/v1/instances/{worker.ident}",
-                                {"Content-Type": "application/json"},
-                                json.dumps(body).encode())
-            record.note(f"odd entry for {worker.ident} to {control}: "
-                        f"{answer.status if answer else 'no answer'}")
+def key_of(tenant):
+    return "key-of-" + tenant
+
+
+def with_tenants(version, tenants):
+    content = config(version, HOST)
+    content["tenants"] = [{"name": tenant, "api_keys": [key_of(tenant)], "priority": 1}
+                          for tenant in tenants]
+    return content
 
 
 async def main():
@@ -36,42 +31,60 @@
     try:
         await cluster.start_all()
         controls = cluster.control_addresses()
-        await Operator(controls).put(config(1, HOST))
+        operator = Operator(controls)
+        await operator.put(with_tenants(1, TENANTS))
         for number in range(3):
             worker = Worker(record, controls, f"127.13.{number + 1}.1", "app")
             await worker.start()
             workers.append(worker)
-        client = Client(record, cluster.front_addresses(), HOST)
-        if not await await_serving(client, TARGET, cluster.front_addresses()):
+        fronts = cluster.front_addresses()
+        client = Client(record, fronts, HOST)
+        client_key = key_of(TENANTS[-1])
+
+        class KeyedClient(Client):
+            async def send(self, front, method, target, **more):
+                more.setdefault("key", client_key)
+                return await super().send(front, method, target, **more)
+
+        if not await await_serving(KeyedClient(record, fronts, HOST), TARGET, fronts):
             record.note("the cluster does not serve")
             return 2
-        await asyncio.sleep(4)
-        begin = NOW()
-        if TROUBLE:
-            await write_odd_entries(cluster, workers, record)
-        odd_at = NOW()
+        revoked = {}  # key -> time of the acknowledgement
+        removals = len(TENANTS) if TROUBLE else len(TENANTS) - 1
+        sent = []  # (request, key, time sent)
+        for removed in range(1, removals + 1):
+            acked = await operator.put(with_tenants(1 + removed, TENANTS[removed:]))
+            revoked[key_of(TENANTS[removed - 1])] = acked
+            record.note(f"version {1 + removed} acknowledged; tenants left: "
+                        f"{list(TENANTS[removed:])}")
+            await asyncio.sleep(1.5)
+        last = max(revoked.values())
         tasks = []
-        while NOW() < odd_at + WATCH:
-            for front in cluster.front_addresses():
-                tasks.append(asyncio.create_task(client.send(front, "GET", TARGET)))
-            await asyncio.sleep(0.25)
+
+        async def ask(front, key):
+            at = NOW()
+            ident, _ = await client.send(front, "GET", TARGET, key=key)
+            sent.append((ident, key, at))
+
+        while NOW() < last + REVOKE + 3:
+            for front in fronts:
+                for key in [*revoked, "key-that-never-was"]:
+                    tasks.append(asyncio.create_task(ask(front, key)))
+            await asyncio.sleep(0.5)
         await asyncio.gather(*tasks)
-        # From here on each worker has said anew, with an acknowledgement, that
-        # it is ready, and that had time to be in force.
-        settled = max(min((ack for sent, ack, state, _ in worker.acks
-                           if sent > odd_at and state == "ready"), default=NOW())
-                      for worker in workers) + IN_FORCE
-        judged = [ident for ident, sent in record.sent.items()
-                  if settled < sent[0] < odd_at + WATCH - 1.5]
-        served = [ident for ident in judged if record.answers[ident][1] == 200]
-        ran = [ident for ident in judged if ident in record.runs]
-        record.note(f"from {settled - record.start:.1f} s on {len(judged)} sound requests: "
-                    f"{len(served)} served, {len(ran)} run; trouble from "
-                    f"{begin - record.start:.1f} s")
+        late = [(ident, key) for ident, key, at in sent
+                if at > revoked.get(key, 0.0) + REVOKE]
+        run = [(ident, key) for ident, key in late if ident in record.runs]
+        for ident, key in run:
+            record.note(f"{ident} with {key} was run later than revoke_ms after its key was "
+                        "taken away, or with a key that no configuration held")
+        keys = sorted({key for _, key in run})
+        record.note(f"{len(late)} requests with a key that is in no configuration for over "
+                    f"revoke_ms; {len(run)} of them ran ({', '.join(keys)})")
         print(record.lines[-1][1])
-        if len(judged) < 30:
+        if len(late) < 20:
             return 2
-        return 1 if len(served) < len(judged) / 2 else 0
+        return 1 if run else 0
     finally:
         for worker in workers:
             await worker.stop()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,91 +1,130 @@
-"""The keys of all tenants are taken away, one tenant after the other."""
+"""The control process that acknowledged a worker's DELETE is killed."""
 import asyncio
+import json
 import os
 import sys
 
 from cluster import Cluster
-from wire import NOW, Client, Operator, Record, Worker, await_serving, config
+from wire import NOW, Client, Operator, Record, Worker, await_serving, call, config
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "desk.example"
 TARGET = "/app/safe/stock"
-REVOKE = 5.0  # revoke_ms
-TENANTS = ("tenant-1", "tenant-2", "tenant-3")
+DRAIN = 2.0  # drain_ms
+BACK = 0.5  # a killed process is back after
+SERVES = 11.0  # how long the worker serves after it has left
+INTERVAL = 1.0  # between two requests at one entry machine
 
 
-def key_of(tenant):
-    return "key-of-" + tenant
+class SilentProxy:
+    """Takes bytes and passes none on."""
 
+    async def start(self):
+        self.server = await asyncio.start_server(self.take, "127.14.0.1", 0)
+        self.address = "127.14.0.1:%d" % self.server.sockets[0].getsockname()[1]
 
-def with_tenants(version, tenants):
-    content = config(version, HOST)
-    content["tenants"] = [{"name": tenant, "api_keys": [key_of(tenant)], "priority": 1}
-                          for tenant in tenants]
-    return content
+    async def take(self, reader, writer):
+        await reader.read()
+        writer.close()
+
+    def stop(self):
+        self.server.close()
+
+
+class LeavingWorker(Worker):
+    """Sends DELETE first, and goes on serving for a while."""
+
+    leaving = False
+
+    def stamp(self, ident):
+        left = {"Server-Leaving": "1"} if self.leaving else {}
+        return {**super().stamp(ident), **left}
+
+    async def put(self, address):
+        return await call(address, "PUT", f"/v1/instances/{self.ident}",
+                          {"Content-Type": "application/json"},
+                          json.dumps(self.announcement()).encode())
+
+    async def leave(self, lossy_path):
+        """One more heartbeat, the next node if it isn't acknowledged, and DELETE."""
+        self.beating.cancel()
+        await self.put(self.controls[self.node])
+        await asyncio.sleep(1.2)
+        if await self.put(lossy_path) is None:
+            self.record.note("a heartbeat was not acknowledged within a second")
+            self.node = (self.node + 1) % 3
+            await self.put(self.controls[self.node])
+        await asyncio.sleep(0.6)
+        self.leaving = True
+        answer = await call(self.controls[self.node], "DELETE",
+                            f"/v1/instances/{self.ident}")
+        self.record.note(f"DELETE of {self.ident} answered with "
+                         f"{answer.status if answer else 'nothing'}")
+        return NOW() if answer is not None and answer.status == 200 else None
 
 
 async def main():
     record = Record()
     cluster = Cluster()
-    workers = []
+    workers, proxy = [], None
     try:
         await cluster.start_all()
-        controls = cluster.control_addresses()
-        operator = Operator(controls)
-        await operator.put(with_tenants(1, TENANTS))
-        for number in range(3):
-            worker = Worker(record, controls, f"127.13.{number + 1}.1", "app")
+        controls, fronts = cluster.control_addresses(), cluster.front_addresses()
+        await Operator(controls).put(config(1, HOST))
+        leaver = LeavingWorker(record, controls, "127.13.1.1", "app")
+        workers = [leaver, Worker(record, controls, "127.13.2.1", "app"),
+                   Worker(record, controls, "127.13.3.1", "app")]
+        for worker in workers:
             await worker.start()
-            workers.append(worker)
-        fronts = cluster.front_addresses()
         client = Client(record, fronts, HOST)
-        client_key = key_of(TENANTS[-1])
-
-        class KeyedClient(Client):
-            async def send(self, front, method, target, **more):
-                more.setdefault("key", client_key)
-                return await super().send(front, method, target, **more)
-
-        if not await await_serving(KeyedClient(record, fronts, HOST), TARGET, fronts):
+        if not await await_serving(client, TARGET, fronts):
             record.note("the cluster does not serve")
             return 2
-        revoked = {}  # key -> time of the acknowledgement
-        removals = len(TENANTS) if TROUBLE else len(TENANTS) - 1
-        sent = []  # (request, key, time sent)
-        for removed in range(1, removals + 1):
-            acked = await operator.put(with_tenants(1 + removed, TENANTS[removed:]))
-            revoked[key_of(TENANTS[removed - 1])] = acked
-            record.note(f"version {1 + removed} acknowledged; tenants left: "
-                        f"{list(TENANTS[removed:])}")
-            await asyncio.sleep(1.5)
-        last = max(revoked.values())
+        await asyncio.sleep(5)
         tasks = []
 
-        async def ask(front, key):
-            at = NOW()
-            ident, _ = await client.send(front, "GET", TARGET, key=key)
-            sent.append((ident, key, at))
-
-        while NOW() < last + REVOKE + 3:
-            for front in fronts:
-                for key in [*revoked, "key-that-never-was"]:
-                    tasks.append(asyncio.create_task(ask(front, key)))
-            await asyncio.sleep(0.5)
-        await asyncio.gather(*tasks)
-        late = [(ident, key) for ident, key, at in sent
-                if at > revoked.get(key, 0.0) + REVOKE]
-        run = [(ident, key) for ident, key in late if ident in record.runs]
-        for ident, key in run:
-            record.note(f"{ident} with {key} was run later than revoke_ms after its key was "
-                        "taken away, or with a key that no configuration held")
-        keys = sorted({key for _, key in run})
-        record.note(f"{len(late)} requests with a key that is in no configuration for over "
-                    f"revoke_ms; {len(run)} of them ran ({', '.join(keys)})")
-        print(record.lines[-1][1])
-        if len(late) < 20:
+        async def ask(front):
+            while True:
+                await asyncio.sleep(INTERVAL)
+                await client.send(front, "GET", TARGET)
+
+        for front in fronts:
+            tasks.append(asyncio.create_task(ask(front)))
+        await asyncio.sleep(3)
+        proxy = SilentProxy()
+        await proxy.start()
+        acked = await leaver.leave(proxy.address)
+        if acked is None:
             return 2
-        return 1 if run else 0
+        await asyncio.sleep(0.5)
+        if TROUBLE:
+            machine = cluster.controls[leaver.node]
+            record.note(f"the process of {machine} is killed")
+            await cluster.kill(machine)
+            await asyncio.sleep(BACK)
+            await cluster.start(machine)
+            record.note(f"the process of {machine} is started")
+        await asyncio.sleep(SERVES)
+        for task in tasks:
+            task.cancel()
+        late = []
+        for ident, runs in record.runs.items():
+            sent = record.sent.get(ident)
+            late += [(ident, at) for at, worker in runs
+                     if worker == leaver.ident and at > acked + DRAIN
+                     and sent and sent[0] > acked + DRAIN]
+        for ident, at in late:
+            record.note(f"{ident} ran at {leaver.ident} {at - acked:.1f} s after its DELETE "
+                        "was acknowledged")
+        record.note(f"{len(late)} requests reached the worker later than drain_ms after the "
+                    "acknowledgement that it is gone"
+                    + (f", from {late[0][1] - acked:.1f} to {late[-1][1] - acked:.1f} s"
+                       if late else ""))
+        print(record.lines[-1][1])
+        return 1 if late else 0
     finally:
+        if proxy is not None:
+            proxy.stop()
         for worker in workers:
             await worker.stop()
         await cluster.stop_all()
