--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A heartbeat of a worker arrives seconds late, after the worker has left."""
+"""The control process that acknowledged a worker's DELETE is killed."""
 import asyncio
 import json
 import os
@@ -11,33 +11,20 @@
 HOST = "desk.example"
 TARGET = "/app/safe/stock"
 DRAIN = 2.0  # drain_ms
-LATE = 6.0  # how late the heartbeat arrives
-SERVES = 13.0  # how long the worker serves after it has left
+BACK = 0.5  # a killed process is back after
+SERVES = 14.0  # how long the worker serves after it has left
 INTERVAL = 1.0  # between two requests at one entry machine
 
 
-class DelayingProxy:
-    """Passes bytes on to a machine, late; also those of a caller that has left."""
-
-    def __init__(self, target, delay):
-        self.target, self.delay, self.tasks = target, delay, []
+class SilentProxy:
+    """Takes bytes and passes none on."""
 
     async def start(self):
-        self.server = await asyncio.start_server(self.carry, "127.14.0.1", 0)
+        self.server = await asyncio.start_server(self.take, "127.14.0.1", 0)
         self.address = "127.14.0.1:%d" % self.server.sockets[0].getsockname()[1]
 
-    async def carry(self, reader, writer):
-        data = await reader.read(65536)
-        await asyncio.sleep(self.delay)
-        ip, port = self.target.rsplit(":", 1)
-        onward, out = await asyncio.open_connection(ip, int(port))
-        out.write(data)
-        try:
-            writer.write(await asyncio.wait_for(onward.read(65536), 2))
-            await writer.drain()
-        except (OSError, asyncio.TimeoutError):
-            pass
-        out.close()
+    async def take(self, reader, writer):
+        await reader.read()
         writer.close()
 
     def stop(self):
@@ -58,15 +45,18 @@
                           {"Content-Type": "application/json"},
                           json.dumps(self.announcement()).encode())
 
-    async def leave(self, late_path):
+    async def leave(self, lossy_path):
         """One more heartbeat, the next node if it isn't acknowledged, and DELETE."""
         self.beating.cancel()
-        if await self.put(late_path) is None:
+        await self.put(self.controls[self.node])
+        await asyncio.sleep(1.2)
+        if await self.put(lossy_path) is None:
             self.record.note("a heartbeat was not acknowledged within a second")
-            await self.put(self.controls[(self.node + 1) % 3])
-        await asyncio.sleep(0.5)
+            self.node = (self.node + 1) % 3
+            await self.put(self.controls[self.node])
+        await asyncio.sleep(0.6)
         self.leaving = True
-        answer = await call(self.controls[(self.node + 1) % 3], "DELETE",
+        answer = await call(self.controls[self.node], "DELETE",
                             f"/v1/instances/{self.ident}")
         self.record.note(f"DELETE of {self.ident} answered with "
                          f"{answer.status if answer else 'nothing'}")
@@ -101,11 +91,19 @@
         for front in fronts:
             tasks.append(asyncio.create_task(ask(front)))
         await asyncio.sleep(3)
-        proxy = DelayingProxy(controls[leaver.node], LATE if TROUBLE else 0)
+        proxy = SilentProxy()
         await proxy.start()
         acked = await leaver.leave(proxy.address)
         if acked is None:
             return 2
+        await asyncio.sleep(0.5)
+        if TROUBLE:
+            machine = cluster.controls[leaver.node]
+            record.note(f"the process of {machine} is killed")
+            await cluster.kill(machine)
+            await asyncio.sleep(BACK)
+            await cluster.start(machine)
+            record.note(f"the process of {machine} is started")
         await asyncio.sleep(SERVES)
         for task in tasks:
             task.cancel()
