--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,10 +1,9 @@
 """The keys of all tenants are taken away, one tenant after the other."""
 import asyncio
 import os
-import sys
 
 from cluster import Cluster
-from wire import NOW, Client, Operator, Record, Worker, await_serving, config
+from wire import NOW, Client, Operator, Record, Worker, await_serving, config, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "desk.example"
@@ -92,4 +91,4 @@
         record.write(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"))
 
 
-sys.exit(asyncio.run(main()))
+run_case(main)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,11 +2,10 @@
 import asyncio
 import os
 import random
-import sys
 
 from cluster import Cluster
 from model import ModelWorker, model_config
-from wire import NOW, Operator, Record, call
+from wire import NOW, Operator, Record, call, run_case
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "desk.example"
@@ -124,4 +123,4 @@
         record.write(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"))
 
 
-sys.exit(asyncio.run(main()))
+run_case(main)
--- a/review/common/wire.py
+++ b/review/common/wire.py
@@ -3,6 +3,7 @@
 import itertools
 import json
 import random
+import sys
 import time
 
 NOW = time.monotonic
@@ -271,3 +272,13 @@
         else:
             await asyncio.sleep(0.1)
     return not left
+
+
+def run_case(main):
+    """Exits with the result of `main`, or with 2 if it fails to run."""
+    try:
+        code = asyncio.run(main())
+    except Exception as error:  # noqa: BLE001
+        print("the case couldn't run:", repr(error))
+        code = 2
+    sys.exit(code)
