Let streams that have begun wait until their deadline

Cause: the limits on sends (five, also those that an upstream has not run), unsent sends, held requests and partners, and the second for which a begun stream is held, each ended it. They suit requests that can be refused and come back; a stream of which the caller has a part cannot.

Why it works: such a stream has a state of its own, in which only its deadline, a crash or a quarantine ends it.

"a stream without retries left waits for an allowance" demanded the cut after a second; it now demands that the stream lasts until its deadline, and is as strict: it fails on the code before. "a stream that has begun gets the next place" guards the order of waiting requests.

--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -140,10 +140,14 @@
   return request;
 }
 
-void Proxy::Execute(core::RequestId id, const relay::Hold&) {
+void Proxy::Execute(core::RequestId id, const relay::Hold& hold) {
   const Job& job = jobs_.at(id);
   log::Write(log::Level::kInfo, "request_held",
-             {{"request", job.caller.id}, {"waiting", relay_.held()}});
+             {{"request", job.caller.id},
+              {"waiting", relay_.held()},
+              {"sends", job.sends},
+              {"events", job.filter ? job.filter->passed() : 0},
+              {"reason", hold.reason}});
   AskForLeave();
 }
 
@@ -285,13 +289,16 @@
   }
   if (events.empty()) return;
   const core::Instant now = net::SteadyNow();
-  if (job.event_received) relay_.RecordLatency(id, now - job.last_event, now);
+  if (job.event_received) {
+    relay_.RecordLatency(id, now - job.last_event, now);
+  } else {
+    relay_.BeginAnswer(id, now);
+  }
   job.event_received = true;
   job.last_event = now;
   const net::ExchangeId exchange = job.exchange;
   if (!job.head_sent) {
     job.head_sent = true;
-    relay_.BeginAnswer(id, now);
     registry_.Record(metrics::Series::kFirstToken, job.workspace,
                      core::TrafficClass{}, now - job.arrived);
     server_.Start(exchange, job.response);
--- a/src/foxquay/relay/decision.h
+++ b/src/foxquay/relay/decision.h
@@ -59,7 +59,9 @@
 };
 
 /// Keep the request waiting until a later decision.
-struct Hold {};
+struct Hold {
+  std::string reason;
+};
 
 /// Refuse the request and end it.
 struct Refuse {
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -11,9 +11,9 @@
 /// Sends of one request that reach no upstream before it is given up.
 constexpr unsigned kMaxUnsent = 3;
 
-/// Maximum number of sends of one stream that reach an upstream. Returning to
-/// an upstream that the stream has already reached uses no attempt of its
-/// route.
+/// Maximum number of sends of one stream that reach an upstream before its
+/// answer begins, and of those that move it while it stalls. Returning to an
+/// upstream that the stream has already reached uses no attempt of its route.
 constexpr unsigned kMaxStreamSends = 5;
 
 /// Retry-After when all upstreams are busy: about the length of a stream.
@@ -39,12 +39,6 @@
 constexpr core::Duration kFailedSendRetryAfter =
     std::chrono::milliseconds(1000);
 
-/// Returns whether a request of the route may run more than once.
-bool Repeatable(const schema::Route& route) {
-  return route.kind == schema::RequestKind::kRepeatable ||
-         (route.kind == schema::RequestKind::kStream && route.resumable);
-}
-
 }  // namespace internal
 
 const char* Name(LossKind kind) noexcept {
@@ -99,6 +93,9 @@
 Decision Relay::Route(core::RequestId id, State& state, core::Instant now) {
   const RequestContext& context = state.context;
   if (auto refusal = RefuseQuarantined(id, state, now)) return *refusal;
+  if (Resumes(state) && now < state.next_send) {
+    return HoldOrGiveUp(id, state, "pause after sends without an event", now);
+  }
   if (state.awaits_budget && !budget_.TakeRetry(context.service->id, now)) {
     return HoldOrGiveUp(id, state, "budget of repeated sends is spent", now);
   }
@@ -113,7 +110,7 @@
   }
   if (AwaitsLeave(state, now)) {
     if (!state.held) BeginHold(state, now);
-    return Hold{};
+    return Hold{"no leave to use limited upstreams"};
   }
   NoPath reason = NoPath::kNoUpstream;
   std::vector<Hop> hops = upstreams_.ChoosePath(
@@ -123,7 +120,7 @@
     state.held = false;
     state.hops = std::move(hops);
     upstreams_.Begin(state.hops, context.work, now);
-    const bool reuse = internal::Repeatable(*context.route);
+    const bool reuse = Repeatable(*context.route);
     return Send{state.hops, state.sends + state.unsent + 1, reuse};
   }
   if (reason != NoPath::kBusy && !state.held && !state.answer_begun) {
@@ -139,22 +136,23 @@
 Decision Relay::HoldOrGiveUp(core::RequestId id, State& state,
                              const std::string& reason, core::Instant now) {
   const RequestContext& context = state.context;
+  const bool resumes = Resumes(state);
   if (!state.held) {
-    if (held_ >= kMaxHeld) {
+    if (held_ >= kMaxHeld && !resumes) {
       return GiveUp(id, "too many requests wait", internal::kBusyRetryAfter,
                     now);
     }
     BeginHold(state, now);
   }
   // A request that was held for a leave has not been checked yet. A stream that
-  // has begun waits for the next leave, as it cannot come back.
-  const bool resumes = state.answer_begun && state.leave_asked_at;
+  // has begun cannot come back, so it waits for what may change until its
+  // deadline.
   if (!std::exchange(state.acceptance_checked, true) && !resumes &&
       !upstreams_.AcceptsBy(*context.service, now, state.hold_deadline)) {
     return GiveUp(id, "the upstreams ask for no requests",
                   ReturnTime(context.service->id, now), now);
   }
-  if (now < state.hold_deadline) return Hold{};
+  if (now < state.hold_deadline) return Hold{reason};
   return GiveUp(id, reason, ReturnTime(context.service->id, now), now);
 }
 
@@ -168,7 +166,7 @@
                      std::chrono::duration_cast<core::Duration>(
                          context.deadline - now) /
                          4);
-  if (state.answer_begun) state.hold_deadline = now + std::chrono::seconds(1);
+  if (Resumes(state)) state.hold_deadline = context.deadline;
 }
 
 bool Relay::AwaitsLeave(State& state, core::Instant now) {
@@ -217,20 +215,20 @@
       !recorder_.Trusts(state.context.service->id, state.context.parts, now)) {
     return false;
   }
+  if (Resumes(state)) return true;
   if (kind == LossKind::kNotSent) return state.unsent < internal::kMaxUnsent;
   const unsigned max_sends = route.kind == schema::RequestKind::kStream
                                  ? internal::kMaxStreamSends
                                  : std::max(1U, route.max_attempts);
   if (state.sends >= max_sends) return false;
-  return kind == LossKind::kNotRun || internal::Repeatable(route);
+  return kind == LossKind::kNotRun || Repeatable(route);
 }
 
 std::optional<Send> Relay::Move(core::RequestId id, core::Instant now) {
   State& state = requests_.at(id);
   if (state.partner || outdated_) return std::nullopt;
   const RequestContext& context = state.context;
-  const bool movable = internal::Repeatable(*context.route) &&
-                       !state.hops.empty() &&
+  const bool movable = Repeatable(*context.route) && !state.hops.empty() &&
                        state.sends + 1 < internal::kMaxStreamSends &&
                        budget_.CanRetry(context.service->id, now);
   if (!movable) return std::nullopt;
@@ -287,6 +285,7 @@
     if (loss.kind != LossKind::kNotRun) state.may_have_run = true;
     AttributeLoss(loss.kind, fault, hops, now);
   }
+  if (Resumes(state)) DelayResume(state, now);
   if (!MayRetry(state, loss, now)) {
     if (loss.kind == LossKind::kNotSent) {
       if (const auto send = PassToPartner(state, now)) return *send;
@@ -351,6 +350,7 @@
   if (found == requests_.end()) return;
   State& state = found->second;
   state.answer_begun = true;
+  state.fruitless = 0;
   recorder_.RecordAnswer(state.context.service->id, state.context.parts, now);
 }
 
@@ -410,13 +410,16 @@
 std::vector<std::pair<core::RequestId, Decision>> Relay::Review(
     core::Instant now) {
   std::vector<std::pair<core::RequestId, Decision>> decisions;
-  std::vector<std::tuple<std::uint32_t, core::Instant, core::RequestId>> order;
+  std::vector<std::tuple<bool, std::uint32_t, core::Instant, core::RequestId>>
+      order;
   std::vector<core::RequestId> expired;
   for (auto& [id, state] : requests_) {
     if (now >= state.context.deadline) {
       expired.push_back(id);
     } else if (state.held) {
-      order.emplace_back(state.context.priority, state.context.arrived, id);
+      // Streams that have begun go first: they cannot come back.
+      order.emplace_back(!Resumes(state), state.context.priority,
+                         state.context.arrived, id);
     }
   }
   for (const core::RequestId id : expired) {
@@ -435,7 +438,7 @@
     RefuseSent(decisions, now);
   }
   std::sort(order.begin(), order.end());
-  for (const auto& [priority, arrived, id] : order) {
+  for (const auto& [first_send, priority, arrived, id] : order) {
     Decision decision = Route(id, requests_.at(id), now);
     if (std::holds_alternative<Hold>(decision)) continue;
     decisions.emplace_back(id, std::move(decision));
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -115,7 +115,8 @@
   /// Decides on a new request. Precondition: the id is new.
   [[nodiscard]] Decision Arrive(core::RequestId id, RequestContext context,
                                 core::Instant now);
-  /// Records that the first part of the answer was passed on to the caller.
+  /// Records that the first part of the answer, or of its continuation by a
+  /// further send, was passed on to the caller.
   void BeginAnswer(core::RequestId id, core::Instant now);
   /// Records what an upstream has asked for in the head of an answer: that it
   /// leaves, or a pause. Returns whether that is new.
@@ -175,8 +176,11 @@
     std::vector<Hop> hops;
     std::vector<core::UpstreamId> attempted;  ///< First hops that it reached.
     std::optional<core::UpstreamId> failed;  ///< The last of them if it failed.
-    unsigned sends = 0;         ///< Sends that reached an upstream.
-    unsigned unsent = 0;        ///< Sends that reached none.
+    unsigned sends = 0;      ///< Sends that reached an upstream.
+    unsigned unsent = 0;     ///< Sends that reached none.
+    unsigned fruitless = 0;  ///< Sends since the last part of the answer.
+    /// When a stream that has begun may be sent again.
+    core::Instant next_send;
     bool may_have_run = false;  ///< An upstream may have run it.
     bool answer_begun = false;  ///< The caller has received a part.
     bool held = false;          ///< It waits for a path or a retry.
@@ -220,11 +224,22 @@
   [[nodiscard]] bool AwaitsLeave(State& state, core::Instant now);
   /// Lets the request wait.
   void BeginHold(State& state, core::Instant now);
-  /// Keeps the request waiting, or gives it up for `reason` if it has waited
+  /// Keeps the request waiting for `reason`, or gives it up if it has waited
   /// for too long. A retry is worth a wait: the control host that this host
   /// follows grants more within the interval of its polls.
   Decision HoldOrGiveUp(core::RequestId id, State& state,
                         const std::string& reason, core::Instant now);
+  /// Returns whether a request of the route may run more than once.
+  [[nodiscard]] static bool Repeatable(const schema::Route& route);
+  /// Returns whether the caller has a part of a stream that a further send
+  /// continues. Such a request is sent again, or waits, until its deadline.
+  [[nodiscard]] static bool Resumes(const State& state);
+  /// Lets a stream that has begun pause before its next send if several have
+  /// brought no event.
+  void DelayResume(State& state, core::Instant now);
+  /// Lets a stream that has begun pause before its next send, which may go to
+  /// hosts that could not serve it before.
+  void PauseResume(State& state, core::Instant now);
   /// Returns the time after which a caller that is refused for want of a place
   /// finds one.
   [[nodiscard]] core::Duration ReturnTime(const core::ServiceId& service,
--- a/src/foxquay/relay/relay_partners.cc
+++ b/src/foxquay/relay/relay_partners.cc
@@ -79,7 +79,7 @@
   const bool outdated = state.context.outdated;
   if (!outdated && !outdated_) return std::nullopt;
   if (const auto send = PassToPartner(state, now)) return *send;
-  if (outdated) {
+  if (outdated && !Resumes(state)) {
     return GiveUp(id, "the configuration may be outdated",
                   internal::kOutdatedRetryAfter, now);
   }
@@ -87,12 +87,15 @@
 }
 
 std::optional<Send> Relay::PassToPartner(State& state, core::Instant now) {
+  if (state.context.relayed) return std::nullopt;
   const bool possible =
-      !state.context.relayed &&
       state.partners_tried.size() < internal::kMaxPartnersTried;
-  if (!possible) return std::nullopt;
-  const auto partner = partners_.Choose(state.partners_tried, now);
-  if (!partner) return std::nullopt;
+  const auto partner =
+      possible ? partners_.Choose(state.partners_tried, now) : std::nullopt;
+  if (!partner) {
+    if (Resumes(state) && !partners_.empty()) PauseResume(state, now);
+    return std::nullopt;
+  }
   if (state.held) --held_;
   state.held = false;
   state.partner = partner->host;
@@ -111,6 +114,7 @@
   State& state = requests_.at(id);
   partners_.RecordFailure(*state.partner, now);
   Release(state);
+  if (Resumes(state)) DelayResume(state, now);
   if (loss.kind == LossKind::kNotSent) {
     ++state.unsent;
   } else {
