Keep acknowledged leaves independently of the host that acknowledged them

Cause: a leave lived in the feed of the host that received it, for 10 s and until that host's next start. The stale entry of a control host that had the upstream's earlier heartbeats then counted again, and probes kept it alive.

A withdrawal that nothing can be recorded of is refused instead of acknowledged.

--- a/src/foxquay/daemon/control_leaves.cc
+++ b/src/foxquay/daemon/control_leaves.cc
@@ -31,13 +31,19 @@
 }
 
 void ControlNode::Withdraw(const core::UpstreamId& upstream,
-                           std::function<void()> done) {
-  boost::asio::post(context_, [this, upstream, called = Now(),
-                               done = std::move(done)]() mutable {
-    const core::Instant now = Now();
-    if (roster_.Leave(upstream, now)) PublishRoster(now);
-    if (done) AwaitSpread(upstream, called, std::move(done));
-  });
+                           std::function<void(bool known)> done) {
+  boost::asio::post(context_,
+                    [this, upstream, called = Now(), done = std::move(done)] {
+                      const core::Instant now = Now();
+                      const bool known = roster_.Leave(upstream, now);
+                      if (known) PublishRoster(now);
+                      if (!done) return;
+                      if (known) {
+                        AwaitSpread(upstream, called, [done] { done(true); });
+                      } else {
+                        done(false);
+                      }
+                    });
 }
 
 void ControlNode::AwaitSpread(const core::UpstreamId& upstream,
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -86,6 +86,11 @@
   return settings.limits.revocation * 9 / 10;
 }
 
+bool HasRole(const schema::Settings& settings, schema::Role role) {
+  const auto& roles = settings.host.roles;
+  return std::find(roles.begin(), roles.end(), role) != roles.end();
+}
+
 /// With seeds, an announced upstream stays usable for the duration of a
 /// configuration lease; without seeds the shorter bound of the roster applies.
 roster::Options RosterOptions(const schema::Settings& settings) {
@@ -94,14 +99,11 @@
   if (settings.join.seeds.empty()) return options;
   options.max_feed_age = LeaseDuration(settings);
   options.restart_grace = settings.limits.upstream_silence;
+  options.keeps_leaves = HasRole(settings, schema::Role::kControl) ||
+                         HasRole(settings, schema::Role::kStandby);
   return options;
 }
 
-bool HasRole(const schema::Settings& settings, schema::Role role) {
-  const auto& roles = settings.host.roles;
-  return std::find(roles.begin(), roles.end(), role) != roles.end();
-}
-
 }  // namespace internal
 
 template <class Function>
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -200,9 +200,11 @@
   /// before, `done` does not run.
   void Announce(const schema::Announcement& announcement,
                 std::function<void()> done = {});
-  /// As Announce, for an upstream that withdraws.
+  /// As Announce, for an upstream that withdraws. `done` gets false at once if
+  /// no feed states the upstream: this host cannot make others know which of
+  /// its starts has ended.
   void Withdraw(const core::UpstreamId& upstream,
-                std::function<void()> done = {});
+                std::function<void(bool known)> done = {});
   /// Handles the result of a probe; `probed` is the announcement of the
   /// upstream at that time. An upstream that was reached stays in the roster.
   /// One that was not is withdrawn if it is suspected and has not announced
--- a/src/foxquay/daemon/control_server.cc
+++ b/src/foxquay/daemon/control_server.cc
@@ -18,8 +18,10 @@
 /// try another host.
 constexpr core::Duration kCallTimeout = std::chrono::milliseconds(800);
 
-/// Why an announcement or a withdrawal is refused.
+/// Why an announcement or a withdrawal is refused. Another control host may
+/// know an upstream that is not known here.
 constexpr const char* kCutOff = "this host is cut off from the others";
+constexpr const char* kNotKnown = "the upstream is not known to this host";
 
 net::Response Empty() {
   return net::MakeResponse(200, "application/json", "{}");
@@ -95,8 +97,14 @@
   }
   log::Write(log::Level::kInfo, "upstream_withdrawn",
              {{"upstream", call.upstream}});
-  node_.Withdraw(call.upstream, [this, exchange] {
-    RespondLater(exchange, internal::Empty());
+  node_.Withdraw(call.upstream, [this, exchange,
+                                 upstream = call.upstream](bool known) {
+    if (!known) {
+      log::Write(log::Level::kWarn, "withdrawal_refused",
+                 {{"upstream", upstream}, {"reason", internal::kNotKnown}});
+    }
+    RespondLater(exchange, known ? internal::Empty()
+                                 : internal::Unavailable(internal::kNotKnown));
   });
 }
 
--- a/src/foxquay/roster/roster.cc
+++ b/src/foxquay/roster/roster.cc
@@ -28,6 +28,11 @@
   return same != left || QuantizedLoad(left) != QuantizedLoad(right);
 }
 
+/// Returns how long a feed retains a tombstone.
+core::Duration TombstoneTtl(const schema::Announcement& tombstone) {
+  return EndsStart(tombstone) ? kEndedStartRetention : kTombstoneTtl;
+}
+
 /// Orders the reports of one host by age; the largest is the newest.
 std::pair<std::uint64_t, std::uint64_t> ReportOrder(
     const schema::HostState& state) {
@@ -66,7 +71,7 @@
   entry.version = ++OwnFeed().version;
   ++changes_;
   CheckExpiryAt(entry.heard_at + (announcement.leaving
-                                      ? kTombstoneTtl
+                                      ? TombstoneTtl(announcement)
                                       : options_.announcement_ttl));
 }
 
@@ -214,6 +219,7 @@
 bool Roster::Announce(const schema::Announcement& announcement,
                       core::Instant now) {
   Expire(now);
+  if (ended_.Covers(announcement)) return false;
   const auto [found, inserted] =
       OwnFeed().entries.try_emplace(announcement.id, Entry{});
   Entry& entry = found->second;
@@ -260,7 +266,10 @@
   std::optional<schema::Announcement> leaving = Newest(upstream);
   if (!leaving) return false;
   leaving->leaving = true;
-  if (ends) leaving->sequence |= kStartSequences - 1;
+  if (ends) {
+    leaving = EndOf(*std::move(leaving));
+    ended_.Record(*leaving, now);
+  }
   Entry& entry = OwnFeed().entries[upstream];
   entry.heard_at = now;
   SetAnnouncement(entry, *leaving, FeedChange::kUpstreamLeft);
@@ -317,15 +326,17 @@
   OwnFeed().confirmed_at = now;
   if (now < next_expiry_) return;
   next_expiry_ = core::Instant::max();
+  ended_.Expire(now);
   for (auto& [host, feed] : feeds_) {
     std::erase_if(feed.entries, [this, now, &feed = feed](const auto& item) {
       const Entry& entry = item.second;
       if (!entry.announcement.leaving) return false;
-      const bool expired = now - entry.heard_at > kTombstoneTtl;
+      const core::Duration ttl = TombstoneTtl(entry.announcement);
+      const bool expired = now - entry.heard_at > ttl;
       if (expired) {
         feed.gc_version = std::max(feed.gc_version, entry.version);
       } else {
-        CheckExpiryAt(entry.heard_at + kTombstoneTtl);
+        CheckExpiryAt(entry.heard_at + ttl);
       }
       return expired;
     });
@@ -485,6 +496,7 @@
   if (restarted && !update.complete) return;
   if (restarted) {
     Feed previous = std::exchange(feed, Feed{});
+    KeepEndedStarts(previous, now);
     for (auto& [id, entry] : previous.entries) {
       feed.pre_restart.emplace(id, std::move(entry.announcement));
     }
@@ -503,7 +515,9 @@
   for (const schema::Announcement& change : update.changes) {
     feed.entries[change.id] = {change, update.version, now};
     feed.pre_restart.erase(change.id);
-    if (change.leaving) CheckExpiryAt(now + kTombstoneTtl);
+    if (!change.leaving) continue;
+    CheckExpiryAt(now + TombstoneTtl(change));
+    LearnLeave(change, now);
   }
   for (const schema::HostState& state : update.hosts) {
     feed.hosts[state.address.id] = {state, update.version, now};
@@ -513,6 +527,39 @@
   feed.confirmed_at = std::max(feed.confirmed_at, confirmed_at);
 }
 
+void Roster::LearnLeave(const schema::Announcement& leaving,
+                        core::Instant now) {
+  ended_.Record(leaving, now);
+  const auto own = OwnFeed().entries.find(leaving.id);
+  if (own == OwnFeed().entries.end()) return;
+  Entry& entry = own->second;
+  const bool outranked = !entry.announcement.leaving &&
+                         entry.announcement.sequence <= leaving.sequence;
+  if (!outranked) return;
+  // What this host received before must not count again once the other host's
+  // feed is lost.
+  schema::Announcement ended = entry.announcement;
+  ended.leaving = true;
+  ended.sequence = leaving.sequence;
+  entry.heard_at = now;
+  SetAnnouncement(entry, ended, FeedChange::kUpstreamLeft);
+}
+
+void Roster::KeepEndedStarts(const Feed& lost, core::Instant now) {
+  if (!options_.keeps_leaves) return;
+  for (const auto& [id, former] : lost.entries) {
+    if (!EndsStart(former.announcement)) continue;
+    const auto own = OwnFeed().entries.find(id);
+    const bool known =
+        own != OwnFeed().entries.end() &&
+        own->second.announcement.sequence >= former.announcement.sequence;
+    if (known) continue;
+    Entry& entry = OwnFeed().entries[id];
+    entry.heard_at = now;
+    SetAnnouncement(entry, former.announcement, FeedChange::kUpstreamLeft);
+  }
+}
+
 std::vector<schema::Announcement> Roster::Usable(core::Instant now) {
   Expire(now);
   // Announcements count only in feeds that are fresh, tombstones in all feeds.
@@ -525,7 +572,7 @@
       if (announcement.leaving) {
         std::uint64_t& sequence = tombstones[id];
         sequence = std::max(sequence, announcement.sequence);
-      } else if (fresh) {
+      } else if (fresh && !ended_.Covers(announcement)) {
         const schema::Announcement*& current = newest[id];
         if (current == nullptr || current->sequence < announcement.sequence) {
           current = &announcement;
@@ -554,7 +601,10 @@
 
 void Roster::RemoveFeed(const core::HostId& host) {
   last_polls_.erase(host);
-  if (host == self_ || feeds_.erase(host) == 0) return;
+  const auto found = feeds_.find(host);
+  if (host == self_ || found == feeds_.end()) return;
+  const auto lost = feeds_.extract(found);
+  KeepEndedStarts(lost.mapped(), OwnFeed().confirmed_at);
   ++changes_;
 }
 
--- a/src/foxquay/roster/roster.h
+++ b/src/foxquay/roster/roster.h
@@ -11,6 +11,7 @@
 
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
+#include "foxquay/roster/ended_starts.h"
 #include "foxquay/roster/feed_stats.h"
 #include "foxquay/roster/fwd.h"
 #include "foxquay/schema/announcement.h"
@@ -30,13 +31,9 @@
 /// from the others.
 inline constexpr core::Duration kMaxFeedAge = std::chrono::milliseconds(1000);
 
-/// Size of the blocks of sequences of which the last one ends a start of an
-/// upstream. More than it announces in a month, since other hosts do not know
-/// of announcements that change nothing.
-inline constexpr std::uint64_t kStartSequences = std::uint64_t{1} << 24;
-
-/// Time for which a feed retains the tombstone of an upstream that left. Longer
-/// than an announcement of the upstream can stay usable on any other host.
+/// Time for which a feed retains the tombstone of an upstream that is silent or
+/// left without its start being known to have ended. Longer than an
+/// announcement of the upstream can stay usable on any other host.
 inline constexpr core::Duration kTombstoneTtl = std::chrono::seconds(10);
 
 /// Time since the last report of a host after which the host that received it
@@ -91,6 +88,9 @@
   /// previous feed stay usable until the host receives their announcements
   /// again. Lengthens the bound on silent upstreams by the same time.
   core::Duration restart_grace{};
+  /// Whether other hosts take over this host's feed, so that it has to keep the
+  /// leaves that a host which restarts or is removed has acknowledged.
+  bool keeps_leaves = true;
 };
 
 /// Registry of the upstreams that may be given work and of the hosts of the
@@ -112,7 +112,8 @@
   /// Applies an announcement that this host received at `now`.
   ///
   /// Returns false and changes nothing if its sequence is not larger than that
-  /// of the last announcement of the upstream that this host received.
+  /// of the last announcement of the upstream that this host received, or if
+  /// its start has ended.
   bool Announce(const schema::Announcement& announcement, core::Instant now);
 
   /// Marks an upstream as leaving in this host's feed at `now`, whether this
@@ -299,6 +300,10 @@
                    core::Instant now);
   /// Adds a host to this host's feed, or changes it there.
   void PublishHost(const schema::HostState& state, core::Instant heard_at);
+  /// Takes over that an upstream leaves, which another host's feed states.
+  void LearnLeave(const schema::Announcement& leaving, core::Instant now);
+  /// Takes the ended starts of a feed that is lost into this host's feed.
+  void KeepEndedStarts(const Feed& lost, core::Instant now);
   /// Publishes hosts that no other feed states any more.
   void ReviewUnpublished(core::Instant now);
   void SetAnnouncement(Entry& entry, const schema::Announcement& announcement,
@@ -317,6 +322,7 @@
   core::HostId self_;
   Options options_;
   std::map<core::HostId, Feed> feeds_;
+  EndedStarts ended_;
   /// Hosts that this host hears and another one has published.
   std::map<core::HostId, HostEntry> unpublished_;
   core::Duration host_silence_ = kHostSilence;
--- a/tests/foxquay/roster/roster_test.cc
+++ b/tests/foxquay/roster/roster_test.cc
@@ -424,6 +424,145 @@
   CHECK(Uses(c, "gpu", At(1100)));
 }
 
+namespace {
+
+/// Three control hosts and an entry host that follows them. Upstream `gpu` has
+/// announced itself to `a`, then to `b`, and has left at `b`, which all know.
+class LeaveFleet {
+ public:
+  LeaveFleet() {
+    announced_ = MakeAnnouncement("gpu", 2 * kStartSequences);
+    announced_.born = core::WallTime(milliseconds(1000));
+    Announce(0, At(0));
+    Announce(1, At(500));
+    PollAll(At(600));
+    REQUIRE(hosts_[1].Leave(core::UpstreamId("gpu"), At(700)));
+    PollAll(At(800));
+  }
+
+  /// Polls between all hosts, and probes of upstreams that are silent, which
+  /// all succeed.
+  void PollAll(core::Instant now) {
+    for (Roster& to : hosts_) {
+      for (std::size_t from = 0; from < kControls; ++from) {
+        if (&to != &hosts_[from]) PollFrom(to, hosts_[from], now);
+      }
+    }
+    for (Roster& host : hosts_) {
+      for (const auto& silent : host.Silent(milliseconds(750), now)) {
+        host.Renew(silent.id, now);
+      }
+    }
+  }
+  void RunUntil(int from_ms, int until_ms) {
+    for (int ms = from_ms; ms <= until_ms; ms += 200) PollAll(At(ms));
+  }
+  /// A heartbeat that was sent before the upstream left.
+  void Announce(std::size_t host, core::Instant now) {
+    announced_.sequence += 2;
+    (void)hosts_[host].Announce(announced_, now);
+  }
+  void AnnounceNewStart(std::size_t host, core::Instant now) {
+    schema::Announcement anew = announced_;
+    anew.sequence = 9 * kStartSequences;
+    anew.born += milliseconds(5000);
+    REQUIRE(hosts_[host].Announce(anew, now));
+  }
+  void Restart(std::size_t host) {
+    hosts_[host] = Roster(Name(host), ++incarnation_);
+  }
+  /// Returns whether any host uses the upstream.
+  [[nodiscard]] bool Used(core::Instant now) {
+    return std::any_of(hosts_.begin(), hosts_.end(),
+                       [now](Roster& host) { return Uses(host, "gpu", now); });
+  }
+  [[nodiscard]] bool UsedByEntry(core::Instant now) {
+    return Uses(hosts_.back(), "gpu", now);
+  }
+
+ private:
+  static constexpr std::size_t kControls = 3;
+
+  static core::HostId Name(std::size_t host) {
+    return core::HostId(std::string(1, static_cast<char>('a' + host)));
+  }
+
+  schema::Announcement announced_;
+  std::uint64_t incarnation_ = 1;
+  std::array<Roster, kControls + 1> hosts_{
+      Roster(Name(0), 1), Roster(Name(1), 1), Roster(Name(2), 1),
+      Roster(Name(3), 1)};
+};
+
+}  // namespace
+
+// Guards against an acknowledged leave that is forgotten with the process of
+// the control host that acknowledged it.
+TEST_CASE("an acknowledged leave outlives the hosts that acknowledged it") {
+  LeaveFleet fleet;
+  SECTION("one restarts") { fleet.Restart(1); }
+  SECTION("all that had a heartbeat restart in turn") {
+    fleet.Restart(1);
+    fleet.RunUntil(1000, 1400);
+    fleet.Restart(0);
+  }
+  SECTION("all restart in turn") {
+    for (const std::size_t host : {1, 0, 2}) {
+      fleet.Restart(host);
+      fleet.RunUntil(1000, 1400);
+    }
+  }
+  fleet.RunUntil(1600, 20000);
+  CHECK_FALSE(fleet.Used(At(20000)));
+  fleet.AnnounceNewStart(2, At(20100));
+  fleet.PollAll(At(20200));
+  CHECK(fleet.UsedByEntry(At(20200)));
+}
+
+// Guards against a late heartbeat that makes an upstream usable once the
+// tombstone of its leave has expired or was lost.
+TEST_CASE("no late heartbeat undoes a leave") {
+  LeaveFleet fleet;
+  const bool restarts = GENERATE(false, true);
+  CAPTURE(restarts);
+  if (restarts) {
+    for (const std::size_t host : {0, 1, 2}) fleet.Restart(host);
+  }
+  int now = 1000;
+  for (const int age : {6000, 11000, 60000}) {
+    fleet.RunUntil(now, age);
+    fleet.Announce(static_cast<std::size_t>(age % 3), At(age));
+    fleet.RunUntil(age + 100, age + 2000);
+    CHECK_FALSE(fleet.UsedByEntry(At(age + 2000)));
+    now = age + 2200;
+  }
+}
+
+// Guards against tombstones that use up memory when hosts are told of many
+// starts, and against a memory that keeps an upstream out after its retention.
+TEST_CASE("ended starts are forgotten in time, and the oldest make room") {
+  EndedStarts ended;
+  const auto end_of = [](std::uint64_t index) {
+    schema::Announcement announcement =
+        MakeAnnouncement("u" + std::to_string(index), 1);
+    announcement.born = core::WallTime(milliseconds(1000));
+    return EndOf(announcement);
+  };
+  for (std::uint64_t index = 0; index <= kMaxEndedStarts; ++index) {
+    ended.Record(end_of(index), At(static_cast<int>(index)));
+  }
+  CHECK(ended.size() == kMaxEndedStarts);
+  CHECK_FALSE(ended.Covers(end_of(0)));
+  CHECK(ended.Covers(end_of(kMaxEndedStarts)));
+  ended.Expire(At(static_cast<int>(kMaxEndedStarts)) + kEndedStartRetention +
+               milliseconds(1));
+  CHECK(ended.size() == 0);
+  schema::Announcement silent = MakeAnnouncement("silent", 7);
+  silent.leaving = true;
+  ended.Record(silent, At(0));
+  CHECK(ended.size() == 0);
+}
+
 // The address of an upstream that ended may be reused.
 TEST_CASE("of two upstreams at one address only the later one is usable") {
   Roster a(core::HostId("a"), 1);
