Take only complete answers as a sign that a prompt part is sound

Cause: the first event of an answer cleared the crashes before it, so that each run of the part cleared the last crash; crashes over 500 ms after the head were not counted at all.

Evidence: control hosts logged each crash and proposed nothing.

Why it works: a part that crashes upstreams gets no complete answer. Crashes after the begin count only for parts never answered, at several moments, so that upstreams that end for other reasons convict none of the parts that they cut off; streams resume at once and are given up after three crashes.

Tests: fleets of 8, 60 and 300 hosts with crashes 0.1 and 1.3 s after the first event. "parts are trusted while they are answered" crashed one upstream twice; as such crashes now count once, it crashes two and checks the repeat as well.

--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -282,13 +282,12 @@
   void CompleteAnswer(core::RequestId id);
   /// Cancels a send that cannot be completed, and handles its loss.
   void CancelSend(net::CallId call, const relay::Loss& loss);
-  /// Returns whether the current send's response has not begun, or has begun
-  /// with a success and yielded no event or only the first ones.
-  [[nodiscard]] static bool EndedEarly(const Job& job);
-  /// Finds out whether an upstream that lost a request early has crashed,
-  /// records it, and then handles the loss if the request still waits.
-  void CheckCrash(core::RequestId id, const relay::Suspicion& suspicion,
-                  const relay::Loss& loss);
+  /// Returns whether the current send's response has not begun, or is a success
+  /// that may have more to come.
+  [[nodiscard]] static bool Unfinished(const Job& job);
+  /// Finds out whether an upstream that lost a request has crashed, records it,
+  /// and then handles the loss if the request still waits.
+  void CheckCrash(core::RequestId id, const relay::Suspicion& suspicion);
   /// Handles the loss of a send whose upstream was probed, or could not be
   /// probed in time; nothing if the request has ended or was sent again.
   void FinishCheck(core::RequestId id, unsigned sends, bool crashed);
@@ -305,7 +304,8 @@
                                          const relay::Send& send) const;
   /// Reports an upstream as suspected, at most once in a while.
   void ReportSuspect(const core::UpstreamId& upstream, core::Instant now);
-  /// Probes an upstream at which an answer was lost, on a new connection.
+  /// Probes an upstream at which an answer was lost, on a new connection; one
+  /// that is being probed gets no second one.
   void ProbeAfterLoss(const core::UpstreamId& upstream,
                       const std::string& address, const Prober::Done& done);
   /// Passes on what another host has refused, unless it promises that a request
@@ -334,6 +334,8 @@
   LeaveHandler on_leave_wanted_;
   /// When each upstream was last reported as suspected.
   std::map<core::UpstreamId, core::Instant> suspected_;
+  /// What waits for the result of the probe of each upstream.
+  std::map<core::UpstreamId, std::vector<Prober::Done>> loss_probes_;
   std::mt19937_64 random_;
   std::shared_ptr<const fleet::Table> table_;
   std::optional<Lease> lease_;
--- a/src/foxquay/gateway/proxy_losses.cc
+++ b/src/foxquay/gateway/proxy_losses.cc
@@ -22,10 +22,6 @@
 /// Minimum time between two reports of the same upstream as suspected.
 constexpr core::Duration kSuspectInterval = std::chrono::milliseconds(1000);
 
-/// Time after the head of an answer within which its upstream may still have
-/// ended because of the request.
-constexpr core::Duration kCrashWindow = std::chrono::milliseconds(500);
-
 /// Time for which a lost request waits for the result of a probe: several round
 /// trips. A probe without a result does not show a process that has ended.
 constexpr core::Duration kMaxCheckTime = std::chrono::milliseconds(200);
@@ -36,12 +32,9 @@
 
 }  // namespace internal
 
-bool Proxy::EndedEarly(const Job& job) {
+bool Proxy::Unfinished(const Job& job) {
   if (job.failure == net::Failure::kMalformed) return false;
-  if (!job.head_at) return true;
-  if (job.status / 100 != 2) return false;
-  return !job.event_received ||
-         net::SteadyNow() - *job.head_at <= internal::kCrashWindow;
+  return !job.head_at || job.status / 100 == 2;
 }
 
 void Proxy::HandleLoss(core::RequestId id, const relay::Loss& loss) {
@@ -75,8 +68,10 @@
   }
   if (job.filter) job.filter->Restart();
   if (const auto suspicion = relay_.SuspectCrash(id, loss)) {
-    CheckCrash(id, *suspicion, loss);
-    return;
+    const bool waits = !relay_.ResumesUnchecked(id);
+    if (waits) job.unchecked_loss = {loss, now + internal::kMaxCheckTime};
+    CheckCrash(id, *suspicion);
+    if (waits) return;
   }
   Apply(id, relay_.HandleLoss(id, loss, now));
   Inquire();
@@ -121,16 +116,9 @@
   if (suspected_.try_emplace(upstream, now).second) on_suspects_({upstream});
 }
 
-void Proxy::CheckCrash(core::RequestId id, const relay::Suspicion& suspicion,
-                       const relay::Loss& loss) {
-  const core::Instant start = net::SteadyNow();
-  unsigned sends = 0;
-  // Until the result is known, the request waits: what ended this upstream
-  // might end the next.
-  if (const auto job = jobs_.find(id); job != jobs_.end()) {
-    sends = job->second.sends;
-    job->second.unchecked_loss = {loss, start + internal::kMaxCheckTime};
-  }
+void Proxy::CheckCrash(core::RequestId id, const relay::Suspicion& suspicion) {
+  const auto job = jobs_.find(id);
+  const unsigned sends = job == jobs_.end() ? 0 : job->second.sends;
   // A process that ended refuses connections, one that only broke off an answer
   // does not; no answer at all shows a lost path or a lost machine.
   const auto finish = [this, id, suspicion, sends](ProbeResult result) {
@@ -142,13 +130,15 @@
                 {"address", suspicion.address},
                 {"workspace", suspicion.workspace},
                 {"parts", quarantine::Format(suspicion.parts)},
+                {"begun", suspicion.begun},
                 {"result", Name(result)},
                 {"crashed", crashed}});
     RecordInquiry(suspicion.upstream, result);
     if (crashed) {
       const core::Instant now = net::SteadyNow();
-      registry_.Add("foxquay_crashes_at_begin_total", "");
-      relay_.RecordCrash(suspicion, now);
+      registry_.Add("foxquay_crashes_total",
+                    suspicion.begun ? "begun=\"true\"" : "begun=\"false\"");
+      relay_.RecordCrash(id, suspicion, now);
       ReportSuspect(suspicion.upstream, now);
     }
     FinishCheck(id, sends, crashed);
@@ -181,19 +171,27 @@
 void Proxy::ProbeAfterLoss(const core::UpstreamId& upstream,
                            const std::string& address,
                            const Prober::Done& done) {
+  // An upstream that ends with many requests is probed once.
+  const auto [waiting, first] = loss_probes_.try_emplace(upstream);
+  waiting->second.push_back(done);
+  if (!first) return;
+  const auto finish = [this, upstream](ProbeResult result) {
+    const auto probed = loss_probes_.extract(upstream);
+    for (const Prober::Done& each : probed.mapped()) each(result);
+  };
   const core::Instant start = net::SteadyNow();
   prober_.Probe(upstream, address,
-                [this, upstream, address, start, done](ProbeResult result) {
+                [this, upstream, address, start, finish](ProbeResult result) {
                   // The listener of a process that ends may accept one more
                   // connection and close it.
                   const bool closed =
                       result == ProbeResult::kSilent &&
                       net::SteadyNow() - start < internal::kClosedAtOnce;
                   if (!closed) {
-                    done(result);
+                    finish(result);
                     return;
                   }
-                  prober_.Probe(upstream, address, done);
+                  prober_.Probe(upstream, address, finish);
                 });
 }
 
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -368,7 +368,7 @@
       !job.event_received &&
       (goes_on || (job.ends_with_connection && !job.caller.resume_after));
   if (empty || !job.filter->between_events()) {
-    HandleLoss(id, {relay::LossKind::kCut, job.fault_address, EndedEarly(job)});
+    HandleLoss(id, {relay::LossKind::kCut, job.fault_address, Unfinished(job)});
     return;
   }
   CompleteAnswer(id);
@@ -414,7 +414,7 @@
                      job.status != internal::kNoContent &&
                      job.request.method != "HEAD";
   if (empty) {
-    HandleLoss(id, {relay::LossKind::kCut, job.fault_address, EndedEarly(job)});
+    HandleLoss(id, {relay::LossKind::kCut, job.fault_address, Unfinished(job)});
     return;
   }
   const net::ExchangeId exchange = job.exchange;
@@ -452,16 +452,16 @@
   job.failure = failure;
   if (job.passing_body) {
     const relay::Loss loss{relay::LossKind::kCut, job.fault_address,
-                           EndedEarly(job)};
+                           Unfinished(job)};
     const auto suspicion = relay_.SuspectCrash(id, loss);
     relay_.Abandon(id);
     Execute(id, relay::Abort{"the answer broke off while it was passed on"});
-    if (suspicion) CheckCrash(id, *suspicion, loss);
+    if (suspicion) CheckCrash(id, *suspicion);
     return;
   }
   const relay::LossKind kind =
       job.not_run ? relay::LossKind::kNotRun : internal::ToLossKind(failure);
-  HandleLoss(id, {kind, job.fault_address, EndedEarly(job)});
+  HandleLoss(id, {kind, job.fault_address, Unfinished(job)});
 }
 
 void Proxy::Review() {
--- a/src/foxquay/quarantine/detector.cc
+++ b/src/foxquay/quarantine/detector.cc
@@ -14,6 +14,10 @@
 /// schema.
 constexpr std::size_t kMaxQuarantinedParts = 8;
 
+/// Moments at which upstreams have to crash on a part that was never answered:
+/// the loss of a rack, which cuts off all requests at its upstreams, is one.
+constexpr std::size_t kMinMoments = 2;
+
 /// Interval at which evidence that is too old is removed.
 constexpr core::Duration kForgetInterval = std::chrono::seconds(1);
 
@@ -317,7 +321,12 @@
 
 bool Detector::Suspect::Convicted() const {
   if (upstreams.size() < kMinCrashes) return false;
-  return !answered || Moments() >= kMinCrashes;
+  const std::size_t moments = Moments();
+  if (moments >= kMinCrashes) return true;
+  if (answered) return false;
+  if (!begun) return IsRequest(part) || moments >= internal::kMinMoments;
+  return moments >= internal::kMinMoments &&
+         upstreams.size() >= 2 * kMinCrashes;
 }
 
 std::map<core::PromptPartId, Detector::Suspect> Detector::FindSuspects(
@@ -328,10 +337,12 @@
     if (crash->report.service != service) continue;
     for (const core::PromptPartId& part : crash->report.parts) {
       const auto answer = LastAnswer(service, part);
-      if (answer && *answer >= crash->at) continue;
+      const bool begun = HadBegun(crash->report);
+      if (answer && (begun || *answer >= crash->at)) continue;
       Suspect& suspect = suspects[part];
       suspect.part = part;
       suspect.answered = answer.has_value();
+      suspect.begun = suspect.begun || begun;
       suspect.upstreams.insert(crash->upstream());
       suspect.workspaces.insert(crash->report.workspace);
       suspect.crashes.insert(crash);
--- a/src/foxquay/quarantine/detector.h
+++ b/src/foxquay/quarantine/detector.h
@@ -50,16 +50,19 @@
 /// Finds the requests, or parts of their prompts, on which upstreams crash,
 /// from what all hosts report.
 ///
-/// A part is suspected if upstreams crashed at the start of answers to requests
-/// that have it, several in a row with no answer to the part between them, and
-/// at several moments if it had been answered before. A part that was never
-/// answered is suspected before one that was, then the one with the most
-/// crashes, then the one in the fewest requests; crashes that a quarantine
-/// explains count for no other part of a prompt. Parts of the same requests are
-/// suspected together, and only requests that have all of them are refused,
-/// until an answer to one of them leaves the others. Crashes from one workspace
-/// restrict only that workspace. An upstream that the control hosts reach
-/// afterwards has not crashed.
+/// A part is suspected if upstreams crashed while they answered requests that
+/// have it, several in a row with no complete answer to the part between them,
+/// at two moments, or three if it had been answered before, or if answers had
+/// begun and fewer than six upstreams crashed. Crashes after an answer had
+/// begun count for no part that was ever answered, as an upstream that ends for
+/// another reason cuts off many of these. A part that was never answered is
+/// suspected before one that was, then the one with the most crashes, then the
+/// one in the fewest requests; crashes that a quarantine explains count for no
+/// other part of a prompt. Parts of the same requests are suspected together,
+/// and only requests that have all of them are refused, until an answer to one
+/// of them leaves the others. Crashes from one workspace restrict only that
+/// workspace. An upstream that the control hosts reach afterwards has not
+/// crashed.
 ///
 /// Every control host keeps one, so that a new leader has the evidence. Not
 /// thread-safe; performs no I/O.
@@ -110,6 +113,7 @@
   struct Suspect {
     core::PromptPartId part;
     bool answered = false;  ///< Ever, before these crashes.
+    bool begun = false;     ///< Answers had begun at some of the crashes.
     std::set<Incarnation> upstreams;
     std::set<core::WorkspaceId> workspaces;
     std::set<const Crash*> crashes;
--- a/src/foxquay/quarantine/recorder.cc
+++ b/src/foxquay/quarantine/recorder.cc
@@ -1,34 +1,55 @@
 #include "foxquay/quarantine/recorder.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "foxquay/quarantine/limits.h"
 
 namespace foxquay::quarantine {
 
+void Recorder::RecordBegin(const core::ServiceId& service, const Parts& parts,
+                           core::Instant now) {
+  for (const core::PromptPartId& part : parts) {
+    parts_.GetOrCreate({service, part}, {}).begun = now;
+  }
+}
+
 void Recorder::RecordAnswer(const core::ServiceId& service, const Parts& parts,
                             core::Instant now) {
   for (const core::PromptPartId& part : parts) {
-    parts_.GetOrCreate({service, part}, {}) = {now, 0};
+    Part answered;
+    answered.begun = now;
+    answered.answered = now;
+    parts_.GetOrCreate({service, part}, {}) = answered;
   }
 }
 
 void Recorder::RecordCrash(const core::ServiceId& service,
                            const core::WorkspaceId& workspace,
                            const core::UpstreamId& upstream,
-                           core::WallTime born, const Parts& parts,
+                           core::WallTime born, const Parts& parts, bool begun,
                            core::Instant now) {
-  if (parts.empty()) return;
-  for (const core::PromptPartId& part : parts) {
-    ++parts_.GetOrCreate({service, part}, {}).crashes;
+  Parts suspected;
+  for (const core::PromptPartId& id : parts) {
+    Part& part = parts_.GetOrCreate({service, id}, {});
+    const bool same = part.crashes > 0 && part.last_crashed == upstream &&
+                      part.last_born == born;
+    if (!same) ++part.crashes;
+    part.last_crashed = upstream;
+    part.last_born = born;
+    // Each upstream that ends cuts off answers to many requests that are in no
+    // other crash.
+    const bool repeated = !IsRequest(id) || part.crashes > 1;
+    if (!begun || (!part.answered && repeated)) suspected.push_back(id);
   }
+  if (suspected.empty()) return;
   schema::UpstreamCrash crash;
-  crash.number = next_crash_++;
+  crash.number = next_crash_++ | (begun ? kBegunCrash : 0);
   crash.service = service;
   crash.workspace = workspace;
   crash.upstream = upstream;
   crash.born = born;
-  crash.parts = parts;
+  crash.parts = std::move(suspected);
   crashes_.push_back({std::move(crash), now});
   if (crashes_.size() > kMaxReportedCrashes) crashes_.pop_front();
 }
@@ -46,8 +67,8 @@
   return std::all_of(
       parts.begin(), parts.end(), [&](const core::PromptPartId& id) {
         const Part* part = parts_.Find({service, id});
-        return part != nullptr && part->answered &&
-               now - *part->answered <= kTrustTime && part->crashes <= 1;
+        return part != nullptr && part->begun &&
+               now - *part->begun <= kTrustTime && part->crashes <= 1;
       });
 }
 
--- a/src/foxquay/quarantine/recorder.h
+++ b/src/foxquay/quarantine/recorder.h
@@ -35,21 +35,29 @@
 /// Bounded whatever parts callers name. Not thread-safe; performs no I/O.
 class Recorder {
  public:
-  /// Records that an answer to a prompt with these parts has begun well.
+  /// Records that an answer to a prompt with these parts has begun.
+  void RecordBegin(const core::ServiceId& service, const Parts& parts,
+                   core::Instant now);
+
+  /// Records that a prompt with these parts was answered completely.
   void RecordAnswer(const core::ServiceId& service, const Parts& parts,
                     core::Instant now);
 
-  /// Records that an upstream crashed after it had begun to answer a prompt.
+  /// Records that an upstream crashed while it answered a prompt. `begun`: a
+  /// part of the answer had arrived; then only the parts of the prompt that
+  /// this host does not know to have been answered are reported, and the whole
+  /// request if it has crashed several.
   void RecordCrash(const core::ServiceId& service,
                    const core::WorkspaceId& workspace,
                    const core::UpstreamId& upstream, core::WallTime born,
-                   const Parts& parts, core::Instant now);
+                   const Parts& parts, bool begun, core::Instant now);
 
   /// Records that a request was refused by a quarantine.
   void RecordRefusal(const schema::Quarantine& quarantine, core::Instant now);
 
-  /// Returns whether every part is known to be sound: answered not long ago,
-  /// and with at most one crash since.
+  /// Returns whether every part may be sound: its answer has begun not long
+  /// ago, and at most one upstream has crashed since it was last answered
+  /// completely.
   [[nodiscard]] bool Trusts(const core::ServiceId& service, const Parts& parts,
                             core::Instant now) const;
 
@@ -65,8 +73,11 @@
   using Key = std::pair<core::ServiceId, core::PromptPartId>;
 
   struct Part {
-    std::optional<core::Instant> answered;
-    std::uint32_t crashes = 0;  ///< Since the last answer.
+    std::optional<core::Instant> begun;     ///< Last answer that began.
+    std::optional<core::Instant> answered;  ///< Last complete answer.
+    std::uint32_t crashes = 0;  ///< Of different upstreams since then.
+    core::UpstreamId last_crashed;
+    core::WallTime last_born;  ///< Start time of that upstream.
   };
   struct Crash {
     schema::UpstreamCrash crash;
--- a/src/foxquay/relay/decision.h
+++ b/src/foxquay/relay/decision.h
@@ -94,8 +94,8 @@
 struct Loss {
   LossKind kind = LossKind::kUnanswered;
   std::string fault_address;  ///< Upstream at fault; empty if not known.
-  /// The upstream had not answered yet, or had only begun to.
-  bool early = false;
+  /// The connection ended before the answer did, which was not a failure.
+  bool unfinished = false;
   /// The upstream was then found to have crashed.
   bool crashed = false;
 };
@@ -109,6 +109,7 @@
   std::string address;
   core::WallTime born;
   quarantine::Parts parts;  ///< What in the request may be the cause.
+  bool begun = false;       ///< A part of the answer had arrived.
 };
 
 }  // namespace foxquay::relay
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -210,11 +210,7 @@
                      core::Instant now) const {
   const schema::Route& route = *state.context.route;
   const LossKind kind = loss.kind;
-  // What ended one upstream may end the next.
-  if (loss.crashed && !state.context.parts.empty() &&
-      !recorder_.Trusts(state.context.service->id, state.context.parts, now)) {
-    return false;
-  }
+  if (loss.crashed && MayCrashOthers(state, now)) return false;
   if (Resumes(state)) return true;
   if (kind == LossKind::kNotSent) return state.unsent < internal::kMaxUnsent;
   const unsigned max_sends = route.kind == schema::RequestKind::kStream
@@ -351,7 +347,7 @@
   State& state = found->second;
   state.answer_begun = true;
   state.fruitless = 0;
-  recorder_.RecordAnswer(state.context.service->id, state.context.parts, now);
+  recorder_.RecordBegin(state.context.service->id, state.context.parts, now);
 }
 
 bool Relay::RecordWish(const core::UpstreamId& upstream, bool leaving,
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -106,8 +106,14 @@
   /// request is known and its loss has not been handled.
   [[nodiscard]] std::optional<Suspicion> SuspectCrash(core::RequestId id,
                                                       const Loss& loss) const;
-  /// Records that the upstream of a lost send was found to have crashed.
-  void RecordCrash(const Suspicion& suspicion, core::Instant now);
+  /// Records that the upstream of a lost send was found to have crashed. The
+  /// request may have ended meanwhile.
+  void RecordCrash(core::RequestId id, const Suspicion& suspicion,
+                   core::Instant now);
+  /// Returns whether a request whose send was lost is sent again before it is
+  /// known whether its upstream has crashed: a stream that has begun, unless
+  /// it has crashed several before. Precondition: the request is known.
+  [[nodiscard]] bool ResumesUnchecked(core::RequestId id) const;
 
   /// Returns the retry budget of this host.
   [[nodiscard]] RetryBudget& budget() noexcept { return budget_; }
@@ -179,6 +185,7 @@
     unsigned sends = 0;      ///< Sends that reached an upstream.
     unsigned unsent = 0;     ///< Sends that reached none.
     unsigned fruitless = 0;  ///< Sends since the last part of the answer.
+    unsigned crashes = 0;    ///< Sends whose upstream crashed.
     /// When a stream that has begun may be sent again.
     core::Instant next_send;
     bool may_have_run = false;  ///< An upstream may have run it.
@@ -252,6 +259,13 @@
   void AttributeLoss(LossKind kind,
                      const std::optional<core::UpstreamId>& fault,
                      const std::vector<Hop>& hops, core::Instant now);
+  /// Returns the hop of a lost send that may have crashed: the one at fault, or
+  /// else the first one. Precondition: the request has been sent.
+  [[nodiscard]] static const Hop& SuspectedHop(const State& state,
+                                               const Loss& loss);
+  /// Returns whether a request that has crashed its upstream may crash others.
+  [[nodiscard]] bool MayCrashOthers(const State& state,
+                                    core::Instant now) const;
   /// Returns whether the route and the kind of loss allow another send.
   [[nodiscard]] bool MayRetry(const State& state, const Loss& loss,
                               core::Instant now) const;
--- a/src/foxquay/relay/relay_quarantine.cc
+++ b/src/foxquay/relay/relay_quarantine.cc
@@ -1,6 +1,8 @@
 // Requests on which upstreams crash.
+#include <algorithm>
 #include <utility>
 
+#include "foxquay/quarantine/detector.h"
 #include "foxquay/relay/relay.h"
 
 namespace foxquay::relay {
@@ -44,20 +46,48 @@
   const RequestContext& context = state.context;
   const bool lost =
       loss.kind == LossKind::kCut || loss.kind == LossKind::kUnanswered;
-  const bool possible = lost && loss.early && !context.parts.empty() &&
+  const bool possible = lost && loss.unfinished && !context.parts.empty() &&
                         !state.hops.empty() && !state.partner;
   if (!possible) return std::nullopt;
-  const Hop& first = state.hops.front();
+  const Hop& hop = SuspectedHop(state, loss);
+  // It was expected to end.
+  if (upstreams_.Leaves(hop.upstream)) return std::nullopt;
+  const bool begun = state.answer_begun && state.fruitless == 0;
   return Suspicion{context.name,      context.service->id,
-                   context.workspace, first.upstream,
-                   first.address,     upstreams_.Born(first.upstream),
-                   context.parts};
+                   context.workspace, hop.upstream,
+                   hop.address,       upstreams_.Born(hop.upstream),
+                   context.parts,     begun};
 }
 
-void Relay::RecordCrash(const Suspicion& suspicion, core::Instant now) {
+const Hop& Relay::SuspectedHop(const State& state, const Loss& loss) {
+  const auto fault = std::find_if(
+      state.hops.begin(), state.hops.end(),
+      [&loss](const Hop& hop) { return hop.address == loss.fault_address; });
+  return fault == state.hops.end() ? state.hops.front() : *fault;
+}
+
+void Relay::RecordCrash(core::RequestId id, const Suspicion& suspicion,
+                        core::Instant now) {
   recorder_.RecordCrash(suspicion.service, suspicion.workspace,
                         suspicion.upstream, suspicion.born, suspicion.parts,
-                        now);
+                        suspicion.begun, now);
+  const auto found = requests_.find(id);
+  if (found != requests_.end()) ++found->second.crashes;
+}
+
+bool Relay::ResumesUnchecked(core::RequestId id) const {
+  const State& state = requests_.at(id);
+  return Resumes(state) && state.crashes + 1 < quarantine::kMinCrashes;
+}
+
+bool Relay::MayCrashOthers(const State& state, core::Instant now) const {
+  const RequestContext& context = state.context;
+  if (context.parts.empty()) return false;
+  if (!Resumes(state)) {
+    return !recorder_.Trusts(context.service->id, context.parts, now);
+  }
+  // It may have met upstreams that ended for another reason.
+  return state.crashes >= quarantine::kMinCrashes;
 }
 
 void Relay::RefuseSent(
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -576,6 +576,12 @@
   return found != entries_.end() && found->second.present;
 }
 
+bool Upstreams::Leaves(const core::UpstreamId& upstream) const {
+  const auto found = entries_.find(upstream);
+  return found == entries_.end() || !found->second.present ||
+         found->second.left_at;
+}
+
 core::WallTime Upstreams::Born(const core::UpstreamId& upstream) const {
   const auto found = entries_.find(upstream);
   return found == entries_.end() ? core::WallTime()
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -151,6 +151,9 @@
       const core::UpstreamId& upstream) const;
   /// Returns whether an upstream is in use.
   [[nodiscard]] bool Known(const core::UpstreamId& upstream) const;
+  /// Returns whether an upstream is no longer in the list, or has said that it
+  /// leaves.
+  [[nodiscard]] bool Leaves(const core::UpstreamId& upstream) const;
   /// Returns the start time of an upstream; the epoch if it is unknown.
   [[nodiscard]] core::WallTime Born(const core::UpstreamId& upstream) const;
   /// Returns the upstream at an address, if one is in use.
--- a/src/foxquay/schema/quarantine.h
+++ b/src/foxquay/schema/quarantine.h
@@ -110,11 +110,11 @@
   }
 };
 
-/// End of an upstream that had begun to answer a request and sent no event of
-/// it.
+/// End of an upstream while it answered a request.
 struct UpstreamCrash {
   std::uint64_t number =
-      0;  ///< Number within the incarnation of the host that saw it.
+      0;  ///< Number within the incarnation of the host that saw it; the
+          ///< highest bit is set if a part of the answer had arrived.
   core::ServiceId service;      ///< Service of the upstream.
   core::WorkspaceId workspace;  ///< Workspace of the request.
   core::UpstreamId upstream;    ///< The upstream.
--- a/tests/foxquay/quarantine/fleet_test.cc
+++ b/tests/foxquay/quarantine/fleet_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <vector>
@@ -69,6 +70,22 @@
   CheckBounds([](FleetOptions& options) { options.restart_all = true; });
 }
 
+// Guards against a part that is never known because each answer to it begins
+// before it crashes the next upstream.
+TEST_CASE("a part that crashes upstreams after its first event is known") {
+  const auto after =
+      GENERATE(std::chrono::milliseconds(100), std::chrono::milliseconds(1300));
+  CAPTURE(after.count());
+  CheckBounds([after](FleetOptions& options) { options.crash_after = after; });
+}
+
+TEST_CASE("a part that crashes upstreams late is known beside other ends") {
+  CheckBounds([](FleetOptions& options) {
+    options.crash_after = std::chrono::milliseconds(100);
+    options.kills_per_second = options.upstreams / 30.0;
+  });
+}
+
 // A service of three upstreams that is down for seconds whenever one request
 // has ended all of them, a hot request that everybody sends beside it.
 TEST_CASE("a fleet keeps a request that crashes a small service away from it") {
@@ -129,6 +146,24 @@
       const FleetResult result = SimulatedFleet(options).Run();
       CHECK(result.quarantines == 0);
       CHECK(result.sound_refused == 0);
+      // An answer is given up only if it has met several of them.
+      CHECK(result.sound_cut * 100 <= result.sound);
+    }
+  }
+}
+
+// Guards against sound parts that are refused because the loss of a rack cuts
+// off all answers to them at once.
+TEST_CASE("no part is suspected when racks are lost") {
+  for (FleetOptions options : Sizes()) {
+    options.bad_rate = 1e-9;
+    options.rack_loss_interval = 6;
+    for (options.seed = 1; options.seed <= kSeeds; ++options.seed) {
+      CAPTURE(options.hosts, options.seed);
+      const FleetResult result = SimulatedFleet(options).Run();
+      CHECK(result.quarantines == 0);
+      CHECK(result.sound_refused == 0);
+      CHECK(result.sound_cut == 0);
     }
   }
 }
--- a/tests/foxquay/quarantine/simulated_fleet.cc
+++ b/tests/foxquay/quarantine/simulated_fleet.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -166,6 +167,16 @@
     return;
   }
   Request& request = requests_[index];
+  Recorder& recorder = hosts_[request.host].recorder;
+  const bool lasts = request.bad && options_.crash_after > core::Duration{};
+  if (lasts && !request.event) {
+    request.event = true;
+    recorder.RecordBegin(kService, request.parts, now_);
+    After(options_.crash_after, [this, index, upstream, incarnation] {
+      Answer(index, upstream, incarnation);
+    });
+    return;
+  }
   if (request.bad) {
     ++result_.crashes;
     crashes_[request.part].push_back(now_);
@@ -177,16 +188,21 @@
     return;
   }
   request.event = true;
-  if (request.counted && request.first_attempt) ++result_.sound_begun;
-  hosts_[request.host].recorder.RecordAnswer(kService, request.parts, now_);
+  const bool at_first = request.first_attempt && request.crashes == 0;
+  if (request.counted && at_first) ++result_.sound_begun;
   if (options_.plain) {
+    recorder.RecordAnswer(kService, request.parts, now_);
     server.requests.erase(index);
     return;
   }
+  recorder.RecordBegin(kService, request.parts, now_);
   After(kAnswerTime, [this, index, upstream, incarnation] {
-    if (upstreams_[upstream].incarnation == incarnation) {
-      upstreams_[upstream].requests.erase(index);
-    }
+    Upstream& former = upstreams_[upstream];
+    const bool complete =
+        former.incarnation == incarnation && former.requests.erase(index) > 0;
+    if (!complete) return;
+    const Request& answered = requests_[index];
+    hosts_[answered.host].recorder.RecordAnswer(kService, answered.parts, now_);
   });
 }
 
@@ -204,21 +220,31 @@
     After(kCheckTime, [this, index, id, born] {
       Request& request = requests_[index];
       Recorder& recorder = hosts_[request.host].recorder;
-      const bool early = !request.event && (request.begun || options_.plain);
-      if (early) {
-        recorder.RecordCrash(kService, request.workspace, id, born,
-                             request.parts, now_);
-      }
-      Repeat(index, early);
+      recorder.RecordCrash(kService, request.workspace, id, born, request.parts,
+                           request.event, now_);
+      ++request.crashes;
+      Repeat(index);
     });
   }
 }
 
-void SimulatedFleet::Repeat(std::size_t index, bool early) {
+void SimulatedFleet::Resume(std::size_t index) {
+  Request& request = requests_[index];
+  if (request.crashes < static_cast<int>(kMinCrashes)) {
+    Send(index);
+  } else if (!request.bad) {
+    ++result_.sound_cut;
+  }
+}
+
+void SimulatedFleet::Repeat(std::size_t index) {
   Request& request = requests_[index];
-  if (request.event) return;
+  if (request.event) {
+    Resume(index);
+    return;
+  }
   const Recorder& recorder = hosts_[request.host].recorder;
-  const bool repeat = options_.policy == Policy::kNone || !early ||
+  const bool repeat = options_.policy == Policy::kNone ||
                       recorder.Trusts(kService, request.parts, now_);
   if (repeat && std::exchange(request.first_attempt, false)) {
     Send(index);
--- a/tests/foxquay/quarantine/simulated_fleet.h
+++ b/tests/foxquay/quarantine/simulated_fleet.h
@@ -47,6 +47,9 @@
   /// are repeats of `bad_parts` requests and end their upstream before the head
   /// of an answer. Callers repeat what fails once, at another host.
   bool plain = false;
+  /// Time after the first event at which the crashing part ends its upstream;
+  /// before the first event if it is zero.
+  core::Duration crash_after{};
   double hot_share = 0;  ///< Of the sound plain requests, those that are alike.
   double rack_loss_interval = 0;  ///< Seconds between ends of all upstreams.
   double kills_per_second = 0;    ///< Upstreams that end for other reasons.
@@ -64,6 +67,7 @@
   int sound = 0;          ///< Sound requests of the second half.
   int sound_begun = 0;    ///< Of these, begun at the first attempt.
   int sound_refused = 0;  ///< Sound requests refused by a quarantine.
+  int sound_cut = 0;      ///< Sound answers that were begun and given up.
   std::size_t quarantines = 0;
   std::size_t report_bytes = 0;  ///< Encoded evidence in all messages.
 };
@@ -89,6 +93,7 @@
     bool counted = false;
     bool begun = false;  ///< The upstream has begun to answer.
     bool event = false;  ///< An event has arrived.
+    int crashes = 0;     ///< Upstreams that ended while it ran.
   };
   struct Upstream {
     int incarnation = 0;
@@ -122,7 +127,9 @@
   void Arrive(bool bad);
   void Send(std::size_t request);
   /// Sends a lost request again as its host or its caller decides.
-  void Repeat(std::size_t request, bool early);
+  void Repeat(std::size_t request);
+  /// Sends a request whose answer had begun again as its host decides.
+  void Resume(std::size_t request);
   [[nodiscard]] Parts DrawParts(bool bad, Request& request);
   void Begin(std::size_t request, std::size_t upstream, int incarnation);
   void Answer(std::size_t request, std::size_t upstream, int incarnation);
--- a/tests/foxquay/quarantine/table_test.cc
+++ b/tests/foxquay/quarantine/table_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "foxquay/quarantine/gate.h"
+#include "foxquay/quarantine/limits.h"
 #include "foxquay/quarantine/recorder.h"
 #include "samples.h"
 
@@ -111,24 +112,50 @@
   CHECK_FALSE(recorder.Trusts(kService, parts, At(0)));
   recorder.RecordAnswer(kService, parts, At(0));
   CHECK(recorder.Trusts(kService, parts, At(100)));
-  const auto crash = [&](int ms) {
-    recorder.RecordCrash(kService, kWorkspace, core::UpstreamId("u"), {},
-                         MakeParts({"b"}), At(ms));
+  const auto crash = [&](const std::string& upstream, int ms) {
+    recorder.RecordCrash(kService, kWorkspace, core::UpstreamId(upstream), {},
+                         MakeParts({"b"}), false, At(ms));
   };
-  crash(200);
+  crash("u", 200);
   CHECK(recorder.Trusts(kService, parts, At(200)));
-  crash(300);
+  // Several requests end with one upstream.
+  crash("u", 201);
+  CHECK(recorder.Trusts(kService, parts, At(201)));
+  crash("v", 300);
   CHECK_FALSE(recorder.Trusts(kService, parts, At(300)));
   CHECK(recorder.Trusts(kService, MakeParts({"a"}), At(300)));
   recorder.RecordAnswer(kService, parts, At(400));
   CHECK_FALSE(recorder.Trusts(kService, parts, At(400) + kTrustTime * 2));
 }
 
+// Guards against answers that count as a sign that a part is sound although
+// they break off with the next upstream.
+TEST_CASE("an answer that has only begun clears no part") {
+  Recorder recorder;
+  recorder.RecordAnswer(kService, MakeParts({"known"}), At(0));
+  recorder.SetWatched({{kService, core::PromptPartId("bad")}}, At(0));
+  for (int upstream = 0; upstream < 3; ++upstream) {
+    const core::Instant now = At(100 * upstream);
+    recorder.RecordBegin(kService, MakeParts({"bad", "known"}), now);
+    recorder.RecordCrash(kService, kWorkspace,
+                         core::UpstreamId(std::to_string(upstream)), {},
+                         MakeParts({"bad", "known"}), true, now);
+  }
+  CHECK_FALSE(recorder.Trusts(kService, MakeParts({"bad"}), At(300)));
+  const schema::QuarantineReport report = recorder.Report(At(300));
+  CHECK(report.answered.empty());
+  REQUIRE(report.crashes.size() == 3);
+  for (const schema::ReportedCrash& crash : report.crashes) {
+    CHECK(HadBegun(crash.crash));
+    CHECK(crash.crash.parts == MakeParts({"bad"}));
+  }
+}
+
 TEST_CASE("a host reports crashes for a while and answers that are watched") {
   Recorder recorder;
   recorder.RecordAnswer(kService, MakeParts({"a"}), At(0));
   recorder.RecordCrash(kService, kWorkspace, core::UpstreamId("u"), {},
-                       MakeParts({"b"}), At(1000));
+                       MakeParts({"b"}), false, At(1000));
   CHECK(recorder.Report(At(1500)).crashes.front().crash.age ==
         std::chrono::milliseconds(500));
   CHECK(recorder.Report(At(1500)).answered.empty());
--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "foxquay/quarantine/detector.h"
+
 namespace foxquay::relay {
 namespace {
 
@@ -486,6 +488,45 @@
   CHECK(std::holds_alternative<Send>(relay.HandleLoss(kId, loss, At(40))));
 }
 
+// Guards against a stream that crashes one upstream after the other, each time
+// after it has begun, and against sound streams that are given up with the
+// first upstream that ends under them.
+TEST_CASE("a stream that has begun is given up after several crashes") {
+  const auto table = MakeTable(schema::RequestKind::kStream, 4, true);
+  Relay relay = MakeRelay({Plain("a"), Plain("b"), Plain("c"), Plain("d")});
+  Decision decision = relay.Arrive(kId, MakePromptContext(table, "p"), At(0));
+  for (std::size_t crash = 1; crash <= quarantine::kMinCrashes; ++crash) {
+    REQUIRE(std::holds_alternative<Send>(decision));
+    const core::Instant now = At(static_cast<int>(crash) * 10);
+    relay.BeginAnswer(kId, now);
+    const bool unchecked = relay.ResumesUnchecked(kId);
+    CHECK(unchecked == (crash < quarantine::kMinCrashes));
+    const Loss loss{LossKind::kCut, "", true, !unchecked};
+    const auto suspicion = relay.SuspectCrash(kId, loss);
+    REQUIRE(suspicion);
+    CHECK(suspicion->begun);
+    relay.RecordCrash(kId, *suspicion, now);
+    decision = relay.HandleLoss(kId, loss, now);
+  }
+  CHECK(std::holds_alternative<Abort>(decision));
+}
+
+// Guards against parts that are suspected because upstreams end as announced.
+TEST_CASE("the end of an upstream that leaves is no crash") {
+  const auto table = MakeTable(schema::RequestKind::kStream, 2, true);
+  Relay relay = MakeRelay({Plain("a"), Plain("b")});
+  const Decision sent = relay.Arrive(kId, MakePromptContext(table, "p"), At(0));
+  const core::UpstreamId first = std::get<Send>(sent).hops.front().upstream;
+  relay.BeginAnswer(kId, At(5));
+  const Loss loss{LossKind::kCut, "", true, false};
+  CHECK(relay.SuspectCrash(kId, loss));
+  SECTION("it has said so") {
+    REQUIRE(relay.RecordWish(first, true, std::nullopt, At(10)));
+  }
+  SECTION("it has left the list") { relay.upstreams().Set({}, At(10)); }
+  CHECK_FALSE(relay.SuspectCrash(kId, loss));
+}
+
 // A plain request has no shared parts, and its upstream ends before the head.
 TEST_CASE("a plain request is suspected of the crash of its upstream") {
   const auto kind = GENERATE(schema::RequestKind::kRepeatable,
