Admit no key when the list of tenants has become empty

Cause: a missing list of tenants, which means that no keys are needed, and an empty one were read as the same.

--- a/src/foxquay/schema/fleet.h
+++ b/src/foxquay/schema/fleet.h
@@ -214,6 +214,7 @@
   std::vector<Service> services;  ///< Services.
   std::vector<Workspace>
       workspaces;  ///< Workspaces; requests need an API key if there are any.
+                   ///< One without keys shows that nobody has one.
   CallerLimits limits;  ///< Limits on callers.
 
   friend bool operator==(const Fleet&, const Fleet&) = default;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -1,7 +1,11 @@
+#include "foxquay/schema/codec.h"
+
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
 
+#include "foxquay/fleet/table.h"
+#include "foxquay/fleet/validate.h"
 #include "platform/fleet.h"
 #include "platform/json.h"
 #include "platform/protocol.h"
@@ -61,6 +65,34 @@
   CHECK_FALSE(read.leaving);
 }
 
+// Guards against a configuration that admits every key, also invented ones,
+// once the last one has been revoked.
+TEST_CASE("an empty list of tenants leaves no valid key") {
+  const std::string tenants =
+      R"("tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1}])";
+  const auto read = [&tenants](const std::string& list) {
+    core::Findings findings;
+    schema::Fleet fleet = ReadFleet(Replace(kFleet, tenants, list), findings);
+    REQUIRE(findings.empty());
+    REQUIRE(fleet::Validate(fleet).empty());
+    // As the hosts get it.
+    auto sent = schema::Decode<schema::Fleet>(schema::Encode(fleet));
+    REQUIRE(sent);
+    return fleet::Table(std::move(sent).value());
+  };
+  const fleet::Table revoked = read(R"("tenants":[])");
+  CHECK(revoked.NeedsKey());
+  for (const char* key : {"k1", "invented", ""}) {
+    CHECK(revoked.FindWorkspace(key) == nullptr);
+  }
+  const fleet::Table keyless =
+      read(R"("tenants":[{"name":"w","api_keys":[]}])");
+  CHECK(keyless.NeedsKey());
+  CHECK(keyless.FindWorkspace("k1") == nullptr);
+  // Without the member, requests need no key.
+  CHECK_FALSE(read(R"("unused":1)").NeedsKey());
+}
+
 TEST_CASE("an upstream without layers or that drains is recognized") {
   core::Findings findings;
   const std::string empty =
