--- a/tests/foxquay/relay/relay_test.cc
+++ b/tests/foxquay/relay/relay_test.cc
@@ -367,8 +367,8 @@
     relay.partners().Set(core::HostId("self"), {{core::HostId("p"), "p:1"},
                                                 {core::HostId("q"), "q:1"}});
   }
-  REQUIRE(std::holds_alternative<Send>(
-      relay.Arrive(kId, std::move(context), At(0))));
+  const Decision sent = relay.Arrive(kId, std::move(context), At(0));
+  REQUIRE(std::holds_alternative<Send>(sent));
   relay.BeginAnswer(kId, At(0));
   ResumedStream result;
   std::vector<int> times;
