Spread requests over chains by what their memory and slots have left

Cause: the cost of a stage was its time alone, and the two chains that begin at a fast accelerator are the fastest ones. Hosts sent 180 of 398 open requests to one first stage whose memory holds 155, while five others had 10 to 25 each. Its upstreams preempted 301 requests and turned 325 away.

Change: the time of a stage is divided by the part of its memory, or of the slots of a first stage, that is left, as a queue's wait grows with its use. The mix over which hosts draw thus fills fast and slow chains together.

Evidence: the new test replays a crest of 8, 111 and 730 hosts; before, a first stage of 192 slots got 246 to 258 requests.

--- a/src/foxquay/relay/stage_cost.cc
+++ b/src/foxquay/relay/stage_cost.cc
@@ -1,5 +1,7 @@
 #include "foxquay/relay/stage_cost.h"
 
+#include <algorithm>
+
 #include "foxquay/placement/plan.h"
 
 namespace foxquay::relay {
@@ -11,6 +13,10 @@
 /// Beyond it, the engine preempts its newest request.
 constexpr double kMaxMemoryFraction = 0.9;
 
+/// Fraction of its capacity up to which the cost of a stage grows with its use.
+/// A stage beyond it is compared by its time only.
+constexpr double kMaxUse = 0.95;
+
 }  // namespace internal
 
 StageCost::StageCost(const schema::Engine& engine,
@@ -25,7 +31,8 @@
       layers_(engine.layers),
       token_capacity_(
           internal::kMaxMemoryFraction *
-          placement::TokensThatFit(engine, accelerator.kind, layers.size())) {}
+          placement::TokensThatFit(engine, accelerator.kind, layers.size())),
+      slots_(layers.first == 0 ? engine.slots : 0) {}
 
 core::Duration StageCost::PerLayer(const Work& work,
                                    const StageLoad& load) const {
@@ -34,8 +41,18 @@
   // While a request runs, each of the others is replaced about once, and the
   // prompt of its successor is read between the steps.
   const double read = read_ * work.prompt_tokens * (1 + load.sequences);
-  return std::chrono::duration_cast<core::Duration>(
-      internal::Seconds((work.answer_tokens * step + read) / layers_));
+  const double use = std::min(Use(work, load), internal::kMaxUse);
+  return std::chrono::duration_cast<core::Duration>(internal::Seconds(
+      (work.answer_tokens * step + read) / layers_ / (1 - use)));
+}
+
+double StageCost::Use(const Work& work, const StageLoad& load) const {
+  if (load.sequences <= 0) return 0;
+  const double memory =
+      token_capacity_ > 0 ? (load.tokens + work.MeanTokens()) / token_capacity_
+                          : 1;
+  const double slots = slots_ > 0 ? (load.sequences + 1) / slots_ : 0;
+  return std::max(memory, slots);
 }
 
 bool StageCost::Fits(const Work& work, const StageLoad& load) const {
--- a/src/foxquay/relay/stage_cost.h
+++ b/src/foxquay/relay/stage_cost.h
@@ -37,6 +37,9 @@
   /// Returns the time that a request takes per layer of the stage.
   [[nodiscard]] core::Duration PerLayer(const Work& work,
                                         const StageLoad& load) const;
+  /// Returns the fraction of the stage's memory or slots, whichever is scarcer,
+  /// that is in use with another request; 0 for the first one.
+  [[nodiscard]] double Use(const Work& work, const StageLoad& load) const;
   /// Returns whether the stage has memory for another request.
   [[nodiscard]] bool Fits(const Work& work, const StageLoad& load) const;
 
@@ -47,6 +50,7 @@
   double read_ = 0;          ///< Seconds to read a prompt token.
   double layers_ = 1;        ///< Layers of the model.
   double token_capacity_ = 0;
+  double slots_ = 0;  ///< Requests that it takes from hosts; 0 if unlimited.
 };
 
 }  // namespace foxquay::relay
--- a/tests/foxquay/relay/chain_mix_test.cc
+++ b/tests/foxquay/relay/chain_mix_test.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -75,11 +77,14 @@
     }
   }
 
-  /// Lets every host send one request and returns how many requests each first
-  /// stage got.
-  std::map<core::UpstreamId, int> SendOne(double open, core::Instant now) {
+  /// Lets every host, or the first `most`, send one request and returns how
+  /// many requests each first stage got.
+  std::map<core::UpstreamId, int> SendOne(double open, core::Instant now,
+                                          std::size_t most = SIZE_MAX) {
     std::map<core::UpstreamId, int> counts;
-    for (Upstreams& host : hosts_) {
+    for (std::size_t index = 0; index < std::min(most, hosts_.size());
+         ++index) {
+      Upstreams& host = hosts_[index];
       host.SetOpenRequests(open);
       NoPath reason{};
       const auto hops =
@@ -159,6 +164,53 @@
   }
 }
 
+// Guards against a crest at which hosts fill the memory of the fastest chain,
+// whose upstreams then preempt and turn away requests, while others have room.
+TEST_CASE("a crest fills fast and slow chains evenly") {
+  const schema::Engine engine = MakeEngine();
+  auto upstreams = MakeCopies(6, "slow");
+  for (schema::Announcement& fast : MakeCopies(2, "fast")) {
+    fast.id = core::UpstreamId("other-" + fast.id.value());
+    fast.data_centre = core::DataCentreId("other");
+    upstreams.push_back(fast);
+  }
+  // Requests that one chain holds, by its memory.
+  const StageCost slow(engine, engine.accelerators[1], {0, 10});
+  double room = 0;
+  while (slow.Fits(kWork, {room, room * kWork.MeanTokens()})) ++room;
+  room = std::min(room, static_cast<double>(engine.slots));
+  for (const std::size_t count : {8, 111, 730}) {
+    Hosts hosts(count, upstreams);
+    // Eight chains hold this many requests at four fifths of the room of the
+    // slow ones.
+    const auto crest = static_cast<std::size_t>(8 * 0.8 * room);
+    std::map<core::UpstreamId, int> counts;
+    for (std::size_t sent = 0; sent < crest; sent += count) {
+      const auto added =
+          hosts.SendOne(static_cast<double>(crest),
+                        core::Instant(milliseconds(1)), crest - sent);
+      for (const auto& [id, requests] : added) counts[id] += requests;
+    }
+    CAPTURE(count, room, crest);
+    CHECK(counts.size() == 8);
+    CHECK(Largest(counts) <= static_cast<int>(engine.slots));
+    for (const auto& [id, requests] : counts) {
+      if (id.value().starts_with("slow")) CHECK(requests <= room);
+    }
+  }
+}
+
+TEST_CASE("the use of a stage is that of its scarcer resource") {
+  const schema::Engine engine = MakeEngine();
+  const StageCost first(engine, engine.accelerators[0], {0, 10});
+  const StageCost later(engine, engine.accelerators[0], {10, 20});
+  CHECK(first.Use(kWork, {}) == 0);
+  const StageLoad full{191, 191 * kWork.MeanTokens()};
+  CHECK(first.Use(kWork, full) >= 1);
+  CHECK(later.Use(kWork, full) < first.Use(kWork, full));
+  CHECK(first.PerLayer(kWork, full) > 2 * later.PerLayer(kWork, full));
+}
+
 TEST_CASE("the load that exceeds the memory of all stages is left out") {
   const schema::Engine engine = MakeEngine();
   std::vector<MixStage> stages;
