Tell model upstreams the rank of each request

Cause: all requests were sent without a rank, so that upstreams admitted unhurried ones before urgent ones. Change: the adapter writes the rank of the request (its workspace's or its route's) for requests to models, over what the caller may have sent. Evidence: the codec test; it fails without the change.

--- a/src/foxquay/gateway/protocol.h
+++ b/src/foxquay/gateway/protocol.h
@@ -34,6 +34,7 @@
 struct ForwardingInfo {
   core::Duration remaining{};    ///< Time left until the request's deadline.
   core::WorkspaceId workspace;   ///< Empty if no key was needed.
+  std::uint32_t priority = 0;    ///< Rank of the request; 0 is the highest.
   std::vector<relay::Hop> hops;  ///< Path of the request; not empty.
   /// Id of the last event that the caller has.
   std::optional<std::uint64_t> resume_after;
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -134,6 +134,7 @@
   ForwardingInfo info;
   info.remaining = remaining;
   info.workspace = context.workspace;
+  info.priority = context.priority;
   info.hops = send.hops;
   info.resume_after = resume_after;
   protocol_.write_forwarding(request.fields, info);
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -262,17 +262,25 @@
   forwarding.hops = {{core::UpstreamId("u1"), "10.0.0.9:80", {0, 20}},
                      {core::UpstreamId("u2"), "10.0.0.3:80", {20, 80}}};
   forwarding.resume_after = 14;
+  forwarding.priority = 2;
+  request.fields.set("X-Request-Priority", "0");
   protocol.write_forwarding(request.fields, forwarding);
+  CHECK(request.fields["X-Request-Priority"] == "2");
   CHECK(request.fields.find("Authorization") == request.fields.end());
   CHECK(request.fields["X-Tenant"] == "w");
   CHECK(request.fields["X-Deadline"] == "1500");
   CHECK(request.fields["X-Expect-Instance"] == "u1");
   CHECK(request.fields["X-Hop-Count"] == "10.0.0.9:80=0-20,10.0.0.3:80=20-80");
   CHECK(request.fields["Last-Event-Id"] == "14");
+  forwarding.priority = 4'000'000'000;
+  protocol.write_forwarding(request.fields, forwarding);
+  CHECK(request.fields["X-Request-Priority"] == "9");
   forwarding.workspace = core::WorkspaceId();
+  forwarding.hops = {{core::UpstreamId("u1"), "10.0.0.9:80", {}}};
   request.fields.set("X-Tenant", "forged");
   protocol.write_forwarding(request.fields, forwarding);
   CHECK(request.fields.find("X-Tenant") == request.fields.end());
+  CHECK(request.fields.find("X-Request-Priority") == request.fields.end());
 }
 
 TEST_CASE("only an explicit statement means that a request has not run") {
