Measure how many requests a placement holds

Purpose: copies and spares are chosen from memory and slots in ways that no figure compares, and an operator cannot see what a placement holds.

The leader logs it with its orders (`placement_planned`) and exports it (`foxquay_placement_requests`).

--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -143,6 +143,7 @@
     registry_.Set("foxquay_leads", leads_ ? 1 : 0);
     registry_.Set("foxquay_disk_full", node_.DiskFull() ? 1 : 0);
     registry_.Set("foxquay_upstreams", static_cast<double>(upstreams_));
+    registry_.Set("foxquay_placement_requests", placer_.HeldRequests());
     return net::MakeResponse(200, "text/plain; version=0.0.4",
                              registry_.Expose());
   }
--- a/src/foxquay/gateway/placer.cc
+++ b/src/foxquay/gateway/placer.cc
@@ -1,5 +1,6 @@
 #include "foxquay/gateway/placer.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 #include <variant>
@@ -29,6 +30,18 @@
   return "";
 }
 
+const char* LimitName(placement::Limit limit) {
+  switch (limit) {
+    case placement::Limit::kMissingLayer:
+      return "missing-layer";
+    case placement::Limit::kMemory:
+      return "memory";
+    case placement::Limit::kSlots:
+      return "slots";
+  }
+  return "";
+}
+
 }  // namespace internal
 
 Placer::Placer(boost::asio::io_context& context, const Protocol& protocol,
@@ -224,10 +237,45 @@
     FinishCall(id, false);
   }
   for (auto& [service, reconciler] : reconcilers_) {
+    bool ordered = false;
     for (const placement::Action& action : reconciler.Tick(now)) {
+      ordered = ordered || std::holds_alternative<placement::Order>(action);
       Send(service, action, now);
     }
+    if (ordered) LogPlacement(service);
+  }
+}
+
+void Placer::LogPlacement(const core::ServiceId& service) {
+  std::vector<placement::CentreCapacity> centres =
+      reconcilers_.at(service).Measure();
+  std::vector<placement::CentreCapacity>& logged = logged_[service];
+  for (const placement::CentreCapacity& centre : centres) {
+    if (std::find(logged.begin(), logged.end(), centre) != logged.end()) {
+      continue;
+    }
+    log::Write(log::Level::kInfo, "placement_planned",
+               {{"service", service},
+                {"data_centre", centre.data_centre},
+                {"upstreams", centre.upstreams},
+                {"copies", centre.copies},
+                {"spares", centre.spares},
+                {"requests", centre.capacity.requests},
+                {"limit", internal::LimitName(centre.capacity.limit)},
+                {"layer", centre.capacity.layer}});
+  }
+  logged = std::move(centres);
+}
+
+double Placer::HeldRequests() const {
+  double requests = 0;
+  if (!leads_) return requests;
+  for (const auto& [service, reconciler] : reconcilers_) {
+    for (const placement::CentreCapacity& centre : reconciler.Measure()) {
+      requests += centre.capacity.requests;
+    }
   }
+  return requests;
 }
 
 }  // namespace foxquay::gateway
--- a/src/foxquay/gateway/placer.h
+++ b/src/foxquay/gateway/placer.h
@@ -65,6 +65,10 @@
   /// are due. Must be called every kPlacerInterval.
   void Review();
 
+  /// Returns how many requests of the usual size the layers of all models hold
+  /// at once; 0 on a host that does not lead.
+  [[nodiscard]] double HeldRequests() const;
+
  private:
   /// An order or inquiry that awaits its response.
   struct Call {
@@ -92,6 +96,8 @@
   void Skip(const core::ServiceId& service, const placement::Action& action,
             core::Instant now);
   void FinishCall(net::CallId id, bool answered);
+  /// Logs what the placement of a service holds where that has changed.
+  void LogPlacement(const core::ServiceId& service);
 
   Protocol protocol_;
   relay::HoldOffs& hold_offs_;
@@ -101,6 +107,8 @@
   std::shared_ptr<const fleet::Table> table_;
   std::vector<schema::Announcement> upstreams_;
   std::map<core::ServiceId, placement::Reconciler> reconcilers_;
+  /// Capacities as last logged.
+  std::map<core::ServiceId, std::vector<placement::CentreCapacity>> logged_;
   std::unordered_map<net::CallId, Call> calls_;
   bool leads_ = false;
   std::uint64_t term_ = 0;
--- a/src/foxquay/placement/fwd.h
+++ b/src/foxquay/placement/fwd.h
@@ -6,6 +6,8 @@
 struct Range;
 struct ModelUpstream;
 struct Assignment;
+struct Capacity;
+struct CentreCapacity;
 struct Candidate;
 struct Stage;
 struct Order;
--- a/src/foxquay/placement/plan.h
+++ b/src/foxquay/placement/plan.h
@@ -18,6 +18,8 @@
   core::DataCentreId data_centre;
   std::string accelerator;
   Range layers;  ///< Empty if the upstream holds no layers.
+
+  friend bool operator==(const ModelUpstream&, const ModelUpstream&) = default;
 };
 
 /// The layers that an upstream is to load.
--- a/src/foxquay/placement/reconciler.cc
+++ b/src/foxquay/placement/reconciler.cc
@@ -43,6 +43,7 @@
     const std::vector<schema::Announcement>& upstreams,
     const std::optional<schema::Engine>& engine, core::Instant now) {
   if (!engine_ && engine && leads_) first_order_at_ = now + kSettleTime;
+  if (engine_ != engine) planned_.reset();
   engine_ = engine;
   std::set<core::UpstreamId> present;
   for (const schema::Announcement& announcement : upstreams) {
@@ -141,13 +142,26 @@
   }
 }
 
+void Reconciler::UpdatePlan() {
+  std::vector<ModelUpstream> placement = CurrentPlacement();
+  if (placement == planned_) return;
+  plan_ = Plan(*engine_, placement);
+  planned_ = std::move(placement);
+}
+
+std::vector<CentreCapacity> Reconciler::Measure() const {
+  if (!engine_) return {};
+  return MeasureCapacity(*engine_, CurrentPlacement());
+}
+
 std::vector<Action> Reconciler::Tick(core::Instant now) {
   std::vector<Action> actions;
   if (!leads_ || !engine_ || engine_->layers == 0) return actions;
   RequestOrderCounts(actions);
   if (!first_order_at_ || now < *first_order_at_) return actions;
   InquireOverdueTargets(now, actions);
-  for (const Assignment& assignment : Plan(*engine_, CurrentPlacement())) {
+  UpdatePlan();
+  for (const Assignment& assignment : plan_) {
     UpstreamState& state = upstreams_.at(assignment.id);
     if (state.order_sent || state.inquiry_sent || now < state.backoff) continue;
     const Range held = state.target.value_or(HeldLayers(state.announcement));
--- a/src/foxquay/placement/reconciler.h
+++ b/src/foxquay/placement/reconciler.h
@@ -10,6 +10,7 @@
 
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
+#include "foxquay/placement/capacity.h"
 #include "foxquay/placement/plan.h"
 #include "foxquay/schema/announcement.h"
 #include "foxquay/schema/fleet.h"
@@ -89,6 +90,10 @@
   /// every 200 ms.
   [[nodiscard]] std::vector<Action> Tick(core::Instant now);
 
+  /// Returns what the placement holds once all orders have been carried out, by
+  /// data centre; empty without an engine.
+  [[nodiscard]] std::vector<CentreCapacity> Measure() const;
+
  private:
   struct UpstreamState {
     schema::Announcement announcement;
@@ -106,6 +111,8 @@
   /// Returns the upstreams with their ordered layers or, without an order, with
   /// the layers that they announced.
   [[nodiscard]] std::vector<ModelUpstream> CurrentPlacement() const;
+  /// Brings plan_ up to date with the current placement and the engine.
+  void UpdatePlan();
   /// Asks each upstream once per leadership how many orders it has accepted.
   void RequestOrderCounts(std::vector<Action>& actions);
   /// Asks for the state of upstreams whose target was not announced in time.
@@ -119,6 +126,9 @@
   std::optional<core::Instant> first_order_at_;
   std::optional<schema::Engine> engine_;
   std::map<core::UpstreamId, UpstreamState> upstreams_;
+  /// Placement that plan_ starts from; not set if the plan is out of date.
+  std::optional<std::vector<ModelUpstream>> planned_;
+  std::vector<Assignment> plan_;
 };
 
 /// Returns the layers that an announced upstream holds; empty if it holds none
