Place layers by what a data centre holds in calm and under a loss

Upstreams added under load stayed empty as well, and a large stage was loaded again by one upstream.

Change: the number of copies and spares of an empty data centre follows from an estimate of what it completes as it is, after the loss of its largest stage and after that of a group of four upstreams; of about equal plans the one that holds most requests is taken. Upstreams left over become further first stages where slots bind. Lost layers are divided over empty upstreams, in loads of 1.5 s or more; layers count as lost by the room of their holders, not by their number. Added upstreams take the layers with the least room if the data centre then holds or completes 1 % more. A data centre that has lost its only chain is partitioned anew with as much memory as fits instead of none. A single copy keeps up to three spares, as before.

--- a/src/foxquay/placement/plan.h
+++ b/src/foxquay/placement/plan.h
@@ -57,12 +57,14 @@
 /// the copies in the others complete.
 ///
 /// In a data centre where no layers are placed, all upstreams get the same
-/// memory for requests and a few upstreams stay empty as spares. Missing layers
-/// go to the spares first, then to the upstreams that hold the adjacent layers.
-/// An upstream gives up layers only if the gap cannot be filled otherwise.
-/// Thread-safe.
+/// memory for requests, and upstreams stay empty as spares only as far as they
+/// give more after a loss than their memory gives before. Missing layers are
+/// divided over the empty upstreams first, then go to the upstreams that hold
+/// the adjacent layers. An upstream gives up layers only if the gap cannot be
+/// filled otherwise. Further empty upstreams take the layers with the least
+/// room for requests. See docs/design/placement-under-loss.md. Thread-safe.
 [[nodiscard]] std::vector<Assignment> Plan(
-    const schema::Engine& engine, std::vector<ModelUpstream> upstreams);
+    const schema::Engine& engine, const std::vector<ModelUpstream>& upstreams);
 
 }  // namespace foxquay::placement
 
