Weight the chains of a mix by how fast their requests end

Cause: a mix divides the open requests, but hosts drew its parts with equal probability. A chain on which requests last three times as long then holds three times its part, and the estimate of its time misses the waits between its stages. Two draws were also compared by their whole cost, so that all hosts preferred a chain whose part was a little smaller.

Change: a part is drawn in proportion to the rate at which its requests end, by the time between events that the host has measured at the first stage; two draws are told apart by what this host's own requests and measurements add to the plan. A first stage without a slot takes no part.

--- a/src/foxquay/relay/latency_tracker.h
+++ b/src/foxquay/relay/latency_tracker.h
@@ -22,6 +22,10 @@
   /// Returns by how much the mean latency exceeds the best one beyond normal
   /// variation, with decay since the last sample; zero without samples.
   [[nodiscard]] core::Duration Slowdown(core::Instant now) const;
+  /// Returns the mean of the samples; nothing without samples.
+  [[nodiscard]] std::optional<core::Duration> Mean() const noexcept {
+    return average_;
+  }
   /// Returns the mean of the recent samples, with decay since the last one;
   /// zero without samples.
   [[nodiscard]] core::Duration RecentLatency(core::Instant now) const;
--- a/src/foxquay/relay/stage_cost.cc
+++ b/src/foxquay/relay/stage_cost.cc
@@ -34,16 +34,21 @@
           placement::TokensThatFit(engine, accelerator.kind, layers.size())),
       slots_(layers.first == 0 ? engine.slots : 0) {}
 
-core::Duration StageCost::PerLayer(const Work& work,
-                                   const StageLoad& load) const {
+core::Duration StageCost::TimePerLayer(const Work& work,
+                                       const StageLoad& load) const {
   const double step =
       step_ + per_sequence_ * (load.sequences + 1) + per_token_ * load.tokens;
   // While a request runs, each of the others is replaced about once, and the
   // prompt of its successor is read between the steps.
   const double read = read_ * work.prompt_tokens * (1 + load.sequences);
+  return std::chrono::duration_cast<core::Duration>(
+      internal::Seconds((work.answer_tokens * step + read) / layers_));
+}
+
+core::Duration StageCost::PerLayer(const Work& work,
+                                   const StageLoad& load) const {
   const double use = std::min(Use(work, load), internal::kMaxUse);
-  return std::chrono::duration_cast<core::Duration>(internal::Seconds(
-      (work.answer_tokens * step + read) / layers_ / (1 - use)));
+  return core::Scale(TimePerLayer(work, load), 1 / (1 - use));
 }
 
 double StageCost::Use(const Work& work, const StageLoad& load) const {
@@ -58,6 +63,7 @@
 bool StageCost::Fits(const Work& work, const StageLoad& load) const {
   // A stage always takes one request.
   if (load.sequences < 1) return true;
+  if (slots_ > 0 && load.sequences + 1 > slots_) return false;
   const double demand = load.tokens + work.prompt_tokens + work.answer_tokens;
   return demand <= token_capacity_;
 }
--- a/src/foxquay/relay/stage_cost.h
+++ b/src/foxquay/relay/stage_cost.h
@@ -35,12 +35,17 @@
             const schema::Accelerator& accelerator, placement::Range layers);
 
   /// Returns the time that a request takes per layer of the stage.
+  [[nodiscard]] core::Duration TimePerLayer(const Work& work,
+                                            const StageLoad& load) const;
+  /// Returns the cost of a request per layer of the stage: its time, divided by
+  /// the part of the stage that is left, as the wait in a queue grows with its
+  /// use.
   [[nodiscard]] core::Duration PerLayer(const Work& work,
                                         const StageLoad& load) const;
   /// Returns the fraction of the stage's memory or slots, whichever is scarcer,
   /// that is in use with another request; 0 for the first one.
   [[nodiscard]] double Use(const Work& work, const StageLoad& load) const;
-  /// Returns whether the stage has memory for another request.
+  /// Returns whether the stage has memory and a slot for another request.
   [[nodiscard]] bool Fits(const Work& work, const StageLoad& load) const;
 
  private:
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -268,21 +268,55 @@
   for (std::size_t index = 0; index < stages.size(); ++index) {
     entries[index]->mixed = stages[index].load;
   }
-  mix = {{}, now, requests, changes_};
+  mix = {{}, {}, now, requests, changes_};
+  std::vector<core::Duration> times;
   for (const placement::Chain& chain : chains) {
     if (engine.max_stages > 0 && chain.stages.size() > engine.max_stages) {
       continue;
     }
     std::vector<Hop>& hops = mix.chains.emplace_back();
+    core::Duration time = internal::kHandoffTime;
     for (const placement::Stage& stage : chain.stages) {
       const schema::Announcement& announcement =
           entries[stage.upstream]->announcement;
       hops.push_back({announcement.id, announcement.address, stage.layers});
+      const MixStage& candidate = stages[stage.upstream];
+      time += candidate.cost.TimePerLayer(usual, candidate.load) *
+              static_cast<std::int64_t>(stage.layers.size());
     }
+    times.push_back(time);
   }
+  mix.rates = EndRates(mix.chains, times, usual.answer_tokens / engine.stride);
   return mix;
 }
 
+std::vector<double> Upstreams::EndRates(
+    const std::vector<std::vector<Hop>>& chains,
+    const std::vector<core::Duration>& estimates, double events) const {
+  // Ratio of the measured time to the estimate; that of chains without a
+  // measurement is the mean of the others.
+  std::vector<std::optional<double>> corrections;
+  double sum = 0;
+  double known = 0;
+  for (std::size_t index = 0; index < chains.size(); ++index) {
+    const Entry& first = entries_.at(chains[index].front().upstream);
+    const auto gap = first.latency.Mean();
+    corrections.emplace_back();
+    if (!gap) continue;
+    corrections.back() = internal::Seconds(*gap).count() * events /
+                         internal::Seconds(estimates[index]).count();
+    sum += *corrections.back();
+    ++known;
+  }
+  const double usual = known > 0 ? sum / known : 1;
+  std::vector<double> rates;
+  for (std::size_t index = 0; index < chains.size(); ++index) {
+    rates.push_back(1 / (internal::Seconds(estimates[index]).count() *
+                         corrections[index].value_or(usual)));
+  }
+  return rates;
+}
+
 bool Upstreams::ChainUsable(const std::vector<Hop>& hops,
                             const FirstHops& first, core::Instant now) const {
   if (!first.Allows(hops.front().upstream)) return false;
@@ -294,10 +328,11 @@
   });
 }
 
-core::Duration Upstreams::ChainCost(const schema::Engine& engine,
-                                    const std::vector<Hop>& hops,
-                                    const Work& work, core::Instant now) const {
+double Upstreams::CostRatio(const schema::Engine& engine,
+                            const std::vector<Hop>& hops, const Work& work,
+                            core::Instant now) const {
   core::Duration cost{};
+  core::Duration planned{};
   for (const Hop& hop : hops) {
     const Entry& entry = entries_.at(hop.upstream);
     const schema::Accelerator* accelerator =
@@ -305,12 +340,14 @@
     const placement::Range held = placement::HeldLayers(entry.announcement);
     if (accelerator == nullptr || held.empty()) continue;
     const StageCost stage(engine, *accelerator, held);
-    cost += stage.PerLayer(work, EstimateLoad(entry)) *
-            static_cast<std::int64_t>(hop.layers.size());
+    const auto layers = static_cast<std::int64_t>(hop.layers.size());
+    cost += stage.PerLayer(work, EstimateLoad(entry)) * layers;
+    planned += stage.PerLayer(work, entry.mixed) * layers;
   }
-  return cost +
-         entries_.at(hops.front().upstream).latency.Slowdown(now) *
-             static_cast<std::int64_t>(1 + work.answer_tokens / engine.stride);
+  if (planned <= core::Duration::zero()) return 1;
+  cost += entries_.at(hops.front().upstream).latency.Slowdown(now) *
+          static_cast<std::int64_t>(1 + work.answer_tokens / engine.stride);
+  return internal::Seconds(cost) / internal::Seconds(planned);
 }
 
 std::vector<Hop> Upstreams::ChooseFromMix(const schema::Service& service,
@@ -318,20 +355,23 @@
                                           const FirstHops& first,
                                           core::Instant now) {
   const Mix& mix = UpdateMix(service, now);
-  std::vector<const std::vector<Hop>*> usable;
-  for (const std::vector<Hop>& hops : mix.chains) {
-    if (ChainUsable(hops, first, now)) usable.push_back(&hops);
+  std::vector<std::size_t> usable;
+  std::vector<double> rates;
+  for (std::size_t index = 0; index < mix.chains.size(); ++index) {
+    if (!ChainUsable(mix.chains[index], first, now)) continue;
+    usable.push_back(index);
+    rates.push_back(mix.rates[index]);
   }
   if (usable.empty()) return {};
-  std::uniform_int_distribution<std::size_t> draw(0, usable.size() - 1);
-  const std::vector<Hop>* chosen = usable[draw(random_)];
-  const std::vector<Hop>* other = usable[draw(random_)];
+  std::discrete_distribution<std::size_t> draw(rates.begin(), rates.end());
+  const std::vector<Hop>& chosen = mix.chains[usable[draw(random_)]];
+  const std::vector<Hop>& other = mix.chains[usable[draw(random_)]];
   const schema::Engine& engine = *service.engine;
-  if (ChainCost(engine, *other, work, now) <
-      ChainCost(engine, *chosen, work, now)) {
-    chosen = other;
-  }
-  return *chosen;
+  // All hosts have the same mix. What tells two of its chains apart is by how
+  // much this host's own requests and measurements exceed it.
+  const bool better = CostRatio(engine, other, work, now) <
+                      CostRatio(engine, chosen, work, now);
+  return better ? other : chosen;
 }
 
 std::vector<Hop> Upstreams::ChooseCheapest(const schema::Service& service,
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -77,11 +77,12 @@
   /// For a plain service, this is the upstream with the lowest expected latency
   /// under this host's requests, among those that are not avoided; of equal
   /// ones, the one not used for longest. For a model,
-  /// it is the cheaper of two chains drawn from the mix over which the requests
-  /// of all hosts are spread, under the load of the mix and this host's own
-  /// requests. If there are no other hosts, none of these chains may be used,
-  /// or this host holds leave to send to limited upstreams, which the mix does
-  /// not contain, it is the cheapest chain.
+  /// it is one of two chains drawn from the mix over which the requests of all
+  /// hosts are spread: the one that this host's own requests and measurements
+  /// make less expensive than the mix assumes. If there are no other hosts,
+  /// none of these chains may be used, or this host holds leave to send to
+  /// limited upstreams, which the mix does not contain, it is the cheapest
+  /// chain.
   [[nodiscard]] std::vector<Hop> ChoosePath(const schema::Service& service,
                                             const Work& work,
                                             const FirstHops& first,
@@ -195,6 +196,9 @@
   /// The chains over which the requests of all hosts for a service are spread.
   struct Mix {
     std::vector<std::vector<Hop>> chains;  ///< One for each part of the load.
+    /// Rate at which the requests of each part end, and are replaced, relative
+    /// to the others.
+    std::vector<double> rates;
     core::Instant computed_at;
     double requests = 0;        ///< Load for which it was computed.
     std::uint64_t changes = 0;  ///< Value of `changes_` at that time.
@@ -217,15 +221,20 @@
   /// Returns the mix of a service, computed anew if it is out of date.
   [[nodiscard]] const Mix& UpdateMix(const schema::Service& service,
                                      core::Instant now);
+  /// Returns the rate at which the requests of each chain end, from the time
+  /// between events that this host has measured there, or from its estimate.
+  [[nodiscard]] std::vector<double> EndRates(
+      const std::vector<std::vector<Hop>>& chains,
+      const std::vector<core::Duration>& estimates, double events) const;
   /// Returns whether a chain of the mix may take a request.
   [[nodiscard]] bool ChainUsable(const std::vector<Hop>& hops,
                                  const FirstHops& first,
                                  core::Instant now) const;
-  /// Returns the time that a request takes on a chain.
-  [[nodiscard]] core::Duration ChainCost(const schema::Engine& engine,
-                                         const std::vector<Hop>& hops,
-                                         const Work& work,
-                                         core::Instant now) const;
+  /// Returns the cost of a chain under this host's knowledge, relative to its
+  /// cost under the load of the mix.
+  [[nodiscard]] double CostRatio(const schema::Engine& engine,
+                                 const std::vector<Hop>& hops, const Work& work,
+                                 core::Instant now) const;
   /// Returns the load of all hosts on an upstream: that of the mix with this
   /// host's share replaced by its own requests.
   [[nodiscard]] StageLoad EstimateLoad(const Entry& entry) const;
--- a/tests/foxquay/relay/chain_mix_test.cc
+++ b/tests/foxquay/relay/chain_mix_test.cc
@@ -200,6 +200,76 @@
   }
 }
 
+// Guards against chains that keep requests for longer than estimated and fill
+// up, as hosts send as many to them as to the others.
+TEST_CASE("chains that are slower than estimated do not overflow") {
+  const schema::Service service = MakeService();
+  const schema::Engine& engine = *service.engine;
+  const StageCost stage(engine, engine.accelerators[1], {0, 10});
+  int room = 0;
+  while (stage.Fits(kWork, {1.0 * room, room * kWork.MeanTokens()})) ++room;
+  // Three quarters of the room of four chains, two of which take three times
+  // as long as the others.
+  constexpr int kEvents = 50;
+  const std::map<std::string, milliseconds> gaps = {
+      {"slow0-0", milliseconds(40)},
+      {"slow1-0", milliseconds(40)},
+      {"slow2-0", milliseconds(120)},
+      {"slow3-0", milliseconds(120)}};
+  double per_second = 0;
+  for (const auto& [name, gap] : gaps) {
+    per_second += 0.75 * room / (kEvents * gap.count() / 1000.0);
+  }
+  struct Open {
+    core::Instant end;
+    std::size_t host;
+    std::vector<Hop> hops;
+  };
+  std::vector<Upstreams> hosts;
+  for (std::size_t index = 0; index < 60; ++index) {
+    hosts.emplace_back(index + 1);
+    hosts.back().SetHosts(60);
+    hosts.back().Set(MakeCopies(4, "slow"), core::Instant());
+  }
+  std::vector<Open> open;
+  std::map<std::string, int> counts;
+  double due = 0;
+  std::size_t next_host = 0;
+  for (milliseconds at{0}; at < std::chrono::seconds(40);
+       at += milliseconds(50)) {
+    const core::Instant now(at);
+    std::erase_if(open, [&](const Open& request) {
+      if (request.end > now) return false;
+      hosts[request.host].End(request.hops, kWork);
+      --counts[request.hops.front().address];
+      return true;
+    });
+    if (at.count() % 500 == 0) {
+      for (Upstreams& host : hosts) {
+        host.SetOpenRequests(static_cast<double>(open.size()));
+      }
+    }
+    for (due += per_second * 0.05; due >= 1; --due) {
+      const std::size_t index = next_host++ % hosts.size();
+      NoPath reason{};
+      const auto hops =
+          hosts[index].ChoosePath(service, kWork, FirstHops(), now, reason);
+      REQUIRE(!hops.empty());
+      hosts[index].Begin(hops, kWork, now);
+      const std::string& first = hops.front().address;
+      const milliseconds gap = gaps.at(first);
+      hosts[index].RecordLatency(hops.front().upstream, gap, now);
+      open.push_back({now + gap * kEvents, index, hops});
+      ++counts[first];
+    }
+    if (at < std::chrono::seconds(20)) continue;
+    for (const auto& [name, count] : counts) {
+      CAPTURE(at.count(), name, room);
+      CHECK(count <= room);
+    }
+  }
+}
+
 TEST_CASE("the use of a stage is that of its scarcer resource") {
   const schema::Engine engine = MakeEngine();
   const StageCost first(engine, engine.accelerators[0], {0, 10});
