Refuse new requests once the upstreams of a model are nearly full

Cause: nothing decided what is not begun. The mix leaves out the parts of the load for which no chain has room, but hosts sent all requests to the rest.

Change: the mix also tells how much load there is room for, and relay::OverloadControl refuses new requests from nine tenths of it on (limits.model_use), at once and with a time to return; the share that is admitted goes to the more urgent ranks first, each keeps a floor.

--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -169,6 +169,7 @@
         Listen("peer", listeners.peer, [&] { return node_.Start(); });
     if (has_entry_role_) {
       proxy_.relay().Start(net::SteadyNow());
+      proxy_.relay().SetOverloadBegin(settings_.limits.model_use);
       started =
           started &&
           Listen("caller", listeners.caller,
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -299,6 +299,8 @@
   void RecordInquiry(const core::UpstreamId& upstream, ProbeResult result);
   /// Logs changes of whether this host reaches the upstreams of services.
   void ReportPathChanges();
+  /// Logs changes of whether new requests to models are refused.
+  void ReportOverload();
   /// Returns the request as it is sent to the first hop.
   [[nodiscard]] net::Request MakeRequest(core::RequestId id,
                                          const relay::Send& send) const;
--- a/src/foxquay/gateway/proxy_losses.cc
+++ b/src/foxquay/gateway/proxy_losses.cc
@@ -112,6 +112,18 @@
   registry_.Set("foxquay_cut_off", relay_.CutOff() ? 1 : 0);
 }
 
+void Proxy::ReportOverload() {
+  for (const relay::OverloadChange& change : relay_.TakeOverloadChanges()) {
+    log::Write(log::Level::kWarn, "overload",
+               {{"service", change.service},
+                {"overloaded", change.overloaded},
+                {"use", change.use}});
+    registry_.Set(
+        "foxquay_overloaded{service=\"" + change.service.value() + "\"}",
+        change.overloaded ? 1 : 0);
+  }
+}
+
 void Proxy::ReportSuspect(const core::UpstreamId& upstream, core::Instant now) {
   if (suspected_.try_emplace(upstream, now).second) on_suspects_({upstream});
 }
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -476,6 +476,7 @@
     prober_.Review(now);
     ExpireChecks(now);
     ReportSuspects(now);
+    ReportOverload();
     Inquire();
     MoveStalledStreams(now);
   }
--- a/src/foxquay/relay/chain_mix.cc
+++ b/src/foxquay/relay/chain_mix.cc
@@ -4,17 +4,17 @@
 
 namespace foxquay::relay {
 
-std::vector<placement::Chain> SpreadLoad(std::vector<MixStage>& stages,
-                                         std::uint32_t layers,
-                                         core::Duration crossing_cost,
-                                         const Work& work, double requests) {
+LoadSpread SpreadLoad(std::vector<MixStage>& stages, std::uint32_t layers,
+                      core::Duration crossing_cost, const Work& work,
+                      double requests) {
   const double part = requests / static_cast<double>(kMixParts);
   std::vector<placement::Candidate> candidates;
   candidates.reserve(stages.size());
+  std::vector<StageLoad> loads(stages.size());
   const auto update = [&](std::size_t index) {
-    const MixStage& stage = stages[index];
-    candidates[index].per_layer = stage.cost.PerLayer(work, stage.load);
-    if (!stage.cost.Fits(work, stage.load)) candidates[index].layers = {};
+    const StageCost& cost = stages[index].cost;
+    candidates[index].per_layer = cost.PerLayer(work, loads[index]);
+    if (!cost.Fits(work, loads[index])) candidates[index].layers = {};
   };
   for (std::size_t index = 0; index < stages.size(); ++index) {
     stages[index].load = {};
@@ -22,20 +22,24 @@
     candidates.back().upstream = index;
     update(index);
   }
-  std::vector<placement::Chain> chains;
-  for (std::size_t count = 0; count < kMixParts; ++count) {
+  LoadSpread spread;
+  constexpr auto kMostParts = static_cast<std::size_t>(kMaxRoom * kMixParts);
+  std::size_t count = 0;
+  for (; count < kMostParts; ++count) {
     placement::Chain chain =
         placement::CheapestChain(candidates, layers, crossing_cost);
     if (chain.stages.empty()) break;
     for (const placement::Stage& stage : chain.stages) {
-      StageLoad& load = stages[stage.upstream].load;
+      StageLoad& load = loads[stage.upstream];
       load.sequences += part;
       load.tokens += part * work.MeanTokens();
+      if (count < kMixParts) stages[stage.upstream].load = load;
       update(stage.upstream);
     }
-    chains.push_back(std::move(chain));
+    if (count < kMixParts) spread.chains.push_back(std::move(chain));
   }
-  return chains;
+  spread.room = static_cast<double>(count) / static_cast<double>(kMixParts);
+  return spread;
 }
 
 }  // namespace foxquay::relay
--- a/src/foxquay/relay/chain_mix.h
+++ b/src/foxquay/relay/chain_mix.h
@@ -25,9 +25,20 @@
   StageLoad load;  ///< Set by SpreadLoad.
 };
 
-/// Distributes the load of all hosts over chains and returns the chain of each
-/// part, which is fewer than kMixParts if there is no memory for more. Sets the
-/// load of the stages that results.
+/// A distribution of the load of all hosts.
+struct LoadSpread {
+  /// The chain of each part; fewer than kMixParts if there is no room for more.
+  std::vector<placement::Chain> chains;
+  /// Load for which there is room, relative to that which was distributed; at
+  /// most kMaxRoom.
+  double room = 0;
+};
+
+/// Largest room that SpreadLoad finds.
+inline constexpr double kMaxRoom = 2;
+
+/// Distributes the load of all hosts over chains. Sets the load of the stages
+/// that results.
 ///
 /// Each part in turn takes the cheapest chain under the load of the parts
 /// before it (incremental assignment, as for traffic on roads: Dafermos and
@@ -35,9 +46,10 @@
 /// hundreds of hosts with few requests each: if each chose the cheapest chain
 /// from the same old load, all would choose the same one. Each host computes
 /// the same mix and draws chains from it at random. Thread-safe.
-[[nodiscard]] std::vector<placement::Chain> SpreadLoad(
-    std::vector<MixStage>& stages, std::uint32_t layers,
-    core::Duration crossing_cost, const Work& work, double requests);
+[[nodiscard]] LoadSpread SpreadLoad(std::vector<MixStage>& stages,
+                                    std::uint32_t layers,
+                                    core::Duration crossing_cost,
+                                    const Work& work, double requests);
 
 }  // namespace foxquay::relay
 
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -64,6 +64,7 @@
       reachability_(seed),
       partners_(seed),
       budget_(budget),
+      overload_(seed),
       random_(seed) {}
 
 void Relay::SetHosts(std::size_t hosts, core::Instant now) {
@@ -87,9 +88,23 @@
     budget_.CountRequest(state.context.service->id, now);
   }
   upstreams_.limits().CountRequest(state.context.service->id, now);
+  if (auto refusal = RefuseOverload(id, state, now)) return *refusal;
   return Route(id, state, now);
 }
 
+std::optional<Decision> Relay::RefuseOverload(core::RequestId id, State& state,
+                                              core::Instant now) {
+  const RequestContext& context = state.context;
+  // What a caller or another host continues has used the upstreams already.
+  if (context.resume_after || state.may_have_run) return std::nullopt;
+  const double use = upstreams_.Use(*context.service, now);
+  if (use <= 0) return std::nullopt;
+  const core::ServiceId& service = context.service->id;
+  if (overload_.Admit(service, context.priority, use, now)) return std::nullopt;
+  return GiveUp(id, "the upstreams hold as many requests as they can",
+                overload_.ReturnTime(service, now), now);
+}
+
 Decision Relay::Route(core::RequestId id, State& state, core::Instant now) {
   const RequestContext& context = state.context;
   if (auto refusal = RefuseQuarantined(id, state, now)) return *refusal;
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -15,6 +15,7 @@
 #include "foxquay/quarantine/gate.h"
 #include "foxquay/quarantine/recorder.h"
 #include "foxquay/relay/decision.h"
+#include "foxquay/relay/overload_control.h"
 #include "foxquay/relay/partners.h"
 #include "foxquay/relay/reachability.h"
 #include "foxquay/relay/retry_budget.h"
@@ -83,6 +84,14 @@
   /// Returns whether the current send of a request goes to another host.
   /// Precondition: the request is known.
   [[nodiscard]] bool ViaPartner(core::RequestId id) const;
+  /// Sets the use of a model's upstreams at which new requests begin to be
+  /// refused; 0, as at first, refuses none.
+  void SetOverloadBegin(double use) noexcept { overload_.SetBegin(use); }
+  /// Returns the changes of whether new requests to models are refused since
+  /// the last call.
+  [[nodiscard]] std::vector<OverloadChange> TakeOverloadChanges() {
+    return overload_.TakeChanges();
+  }
   /// Reduces the retry budget after the start of the process, see RetryBudget.
   void Start(core::Instant now) { budget_.Start(now); }
   /// Sets the number of hosts that serve callers; 0 counts as 1.
@@ -226,6 +235,10 @@
   /// answered and is covered by a quarantine.
   void RefuseSent(std::vector<std::pair<core::RequestId, Decision>>& decisions,
                   core::Instant now);
+  /// Returns the refusal of a new request while the upstreams of its model hold
+  /// nearly as many as they can.
+  std::optional<Decision> RefuseOverload(core::RequestId id, State& state,
+                                         core::Instant now);
   /// Returns whether the request is to wait until the control host has answered
   /// whether it may use limited upstreams.
   [[nodiscard]] bool AwaitsLeave(State& state, core::Instant now);
@@ -295,6 +308,7 @@
   bool leave_wanted_ = false;
   bool outdated_ = false;  ///< See SetOutdated.
   RetryBudget budget_;
+  OverloadControl overload_;
   std::mt19937_64 random_;
   std::map<core::RequestId, State> requests_;
   std::size_t held_ = 0;
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -262,15 +262,15 @@
     entries.push_back(&entry);
     stages.push_back(*std::move(stage));
   }
-  const std::vector<placement::Chain> chains =
+  const LoadSpread spread =
       SpreadLoad(stages, engine.layers, internal::CrossingCost(engine, usual),
                  usual, requests);
   for (std::size_t index = 0; index < stages.size(); ++index) {
     entries[index]->mixed = stages[index].load;
   }
-  mix = {{}, {}, now, requests, changes_};
+  mix = {{}, {}, spread.room, now, requests, changes_};
   std::vector<core::Duration> times;
-  for (const placement::Chain& chain : chains) {
+  for (const placement::Chain& chain : spread.chains) {
     if (engine.max_stages > 0 && chain.stages.size() > engine.max_stages) {
       continue;
     }
@@ -290,6 +290,13 @@
   return mix;
 }
 
+double Upstreams::Use(const schema::Service& service, core::Instant now) {
+  if (!service.engine || service.engine->layers == 0) return 0;
+  const Mix& mix = UpdateMix(service, now);
+  if (mix.chains.empty()) return 0;
+  return TotalRequests() / (std::max(1.0, mix.requests) * mix.room);
+}
+
 std::vector<double> Upstreams::EndRates(
     const std::vector<std::vector<Hop>>& chains,
     const std::vector<core::Duration>& estimates, double events) const {
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -88,6 +88,11 @@
                                             const FirstHops& first,
                                             core::Instant now, NoPath& reason);
 
+  /// Returns the open requests of all hosts, relative to those that the
+  /// upstreams of a model can hold at once. 0 for a plain service, and while no
+  /// chain can be used.
+  [[nodiscard]] double Use(const schema::Service& service, core::Instant now);
+
   /// Adds a request that is sent to the load of its hops, or removes it. Uses
   /// the leaves of hops that are limited.
   void Begin(const std::vector<Hop>& hops, const Work& work, core::Instant now);
@@ -199,6 +204,7 @@
     /// Rate at which the requests of each part end, and are replaced, relative
     /// to the others.
     std::vector<double> rates;
+    double room = 0;  ///< See LoadSpread.
     core::Instant computed_at;
     double requests = 0;        ///< Load for which it was computed.
     std::uint64_t changes = 0;  ///< Value of `changes_` at that time.
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -128,6 +128,10 @@
       600);  ///< Interval at which upstreams announce themselves.
   core::Duration grace = std::chrono::seconds(
       30);  ///< Time from SIGTERM until the process is killed.
+  double model_use =
+      0.9;  ///< Use of the memory and slots of a model's upstreams at which
+            ///< entry hosts begin to refuse new requests, the least urgent ones
+            ///< first; 0 refuses none.
 
   friend bool operator==(const LimitSettings&, const LimitSettings&) = default;
 };
--- a/src/foxquay/settings/difference_generated.cc
+++ b/src/foxquay/settings/difference_generated.cc
@@ -130,6 +130,9 @@
   if (before.grace != after.grace) {
     Add(differences, path + "grace", true);
   }
+  if (before.model_use != after.model_use) {
+    Add(differences, path + "model_use", false);
+  }
 }
 
 void Compare(const schema::LogSettings& before,
--- a/src/foxquay/settings/reader_generated.cc
+++ b/src/foxquay/settings/reader_generated.cc
@@ -153,6 +153,7 @@
                               "upstream_silence",
                               "upstream_heartbeat",
                               "grace",
+                              "model_use",
                           });
   section.Field("max_body_bytes", Presence::kOptional,
                 [&](Reader& child) { child.ReadNumber(value.max_body_bytes); });
@@ -172,6 +173,8 @@
   });
   section.Field("grace", Presence::kOptional,
                 [&](Reader& child) { child.ReadDuration(value.grace); });
+  section.Field("model_use", Presence::kOptional,
+                [&](Reader& child) { child.ReadReal(value.model_use); });
 }
 
 void Read(Reader& reader, schema::LogSettings& value) {
--- a/src/foxquay/settings/settings.cc
+++ b/src/foxquay/settings/settings.cc
@@ -39,6 +39,7 @@
     CheckPeers();
     CheckListeners();
     CheckLogLevel();
+    CheckModelUse();
   }
 
  private:
@@ -121,6 +122,13 @@
     }
   }
 
+  void CheckModelUse() {
+    const double use = loaded_.settings.limits.model_use;
+    if (use >= 0 && use <= 1) return;
+    Add(NearestNode(root_, {"limits", "model_use"}), "limits.model_use",
+        "expected a number from 0 to 1");
+  }
+
   void CheckLogLevel() {
     static const std::set<std::string> kLevels{"debug", "info", "warn",
                                                "error"};
--- a/tests/foxquay/relay/chain_mix_test.cc
+++ b/tests/foxquay/relay/chain_mix_test.cc
@@ -290,8 +290,9 @@
     stage.candidate.layers = {first, first + 10};
     stages.push_back(stage);
   }
-  CHECK(SpreadLoad(stages, 80, {}, kWork, 40).size() == kMixParts);
-  const std::size_t placed = SpreadLoad(stages, 80, {}, kWork, 400).size();
+  CHECK(SpreadLoad(stages, 80, {}, kWork, 40).chains.size() == kMixParts);
+  const std::size_t placed =
+      SpreadLoad(stages, 80, {}, kWork, 400).chains.size();
   CHECK(placed > 0);
   CHECK(placed < kMixParts);
 }
