--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -247,7 +247,12 @@
   State moved = state;
   RecordAttempt(moved, LossKind::kStalled, former.front().upstream,
                 std::nullopt);
-  upstreams_.RecordPathFailure(former, now);
+  // If one of the upstreams was found to be lost, the others are sound.
+  const bool culprit_known =
+      std::any_of(former.begin(), former.end(), [this](const Hop& hop) {
+        return !upstreams_.Known(hop.upstream);
+      });
+  if (!culprit_known) upstreams_.RecordPathFailure(former, now);
   NoPath reason = NoPath::kNoUpstream;
   std::vector<Hop> hops = upstreams_.ChoosePath(
       *context.service, context.work, AllowedFirstHops(moved), now, reason);
--- a/tests/foxquay/relay/chain_mix_test.cc
+++ b/tests/foxquay/relay/chain_mix_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "foxquay/relay/relay.h"
 #include "foxquay/relay/upstreams.h"
 
 namespace foxquay::relay {
@@ -145,6 +146,55 @@
   CHECK(Largest(counts) == 2);
 }
 
+// Guards against the loss of one upstream that takes the sound ones of its
+// chains out of use as well, while all their requests need a place.
+TEST_CASE("a stream leaves a lost upstream without avoiding the sound ones") {
+  schema::Fleet fleet;
+  fleet.version = 1;
+  fleet.services.push_back(MakeService());
+  schema::Route route;
+  route.path_prefix = "/";
+  route.kind = schema::RequestKind::kStream;
+  route.resumable = true;
+  route.max_attempts = 2;
+  route.services.push_back({core::ServiceId("model"), 1});
+  fleet.routes.push_back(route);
+  const auto table = std::make_shared<const fleet::Table>(fleet);
+  auto upstreams = MakeCopies(2, "slow");
+  // A second holder of the layers that each copy may lose.
+  for (const std::size_t index : {3, 11}) {
+    schema::Announcement spare = upstreams[index];
+    spare.id = core::UpstreamId("spare" + std::to_string(index));
+    spare.address = spare.id.value();
+    upstreams.push_back(spare);
+  }
+  const core::Instant now(milliseconds(100));
+  Relay relay({0.2, 200, std::chrono::seconds(10)}, 1);
+  relay.SetHosts(1, now);
+  relay.SetUpstreams(upstreams, now);
+  // Three quarters of what both copies hold.
+  relay.SetOpenRequests(120);
+  const schema::Service& service = table->fleet().services.front();
+  const double use = relay.upstreams().Use(service, now);
+  RequestContext context;
+  context.table = table;
+  context.route = &table->fleet().routes.front();
+  context.service = &table->fleet().services.front();
+  context.work = kWork;
+  context.arrived = now;
+  context.deadline = now + std::chrono::seconds(20);
+  const core::RequestId id(1);
+  const Decision sent = relay.Arrive(id, context, now);
+  REQUIRE(std::holds_alternative<Send>(sent));
+  const core::UpstreamId lost = std::get<Send>(sent).hops[3].upstream;
+  std::erase_if(upstreams, [&lost](const schema::Announcement& upstream) {
+    return upstream.id == lost;
+  });
+  relay.SetUpstreams(upstreams, now);
+  REQUIRE(relay.Move(id, now));
+  CHECK(relay.upstreams().Use(service, now) < 1.2 * use);
+}
+
 TEST_CASE("a mix leaves out failed upstreams at once") {
   const schema::Service service = MakeService();
   Upstreams upstreams(7);
