--- a/tests/foxquay/relay/chain_mix_test.cc
+++ b/tests/foxquay/relay/chain_mix_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "foxquay/relay/relay.h"
 #include "foxquay/relay/upstreams.h"
 
 namespace foxquay::relay {
@@ -145,6 +146,55 @@
   CHECK(Largest(counts) == 2);
 }
 
+// Guards against the loss of one upstream that takes the sound ones of its
+// chains out of use as well, while all their requests need a place.
+TEST_CASE("a stream leaves a lost upstream without avoiding the sound ones") {
+  schema::Fleet fleet;
+  fleet.version = 1;
+  fleet.services.push_back(MakeService());
+  schema::Route route;
+  route.path_prefix = "/";
+  route.kind = schema::RequestKind::kStream;
+  route.resumable = true;
+  route.max_attempts = 2;
+  route.services.push_back({core::ServiceId("model"), 1});
+  fleet.routes.push_back(route);
+  const auto table = std::make_shared<const fleet::Table>(fleet);
+  auto upstreams = MakeCopies(2, "slow");
+  // A second holder of the layers that each copy may lose.
+  for (const std::size_t index : {3, 11}) {
+    schema::Announcement spare = upstreams[index];
+    spare.id = core::UpstreamId("spare" + std::to_string(index));
+    spare.address = spare.id.value();
+    upstreams.push_back(spare);
+  }
+  const core::Instant now(milliseconds(100));
+  Relay relay({0.2, 200, std::chrono::seconds(10)}, 1);
+  relay.SetHosts(1, now);
+  relay.SetUpstreams(upstreams, now);
+  // Three quarters of what both copies hold.
+  relay.SetOpenRequests(120);
+  const schema::Service& service = table->fleet().services.front();
+  const double use = relay.upstreams().Use(service, now);
+  RequestContext context;
+  context.table = table;
+  context.route = &table->fleet().routes.front();
+  context.service = &table->fleet().services.front();
+  context.work = kWork;
+  context.arrived = now;
+  context.deadline = now + std::chrono::seconds(20);
+  const core::RequestId id(1);
+  const Decision sent = relay.Arrive(id, context, now);
+  REQUIRE(std::holds_alternative<Send>(sent));
+  const core::UpstreamId lost = std::get<Send>(sent).hops[3].upstream;
+  std::erase_if(upstreams, [&lost](const schema::Announcement& upstream) {
+    return upstream.id == lost;
+  });
+  relay.SetUpstreams(upstreams, now);
+  REQUIRE(relay.Move(id, now));
+  CHECK(relay.upstreams().Use(service, now) < 1.2 * use);
+}
+
 TEST_CASE("a mix leaves out failed upstreams at once") {
   const schema::Service service = MakeService();
   Upstreams upstreams(7);
@@ -200,6 +250,76 @@
   }
 }
 
+// Guards against chains that keep requests for longer than estimated and fill
+// up, as hosts send as many to them as to the others.
+TEST_CASE("chains that are slower than estimated do not overflow") {
+  const schema::Service service = MakeService();
+  const schema::Engine& engine = *service.engine;
+  const StageCost stage(engine, engine.accelerators[1], {0, 10});
+  int room = 0;
+  while (stage.Fits(kWork, {1.0 * room, room * kWork.MeanTokens()})) ++room;
+  // Three quarters of the room of four chains, two of which take three times
+  // as long as the others.
+  constexpr int kEvents = 50;
+  const std::map<std::string, milliseconds> gaps = {
+      {"slow0-0", milliseconds(40)},
+      {"slow1-0", milliseconds(40)},
+      {"slow2-0", milliseconds(120)},
+      {"slow3-0", milliseconds(120)}};
+  double per_second = 0;
+  for (const auto& [name, gap] : gaps) {
+    per_second += 0.75 * room / (kEvents * gap.count() / 1000.0);
+  }
+  struct Open {
+    core::Instant end;
+    std::size_t host;
+    std::vector<Hop> hops;
+  };
+  std::vector<Upstreams> hosts;
+  for (std::size_t index = 0; index < 60; ++index) {
+    hosts.emplace_back(index + 1);
+    hosts.back().SetHosts(60);
+    hosts.back().Set(MakeCopies(4, "slow"), core::Instant());
+  }
+  std::vector<Open> open;
+  std::map<std::string, int> counts;
+  double due = 0;
+  std::size_t next_host = 0;
+  for (milliseconds at{0}; at < std::chrono::seconds(40);
+       at += milliseconds(50)) {
+    const core::Instant now(at);
+    std::erase_if(open, [&](const Open& request) {
+      if (request.end > now) return false;
+      hosts[request.host].End(request.hops, kWork);
+      --counts[request.hops.front().address];
+      return true;
+    });
+    if (at.count() % 500 == 0) {
+      for (Upstreams& host : hosts) {
+        host.SetOpenRequests(static_cast<double>(open.size()));
+      }
+    }
+    for (due += per_second * 0.05; due >= 1; --due) {
+      const std::size_t index = next_host++ % hosts.size();
+      NoPath reason{};
+      const auto hops =
+          hosts[index].ChoosePath(service, kWork, FirstHops(), now, reason);
+      REQUIRE(!hops.empty());
+      hosts[index].Begin(hops, kWork, now);
+      const std::string& first = hops.front().address;
+      const milliseconds gap = gaps.at(first);
+      hosts[index].RecordLatency(hops.front().upstream, gap, now);
+      open.push_back({now + gap * kEvents, index, hops});
+      ++counts[first];
+    }
+    if (at < std::chrono::seconds(20)) continue;
+    for (const auto& [name, count] : counts) {
+      CAPTURE(at.count(), name, room);
+      CHECK(count <= room);
+    }
+  }
+}
+
 TEST_CASE("the use of a stage is that of its scarcer resource") {
   const schema::Engine engine = MakeEngine();
   const StageCost first(engine, engine.accelerators[0], {0, 10});
@@ -220,8 +340,9 @@
     stage.candidate.layers = {first, first + 10};
     stages.push_back(stage);
   }
-  CHECK(SpreadLoad(stages, 80, {}, kWork, 40).size() == kMixParts);
-  const std::size_t placed = SpreadLoad(stages, 80, {}, kWork, 400).size();
+  CHECK(SpreadLoad(stages, 80, {}, kWork, 40).chains.size() == kMixParts);
+  const std::size_t placed =
+      SpreadLoad(stages, 80, {}, kWork, 400).chains.size();
   CHECK(placed > 0);
   CHECK(placed < kMixParts);
 }
