Order loads of layers without a holder before others

What callers met: where many upstreams come back or are added at once, all of them load at the same time, and the store of weights divides its rate. The layers that nobody holds, for which a data centre waits, end as late as those that only add room.

Change: layers without a holder in their data centre are ordered at once, other layers while fewer than six loads run. An order that is overdue does not count, so that one that is lost or carried out late holds no other back.

--- a/src/foxquay/placement/plan.h
+++ b/src/foxquay/placement/plan.h
@@ -1,6 +1,7 @@
 #ifndef FOXQUAY_PLACEMENT_PLAN_H_
 #define FOXQUAY_PLACEMENT_PLAN_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -11,6 +12,11 @@
 
 namespace foxquay::placement {
 
+/// Loads that run at the same time as long as each layer has a holder in its
+/// data centre. A store of weights divides its rate among them, so that further
+/// ones would delay all of them and end no sooner.
+inline constexpr std::size_t kLoadsAtOnce = 6;
+
 /// An upstream that serves part of a model, with the layers that it holds or
 /// has been ordered to load.
 struct ModelUpstream {
--- a/src/foxquay/placement/reconciler.cc
+++ b/src/foxquay/placement/reconciler.cc
@@ -17,6 +17,24 @@
 /// Delay before the next order to an upstream that refused or fenced one.
 constexpr core::Duration kRefusedOrderBackoff = std::chrono::seconds(2);
 
+/// Returns whether upstreams in the data centre of `upstream` hold all of
+/// `layers`.
+bool AllHeld(const std::vector<ModelUpstream>& placement,
+             const core::UpstreamId& upstream, Range layers) {
+  const auto found = std::find_if(
+      placement.begin(), placement.end(),
+      [&](const ModelUpstream& other) { return other.id == upstream; });
+  for (std::uint32_t layer = layers.first; layer < layers.end; ++layer) {
+    const bool held = std::any_of(
+        placement.begin(), placement.end(), [&](const ModelUpstream& other) {
+          return other.data_centre == found->data_centre &&
+                 other.layers.first <= layer && layer < other.layers.end;
+        });
+    if (!held) return false;
+  }
+  return true;
+}
+
 }  // namespace internal
 
 Range HeldLayers(const schema::Announcement& announcement) {
@@ -149,6 +167,30 @@
   planned_ = std::move(placement);
 }
 
+std::size_t Reconciler::CountLoads(core::Instant now) const {
+  return static_cast<std::size_t>(std::count_if(
+      upstreams_.begin(), upstreams_.end(), [now](const auto& item) {
+        return item.second.target && now < item.second.target_deadline;
+      }));
+}
+
+std::vector<Assignment> Reconciler::DueAssignments(core::Instant now) const {
+  std::vector<Assignment> due;
+  std::vector<Assignment> others;
+  for (const Assignment& assignment : plan_) {
+    const UpstreamState& state = upstreams_.at(assignment.id);
+    if (state.order_sent || state.inquiry_sent || now < state.backoff) continue;
+    const bool held =
+        internal::AllHeld(*planned_, assignment.id, assignment.layers);
+    (held ? others : due).push_back(assignment);
+  }
+  const std::size_t loads = CountLoads(now) + due.size();
+  if (loads >= kLoadsAtOnce) return due;
+  others.resize(std::min(others.size(), kLoadsAtOnce - loads));
+  due.insert(due.end(), others.begin(), others.end());
+  return due;
+}
+
 std::vector<CentreCapacity> Reconciler::Measure() const {
   if (!engine_) return {};
   return MeasureCapacity(*engine_, CurrentPlacement());
@@ -161,9 +203,8 @@
   if (!first_order_at_ || now < *first_order_at_) return actions;
   InquireOverdueTargets(now, actions);
   UpdatePlan();
-  for (const Assignment& assignment : plan_) {
+  for (const Assignment& assignment : DueAssignments(now)) {
     UpstreamState& state = upstreams_.at(assignment.id);
-    if (state.order_sent || state.inquiry_sent || now < state.backoff) continue;
     const Range held = state.target.value_or(HeldLayers(state.announcement));
     const bool gives_up =
         !held.empty() && (held.first < assignment.layers.first ||
--- a/src/foxquay/placement/reconciler.h
+++ b/src/foxquay/placement/reconciler.h
@@ -1,6 +1,7 @@
 #ifndef FOXQUAY_PLACEMENT_RECONCILER_H_
 #define FOXQUAY_PLACEMENT_RECONCILER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -111,6 +112,12 @@
   /// Returns the upstreams with their ordered layers or, without an order, with
   /// the layers that they announced.
   [[nodiscard]] std::vector<ModelUpstream> CurrentPlacement() const;
+  /// Returns how many orders are awaited or being carried out in time.
+  [[nodiscard]] std::size_t CountLoads(core::Instant now) const;
+  /// Returns the assignments of plan_ to order now: all of layers without a
+  /// holder in their data centre, and others while fewer than kLoadsAtOnce
+  /// loads run.
+  [[nodiscard]] std::vector<Assignment> DueAssignments(core::Instant now) const;
   /// Brings plan_ up to date with the current placement and the engine.
   void UpdatePlan();
   /// Asks each upstream once per leadership how many orders it has accepted.
--- a/src/foxquay/placement/repair.cc
+++ b/src/foxquay/placement/repair.cc
@@ -23,10 +23,6 @@
 /// order. With 0 a chain still serves one request at a time.
 constexpr std::array<double, 5> kRepartitionFractions = {0.9, 0.6, 0.3, 0.1, 0};
 
-/// Loads that run side by side; a store of weights serves further ones more
-/// slowly.
-constexpr std::size_t kParallelLoads = 6;
-
 /// Loads are not divided into shorter ones than this. Upstreams announce about
 /// as rarely that one has ended, and each costs an order and a stage more.
 constexpr core::Duration kShortLoad = std::chrono::milliseconds(1500);
@@ -60,7 +56,7 @@
   }
   std::sort(fits.rbegin(), fits.rend());
   const std::size_t placed = pool.size() - fits.size();
-  if (fits.size() > kParallelLoads) fits.resize(kParallelLoads);
+  if (fits.size() > kLoadsAtOnce) fits.resize(kLoadsAtOnce);
   const std::size_t stages = placed / copies + fits.size();
   if (engine.max_stages > 0 && stages > engine.max_stages) return missing;
   std::uint32_t part = 1;
--- a/tests/foxquay/placement/loss_test.cc
+++ b/tests/foxquay/placement/loss_test.cc
@@ -11,11 +11,11 @@
 using std::chrono::milliseconds;
 
 constexpr core::Duration kTick = milliseconds(100);
-/// Loads that run at once without delaying each other.
-constexpr std::size_t kLoadsAtOnce = 6;
+/// Loads that the store of weights serves at their full rate.
+constexpr std::size_t kFullRateLoads = 6;
 
 /// Upstreams that carry out orders on a virtual clock: a load takes its share
-/// of the engine's load time, longer with more than kLoadsAtOnce at once.
+/// of the engine's load time, longer with more than kFullRateLoads at once.
 class LoadingFleet {
  public:
   explicit LoadingFleet(Fleet fleet) : fleet_(std::move(fleet)) {
@@ -71,9 +71,11 @@
     for (const Action& action : reconciler_.Tick(now_)) {
       if (const auto* order = std::get_if<Order>(&action)) Accept(*order);
     }
-    const auto rate = std::max<std::size_t>(1, loads_.size() / kLoadsAtOnce);
+    const double rate = std::min(
+        1.0, static_cast<double>(kFullRateLoads) /
+                 static_cast<double>(std::max<std::size_t>(1, loads_.size())));
     for (auto load = loads_.begin(); load != loads_.end();) {
-      load->second.left -= kTick / rate;
+      load->second.left -= core::Scale(kTick, rate);
       if (load->second.left > core::Duration::zero()) {
         ++load;
         continue;
@@ -261,6 +263,33 @@
   CHECK(loading.Held(core::DataCentreId("a")) >= 0.9 * before);
 }
 
+// All holders of a layer in one data centre are lost while empty upstreams are
+// added in all of them. Guards against loads that others can wait for and that
+// slow down the one that callers wait for.
+TEST_CASE("layers without a holder are loaded before others") {
+  LoadingFleet loading(MagnoliaFleet());
+  const core::DataCentreId centre("a");
+  std::vector<std::size_t> holders;
+  for (std::size_t at = 0; at < loading.upstreams().size(); ++at) {
+    const ModelUpstream& upstream = loading.upstreams()[at];
+    const bool lost =
+        upstream.data_centre == centre
+            ? upstream.layers.first <= 40 && 40 < upstream.layers.end
+            : at % 2 == 0;
+    if (lost) holders.push_back(at);
+  }
+  const auto lost = Select(loading.upstreams(), holders);
+  loading.Lose(holders);
+  REQUIRE(loading.Held(centre) == 0);
+  loading.Add(lost);
+  core::Duration time{};
+  for (; loading.Held(centre) == 0 && time < kObserved; time += kTick) {
+    loading.Step();
+  }
+  // A load of the few missing layers takes less by itself.
+  CHECK(time <= milliseconds(500));
+}
+
 // Empty upstreams are added at a crest, one each half second. Guards against
 // their memory staying unused, or spread over layers that do not bind.
 TEST_CASE("upstreams that are added under load let more requests run") {
