Wait for upstreams that start together before placing layers

Cause: upstreams announce themselves for the first time over more than 3 s, and nothing waits for the last ones.

Change: while no upstream holds layers, the first orders wait until none has been added for 1 s, for 3 s more at most. A leader that follows another one, and losses, are not affected.

--- a/src/foxquay/placement/reconciler.cc
+++ b/src/foxquay/placement/reconciler.cc
@@ -68,6 +68,7 @@
     present.insert(announcement.id);
     const auto [found, inserted] =
         upstreams_.try_emplace(announcement.id, UpstreamState{});
+    if (inserted) last_added_at_ = now;
     UpstreamState& state = found->second;
     const bool restarted =
         !inserted && state.announcement.born != announcement.born;
@@ -167,6 +168,17 @@
   planned_ = std::move(placement);
 }
 
+bool Reconciler::Settled(core::Instant now) const {
+  if (!first_order_at_ || now < *first_order_at_) return false;
+  if (now >= *first_order_at_ + kMaxQuietDelay) return true;
+  const bool placed =
+      std::any_of(upstreams_.begin(), upstreams_.end(), [](const auto& item) {
+        return item.second.target ||
+               !HeldLayers(item.second.announcement).empty();
+      });
+  return placed || now >= last_added_at_ + kQuietTime;
+}
+
 std::size_t Reconciler::CountLoads(core::Instant now) const {
   return static_cast<std::size_t>(std::count_if(
       upstreams_.begin(), upstreams_.end(), [now](const auto& item) {
@@ -200,7 +212,7 @@
   std::vector<Action> actions;
   if (!leads_ || !engine_ || engine_->layers == 0) return actions;
   RequestOrderCounts(actions);
-  if (!first_order_at_ || now < *first_order_at_) return actions;
+  if (!Settled(now)) return actions;
   InquireOverdueTargets(now, actions);
   UpdatePlan();
   for (const Assignment& assignment : DueAssignments(now)) {
--- a/src/foxquay/placement/reconciler.h
+++ b/src/foxquay/placement/reconciler.h
@@ -22,6 +22,17 @@
 /// orders. Every upstream announces itself at least once within it.
 inline constexpr core::Duration kSettleTime = std::chrono::milliseconds(2500);
 
+/// While no upstream holds layers, the first orders also wait until no upstream
+/// has been added for this long: upstreams that start together announce
+/// themselves within shorter gaps, and one that comes later is only added to
+/// the copies that the others hold.
+inline constexpr core::Duration kQuietTime = std::chrono::milliseconds(1000);
+
+/// Longest time by which kQuietTime delays the first orders. Upstreams that are
+/// started one after the other for longer are placed as they come.
+inline constexpr core::Duration kMaxQuietDelay =
+    std::chrono::milliseconds(3000);
+
 /// Time after which an order without an answer or without effect is followed by
 /// an inquiry.
 inline constexpr core::Duration kOrderTimeout = std::chrono::milliseconds(1500);
@@ -112,6 +123,8 @@
   /// Returns the upstreams with their ordered layers or, without an order, with
   /// the layers that they announced.
   [[nodiscard]] std::vector<ModelUpstream> CurrentPlacement() const;
+  /// Returns whether the first orders are due.
+  [[nodiscard]] bool Settled(core::Instant now) const;
   /// Returns how many orders are awaited or being carried out in time.
   [[nodiscard]] std::size_t CountLoads(core::Instant now) const;
   /// Returns the assignments of plan_ to order now: all of layers without a
@@ -131,6 +144,7 @@
   bool leads_ = false;
   std::uint64_t term_ = 0;
   std::optional<core::Instant> first_order_at_;
+  core::Instant last_added_at_;  ///< When an upstream was last added.
   std::optional<schema::Engine> engine_;
   std::map<core::UpstreamId, UpstreamState> upstreams_;
   /// Placement that plan_ starts from; not set if the plan is out of date.
--- a/tests/foxquay/placement/reconciler_test.cc
+++ b/tests/foxquay/placement/reconciler_test.cc
@@ -52,6 +52,23 @@
   CHECK(reconciler.Tick(At(8100)).empty());
 }
 
+// Guards against copies that are placed over the first upstreams of a start,
+// while the others are only added to them.
+TEST_CASE("the first orders wait for upstreams that start together") {
+  Reconciler reconciler;
+  reconciler.SetLeadership(true, 3, At(0));
+  std::vector<schema::Announcement> fleet;
+  for (int at = 2000; at <= 3500; at += 500) {
+    fleet.push_back(Empty("u" + std::to_string(at)));
+    reconciler.SetUpstreams(fleet, MakeEngine(), At(at));
+    CHECK(Orders(reconciler.Tick(At(at + 400))) == 0);
+  }
+  fleet.push_back(Empty("last"));
+  reconciler.SetUpstreams(fleet, MakeEngine(), At(4000));
+  CHECK(Orders(reconciler.Tick(At(4900))) == 0);
+  CHECK(Orders(reconciler.Tick(At(5000))) == 5);
+}
+
 // Guards against a new leader that sends its first orders without the order
 // counts that upstreams have from the previous leader; all of these would be
 // rejected as mismatches.
