Place copies on the fastest accelerators first where that serves more

Cause: every copy got the same memory, so that each mixed a few fast accelerators with many slow ones and kept its requests for the time of the slow ones. The estimate of a placement took the mean speed of the holders of each layer and could not tell such copies from fast and slow ones apart.

Change: the estimate follows the chains, the fastest first, and copies that are placed one after the other on the fastest members left are among the choices.

--- a/src/foxquay/placement/growth.cc
+++ b/src/foxquay/placement/growth.cc
@@ -35,6 +35,11 @@
 /// memory is what binds first at a crest.
 constexpr double kThroughputError = 0.05;
 
+/// Parts of the memory for as many requests as a first stage has slots that the
+/// members of a copy on the fastest accelerators keep. With less, more copies
+/// fit on these.
+constexpr std::array<double, 4> kFastestFractions = {1.0, 0.7, 0.5, 0.35};
+
 /// A placement in question.
 struct Choice {
   Pool pool;
@@ -118,6 +123,38 @@
   return true;
 }
 
+/// Places up to `copies` copies on an empty pool, one after the other, each on
+/// the fastest members that are left. A copy gets as many members as hold it
+/// beside `tokens` tokens of requests. Returns whether one was placed.
+bool PlaceFastest(const schema::Engine& engine, Pool& pool, std::size_t copies,
+                  double tokens) {
+  std::vector<Member*> members;
+  for (Member& member : pool) members.push_back(&member);
+  std::stable_sort(members.begin(), members.end(),
+                   [](const Member* left, const Member* right) {
+                     return std::make_pair(left->accelerator->pace,
+                                           -left->accelerator->memory_mb) <
+                            std::make_pair(right->accelerator->pace,
+                                           -right->accelerator->memory_mb);
+                   });
+  std::size_t next = 0;
+  std::size_t placed = 0;
+  for (; placed < copies; ++placed) {
+    std::vector<Member*> part;
+    std::uint32_t layers = 0;
+    while (layers < engine.layers && next + part.size() < members.size()) {
+      part.push_back(members[next + part.size()]);
+      layers += LayersThatFit(engine, *part.back()->accelerator, tokens);
+    }
+    const bool too_long =
+        engine.max_stages > 0 && part.size() > engine.max_stages;
+    if (layers < engine.layers || too_long) break;
+    PlaceCopy(engine, part);
+    next += part.size();
+  }
+  return placed > 0;
+}
+
 /// Returns the first run of layers whose holders bear the fewest requests.
 Range FindLeastRoom(const schema::Engine& engine, const Pool& pool) {
   const std::vector<std::uint32_t> room = MeasureRoom(engine, pool);
@@ -226,14 +263,27 @@
       Choice choice{pool, 0, 0};
       if (!PlaceCopies(engine, choice.pool, copies, spares)) continue;
       if (copies > 1) Grow(engine, choice.pool);
-      choice.throughput = ExpectedThroughput(engine, choice.pool);
-      choice.requests = MeasurePool(engine, choice.pool).requests;
-      most = std::max(most, choice.throughput);
       found.push_back(std::move(choice));
       // Without its spares, the loss of any stage would stop a single copy.
       if (copies == 1) break;
     }
   }
+  for (const double fraction : kFastestFractions) {
+    const double tokens = fraction * engine.slots * UsualTokens(engine);
+    // A copy less than there may be leaves its members as spares.
+    for (std::size_t copies = usual + 2; copies >= usual && copies > 1;
+         --copies) {
+      Choice choice{pool, 0, 0};
+      if (!PlaceFastest(engine, choice.pool, copies, tokens)) continue;
+      if (PlacedCopies(engine, choice.pool) < 2) continue;
+      found.push_back(std::move(choice));
+    }
+  }
+  for (Choice& choice : found) {
+    choice.throughput = ExpectedThroughput(engine, choice.pool);
+    choice.requests = MeasurePool(engine, choice.pool).requests;
+    most = std::max(most, choice.throughput);
+  }
   std::erase_if(found, [most](const Choice& choice) {
     return choice.throughput < (1 - kThroughputError) * most;
   });
--- a/src/foxquay/placement/outlook.h
+++ b/src/foxquay/placement/outlook.h
@@ -22,9 +22,9 @@
 
 /// Returns how many requests of the usual size the pool completes per second
 /// while it holds as many as it can: the more copies, the fewer requests share
-/// a stage, and the less memory is left for them. Estimated from the mean speed
-/// of the holders of each layer; the requests that are held if the engine
-/// states no times. Thread-safe.
+/// a stage, and the less memory is left for them. The fastest chain takes
+/// requests until one of its stages is full, then the next one. The requests
+/// that are held if the engine states no times. Thread-safe.
 [[nodiscard]] double Throughput(const schema::Engine& engine, const Pool& pool);
 
 /// Returns the throughput that counts in the choice of a placement: the mean of
