Count the link between data centres as a resource of chains

Cause: up to 370 prompts a second crossed between data centres, on a link that passes 76. The cost of a passage did not depend on how many there were.

Change: the mix adds up what its chains use of the link; the cost of a passage grows with it, and beyond three tenths no chain crosses. What then finds no chain counts as load without room.

--- a/src/foxquay/relay/chain_mix.cc
+++ b/src/foxquay/relay/chain_mix.cc
@@ -1,11 +1,32 @@
 #include "foxquay/relay/chain_mix.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace foxquay::relay {
+namespace internal {
+
+/// Cost of a passage that keeps chains from crossing if there is another way.
+constexpr core::Duration kForbidden = std::chrono::hours(1);
+
+/// Returns how often a chain passes from one data centre to another.
+std::size_t CountCrossings(
+    const placement::Chain& chain,
+    const std::vector<placement::Candidate>& candidates) {
+  std::size_t count = 0;
+  for (std::size_t hop = 1; hop < chain.stages.size(); ++hop) {
+    const auto& from = candidates[chain.stages[hop - 1].upstream];
+    const auto& to = candidates[chain.stages[hop].upstream];
+    if (from.data_centre != to.data_centre) ++count;
+  }
+  return count;
+}
+
+}  // namespace internal
 
 LoadSpread SpreadLoad(std::vector<MixStage>& stages, std::uint32_t layers,
-                      core::Duration crossing_cost, const Work& work,
+                      const Crossing& crossing, const Work& work,
                       double requests) {
   const double part = requests / static_cast<double>(kMixParts);
   std::vector<placement::Candidate> candidates;
@@ -24,11 +45,27 @@
   }
   LoadSpread spread;
   constexpr auto kMostParts = static_cast<std::size_t>(kMaxRoom * kMixParts);
+  using Seconds = std::chrono::duration<double>;
+  double pipe_use = 0;
   std::size_t count = 0;
   for (; count < kMostParts; ++count) {
-    placement::Chain chain =
-        placement::CheapestChain(candidates, layers, crossing_cost);
+    const double pipe_left = 1 - pipe_use / kMaxPipeUse;
+    placement::Chain chain = placement::CheapestChain(
+        candidates, layers,
+        pipe_left > 0 ? std::min(core::Scale(crossing.cost, 1 / pipe_left),
+                                 internal::kForbidden)
+                      : internal::kForbidden);
     if (chain.stages.empty()) break;
+    const std::size_t crossings = internal::CountCrossings(chain, candidates);
+    if (crossings > 0 && pipe_left <= 0) break;
+    Seconds time{};
+    for (const placement::Stage& stage : chain.stages) {
+      time += stages[stage.upstream].cost.TimePerLayer(work,
+                                                       loads[stage.upstream]) *
+              static_cast<std::int64_t>(stage.layers.size());
+    }
+    pipe_use += static_cast<double>(crossings) * part *
+                (Seconds(crossing.time) / std::max(time, Seconds(0.001)));
     for (const placement::Stage& stage : chain.stages) {
       StageLoad& load = loads[stage.upstream];
       load.sequences += part;
--- a/src/foxquay/relay/chain_mix.h
+++ b/src/foxquay/relay/chain_mix.h
@@ -37,8 +37,20 @@
 /// Largest room that SpreadLoad finds.
 inline constexpr double kMaxRoom = 2;
 
+/// Part of the bandwidth between data centres that chains may use. Prompts pass
+/// one after the other, so that a prompt waits for a part of another one on
+/// average; nearer to the whole bandwidth all of them would wait for many.
+inline constexpr double kMaxPipeUse = 0.3;
+
+/// The link that all passages between data centres share.
+struct Crossing {
+  core::Duration cost{};  ///< Of a passage while the link is idle.
+  core::Duration time{};  ///< For which a request occupies the link.
+};
+
 /// Distributes the load of all hosts over chains. Sets the load of the stages
-/// that results.
+/// that results. Chains between data centres are left out once they would use
+/// more than kMaxPipeUse of the link between these.
 ///
 /// Each part in turn takes the cheapest chain under the load of the parts
 /// before it (incremental assignment, as for traffic on roads: Dafermos and
@@ -48,8 +60,8 @@
 /// the same mix and draws chains from it at random. Thread-safe.
 [[nodiscard]] LoadSpread SpreadLoad(std::vector<MixStage>& stages,
                                     std::uint32_t layers,
-                                    core::Duration crossing_cost,
-                                    const Work& work, double requests);
+                                    const Crossing& crossing, const Work& work,
+                                    double requests);
 
 }  // namespace foxquay::relay
 
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -248,10 +248,9 @@
   RecordAttempt(moved, LossKind::kStalled, former.front().upstream,
                 std::nullopt);
   // If one of the upstreams was found to be lost, the others are sound.
-  const bool culprit_known =
-      std::any_of(former.begin(), former.end(), [this](const Hop& hop) {
-        return !upstreams_.Known(hop.upstream);
-      });
+  const bool culprit_known = std::any_of(
+      former.begin(), former.end(),
+      [this](const Hop& hop) { return !upstreams_.Known(hop.upstream); });
   if (!culprit_known) upstreams_.RecordPathFailure(former, now);
   NoPath reason = NoPath::kNoUpstream;
   std::vector<Hop> hops = upstreams_.ChoosePath(
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -58,14 +58,15 @@
   return std::chrono::duration_cast<core::Duration>(Seconds(seconds));
 }
 
-/// Returns the cost of passing a request between two data centres. All traffic
+/// Returns what passing a request between two data centres takes. All traffic
 /// between them shares one link. Prompts dominate it; the tokens of an answer
 /// add little.
-core::Duration CrossingCost(const schema::Engine& engine, const Work& work) {
-  if (engine.pipe_mbps <= 0) return core::Duration::zero();
+Crossing MakeCrossing(const schema::Engine& engine, const Work& work) {
+  if (engine.pipe_mbps <= 0) return {};
   const double bits =
       8 * engine.activation_bytes * (work.prompt_tokens + work.answer_tokens);
-  return ToDuration(kCrossingWeight * bits / (engine.pipe_mbps * 1e6));
+  const core::Duration time = ToDuration(bits / (engine.pipe_mbps * 1e6));
+  return {core::Scale(time, kCrossingWeight), time};
 }
 
 }  // namespace internal
@@ -263,7 +264,7 @@
     stages.push_back(*std::move(stage));
   }
   const LoadSpread spread =
-      SpreadLoad(stages, engine.layers, internal::CrossingCost(engine, usual),
+      SpreadLoad(stages, engine.layers, internal::MakeCrossing(engine, usual),
                  usual, requests);
   for (std::size_t index = 0; index < stages.size(); ++index) {
     entries[index]->mixed = stages[index].load;
@@ -403,7 +404,7 @@
     candidates.push_back(std::move(candidate));
   }
   const placement::Chain chain = placement::CheapestChain(
-      candidates, engine.layers, internal::CrossingCost(engine, work));
+      candidates, engine.layers, internal::MakeCrossing(engine, work).cost);
   std::vector<Hop> hops;
   const bool too_long =
       engine.max_stages > 0 && chain.stages.size() > engine.max_stages;
--- a/tests/foxquay/relay/chain_mix_test.cc
+++ b/tests/foxquay/relay/chain_mix_test.cc
@@ -331,6 +331,34 @@
   CHECK(first.PerLayer(kWork, full) > 2 * later.PerLayer(kWork, full));
 }
 
+// Guards against chains that cross between data centres, of which each holds a
+// part of the layers, until prompts wait for the link.
+TEST_CASE("chains that cross leave room on the link between data centres") {
+  const schema::Engine engine = MakeEngine();
+  const auto spread = [&engine](double pipe_mbps) {
+    std::vector<MixStage> stages;
+    for (int copy = 0; copy < 6; ++copy) {
+      for (std::uint32_t first = 0; first < 80; first += 10) {
+        MixStage stage(
+            StageCost(engine, engine.accelerators[1], {first, first + 10}));
+        stage.candidate.layers = {first, first + 10};
+        stage.candidate.data_centre =
+            core::DataCentreId(first < 40 ? "a" : "b");
+        stages.push_back(stage);
+      }
+    }
+    const double bits = 8 * engine.activation_bytes * 922;
+    const auto time = std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double>(bits / (pipe_mbps * 1e6)));
+    return SpreadLoad(stages, 80, {time * 40, time}, kWork, 300);
+  };
+  // About 120 prompts a second take a tenth, or three times, of the link.
+  CHECK(spread(200000).room > 1);
+  const LoadSpread crowded = spread(6500);
+  CHECK(crowded.room > 0);
+  CHECK(crowded.room < 0.3);
+}
+
 TEST_CASE("the load that exceeds the memory of all stages is left out") {
   const schema::Engine engine = MakeEngine();
   std::vector<MixStage> stages;
