Test that a data centre gets copies where their usual number cannot be divided

Nine upstreams that hold all layers but one have the memory of eight copies, and none of seven to nine copies can be divided over them.

--- a/tests/foxquay/placement/plan_test.cc
+++ b/tests/foxquay/placement/plan_test.cc
@@ -212,6 +212,18 @@
   });
 }
 
+// Eight copies fit by their layers alone, but an upstream that holds all layers
+// but one makes no copy by itself. Guards against one that gets far fewer
+// copies.
+TEST_CASE("copies are placed where their usual number cannot be divided") {
+  schema::Engine engine = MakeEngine();
+  engine.token_memory_mb = 0;
+  engine.accelerators = {{"large", 79 * engine.layer_mb, 1, 1}};
+  std::vector<ModelUpstream> upstreams = MakeUpstreams("a", 9, 0);
+  Apply(upstreams, Plan(engine, upstreams));
+  CHECK(LeastHolders(upstreams) >= 4);
+}
+
 TEST_CASE("no layers are assigned if a complete copy does not fit") {
   CHECK(Plan(MakeEngine(), MakeUpstreams("a", 1, 2)).empty());
 }
