Take layers away from upstreams only if a loss lasts

What callers would meet: in a data centre with one copy the loss of upstreams beyond its spares has the layers partitioned anew, which breaks off what runs on the layers that are given up.

Change: orders of a plan that takes layers away wait in their data centre until such a plan has lasted for 2 s. All other orders go out at once, as before.

--- a/src/foxquay/placement/growth.h
+++ b/src/foxquay/placement/growth.h
@@ -7,9 +7,9 @@
 namespace foxquay::placement::internal {
 
 /// Places copies of the model on a pool that holds no layers: about
-/// CopiesThatFit, or fewer if these do not fit, with the division and the spares
-/// that let it complete the most (ExpectedThroughput). Does nothing if no copy
-/// fits. Thread-safe.
+/// CopiesThatFit, or fewer if these do not fit, with the division and the
+/// spares that let it complete the most (ExpectedThroughput). Does nothing if
+/// no copy fits. Thread-safe.
 void PlaceCopies(const schema::Engine& engine, Pool& pool);
 
 /// Returns how many copies of the model fit in the pool if each keeps memory
--- a/src/foxquay/placement/reconciler.cc
+++ b/src/foxquay/placement/reconciler.cc
@@ -17,17 +17,28 @@
 /// Delay before the next order to an upstream that refused or fenced one.
 constexpr core::Duration kRefusedOrderBackoff = std::chrono::seconds(2);
 
+/// Returns whether an upstream that holds `held` gives up layers to hold
+/// `layers`.
+bool GivesUp(Range held, Range layers) {
+  return !held.empty() && (held.first < layers.first || held.end > layers.end);
+}
+
+/// Returns the upstream of an assignment. Precondition: it is in the placement.
+const ModelUpstream& FindUpstream(const std::vector<ModelUpstream>& placement,
+                                  const core::UpstreamId& id) {
+  return *std::find_if(
+      placement.begin(), placement.end(),
+      [&id](const ModelUpstream& upstream) { return upstream.id == id; });
+}
+
 /// Returns whether upstreams in the data centre of `upstream` hold all of
 /// `layers`.
 bool AllHeld(const std::vector<ModelUpstream>& placement,
-             const core::UpstreamId& upstream, Range layers) {
-  const auto found = std::find_if(
-      placement.begin(), placement.end(),
-      [&](const ModelUpstream& other) { return other.id == upstream; });
+             const ModelUpstream& upstream, Range layers) {
   for (std::uint32_t layer = layers.first; layer < layers.end; ++layer) {
     const bool held = std::any_of(
         placement.begin(), placement.end(), [&](const ModelUpstream& other) {
-          return other.data_centre == found->data_centre &&
+          return other.data_centre == upstream.data_centre &&
                  other.layers.first <= layer && layer < other.layers.end;
         });
     if (!held) return false;
@@ -161,11 +172,21 @@
   }
 }
 
-void Reconciler::UpdatePlan() {
+void Reconciler::UpdatePlan(core::Instant now) {
   std::vector<ModelUpstream> placement = CurrentPlacement();
   if (placement == planned_) return;
   plan_ = Plan(*engine_, placement);
   planned_ = std::move(placement);
+  std::map<core::DataCentreId, core::Instant> since;
+  for (const Assignment& assignment : plan_) {
+    const ModelUpstream& upstream =
+        internal::FindUpstream(*planned_, assignment.id);
+    if (!internal::GivesUp(upstream.layers, assignment.layers)) continue;
+    const auto before = partitioned_since_.find(upstream.data_centre);
+    since.emplace(upstream.data_centre,
+                  before == partitioned_since_.end() ? now : before->second);
+  }
+  partitioned_since_ = std::move(since);
 }
 
 bool Reconciler::Settled(core::Instant now) const {
@@ -192,8 +213,14 @@
   for (const Assignment& assignment : plan_) {
     const UpstreamState& state = upstreams_.at(assignment.id);
     if (state.order_sent || state.inquiry_sent || now < state.backoff) continue;
-    const bool held =
-        internal::AllHeld(*planned_, assignment.id, assignment.layers);
+    const ModelUpstream& upstream =
+        internal::FindUpstream(*planned_, assignment.id);
+    const auto since = partitioned_since_.find(upstream.data_centre);
+    if (since != partitioned_since_.end() &&
+        now < since->second + kPartitionDelay) {
+      continue;
+    }
+    const bool held = internal::AllHeld(*planned_, upstream, assignment.layers);
     (held ? others : due).push_back(assignment);
   }
   const std::size_t loads = CountLoads(now) + due.size();
@@ -214,13 +241,11 @@
   RequestOrderCounts(actions);
   if (!Settled(now)) return actions;
   InquireOverdueTargets(now, actions);
-  UpdatePlan();
+  UpdatePlan(now);
   for (const Assignment& assignment : DueAssignments(now)) {
     UpstreamState& state = upstreams_.at(assignment.id);
     const Range held = state.target.value_or(HeldLayers(state.announcement));
-    const bool gives_up =
-        !held.empty() && (held.first < assignment.layers.first ||
-                          held.end > assignment.layers.end);
+    const bool gives_up = internal::GivesUp(held, assignment.layers);
     state.target = assignment.layers;
     state.order_sent = true;
     state.target_deadline = now + kOrderTimeout;
--- a/src/foxquay/placement/reconciler.h
+++ b/src/foxquay/placement/reconciler.h
@@ -33,6 +33,12 @@
 inline constexpr core::Duration kMaxQuietDelay =
     std::chrono::milliseconds(3000);
 
+/// Time for which a plan that takes layers away from upstreams must last before
+/// it is ordered. An upstream that was only out of reach for a moment has
+/// announced itself again within it.
+inline constexpr core::Duration kPartitionDelay =
+    std::chrono::milliseconds(2000);
+
 /// Time after which an order without an answer or without effect is followed by
 /// an inquiry.
 inline constexpr core::Duration kOrderTimeout = std::chrono::milliseconds(1500);
@@ -132,7 +138,7 @@
   /// loads run.
   [[nodiscard]] std::vector<Assignment> DueAssignments(core::Instant now) const;
   /// Brings plan_ up to date with the current placement and the engine.
-  void UpdatePlan();
+  void UpdatePlan(core::Instant now);
   /// Asks each upstream once per leadership how many orders it has accepted.
   void RequestOrderCounts(std::vector<Action>& actions);
   /// Asks for the state of upstreams whose target was not announced in time.
@@ -150,6 +156,8 @@
   /// Placement that plan_ starts from; not set if the plan is out of date.
   std::optional<std::vector<ModelUpstream>> planned_;
   std::vector<Assignment> plan_;
+  /// Since when plan_ takes layers away in a data centre.
+  std::map<core::DataCentreId, core::Instant> partitioned_since_;
 };
 
 /// Returns the layers that an announced upstream holds; empty if it holds none
--- a/tests/foxquay/placement/reconciler_test.cc
+++ b/tests/foxquay/placement/reconciler_test.cc
@@ -147,6 +147,41 @@
   CHECK(std::get<Order>(actions[0]).expected == 0);
 }
 
+// Guards against a data centre that is partitioned anew, and its streams broken
+// off, because an upstream was out of reach for a moment.
+TEST_CASE("layers are taken away only if a loss lasts") {
+  Reconciler reconciler;
+  reconciler.SetLeadership(true, 3, At(0));
+  std::vector<schema::Announcement> fleet = Fleet();
+  reconciler.SetUpstreams(fleet, MakeEngine(), At(0));
+  for (const Action& action : reconciler.Tick(At(5000))) {
+    const auto& order = std::get<Order>(action);
+    reconciler.HandleOrderOutcome(order.upstream, OrderOutcome::kAccepted,
+                                  At(5100));
+    const auto placed = std::find_if(fleet.begin(), fleet.end(),
+                                     [&order](const auto& upstream) {
+                                       return upstream.id == order.upstream;
+                                     });
+    placed->unplaced = false;
+    placed->layers = {order.layers.first, order.layers.end - 1};
+  }
+  reconciler.SetUpstreams(fleet, MakeEngine(), At(9000));
+  REQUIRE(reconciler.Tick(At(9000)).empty());
+  const std::vector<schema::Announcement> left(fleet.begin() + 1, fleet.end());
+  reconciler.SetUpstreams(left, MakeEngine(), At(10000));
+  CHECK(reconciler.Tick(At(10000)).empty());
+  CHECK(reconciler.Tick(At(11900)).empty());
+  SECTION("the upstream is back") {
+    reconciler.SetUpstreams(fleet, MakeEngine(), At(11950));
+    CHECK(reconciler.Tick(At(12100)).empty());
+    reconciler.SetUpstreams(left, MakeEngine(), At(12200));
+    CHECK(reconciler.Tick(At(12300)).empty());
+  }
+  SECTION("the upstream is lost") {
+    CHECK(Orders(reconciler.Tick(At(12000))) > 0);
+  }
+}
+
 TEST_CASE("a fenced leader backs off before it sends another order") {
   Reconciler reconciler;
   reconciler.SetLeadership(true, 3, At(0));
