Keep requests in the data centre of their host where there is room

Cause: chains were drawn without regard to where they begin.

Change: relay::PreferLocal weights the draw so that as many requests as possible stay in the data centre of their host while all hosts together use each data centre by its share of the chains; from nine tenths of the room on it has no weight, as callers of the data centres differ in number.

--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -95,7 +95,8 @@
   /// ControlNode::HandleProbeResult.
   std::function<void(const std::vector<schema::Announcement>&)> probe_upstreams;
   /// Number of known hosts that serve callers, this one included.
-  std::function<void(std::size_t)> set_entry_hosts;
+  std::function<void(const std::map<core::DataCentreId, std::size_t>&)>
+      set_entry_hosts;
   /// Requests that have not ended at any host, as known to the control hosts.
   std::function<void(std::uint64_t)> set_open_requests;
   /// Returns the use of this host's retry budgets. May be empty.
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -242,10 +242,14 @@
       current->connected == connected) {
     return;
   }
-  entry_hosts_ = static_cast<std::size_t>(
-      std::count_if(hosts.begin(), hosts.end(),
-                    [](const HostView& host) { return !host.caller.empty(); }));
-  if (sink_.set_entry_hosts) sink_.set_entry_hosts(entry_hosts_);
+  std::map<core::DataCentreId, std::size_t> by_centre;
+  entry_hosts_ = 0;
+  for (const HostView& host : hosts) {
+    if (host.caller.empty()) continue;
+    ++entry_hosts_;
+    ++by_centre[host.data_centre];
+  }
+  if (sink_.set_entry_hosts) sink_.set_entry_hosts(by_centre);
   PublishPartners(hosts);
   auto shared = std::make_shared<Shared>();
   shared->connected = connected;
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -12,6 +12,7 @@
 #include <cstdlib>
 #include <functional>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -273,9 +274,20 @@
     sink.set_open_requests = [this](std::uint64_t open) {
       Post([this, open] { proxy_.SetOpenRequests(open); });
     };
-    sink.set_entry_hosts = [this](std::size_t hosts) {
-      Post([this, hosts] { proxy_.SetHosts(hosts); });
-    };
+    sink.set_entry_hosts =
+        [this](const std::map<core::DataCentreId, std::size_t>& hosts) {
+          Post([this, hosts] {
+            std::size_t all = 0;
+            relay::CentreShares shares;
+            for (const auto& [centre, count] : hosts) {
+              all += count;
+              shares[centre] = static_cast<double>(count);
+            }
+            proxy_.SetHosts(all);
+            proxy_.relay().upstreams().SetLocality(settings_.host.data_centre,
+                                                   std::move(shares));
+          });
+        };
     sink.probe_upstreams =
         [this](const std::vector<schema::Announcement>& upstreams) {
           Post([this, upstreams] {
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -42,6 +42,12 @@
 /// Relative change of the load at which a mix is computed anew.
 constexpr double kMixLoadChange = 0.25;
 
+/// Use of the upstreams up to which requests stay in their data centre, and
+/// from which on they are spread over all: callers of the data centres differ
+/// in number, and near the room of all each must be used by its own.
+constexpr double kLocalUse = 0.7;
+constexpr double kSpreadUse = 0.9;
+
 /// Time for which an upstream that said that it leaves is remembered after it
 /// has left the list. Longer than a late announcement is delayed.
 constexpr core::Duration kLeavingMemory = std::chrono::minutes(2);
@@ -294,10 +300,35 @@
 double Upstreams::Use(const schema::Service& service, core::Instant now) {
   if (!service.engine || service.engine->layers == 0) return 0;
   const Mix& mix = UpdateMix(service, now);
-  if (mix.chains.empty()) return 0;
+  return mix.chains.empty() ? 0 : UseOf(mix);
+}
+
+double Upstreams::UseOf(const Mix& mix) const {
   return TotalRequests() / (std::max(1.0, mix.requests) * mix.room);
 }
 
+void Upstreams::WeightByLocality(
+    const std::vector<const std::vector<Hop>*>& chains, double use,
+    std::vector<double>& rates) const {
+  const double strength =
+      std::clamp((internal::kSpreadUse - use) /
+                     (internal::kSpreadUse - internal::kLocalUse),
+                 0.0, 1.0);
+  if (hosts_by_centre_.size() < 2 || strength <= 0) return;
+  std::vector<core::DataCentreId> begins;
+  CentreShares shares;
+  for (std::size_t index = 0; index < chains.size(); ++index) {
+    const Entry& first = entries_.at(chains[index]->front().upstream);
+    begins.push_back(first.announcement.data_centre);
+    shares[begins.back()] += rates[index];
+  }
+  const CentreShares factors =
+      PreferLocal(own_centre_, hosts_by_centre_, shares, strength);
+  for (std::size_t index = 0; index < chains.size(); ++index) {
+    rates[index] *= factors.at(begins[index]);
+  }
+}
+
 std::vector<double> Upstreams::EndRates(
     const std::vector<std::vector<Hop>>& chains,
     const std::vector<core::Duration>& estimates, double events) const {
@@ -363,17 +394,18 @@
                                           const FirstHops& first,
                                           core::Instant now) {
   const Mix& mix = UpdateMix(service, now);
-  std::vector<std::size_t> usable;
+  std::vector<const std::vector<Hop>*> usable;
   std::vector<double> rates;
   for (std::size_t index = 0; index < mix.chains.size(); ++index) {
     if (!ChainUsable(mix.chains[index], first, now)) continue;
-    usable.push_back(index);
+    usable.push_back(&mix.chains[index]);
     rates.push_back(mix.rates[index]);
   }
   if (usable.empty()) return {};
+  WeightByLocality(usable, UseOf(mix), rates);
   std::discrete_distribution<std::size_t> draw(rates.begin(), rates.end());
-  const std::vector<Hop>& chosen = mix.chains[usable[draw(random_)]];
-  const std::vector<Hop>& other = mix.chains[usable[draw(random_)]];
+  const std::vector<Hop>& chosen = *usable[draw(random_)];
+  const std::vector<Hop>& other = *usable[draw(random_)];
   const schema::Engine& engine = *service.engine;
   // All hosts have the same mix. What tells two of its chains apart is by how
   // much this host's own requests and measurements exceed it.
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "foxquay/core/id.h"
@@ -15,6 +16,7 @@
 #include "foxquay/relay/chain_mix.h"
 #include "foxquay/relay/hold_offs.h"
 #include "foxquay/relay/latency_tracker.h"
+#include "foxquay/relay/locality.h"
 #include "foxquay/relay/rate_limits.h"
 #include "foxquay/relay/stage_cost.h"
 #include "foxquay/schema/announcement.h"
@@ -67,6 +69,14 @@
   /// Sets the number of hosts that send requests. Precondition: at least 1.
   void SetHosts(std::size_t hosts) { hosts_ = hosts; }
 
+  /// Sets the data centre of this host and the number of hosts that send
+  /// requests in each; requests then stay in their data centre where there is
+  /// room.
+  void SetLocality(core::DataCentreId own, CentreShares hosts) {
+    own_centre_ = std::move(own);
+    hosts_by_centre_ = std::move(hosts);
+  }
+
   /// Sets the number of requests that all hosts have sent and that have not
   /// ended. Until it is set, every host is assumed to have as many as this one.
   void SetOpenRequests(double requests) { open_requests_ = requests; }
@@ -219,6 +229,12 @@
   [[nodiscard]] std::vector<Hop> ChooseCheapest(
       const schema::Service& service, const Work& work, const FirstHops& first,
       bool include_deprioritized, core::Instant now, NoPath& reason);
+  /// Returns the use of the upstreams of a mix. Precondition: it has chains.
+  [[nodiscard]] double UseOf(const Mix& mix) const;
+  /// Weights chains, which are drawn by `rates`, so that requests stay in the
+  /// data centre of this host as far as `use` permits.
+  void WeightByLocality(const std::vector<const std::vector<Hop>*>& chains,
+                        double use, std::vector<double>& rates) const;
   /// Draws a chain from the mix; empty if none of its chains may be used.
   [[nodiscard]] std::vector<Hop> ChooseFromMix(const schema::Service& service,
                                                const Work& work,
@@ -259,6 +275,8 @@
 
   std::map<core::UpstreamId, Entry> entries_;
   std::size_t hosts_ = 1;
+  core::DataCentreId own_centre_;
+  CentreShares hosts_by_centre_;  ///< Empty if it is not known.
   std::optional<double> open_requests_;
   double own_requests_ = 0;  ///< Requests of this host on chains.
   std::map<core::ServiceId, Mix> mixes_;
