Plan the mix for a crest that hosts do not know of yet

Cause: the mix was made for the load that is known, which is up to a second old. At low load it consists of the cheapest chains only, and without any known load each host chose the cheapest chain by itself.

Change: the mix is made for six tenths of the room at least, and is used whenever there are other hosts. The room is kept with it, so that the use of the upstreams needs no second computation.

Evidence: the new test sends half of the room before any host knows of it; before, the fastest chain gets all of it.

--- a/src/foxquay/relay/chain_mix.cc
+++ b/src/foxquay/relay/chain_mix.cc
@@ -2,11 +2,18 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace foxquay::relay {
 namespace internal {
 
+/// Requests from which on upstreams count as without a limit.
+constexpr double kMostRequests = 1e6;
+
+/// Relative difference of loads that are distributed alike.
+constexpr double kTolerance = 0.1;
+
 /// Cost of a passage that keeps chains from crossing if there is another way.
 constexpr core::Duration kForbidden = std::chrono::hours(1);
 
@@ -79,4 +86,26 @@
   return spread;
 }
 
+LoadPlan PlanLoad(std::vector<MixStage>& stages, std::uint32_t layers,
+                  const Crossing& crossing, const Work& work, double requests,
+                  double room) {
+  LoadPlan plan;
+  plan.requests = std::max({1.0, requests, kPlannedUse * room});
+  LoadSpread spread = SpreadLoad(stages, layers, crossing, work, plan.requests);
+  const auto spread_again = [&](double load) {
+    plan.requests = load;
+    spread = SpreadLoad(stages, layers, crossing, work, load);
+  };
+  while (spread.room >= kMaxRoom && plan.requests < internal::kMostRequests) {
+    spread_again(2 * kMaxRoom * plan.requests);
+  }
+  plan.room = plan.requests * spread.room;
+  const double planned = std::max({1.0, requests, kPlannedUse * plan.room});
+  if (std::abs(planned - plan.requests) > internal::kTolerance * planned) {
+    spread_again(planned);
+  }
+  plan.chains = std::move(spread.chains);
+  return plan;
+}
+
 }  // namespace foxquay::relay
--- a/src/foxquay/relay/chain_mix.h
+++ b/src/foxquay/relay/chain_mix.h
@@ -63,6 +63,25 @@
                                     const Crossing& crossing, const Work& work,
                                     double requests);
 
+/// Use of the upstreams for which requests are distributed while there are
+/// fewer. Fewer requests would take the cheapest chains only, which a crest
+/// fills before hosts know of it.
+inline constexpr double kPlannedUse = 0.6;
+
+/// A distribution of the load of all hosts and what it is part of.
+struct LoadPlan {
+  std::vector<placement::Chain> chains;  ///< See LoadSpread.
+  double requests = 0;                   ///< Load that was distributed.
+  double room = 0;  ///< Requests for which there is room in all.
+};
+
+/// Distributes the load of all hosts, or kPlannedUse of the room if that is
+/// more. `room` is an estimate of the room, e.g. the last one; 0 if there is
+/// none. Sets the load of the stages as SpreadLoad. Thread-safe.
+[[nodiscard]] LoadPlan PlanLoad(std::vector<MixStage>& stages,
+                                std::uint32_t layers, const Crossing& crossing,
+                                const Work& work, double requests, double room);
+
 }  // namespace foxquay::relay
 
 #endif  // FOXQUAY_RELAY_CHAIN_MIX_H_
--- a/src/foxquay/relay/upstreams.cc
+++ b/src/foxquay/relay/upstreams.cc
@@ -236,7 +236,7 @@
                                         const FirstHops& first,
                                         bool include_deprioritized,
                                         core::Instant now, NoPath& reason) {
-  const bool shared = TotalRequests() >= own_requests_ + 1;
+  const bool shared = hosts_ > 1 || TotalRequests() >= own_requests_ + 1;
   const bool holds_leave = limits_.HoldsLeave(service.id, now);
   if (shared && !include_deprioritized && !holds_leave) {
     std::vector<Hop> hops = ChooseFromMix(service, work, first, now);
@@ -269,15 +269,17 @@
     entries.push_back(&entry);
     stages.push_back(*std::move(stage));
   }
-  const LoadSpread spread =
-      SpreadLoad(stages, engine.layers, internal::MakeCrossing(engine, usual),
-                 usual, requests);
+  const LoadPlan plan =
+      PlanLoad(stages, engine.layers, internal::MakeCrossing(engine, usual),
+               usual, requests, mix.room);
+  const double scale = requests / plan.requests;
   for (std::size_t index = 0; index < stages.size(); ++index) {
-    entries[index]->mixed = stages[index].load;
+    const StageLoad& load = stages[index].load;
+    entries[index]->mixed = {load.sequences * scale, load.tokens * scale};
   }
-  mix = {{}, {}, spread.room, now, requests, changes_};
+  mix = {{}, {}, plan.room, now, requests, changes_};
   std::vector<core::Duration> times;
-  for (const placement::Chain& chain : spread.chains) {
+  for (const placement::Chain& chain : plan.chains) {
     if (engine.max_stages > 0 && chain.stages.size() > engine.max_stages) {
       continue;
     }
@@ -304,7 +306,7 @@
 }
 
 double Upstreams::UseOf(const Mix& mix) const {
-  return TotalRequests() / (std::max(1.0, mix.requests) * mix.room);
+  return TotalRequests() / std::max(1.0, mix.room);
 }
 
 void Upstreams::WeightByLocality(
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -214,7 +214,7 @@
     /// Rate at which the requests of each part end, and are replaced, relative
     /// to the others.
     std::vector<double> rates;
-    double room = 0;  ///< See LoadSpread.
+    double room = 0;  ///< Requests for which there is room in all.
     core::Instant computed_at;
     double requests = 0;        ///< Load for which it was computed.
     std::uint64_t changes = 0;  ///< Value of `changes_` at that time.
--- a/tests/foxquay/relay/chain_mix_test.cc
+++ b/tests/foxquay/relay/chain_mix_test.cc
@@ -119,6 +119,34 @@
   CHECK(Largest(counts) < 90);
 }
 
+// Guards against a crest that begins faster than hosts learn of it, whose
+// requests all take the cheapest chain.
+TEST_CASE(
+    "requests that nobody knows of yet do not overflow the fastest chain") {
+  auto upstreams = MakeCopies(4, "slow");
+  for (schema::Announcement& fast : MakeCopies(1, "fast")) {
+    fast.data_centre = core::DataCentreId("other");
+    upstreams.push_back(fast);
+  }
+  for (const std::size_t count : {8, 111, 730}) {
+    Hosts hosts(count, upstreams);
+    // Half of what the five chains hold: 81 each on the slow ones, and 192.
+    constexpr std::size_t kBurst = 250;
+    std::map<core::UpstreamId, int> counts;
+    for (std::size_t sent = 0; sent < kBurst; sent += count) {
+      const auto added =
+          hosts.SendOne(0, core::Instant(milliseconds(1)), kBurst - sent);
+      for (const auto& [id, requests] : added) counts[id] += requests;
+    }
+    CAPTURE(count);
+    CHECK(counts.size() == 5);
+    CHECK(counts.at(core::UpstreamId("fast0-0")) <= 192);
+    for (const auto& [id, requests] : counts) {
+      if (id.value().starts_with("slow")) CHECK(requests <= 81);
+    }
+  }
+}
+
 TEST_CASE("a faster chain gets more requests, not all") {
   auto upstreams = MakeCopies(1, "slow");
   for (schema::Announcement& fast : MakeCopies(1, "fast")) {
