--- a/src/foxquay/placement/growth.cc
+++ b/src/foxquay/placement/growth.cc
@@ -257,8 +257,8 @@
       std::max<std::size_t>(1, CopiesThatFit(engine, pool));
   std::vector<Choice> found;
   double most = 0;
-  for (std::size_t copies = std::max<std::size_t>(2, usual) - 1;
-       copies <= usual + 1; ++copies) {
+  for (std::size_t copies = usual + 1; copies > 0; --copies) {
+    if (copies + 1 < usual && !found.empty()) break;
     for (std::size_t spares = kMaxSpares + 1; spares-- > 0;) {
       Choice choice{pool, 0, 0};
       if (!PlaceCopies(engine, choice.pool, copies, spares)) continue;
