Let an empty API key belong to nobody

Cause: a request without a key is read as one with an empty key, and the table indexed the empty key of the configuration like any other.

Evidence: "an empty API key identifies nobody" and "without any valid key only open routes are served" fail before (the workspace is found; requests with the key "" reach an upstream) and pass now.

Why it works: no lookup finds an empty key, whatever host or build encoded the configuration. It stays valid, since the protocol does not refuse it; two workspaces with an empty key still share a key.

--- a/src/foxquay/fleet/table.cc
+++ b/src/foxquay/fleet/table.cc
@@ -19,7 +19,8 @@
   }
   for (std::size_t index = 0; index < fleet_.workspaces.size(); ++index) {
     for (const std::string& key : fleet_.workspaces[index].api_keys) {
-      workspace_by_key_.emplace(key, index);
+      // A request without a key has an empty one.
+      if (!key.empty()) workspace_by_key_.emplace(key, index);
     }
   }
   for (std::size_t index = 0; index < fleet_.services.size(); ++index) {
--- a/src/foxquay/fleet/table.h
+++ b/src/foxquay/fleet/table.h
@@ -30,7 +30,7 @@
                                                std::string_view path) const;
 
   /// Returns the workspace to which an API key belongs, or null if the key is
-  /// unknown.
+  /// unknown. An empty key belongs to nobody.
   [[nodiscard]] const schema::Workspace* FindWorkspace(
       std::string_view api_key) const;
 
--- a/tests/foxquay/fleet/table_test.cc
+++ b/tests/foxquay/fleet/table_test.cc
@@ -45,6 +45,19 @@
   CHECK(table.FindWorkspace("k") == nullptr);
 }
 
+// Guards against requests without a key that run for a workspace whose list of
+// keys contains an empty one.
+TEST_CASE("an empty API key identifies nobody") {
+  schema::Fleet fleet = MakeFleet();
+  fleet.workspaces.push_back({core::WorkspaceId("blank"), {""}, std::nullopt});
+  REQUIRE(Validate(fleet).empty());
+  const Table table(fleet);
+  CHECK(table.FindWorkspace("") == nullptr);
+  CHECK(table.FindWorkspace("k1") != nullptr);
+  fleet.workspaces.erase(fleet.workspaces.begin());
+  CHECK(Table(fleet).NeedsKey());
+}
+
 TEST_CASE("services get requests by weight and none with a weight of 0") {
   schema::Route route = MakeRoute("/x/", "a");
   route.services = {{core::ServiceId("z"), 0},
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -49,6 +49,29 @@
   CHECK(fixture.b.requests.empty());
 }
 
+// Guards against requests that run with a revoked or an invented key, or
+// without one, while no workspace has a key.
+TEST_CASE("without any valid key only open routes are served") {
+  ProxyFixture fixture;
+  schema::Fleet fleet = fixture.table->fleet();
+  fleet.version = 4;
+  fleet.routes.push_back(MakeRoute("/open/", schema::RequestKind::kAtMostOnce));
+  fleet.routes.back().open = true;
+  const schema::Workspace nobody;
+  const schema::Workspace keyless{core::WorkspaceId("w"), {}, std::nullopt};
+  const schema::Workspace blank{core::WorkspaceId("w"), {""}, std::nullopt};
+  fleet.workspaces = {GENERATE_COPY(nobody, keyless, blank)};
+  fixture.proxy.SetFleet(std::make_shared<const fleet::Table>(fleet));
+  for (const char* key : {"secret", "invented", ""}) {
+    CAPTURE(key);
+    CHECK(fixture.AwaitResponse(fixture.Send("/safe/1", key)).status == 401);
+  }
+  CHECK(fixture.a.requests.empty());
+  CHECK(fixture.b.requests.empty());
+  (void)fixture.Send("/open/1", "");
+  CHECK(fixture.FirstReached().requests[0].second.target == "/open/1");
+}
+
 TEST_CASE("an at-most-once request is not retried after a lost connection") {
   ProxyFixture fixture;
   const net::CallId call = fixture.Send("/once/1");
