--- a/tests/foxquay/control/fleet_history_test.cc
+++ b/tests/foxquay/control/fleet_history_test.cc
@@ -148,6 +148,61 @@
   CHECK(observer.StartPoll({}).fleet_version == 0);
 }
 
+// Guards against hosts that keep a revoked key because the version without any
+// reaches them as a difference, from a snapshot or through another host.
+TEST_CASE("the removal of the last key reaches every host") {
+  const auto encode = [](std::uint64_t version, const std::string& key) {
+    schema::Fleet fleet;
+    fleet.version = version;
+    fleet.routes.resize(kRoutes);
+    schema::Workspace workspace;
+    if (!key.empty()) workspace = {core::WorkspaceId("w"), {key}, 1};
+    fleet.workspaces.push_back(workspace);
+    return schema::Encode(fleet);
+  };
+  State state;
+  const auto put = [&state, &encode](std::uint64_t version,
+                                     const std::string& key) {
+    const schema::PutFleet command{version, encode(version, key), "source"};
+    state.Apply(version, core::WallTime(),
+                schema::Encode(schema::ControlCommand(command)));
+  };
+  const auto ask = [](Observer& observer, const auto& answerer) {
+    const schema::ConfigPoll poll = observer.StartPoll({});
+    const schema::ConfigReply reply = answerer(poll);
+    observer.HandleReply(reply);
+    return reply.fleet_base;
+  };
+  const auto leader = [&state](const schema::ConfigPoll& poll) {
+    return state.Answer(poll, {});
+  };
+  put(3, "k1");
+  Observer observer(core::HostId("h"), 1, kConfigLease, false);
+  CHECK(ask(observer, leader) == 0);
+  put(4, "");
+  // Older versions, from an operator or from a delayed message, change nothing.
+  put(3, "k1");
+  put(4, "k1");
+  CHECK(ask(observer, leader) == 3);
+  CHECK(observer.fleet() == encode(4, ""));
+  Observer second(core::HostId("i"), 1, kConfigLease, false);
+  CHECK(ask(second, [&observer](const schema::ConfigPoll& poll) {
+          return *observer.Answer(poll, {});
+        }) == 0);
+  CHECK(second.fleet() == encode(4, ""));
+  // A leader that starts from a snapshot, and a host that starts anew.
+  auto restored = State::FromSnapshot(state.Snapshot());
+  REQUIRE(restored);
+  state = std::move(restored).value();
+  Observer third(core::HostId("j"), 1, kConfigLease, false);
+  CHECK(ask(third, leader) == 0);
+  CHECK(third.fleet() == encode(4, ""));
+  put(5, "k2");
+  put(6, "");
+  CHECK(ask(observer, leader) == 4);
+  CHECK(observer.fleet() == encode(6, ""));
+}
+
 // Guards against hosts that ask for the whole configuration, which other
 // control hosts leave out, since two of them answered at the same time.
 TEST_CASE("a change for the version that a host had before is ignored") {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -93,6 +93,37 @@
   CHECK_FALSE(read(R"("unused":1)").NeedsKey());
 }
 
+// Guards against a fleet that is left open, or without routes, by a list that
+// cannot be read.
+TEST_CASE("a list that is missing or of another type is refused") {
+  const std::string tenants =
+      R"("tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1}])";
+  const auto accepted = [](const std::string& fleet) {
+    core::Findings findings;
+    const schema::Fleet read = ReadFleet(fleet, findings);
+    return findings.empty() && fleet::Validate(read).empty();
+  };
+  REQUIRE(accepted(kFleet));
+  for (const char* list : {"null", "{}", "\"\"", "0", "false", "[null]", "[[]]",
+                           R"([{"name":"w"}])", R"([{"api_keys":[]}])"}) {
+    CAPTURE(list);
+    CHECK_FALSE(accepted(
+        Replace(kFleet, tenants, R"("tenants":)" + std::string(list))));
+  }
+  for (const char* keys : {"null", "\"k\"", "{}", "[null]", "[1]", "[[]]"}) {
+    CAPTURE(keys);
+    CHECK_FALSE(accepted(Replace(kFleet, R"(["k1","k2"])", std::string(keys))));
+  }
+  for (const char* fleet :
+       {R"({"version":7,"services":[]})", R"({"version":7,"routes":[]})",
+        R"({"version":7,"routes":null,"services":[]})",
+        R"({"version":7,"routes":[],"services":{}})"}) {
+    CAPTURE(fleet);
+    CHECK_FALSE(accepted(fleet));
+  }
+  CHECK(accepted(R"({"version":7,"routes":[],"services":[]})"));
+}
+
 TEST_CASE("an upstream without layers or that drains is recognized") {
   core::Findings findings;
   const std::string empty =
--- a/tests/platform/soak/clients.cc
+++ b/tests/platform/soak/clients.cc
@@ -136,19 +136,22 @@
   for (std::uint64_t extra = 0; extra < version % 5; ++extra) {
     routes.push_back(MakeRoute("extra" + std::to_string(extra), "safe", "app"));
   }
-  return Json{
-      {"version", version},
-      {"routes", routes},
-      {"services", Json::array({MakeService("app"), ModelService()})},
-      {"limits",
-       {{"max_header_bytes", 16384},
-        {"max_body_bytes", 1048576},
-        {"header_timeout_ms", 3000},
-        {"idle_timeout_ms", 15000}}},
-      {"tenants", Json::array({{{"name", "w"},
-                                {"api_keys",
-                                 Json::array({kPermanentKey, configured_key_})},
-                                {"priority", 1}}})}}
+  Json tenants = Json::array();
+  if (!keyless_) {
+    tenants.push_back(
+        {{"name", "w"},
+         {"api_keys", Json::array({kPermanentKey, configured_key_})},
+         {"priority", 1}});
+  }
+  return Json{{"version", version},
+              {"routes", routes},
+              {"services", Json::array({MakeService("app"), ModelService()})},
+              {"limits",
+               {{"max_header_bytes", 16384},
+                {"max_body_bytes", 1048576},
+                {"header_timeout_ms", 3000},
+                {"idle_timeout_ms", 15000}}},
+              {"tenants", tenants}}
       .dump();
 }
 
@@ -166,6 +169,13 @@
   PutConfiguration(version_, revoked);
 }
 
+void Operator::RevokeAllKeys() {
+  keyless_ = true;
+  version_ += 1;
+  sent_versions_[version_] = BuildConfiguration(version_);
+  PutConfiguration(version_, configured_key_);
+}
+
 void Operator::HandleAcknowledged(std::uint64_t version,
                                   const std::string& revoked) {
   const core::Instant now = net::SteadyNow();
--- a/tests/platform/soak/clients.h
+++ b/tests/platform/soak/clients.h
@@ -59,6 +59,9 @@
   /// As ReplaceConfiguration, with a new API key in place of the one that
   /// callers use besides the permanent key.
   void RevokeKey();
+  /// As ReplaceConfiguration, with an empty list of tenants, so that callers
+  /// have no valid key any more.
+  void RevokeAllKeys();
   /// Reads the configuration from one control host and checks that it is a
   /// version that was sent and not older than allowed.
   void ReadConfiguration(std::size_t control);
@@ -98,6 +101,7 @@
   std::uint64_t read_back_ = 0;
   std::uint64_t key_number_ = 0;
   std::string configured_key_ = "key-0";  ///< In the newest configuration.
+  bool keyless_ = false;  ///< Whether the newest one has no keys.
   std::string key_ = kPermanentKey;
   std::string revoked_key_ = kPermanentKey;
 };
