--- a/src/foxquay/daemon/control_server.cc
+++ b/src/foxquay/daemon/control_server.cc
@@ -9,7 +9,6 @@
 #include "foxquay/daemon/clock.h"
 #include "foxquay/fleet/validate.h"
 #include "foxquay/log/log.h"
-#include "foxquay/schema/codec.h"
 
 namespace foxquay::daemon {
 namespace internal {
@@ -110,16 +109,9 @@
 
 void ControlServer::Handle(net::ExchangeId exchange,
                            const gateway::ReplaceFleet& call) {
-  core::Findings findings = fleet::Validate(call.fleet);
-  schema::PutFleet command;
-  command.version = call.fleet.version;
-  command.fleet = schema::Encode(call.fleet);
-  command.source = call.source;
-  // What no host could read must not be acknowledged.
-  if (!schema::Decode<schema::Fleet>(command.fleet) ||
-      !schema::Decode<schema::PutFleet>(schema::Encode(command))) {
-    findings.push_back({"", 0, "", "a field exceeds its largest size"});
-  }
+  core::Findings findings;
+  schema::PutFleet command =
+      fleet::MakePutCommand(call.fleet, call.source, findings);
   if (!findings.empty()) {
     Handle(exchange, gateway::InvalidCall{400, findings});
     return;
--- a/src/foxquay/fleet/validate.cc
+++ b/src/foxquay/fleet/validate.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <utility>
 
+#include "foxquay/schema/codec.h"
+
 namespace foxquay::fleet {
 namespace internal {
 
@@ -91,4 +93,19 @@
   return findings;
 }
 
+schema::PutFleet MakePutCommand(const schema::Fleet& fleet, std::string source,
+                                core::Findings& findings) {
+  for (core::Finding& finding : Validate(fleet)) {
+    findings.push_back(std::move(finding));
+  }
+  schema::PutFleet command{fleet.version, schema::Encode(fleet),
+                           std::move(source)};
+  // What no host could read must not be acknowledged.
+  if (!schema::Decode<schema::Fleet>(command.fleet) ||
+      !schema::Decode<schema::PutFleet>(schema::Encode(command))) {
+    findings.push_back({"", 0, "", "a field exceeds its largest size"});
+  }
+  return command;
+}
+
 }  // namespace foxquay::fleet
--- a/src/foxquay/fleet/validate.h
+++ b/src/foxquay/fleet/validate.h
@@ -1,7 +1,10 @@
 #ifndef FOXQUAY_FLEET_VALIDATE_H_
 #define FOXQUAY_FLEET_VALIDATE_H_
 
+#include <string>
+
 #include "foxquay/core/finding.h"
+#include "foxquay/schema/control.h"
 #include "foxquay/schema/fleet.h"
 
 namespace foxquay::fleet {
@@ -14,6 +17,17 @@
 /// keys that belong to two workspaces. Thread-safe.
 [[nodiscard]] core::Findings Validate(const schema::Fleet& fleet);
 
+/// Returns the command that stores a fleet configuration.
+///
+/// Adds to `findings` what Validate returns, and whether the configuration has
+/// a field that exceeds its largest size in the messages between hosts. The
+/// command must not be sent if `findings` is not empty then. Thread-safe.
+///
+/// @param source The configuration as the operator sent it.
+[[nodiscard]] schema::PutFleet MakePutCommand(const schema::Fleet& fleet,
+                                              std::string source,
+                                              core::Findings& findings);
+
 }  // namespace foxquay::fleet
 
 #endif  // FOXQUAY_FLEET_VALIDATE_H_
