--- a/src/foxquay_cli/arguments.h
+++ b/src/foxquay_cli/arguments.h
@@ -16,7 +16,9 @@
   kExitConflict = 6,       ///< The revision is no longer the expected one.
   kExitRefused = 7,        ///< The host rejected the request.
   kExitNotInForce = 8,     ///< Accepted, but not yet in force everywhere.
+  kExitWarnings = 9,       ///< Valid, but probably not as it is meant.
   kExitUsage = 64,         ///< EX_USAGE of sysexits.h
+  kExitNoInput = 66,       ///< EX_NOINPUT of sysexits.h
   kExitUnavailable = 69,   ///< EX_UNAVAILABLE of sysexits.h
   kExitNoPermission = 77,  ///< EX_NOPERM of sysexits.h
   kExitConfig = 78,        ///< EX_CONFIG of sysexits.h
