Ask standbys for a group before founders form one

What the first group had committed would have been lost to the founders, which foxquayd lists at every start; on the platform `bootstrap` is false then.

Cause: a group was formed once all founders answered that they are empty. In the trace h0, h1 and h2 had been lost at 50.8, 53.1 and 42.4 s, the voters h3, h4 and h5 held the log but were restarting or cut off when h0 asked.

Evidence: "founders that lost their disks in turn do not form a second group" fails before (5 of 6 checks) and passes.

Why it works: if all founders are empty, the quorum of a group lies among the standbys. So many of them must answer that the others are fewer than a quorum, which is at least a majority of the founders' number. A group without a quorum is lost anyway. Clusters with fewer standbys than that form as before, and the platform's, where founders and standbys are the same hosts, too.

--- a/src/foxquay/consensus/join.cc
+++ b/src/foxquay/consensus/join.cc
@@ -11,6 +11,9 @@
 /// needs; join requests beyond it are ignored.
 constexpr std::size_t kMaxReplicas = 32;
 
+/// Smallest quorum of a group whose voters are no longer its founders.
+constexpr std::size_t kMinMovedQuorum = 2;
+
 }  // namespace
 
 void Replica::State::RequestJoin() {
@@ -64,11 +67,28 @@
   TryFormGroup();
 }
 
+bool Replica::State::StandbysHaveNoGroup() const {
+  const auto& founders = options_.founders;
+  std::size_t standbys = 0;
+  std::size_t answered = 0;
+  for (const core::HostId& host : options_.standbys) {
+    if (std::find(founders.begin(), founders.end(), host) != founders.end()) {
+      continue;
+    }
+    ++standbys;
+    if (join_responders_.contains(host)) ++answered;
+  }
+  // A group has no fewer voters than founders, and a single voter that leads
+  // does not replace itself.
+  const std::size_t quorum = std::max(kMinMovedQuorum, founders.size() / 2 + 1);
+  return answered + quorum > standbys;
+}
+
 void Replica::State::TryFormGroup() {
   if (!IsNew() || group_exists_ || leader_ || options_.founders.empty()) return;
   const auto& founders = options_.founders;
   const auto first = std::min_element(founders.begin(), founders.end());
-  if (*first != options_.self.host) return;
+  if (*first != options_.self.host || !StandbysHaveNoGroup()) return;
   schema::SnapshotMeta meta;
   for (const core::HostId& founder : founders) {
     const auto found = join_responders_.find(founder);
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -176,6 +176,10 @@
   /// leader.
   void ForwardToLeader(schema::JoinRequest request);
   void TryFormGroup();
+  /// Returns whether so many standbys have answered that none of them would
+  /// belong to a group that has a quorum among the standbys. The disks of all
+  /// founders may have been lost, one after the other.
+  [[nodiscard]] bool StandbysHaveNoGroup() const;
   void On(const schema::JoinRequest& request);
   void On(const schema::JoinReply& reply);
 
--- a/tests/foxquay/consensus/join_test.cc
+++ b/tests/foxquay/consensus/join_test.cc
@@ -54,8 +54,64 @@
   core::Instant now_ = core::Instant(std::chrono::seconds(1));
 };
 
+/// The first founder of a group of three founders and three standbys, with an
+/// empty disk.
+class FirstFounder {
+ public:
+  FirstFounder() : member_(MakeOptions()) {}
+
+  /// Delivers the answer of a host to a request to join.
+  void Answer(const std::string& host, bool fresh) {
+    schema::JoinReply reply;
+    reply.header.from = {core::HostId(host), 2};
+    reply.header.to = MakeOptions().self;
+    reply.fresh = fresh;
+    member_.Handle(Received{reply}, core::Instant(std::chrono::seconds(1)));
+  }
+
+  [[nodiscard]] bool HasGroup() const {
+    return !member_.replica().configuration().voters.empty();
+  }
+
+ private:
+  static Options MakeOptions() {
+    Options options;
+    options.self = {core::HostId("h0"), 1};
+    for (const char* host : {"h0", "h1", "h2"}) {
+      options.founders.emplace_back(host);
+    }
+    for (const char* host : {"h3", "h4", "h5"}) {
+      options.standbys.emplace_back(host);
+    }
+    options.voters = 5;
+    return options;
+  }
+
+  Member member_;
+};
+
 }  // namespace
 
+// Guards against a second group beside the first one, which loses what that has
+// committed, after standbys have replaced all founders.
+TEST_CASE("founders that lost their disks in turn do not form a second group") {
+  FirstFounder founder;
+  founder.Answer("h1", true);
+  founder.Answer("h2", true);
+  CHECK_FALSE(founder.HasGroup());
+  founder.Answer("h3", true);
+  CHECK_FALSE(founder.HasGroup());
+  SECTION("the group has its quorum among the other standbys") {
+    founder.Answer("h4", false);
+    founder.Answer("h5", true);
+    CHECK_FALSE(founder.HasGroup());
+  }
+  SECTION("no other standby can be a quorum alone") {
+    founder.Answer("h4", true);
+    CHECK(founder.HasGroup());
+  }
+}
+
 // Guards against a lost replica that is never replaced: those that would join
 // ask only the hosts that they know, of which none leads.
 TEST_CASE("a replica joins although no host that it knows leads") {
