Hold announcements for services that are not configured

Cause: a feed keeps the announcement with the latest stated start for each id, and of several at one address the one that started last, whatever service it names.

Why it works: no request goes to a service that is not configured, so that its announcements need not reach other hosts. The control host that received one acknowledges it, holds it for as long as it would be usable, and announces it once a configuration contains the service. An upstream that is known with the same service is treated as before, so that the leave of one whose service was taken out of the configuration is spread.

--- a/src/foxquay/daemon/control_leaves.cc
+++ b/src/foxquay/daemon/control_leaves.cc
@@ -25,23 +25,53 @@
   boost::asio::post(context_, [this, announcement, called = Now(),
                                done = std::move(done)]() mutable {
     const core::Instant now = Now();
+    if (IsUnconfigured(announcement)) {
+      if (unconfigured_.Hold(announcement, now)) {
+        log::Write(log::Level::kWarn, "announcement_held",
+                   {{"upstream", announcement.id},
+                    {"service", announcement.service},
+                    {"reason", "the configuration has no such service"}});
+      }
+      if (done) done();
+      return;
+    }
+    unconfigured_.Drop(announcement.id);
     if (roster_.Announce(announcement, now)) PublishRoster(now);
     if (done) AwaitSpread(announcement.id, called, std::move(done));
   });
 }
 
+bool ControlNode::IsUnconfigured(
+    const schema::Announcement& announcement) const {
+  if (!unconfigured_.Lacks(announcement.service)) return false;
+  const auto known = roster_.Newest(announcement.id);
+  return !known || known->service != announcement.service;
+}
+
+void ControlNode::SetServices(std::set<core::ServiceId> services) {
+  boost::asio::post(context_, [this, services = std::move(services)]() mutable {
+    const core::Instant now = Now();
+    for (const schema::Announcement& announcement :
+         unconfigured_.SetServices(std::move(services), now)) {
+      roster_.Announce(announcement, now);
+    }
+    PublishRoster(now);
+  });
+}
+
 void ControlNode::Withdraw(const core::UpstreamId& upstream,
                            std::function<void(bool known)> done) {
   boost::asio::post(context_,
                     [this, upstream, called = Now(), done = std::move(done)] {
                       const core::Instant now = Now();
+                      const bool held = unconfigured_.Drop(upstream);
                       const bool known = roster_.Leave(upstream, now);
                       if (known) PublishRoster(now);
                       if (!done) return;
                       if (known) {
                         AwaitSpread(upstream, called, [done] { done(true); });
                       } else {
-                        done(false);
+                        done(held);
                       }
                     });
 }
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -43,6 +43,7 @@
 #include "foxquay/roster/doubts.h"
 #include "foxquay/roster/roster.h"
 #include "foxquay/roster/spread.h"
+#include "foxquay/roster/unconfigured.h"
 #include "foxquay/schema/peer.h"
 #include "foxquay/schema/settings.h"
 #include "foxquay/transport/peer_transport.h"
@@ -205,6 +206,10 @@
   /// its starts has ended.
   void Withdraw(const core::UpstreamId& upstream,
                 std::function<void(bool known)> done = {});
+  /// Sets the services of the fleet configuration. Announcements for others are
+  /// acknowledged and held back until they are configured, except those of an
+  /// upstream that is known with the same service; without a call, none is.
+  void SetServices(std::set<core::ServiceId> services);
   /// Handles the result of a probe; `probed` is the announcement of the
   /// upstream at that time. An upstream that was reached stays in the roster.
   /// One that was not is withdrawn if it is suspected and has not announced
@@ -292,6 +297,11 @@
   template <class Function>
   auto Call(Function function);
 
+  /// Returns whether an announcement is for a service that is not configured,
+  /// and not of an upstream whose service was taken out of the configuration.
+  [[nodiscard]] bool IsUnconfigured(
+      const schema::Announcement& announcement) const;
+
   void Run();
   void Tick();
   void Receive(schema::Envelope envelope);
@@ -559,6 +569,7 @@
   std::vector<FleetRead> fleet_reads_;
   std::uint64_t published_fleet_ = 0;
   roster::Doubts doubts_;
+  roster::Unconfigured unconfigured_;
   std::map<core::UpstreamId, core::Instant> probed_;     ///< Last probe.
   std::map<core::UpstreamId, core::Instant> suspected_;  ///< Last report.
   std::optional<std::pair<bool, std::uint64_t>> published_leadership_;
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -236,6 +237,11 @@
                    {{"error", fleet.error().message()}});
         return;
       }
+      std::set<core::ServiceId> services;
+      for (const schema::Service& service : fleet.value().services) {
+        services.insert(service.id);
+      }
+      node_.SetServices(std::move(services));
       auto table =
           std::make_shared<const fleet::Table>(std::move(fleet).value());
       Post([this, table = std::move(table)] {
--- a/tests/platform/scenarios/odd_entry_test.cc
+++ b/tests/platform/scenarios/odd_entry_test.cc
@@ -36,8 +36,65 @@
           std::string(500'000, '[')};
 }
 
+/// Returns a heartbeat at `address` that is well formed and newer than any of
+/// the upstream there, for a service that no configuration contains.
+std::string ForUnknownService(const std::string& address) {
+  const auto now = std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  return R"({"service":"unknown","address":")" + address +
+         R"(","zone":"east","slots":6,"state":"ready","seq":1,"born":)" +
+         std::to_string(now.count()) + "}";
+}
+
 }  // namespace
 
+// Guards against an entry of another writer that takes the place of an upstream
+// under its id or at its address, as what the upstream says has an older start.
+TEST_CASE("a heartbeat for an unknown service displaces no upstream") {
+  Scenario::Options options;
+  options.models = 0;
+  options.apps = 2;
+  Scenario scenario(options);
+  scenario.AwaitServing();
+  soak::BufferingClient writer(scenario.context());
+  unsigned sent = 0;
+  unsigned acknowledged = 0;
+  for (std::size_t index = 0; index < options.apps; ++index) {
+    for (const std::string& control : scenario.cluster().ProxyAddresses(true)) {
+      for (const std::string& id : {scenario.upstream_id(index),
+                                    "other-" + scenario.upstream_id(index)}) {
+        net::Request request;
+        request.method = "PUT";
+        request.target = "/v1/instances/" + id;
+        request.fields.set("Host", "control");
+        request.body = ForUnknownService(scenario.upstream(index).listener());
+        ++sent;
+        writer.Send(control, request,
+                    [&acknowledged](unsigned status, const net::Fields&,
+                                    const std::string&) {
+                      if (status == 200) ++acknowledged;
+                    });
+      }
+    }
+  }
+  CHECK(scenario.RunUntil([&] { return acknowledged == sent; }, seconds(10)));
+  // A change of the upstreams is in force everywhere by then.
+  scenario.RunFor(seconds(2));
+  scenario.ResetTallies();
+  for (std::size_t entry = 0; entry < soak::kEntryHosts; ++entry) {
+    scenario.Repeat(milliseconds(100),
+                    [&scenario, entry] { scenario.SendPlain("read", entry); });
+  }
+  scenario.RunFor(seconds(3));
+  scenario.StopRepeating();
+  scenario.RunFor(seconds(1));
+  for (std::size_t entry = 0; entry < soak::kEntryHosts; ++entry) {
+    CAPTURE(entry);
+    CHECK(scenario.tally(entry).served * 10 >= scenario.tally(entry).sent * 9);
+  }
+  CHECK(scenario.violations().empty());
+}
+
 // Guards against hosts that end, or stop following the others, because of one
 // entry of another writer, and against entries that outrank the upstream's own.
 TEST_CASE("odd heartbeats end no process and outrank no upstream") {
