--- a/src/foxquay/consensus/action.h
+++ b/src/foxquay/consensus/action.h
@@ -34,6 +34,9 @@
   Snapshot snapshot;
   /// The whole log after the snapshot; replaces all earlier records.
   std::vector<schema::LogRecord> log;
+  /// Whether what was written before holds all of it, so that a disk without
+  /// room for it may skip it and keep the earlier snapshot and records.
+  bool covered = false;
 };
 
 /// Send a message. Delivery is not required.
--- a/src/foxquay/consensus/replica.cc
+++ b/src/foxquay/consensus/replica.cc
@@ -140,7 +140,7 @@
   snapshot_ = {std::move(meta), event.data};
   snapshot_requested_ = false;
   applied_bytes_ = 0;
-  SaveCurrentSnapshot();
+  SaveCurrentSnapshot(true);
 }
 
 void Replica::State::CheckTimers() {
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -149,7 +149,8 @@
   void On(const schema::SnapshotChunk& chunk);
   void On(const schema::SnapshotReply& reply);
   void InstallSnapshot();
-  void SaveCurrentSnapshot();
+  /// `covered` tells that the earlier writes hold all that the snapshot does.
+  void SaveCurrentSnapshot(bool covered = false);
   /// Returns the entries after `index` as records of bounded size.
   [[nodiscard]] std::vector<schema::LogRecord> LogRecordsAfter(
       Index index) const;
--- a/src/foxquay/consensus/transfer.cc
+++ b/src/foxquay/consensus/transfer.cc
@@ -89,8 +89,9 @@
   SaveCurrentSnapshot();
 }
 
-void Replica::State::SaveCurrentSnapshot() {
+void Replica::State::SaveCurrentSnapshot(bool covered) {
   SaveSnapshot save;
+  save.covered = covered;
   save.snapshot = snapshot_;
   save.log = LogRecordsAfter(snapshot_.meta.index);
   save.write_id = writes_.Begin(log_.last(), snapshot_.meta.index);
--- a/src/foxquay/daemon/control_disk.cc
+++ b/src/foxquay/daemon/control_disk.cc
@@ -96,6 +96,23 @@
   return !stopping_;
 }
 
+bool ControlDisk::WriteOrSkip(const consensus::SaveSnapshot& snapshot) {
+  while (const auto error = store_->Write(snapshot)) {
+    if (snapshot.covered && storage::IsOutOfSpace(error)) {
+      log::Write(log::Level::kWarn, "snapshot_skipped",
+                 {{"folder", folder_},
+                  {"index", snapshot.snapshot.meta.index},
+                  {"bytes", snapshot.snapshot.data.size()},
+                  {"effect", "the log grows until a snapshot fits"},
+                  {"remedy", "free space on the disk"}});
+      store_->Skip(snapshot);
+      return true;
+    }
+    if (!AwaitRoom(error)) return false;
+  }
+  return true;
+}
+
 std::optional<consensus::WriteId> ControlDisk::WriteAndSync(
     const std::deque<Write>& writes) {
   for (const Write& write : writes) {
@@ -103,9 +120,8 @@
       store_->Write(*record);
       continue;
     }
-    const auto& snapshot = std::get<consensus::SaveSnapshot>(write);
-    while (const auto error = store_->Write(snapshot)) {
-      if (!AwaitRoom(error)) return std::nullopt;
+    if (!WriteOrSkip(std::get<consensus::SaveSnapshot>(write))) {
+      return std::nullopt;
     }
   }
   auto write_id = store_->Sync();
--- a/src/foxquay/daemon/control_disk.h
+++ b/src/foxquay/daemon/control_disk.h
@@ -26,8 +26,9 @@
 ///
 /// Writes that fail for want of room are repeated until there is some; until
 /// then nothing is acknowledged, so that the replica neither votes nor confirms
-/// entries. Any other failed write aborts the process, because nothing may be
-/// acknowledged after it.
+/// entries. A snapshot that only shortens the log is skipped instead. Any other
+/// failed write aborts the process, because nothing may be acknowledged after
+/// it.
 class ControlDisk {
  public:
   /// `folder` is the path of the data folder of `host`. `persisted` is called
@@ -71,6 +72,9 @@
   /// full until the end.
   [[nodiscard]] std::optional<consensus::WriteId> WriteAndSync(
       const std::deque<Write>& writes);
+  /// Saves a snapshot once there is room for it, or skips it if earlier writes
+  /// hold all of it; returns false if the disk is full until the end.
+  [[nodiscard]] bool WriteOrSkip(const consensus::SaveSnapshot& snapshot);
   /// Handles a failed write; returns whether to repeat it.
   [[nodiscard]] bool AwaitRoom(std::error_code error);
 
--- a/src/foxquay/storage/store.cc
+++ b/src/foxquay/storage/store.cc
@@ -1,5 +1,6 @@
 #include "foxquay/storage/store.h"
 
+#include <cassert>
 #include <utility>
 #include <vector>
 
@@ -90,8 +91,6 @@
 }
 
 std::error_code Store::Write(const consensus::SaveSnapshot& save) {
-  // The snapshot and the log after it include all queued records.
-  queued_.clear();
   const std::uint64_t index = save.snapshot.meta.index;
   std::string bytes;
   internal::AppendFrame(bytes, schema::Encode(save.snapshot.meta), 0);
@@ -99,11 +98,25 @@
   const auto path = internal::SnapshotPath(folder_, index);
   if (auto error = WriteAtomic(path, bytes)) return error;
   if (auto error = StartSegment(index, save.log)) return error;
+  // The snapshot and the log after it include all queued records.
+  queued_.clear();
   RemoveOldFiles(index);
   last_write_id_ = save.write_id;
   return {};
 }
 
+void Store::Skip(const consensus::SaveSnapshot& save) {
+  assert(save.covered && "earlier writes hold all of the snapshot");
+  std::error_code error;
+  std::filesystem::remove(
+      internal::SnapshotPath(folder_, save.snapshot.meta.index), error);
+  RemoveTemporaryFiles(folder_);
+  schema::LogRecord record = save.log.back();
+  record.first += record.entries.size();
+  record.entries.clear();
+  Write(consensus::Persist{save.write_id, std::move(record)});
+}
+
 std::error_code Store::AppendQueued() {
   if (incomplete_) {
     if (auto error = log_.Truncate(offset_)) return error;
--- a/src/foxquay/storage/store.h
+++ b/src/foxquay/storage/store.h
@@ -41,8 +41,13 @@
   /// Queues a record for the next Sync.
   void Write(const consensus::Persist& persist);
   /// Saves a snapshot and the log after it, which must include all queued
-  /// records, and removes older files. Blocks until the data is on disk.
+  /// records, and removes older files. Blocks until the data is on disk. If it
+  /// fails, the queued records stay queued.
   [[nodiscard]] std::error_code Write(const consensus::SaveSnapshot& save);
+  /// Gives up a snapshot for which there was no room: removes what was written
+  /// of it, and queues a record in its place, so that the next Sync confirms
+  /// its id. Precondition: `save` is covered by what was written before.
+  void Skip(const consensus::SaveSnapshot& save);
   /// Writes all queued records and blocks until they are on disk, with one
   /// sync. If there is no room for them, they stay queued.
   ///
--- a/tests/foxquay/consensus/simulated_cluster.cc
+++ b/tests/foxquay/consensus/simulated_cluster.cc
@@ -80,6 +80,9 @@
   };
   std::visit(Overloaded{[&](const Persist& p) { append(p.record); },
                         [&](const SaveSnapshot& save) {
+                          // Every other one has no room.
+                          const bool fits = save.write_id.value() % 2 == 0;
+                          if (save.covered && !fits) return;
                           disk.snapshot = save.snapshot;
                           disk.entries.clear();
                           for (const auto& r : save.log) append(r);
--- a/tests/foxquay/daemon/control_disk_test.cc
+++ b/tests/foxquay/daemon/control_disk_test.cc
@@ -56,7 +56,9 @@
          {1, {}, index, {{1, schema::EntryKind::kCommand, {}, "c"}}}});
   }
   /// Saves a snapshot of the entries up to `index`, which is the last one.
-  void SaveSnapshot(std::uint64_t write_id, std::uint64_t index) {
+  /// `covered` tells that they have been written.
+  void SaveSnapshot(std::uint64_t write_id, std::uint64_t index,
+                    bool covered = true) {
     consensus::SaveSnapshot save;
     save.write_id = consensus::WriteId(write_id);
     save.snapshot.meta.index = index;
@@ -64,6 +66,7 @@
     save.snapshot.data = std::string(100'000, 's');
     save.snapshot.meta.size = save.snapshot.data.size();
     save.log.push_back({1, {}, index + 1, {}});
+    save.covered = covered;
     disk_->SaveSnapshot(std::move(save));
   }
 
@@ -141,4 +144,24 @@
   CHECK(with.entries.size() == 1);
 }
 
+// Guards against a replica that confirms a snapshot of the leader which its
+// disk does not hold.
+TEST_CASE("a snapshot that replaces the log is confirmed once it fits") {
+  LimitedDisk disk;
+  disk.Persist(1, 1);
+  REQUIRE(disk.Confirms(1, milliseconds(5000)));
+  constexpr rlim_t kRoomForRecords = 50'000;
+  disk.SetLimit(kRoomForRecords);
+  disk.SaveSnapshot(2, 9, false);
+  disk.Persist(3, 10);
+  CHECK_FALSE(disk.Confirms(2, milliseconds(500)));
+  CHECK(disk.full());
+  disk.MakeRoom();
+  CHECK(disk.Confirms(3, milliseconds(2000)));
+  disk.Stop();
+  const auto recovered = disk.Restart();
+  CHECK(recovered.snapshot.meta.index == 9);
+  CHECK(recovered.entries.size() == 1);
+}
+
 }  // namespace foxquay::daemon
