Refuse a key that two workspaces of one name share

Requests with the key ran with the rank of the one that is listed first.

Cause: the owners of a key were compared by their ids.

Why it works: owners are compared by their places in the list.

--- a/src/foxquay/fleet/validate.cc
+++ b/src/foxquay/fleet/validate.cc
@@ -60,18 +60,15 @@
 }
 
 void CheckKeys(const schema::Fleet& fleet, core::Findings& findings) {
-  std::map<std::string, core::WorkspaceId> key_owners;
-  std::size_t index = 0;
-  for (const schema::Workspace& workspace : fleet.workspaces) {
-    for (const std::string& key : workspace.api_keys) {
-      const auto [owner, added] = key_owners.emplace(key, workspace.id);
-      if (!added && owner->second != workspace.id) {
-        findings.push_back({"", 0, FieldPath("workspaces", index, "api_keys"),
-                            "shares an API key with workspace '" +
-                                owner->second.value() + "'"});
-      }
+  std::map<std::string, std::size_t> key_owners;
+  for (std::size_t index = 0; index < fleet.workspaces.size(); ++index) {
+    for (const std::string& key : fleet.workspaces[index].api_keys) {
+      const std::size_t owner = key_owners.emplace(key, index).first->second;
+      if (owner == index) continue;
+      findings.push_back({"", 0, FieldPath("workspaces", index, "api_keys"),
+                          "shares an API key with workspace '" +
+                              fleet.workspaces[owner].id.value() + "'"});
     }
-    ++index;
   }
 }
 
--- a/tests/foxquay/fleet/table_test.cc
+++ b/tests/foxquay/fleet/table_test.cc
@@ -45,6 +45,17 @@
   CHECK(table.FindWorkspace("k") == nullptr);
 }
 
+// Guards against a request that runs for either of two workspaces, with the
+// rank of either, by the order in which they are listed.
+TEST_CASE("two workspaces of one name may not share an API key either") {
+  schema::Fleet fleet = MakeFleet();
+  fleet.workspaces.push_back({core::WorkspaceId("w"), {"k2"}, 1});
+  CHECK(Validate(fleet).size() == 1);
+  fleet.workspaces.pop_back();
+  fleet.workspaces[0].api_keys.emplace_back("k2");
+  CHECK(Validate(fleet).empty());
+}
+
 // Guards against requests without a key that run for a workspace whose list of
 // keys contains an empty one.
 TEST_CASE("an empty API key identifies nobody") {
