--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -149,7 +149,8 @@
   void On(const schema::SnapshotChunk& chunk);
   void On(const schema::SnapshotReply& reply);
   void InstallSnapshot();
-  void SaveCurrentSnapshot();
+  /// `covered` tells that the earlier writes hold all that the snapshot does.
+  void SaveCurrentSnapshot(bool covered = false);
   /// Returns the entries after `index` as records of bounded size.
   [[nodiscard]] std::vector<schema::LogRecord> LogRecordsAfter(
       Index index) const;
@@ -163,7 +164,7 @@
   [[nodiscard]] std::optional<schema::ReplicaId> FindCaughtUpLearner(
       const std::optional<core::HostId>& host) const;
   /// Returns whether another incarnation has joined on the host of a voter
-  /// since the voter's last reply.
+  /// since the last request that the voter has answered.
   [[nodiscard]] bool HasNewIncarnation(const schema::ReplicaId& voter) const;
   /// Returns the learner that is to replace a lost voter, if any.
   [[nodiscard]] std::optional<schema::ReplicaId> FindReplacement(
@@ -176,6 +177,10 @@
   /// leader.
   void ForwardToLeader(schema::JoinRequest request);
   void TryFormGroup();
+  /// Returns whether so many standbys have answered that none of them would
+  /// belong to a group that has a quorum among the standbys. The disks of all
+  /// founders may have been lost, one after the other.
+  [[nodiscard]] bool StandbysHaveNoGroup() const;
   void On(const schema::JoinRequest& request);
   void On(const schema::JoinReply& reply);
 
--- a/src/foxquay/fleet/validate.cc
+++ b/src/foxquay/fleet/validate.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <utility>
 
+#include "foxquay/schema/codec.h"
+
 namespace foxquay::fleet {
 namespace internal {
 
@@ -58,18 +60,15 @@
 }
 
 void CheckKeys(const schema::Fleet& fleet, core::Findings& findings) {
-  std::map<std::string, core::WorkspaceId> key_owners;
-  std::size_t index = 0;
-  for (const schema::Workspace& workspace : fleet.workspaces) {
-    for (const std::string& key : workspace.api_keys) {
-      const auto [owner, added] = key_owners.emplace(key, workspace.id);
-      if (!added && owner->second != workspace.id) {
-        findings.push_back({"", 0, FieldPath("workspaces", index, "api_keys"),
-                            "shares an API key with workspace '" +
-                                owner->second.value() + "'"});
-      }
+  std::map<std::string, std::size_t> key_owners;
+  for (std::size_t index = 0; index < fleet.workspaces.size(); ++index) {
+    for (const std::string& key : fleet.workspaces[index].api_keys) {
+      const std::size_t owner = key_owners.emplace(key, index).first->second;
+      if (owner == index) continue;
+      findings.push_back({"", 0, FieldPath("workspaces", index, "api_keys"),
+                          "shares an API key with workspace '" +
+                              fleet.workspaces[owner].id.value() + "'"});
     }
-    ++index;
   }
 }
 
@@ -91,4 +90,19 @@
   return findings;
 }
 
+schema::PutFleet MakePutCommand(const schema::Fleet& fleet, std::string source,
+                                core::Findings& findings) {
+  for (core::Finding& finding : Validate(fleet)) {
+    findings.push_back(std::move(finding));
+  }
+  schema::PutFleet command{fleet.version, schema::Encode(fleet),
+                           std::move(source)};
+  // What no host could read must not be acknowledged.
+  if (!schema::Decode<schema::Fleet>(command.fleet) ||
+      !schema::Decode<schema::PutFleet>(schema::Encode(command))) {
+    findings.push_back({"", 0, "", "a field exceeds its largest size"});
+  }
+  return command;
+}
+
 }  // namespace foxquay::fleet
