--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -12,9 +12,11 @@
 #include <cstdlib>
 #include <functional>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -238,6 +240,11 @@
                    {{"error", fleet.error().message()}});
         return;
       }
+      std::set<core::ServiceId> services;
+      for (const schema::Service& service : fleet.value().services) {
+        services.insert(service.id);
+      }
+      node_.SetServices(std::move(services));
       auto table =
           std::make_shared<const fleet::Table>(std::move(fleet).value());
       Post([this, table = std::move(table)] {
@@ -273,9 +280,20 @@
     sink.set_open_requests = [this](std::uint64_t open) {
       Post([this, open] { proxy_.SetOpenRequests(open); });
     };
-    sink.set_entry_hosts = [this](std::size_t hosts) {
-      Post([this, hosts] { proxy_.SetHosts(hosts); });
-    };
+    sink.set_entry_hosts =
+        [this](const std::map<core::DataCentreId, std::size_t>& hosts) {
+          Post([this, hosts] {
+            std::size_t all = 0;
+            relay::CentreShares shares;
+            for (const auto& [centre, count] : hosts) {
+              all += count;
+              shares[centre] = static_cast<double>(count);
+            }
+            proxy_.SetHosts(all);
+            proxy_.relay().upstreams().SetLocality(settings_.host.data_centre,
+                                                   std::move(shares));
+          });
+        };
     sink.probe_upstreams =
         [this](const std::vector<schema::Announcement>& upstreams) {
           Post([this, upstreams] {
