--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -61,6 +61,10 @@
   return budget;
 }
 
+relay::HedgeOptions MakeHedgeOptions(const schema::Settings& settings) {
+  return {settings.hedging.ratio};
+}
+
 /// Owns all components of the process. They run on the thread that calls Run,
 /// except the control node, which has a thread of its own and posts its results
 /// to this one.
@@ -96,6 +100,7 @@
         control_server_(context_, node_, control, kMaxFleetBytes) {}
 
   int Run() {
+    proxy_.relay().SetHedging(MakeHedgeOptions(settings_));
     proxy_.SetLeaveHandler([this] {
       PublishLimitReport();
       node_.AskForLeaves();
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -161,6 +161,19 @@
     core::Instant until;  ///< When it is handled without a result.
   };
 
+  /// A second send of a request, beside the current one. What arrives is kept
+  /// until the send is the only one left.
+  struct SecondSend {
+    net::CallId call;
+    core::Instant sent;
+    std::optional<core::Instant> head_at;  ///< When the head arrived.
+    unsigned status = 0;                   ///< Of the head.
+    net::Fields fields;
+    bool not_run = false;  ///< The upstream did not run the request.
+    std::string fault_address;
+    std::string body;  ///< At most kMaxBufferedBytes and one piece.
+  };
+
   /// An admitted request.
   struct Job {
     net::ExchangeId exchange;
@@ -194,6 +207,7 @@
     std::string fault_address;
     net::Response response;  ///< Complete, or only the head of a stream.
     std::optional<relay::EventFilter> filter;
+    std::optional<SecondSend> second;
   };
 
   /// A request that waits until the configuration is confirmed.
@@ -263,6 +277,10 @@
   /// Carries out a decision of the relay.
   void Apply(core::RequestId id, const relay::Decision& decision);
   void Execute(core::RequestId id, const relay::Send& send);
+  /// Starts the call of a send.
+  net::CallId StartCall(core::RequestId id, const relay::Send& send);
+  /// Clears what is known of the former send of a request.
+  static void ResetSend(Job& job, core::Instant sent);
   void Execute(core::RequestId id, const relay::Hold& hold);
   void Execute(core::RequestId id, const relay::Refuse& refuse);
   void Execute(core::RequestId id, const relay::Abort& abort);
@@ -282,12 +300,43 @@
   void CompleteAnswer(core::RequestId id);
   /// Cancels a send that cannot be completed, and handles its loss.
   void CancelSend(net::CallId call, const relay::Loss& loss);
+  /// Records that the answer to a request begins to be passed on.
+  void BeginAnswer(core::RequestId id, core::Instant now);
+
+  /// Sends slow requests a second time, as the relay decides.
+  void SendSeconds(core::Instant now);
+  void SendSecond(core::RequestId id, const relay::Send& send);
+  /// Returns whether a call is the second send of its request.
+  [[nodiscard]] bool IsSecond(net::CallId call) const;
+  void HandleSecondHead(net::CallId call, unsigned status,
+                        net::Fields&& fields);
+  void HandleSecondData(net::CallId call, const std::string& data);
+  void HandleSecondEnd(net::CallId call);
+  void HandleSecondFailure(net::CallId call, net::Failure failure);
+  /// Lets the second send answer the request and cancels the first one.
+  void WinSecond(core::RequestId id);
+  /// Cancels the second send, if there is one: the first one is answered.
+  void DropSecond(core::RequestId id);
+  /// Handles the loss of the second send; its call has ended.
+  void LoseSecond(core::RequestId id, const relay::Loss& loss,
+                  std::string_view connection);
+  /// Handles the loss of the first send while the second one is under way.
+  void ContinueWithSecond(core::RequestId id, const relay::Loss& loss);
+  /// Makes the second send the current one and handles what has arrived.
+  void PromoteSecond(core::RequestId id);
+  /// Records what became of a second send: `won` if it was answered first,
+  /// `kept` if the first one was lost, `wasted` otherwise.
+  void RecordSecondEnd(const Job& job, std::string_view result,
+                       std::string_view reason);
+
   /// Returns whether the current send's response has not begun, or is a success
   /// that may have more to come.
   [[nodiscard]] static bool Unfinished(const Job& job);
   /// Finds out whether an upstream that lost a request has crashed, records it,
-  /// and then handles the loss if the request still waits.
-  void CheckCrash(core::RequestId id, const relay::Suspicion& suspicion);
+  /// and then handles the loss if the request still waits. `sends` is the
+  /// number of the lost send if its loss waits for the result, else 0.
+  void CheckCrash(core::RequestId id, const relay::Suspicion& suspicion,
+                  unsigned sends);
   /// Handles the loss of a send whose upstream was probed, or could not be
   /// probed in time; nothing if the request has ended or was sent again.
   void FinishCheck(core::RequestId id, unsigned sends, bool crashed);
--- a/src/foxquay/gateway/proxy_losses.cc
+++ b/src/foxquay/gateway/proxy_losses.cc
@@ -66,11 +66,18 @@
   if (job.head_at && !job.event_received) {
     registry_.Add("foxquay_losses_before_first_event_total", "");
   }
+  if (job.second) {
+    ContinueWithSecond(id, loss);
+    return;
+  }
   if (job.filter) job.filter->Restart();
   if (const auto suspicion = relay_.SuspectCrash(id, loss)) {
     const bool waits = !relay_.ResumesUnchecked(id);
-    if (waits) job.unchecked_loss = {loss, now + internal::kMaxCheckTime};
-    CheckCrash(id, *suspicion);
+    if (waits) {
+      job.unchecked_loss = {loss, now + internal::kMaxCheckTime};
+      relay_.CloseHedging(id);
+    }
+    CheckCrash(id, *suspicion, waits ? job.sends : 0);
     if (waits) return;
   }
   Apply(id, relay_.HandleLoss(id, loss, now));
@@ -116,9 +123,8 @@
   if (suspected_.try_emplace(upstream, now).second) on_suspects_({upstream});
 }
 
-void Proxy::CheckCrash(core::RequestId id, const relay::Suspicion& suspicion) {
-  const auto job = jobs_.find(id);
-  const unsigned sends = job == jobs_.end() ? 0 : job->second.sends;
+void Proxy::CheckCrash(core::RequestId id, const relay::Suspicion& suspicion,
+                       unsigned sends) {
   // A process that ended refuses connections, one that only broke off an answer
   // does not; no answer at all shows a lost path or a lost machine.
   const auto finish = [this, id, suspicion, sends](ProbeResult result) {
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "foxquay/gateway/proxy.h"
+#include "foxquay/gateway/response_checks.h"
 #include "foxquay/log/log.h"
 #include "foxquay/quarantine/parts.h"
 
@@ -17,14 +18,9 @@
 /// silence.
 constexpr core::Duration kSweepInterval = std::chrono::milliseconds(100);
 
-/// Size of an answer that is not a stream, in bytes, from which it is passed on
-/// as it arrives instead of being buffered until it is complete.
-constexpr std::size_t kMaxBufferedBytes = std::size_t{256} << 10U;
-
 /// Status of a success that has no body.
 constexpr unsigned kNoContent = 204;
 
-/// Returns whether a response has neither a length nor chunks.
 bool EndsWithConnection(const net::Fields& fields) {
   namespace http = boost::beast::http;
   if (fields.find(http::field::content_length) != fields.end()) return false;
@@ -34,6 +30,13 @@
   });
 }
 
+bool LacksBody(const net::Response& response, bool ends_with_connection,
+               const net::Request& request) {
+  return ends_with_connection && response.body.empty() &&
+         response.status / 100 == 2 && response.status != kNoContent &&
+         request.method != "HEAD";
+}
+
 /// Returns whether a status tells callers that the request has not run and will
 /// not.
 bool PromisesNotRun(unsigned status) {
@@ -73,24 +76,9 @@
   Job& job = jobs_.at(id);
   const relay::RequestContext& context = relay_.Context(id);
   const core::Instant now = net::SteadyNow();
-  const net::Request request = MakeRequest(id, send);
-  job.not_run = false;
-  job.streaming = false;
-  job.fault_address.clear();
-  job.sent = now;
-  job.last_event = now;
-  job.event_received = false;
-  job.head_at.reset();
-  job.failure.reset();
+  ResetSend(job, now);
   ++job.sends;
-  if (!job.head_sent) job.response = {};
-  net::CallOptions options;
-  options.reuse = send.reuse_connection;
-  options.echo_field = protocol_.id_field;
-  options.echo_value = job.caller.id;
-  job.call =
-      client_.Call(send.hops.front().address, net::Serialize(request), options);
-  by_call_[*job.call] = id;
+  job.call = StartCall(id, send);
   if (send.to_partner) {
     registry_.Add("foxquay_relayed_total", "direction=\"out\"");
     log::Write(log::Level::kInfo, "request_relayed",
@@ -116,6 +104,30 @@
               {"left_ms", core::ToMilliseconds(context.deadline - now)}});
 }
 
+void Proxy::ResetSend(Job& job, core::Instant sent) {
+  job.not_run = false;
+  job.streaming = false;
+  job.fault_address.clear();
+  job.sent = sent;
+  job.last_event = sent;
+  job.event_received = false;
+  job.head_at.reset();
+  job.failure.reset();
+  if (!job.head_sent) job.response = {};
+}
+
+net::CallId Proxy::StartCall(core::RequestId id, const relay::Send& send) {
+  net::CallOptions options;
+  options.reuse = send.reuse_connection;
+  options.echo_field = protocol_.id_field;
+  options.echo_value = jobs_.at(id).caller.id;
+  const net::CallId call =
+      client_.Call(send.hops.front().address,
+                   net::Serialize(MakeRequest(id, send)), options);
+  by_call_[call] = id;
+  return call;
+}
+
 net::Request Proxy::MakeRequest(core::RequestId id,
                                 const relay::Send& send) const {
   const Job& job = jobs_.at(id);
@@ -158,6 +170,11 @@
     client_.Cancel(*job.call);
     by_call_.erase(*job.call);
   }
+  if (job.second) {
+    client_.Cancel(job.second->call);
+    by_call_.erase(job.second->call);
+    RecordSecondEnd(job, "wasted", "request-ended");
+  }
   by_exchange_.erase(job.exchange);
   return job;
 }
@@ -209,6 +226,11 @@
 
 void Proxy::HandleHead(net::CallId call, unsigned status,
                        net::Fields&& fields) {
+  if (IsSecond(call)) {
+    HandleSecondHead(call, status, std::move(fields));
+    return;
+  }
+  relay_.CloseHedging(by_call_.at(call));
   Job& job = jobs_.at(by_call_.at(call));
   // What the answer of another host states is meant for that host.
   if (!relay_.ViaPartner(by_call_.at(call))) {
@@ -276,7 +298,16 @@
               {"per_second", info.limit.value_or(0)}});
 }
 
+void Proxy::BeginAnswer(core::RequestId id, core::Instant now) {
+  DropSecond(id);
+  relay_.BeginAnswer(id, now);
+}
+
 void Proxy::HandleData(net::CallId call, const std::string& data) {
+  if (IsSecond(call)) {
+    HandleSecondData(call, data);
+    return;
+  }
   const core::RequestId id = by_call_.at(call);
   Job& job = jobs_.at(id);
   if (!job.streaming) {
@@ -293,7 +324,7 @@
   if (job.event_received) {
     relay_.RecordLatency(id, now - job.last_event, now);
   } else {
-    relay_.BeginAnswer(id, now);
+    BeginAnswer(id, now);
   }
   job.event_received = true;
   job.last_event = now;
@@ -326,7 +357,7 @@
   }
   job.passing_body = true;
   job.head_sent = true;
-  relay_.BeginAnswer(id, net::SteadyNow());
+  BeginAnswer(id, net::SteadyNow());
   const std::string body = std::exchange(job.response.body, {});
   server_.Start(job.exchange, job.response);
   server_.Send(job.exchange, body);
@@ -341,6 +372,10 @@
 }
 
 void Proxy::HandleEnd(net::CallId call) {
+  if (IsSecond(call)) {
+    HandleSecondEnd(call);
+    return;
+  }
   const core::RequestId id = by_call_.at(call);
   by_call_.erase(call);
   Job& job = jobs_.at(id);
@@ -376,6 +411,7 @@
 }
 
 void Proxy::CompleteAnswer(core::RequestId id) {
+  DropSecond(id);
   relay_.Complete(id, net::SteadyNow());
   const auto node = jobs_.extract(id);
   const net::ExchangeId exchange = node.mapped().exchange;
@@ -410,14 +446,16 @@
   ReviewOutdated();
   Job& job = jobs_.at(id);
   // Not told from an upstream that ended after the head.
-  const bool empty = job.ends_with_connection && job.response.body.empty() &&
-                     job.status / 100 == 2 &&
-                     job.status != internal::kNoContent &&
-                     job.request.method != "HEAD";
-  if (empty) {
+  if (internal::LacksBody(job.response, job.ends_with_connection,
+                          job.request)) {
     HandleLoss(id, {relay::LossKind::kCut, job.fault_address, Unfinished(job)});
     return;
   }
+  if (job.second && job.status >= 500) {
+    HandleLoss(id, {relay::LossKind::kError, job.fault_address, false});
+    return;
+  }
+  DropSecond(id);
   const net::ExchangeId exchange = job.exchange;
   const net::Response response = std::move(job.response);
   if (relay_.ViaPartner(id) && response.status / 100 != 2) {
@@ -446,6 +484,10 @@
 }
 
 void Proxy::HandleFailure(net::CallId call, net::Failure failure) {
+  if (IsSecond(call)) {
+    HandleSecondFailure(call, failure);
+    return;
+  }
   const core::RequestId id = by_call_.at(call);
   by_call_.erase(call);
   Job& job = jobs_.at(id);
@@ -457,7 +499,7 @@
     const auto suspicion = relay_.SuspectCrash(id, loss);
     relay_.Abandon(id);
     Execute(id, relay::Abort{"the answer broke off while it was passed on"});
-    if (suspicion) CheckCrash(id, *suspicion);
+    if (suspicion) CheckCrash(id, *suspicion, 0);
     return;
   }
   const relay::LossKind kind =
@@ -481,6 +523,7 @@
   }
   if (!pending_.empty()) ReviewPending(now);
   ReviewHeld(now);
+  SendSeconds(now);
 }
 
 void Proxy::ReviewHeld(core::Instant now) {
--- a/src/foxquay/relay/fwd.h
+++ b/src/foxquay/relay/fwd.h
@@ -11,6 +11,7 @@
 class RateLimits;
 class EventFilter;
 class HoldOffs;
+class HedgePolicy;
 class Partners;
 class Reachability;
 struct RequestContext;
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -67,7 +67,8 @@
       random_(seed) {}
 
 void Relay::SetHosts(std::size_t hosts, core::Instant now) {
-  upstreams_.SetHosts(std::max<std::size_t>(hosts, 1));
+  hosts_ = std::max<std::size_t>(hosts, 1);
+  upstreams_.SetHosts(hosts_);
   budget_.SetHosts(hosts, now);
 }
 
@@ -87,6 +88,7 @@
     budget_.CountRequest(state.context.service->id, now);
   }
   upstreams_.limits().CountRequest(state.context.service->id, now);
+  if (MayHedge(state)) hedge_policy_.CountRequest(state.context.service->id);
   return Route(id, state, now);
 }
 
@@ -120,6 +122,9 @@
     state.held = false;
     state.hops = std::move(hops);
     upstreams_.Begin(state.hops, context.work, now);
+    state.hedging.sent = now;
+    state.hedging.closed = false;
+    state.hedging.kept_second = false;
     const bool reuse = Repeatable(*context.route);
     return Send{state.hops, state.sends + state.unsent + 1, reuse};
   }
@@ -268,6 +273,21 @@
   const std::vector<Hop> hops = state.hops;
   Release(state);
   if (hops.empty()) return Hold{};
+  RecordLoss(state, hops, loss, now);
+  if (Resumes(state)) DelayResume(state, now);
+  if (!MayRetry(state, loss, now)) {
+    if (loss.kind == LossKind::kNotSent) {
+      if (const auto send = PassToPartner(state, now)) return *send;
+    }
+    return GiveUp(id, std::string("send ended: ") + Name(loss.kind),
+                  internal::kFailedSendRetryAfter, now);
+  }
+  state.awaits_budget = loss.kind != LossKind::kNotSent;
+  return Route(id, state, now);
+}
+
+void Relay::RecordLoss(State& state, const std::vector<Hop>& hops,
+                       const Loss& loss, core::Instant now) {
   const auto fault = loss.fault_address.empty()
                          ? std::nullopt
                          : upstreams_.FindByAddress(loss.fault_address);
@@ -281,16 +301,6 @@
     if (loss.kind != LossKind::kNotRun) state.may_have_run = true;
     AttributeLoss(loss.kind, fault, hops, now);
   }
-  if (Resumes(state)) DelayResume(state, now);
-  if (!MayRetry(state, loss, now)) {
-    if (loss.kind == LossKind::kNotSent) {
-      if (const auto send = PassToPartner(state, now)) return *send;
-    }
-    return GiveUp(id, std::string("send ended: ") + Name(loss.kind),
-                  internal::kFailedSendRetryAfter, now);
-  }
-  state.awaits_budget = loss.kind != LossKind::kNotSent;
-  return Route(id, state, now);
 }
 
 void Relay::AttributeLoss(LossKind kind,
@@ -373,7 +383,12 @@
                           core::Instant now) {
   const State& state = requests_.at(id);
   if (state.hops.empty()) return;
-  upstreams_.RecordLatency(state.hops.front().upstream, time, now);
+  const core::UpstreamId& first = state.hops.front().upstream;
+  upstreams_.RecordLatency(first, time, now);
+  // Of second sends only the answers that come first are seen.
+  if (MayHedge(state) && !state.partner && !state.hedging.kept_second) {
+    hedge_policy_.RecordAnswer(state.context.service->id, first, time, now);
+  }
 }
 
 void Relay::Complete(core::RequestId id, core::Instant now) {
@@ -394,6 +409,10 @@
   state.partner.reset();
   upstreams_.End(state.hops, state.context.work);
   state.hops.clear();
+  if (state.hedging.second) {
+    upstreams_.End(state.hedging.second->hops, state.context.work);
+  }
+  state.hedging.second.reset();
 }
 
 void Relay::End(core::RequestId id) {
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "foxquay/quarantine/gate.h"
 #include "foxquay/quarantine/recorder.h"
 #include "foxquay/relay/decision.h"
+#include "foxquay/relay/hedge_policy.h"
 #include "foxquay/relay/partners.h"
 #include "foxquay/relay/reachability.h"
 #include "foxquay/relay/retry_budget.h"
@@ -149,6 +151,34 @@
   /// path: silence does not prove a loss, and waiting is better than aborting.
   /// Precondition: the request is known.
   [[nodiscard]] std::optional<Send> Move(core::RequestId id, core::Instant now);
+
+  /// Sets the limit on second sends.
+  void SetHedging(const HedgeOptions& options) {
+    hedge_policy_.SetOptions(options);
+  }
+  /// Returns the second sends that are due, which are under way from now on,
+  /// and for each other request that has waited for its delay, once, why it
+  /// gets none. To be called as often as Review.
+  [[nodiscard]] std::vector<std::pair<core::RequestId, HedgeDecision>>
+  DueHedges(core::Instant now);
+  /// Records that the current send of a request needs no second one: its answer
+  /// has begun to arrive, or it was lost. Precondition: the request is known.
+  void CloseHedging(core::RequestId id);
+  /// Returns the path of the second send of a request. Precondition: it is
+  /// under way.
+  [[nodiscard]] const std::vector<Hop>& SecondPath(core::RequestId id) const;
+  /// Records that the second send of a request is answered: it becomes the only
+  /// one. Precondition: it is under way.
+  void WinSecond(core::RequestId id, core::Instant now);
+  /// Records that the second send of a request was cancelled, as the first one
+  /// is answered. Precondition: it is under way.
+  void DropSecond(core::RequestId id, core::Instant now);
+  /// Records the loss of one of the two sends of a request; the other becomes
+  /// the only one. Returns the crash of an upstream that the loss may be a sign
+  /// of, see SuspectCrash. Precondition: the second send is under way.
+  [[nodiscard]] std::optional<Suspicion> LoseCopy(core::RequestId id, Copy lost,
+                                                  const Loss& loss,
+                                                  core::Instant now);
   /// Ends a request that was answered completely; no effect if unknown.
   void Complete(core::RequestId id, core::Instant now);
   /// Ends a request whose caller has disconnected; no effect if unknown.
@@ -177,6 +207,24 @@
   [[nodiscard]] std::size_t held() const noexcept { return held_; }
 
  private:
+  /// A send beside the current one of the same request.
+  struct SecondSend {
+    std::vector<Hop> hops;
+    core::Instant sent;
+  };
+  struct Hedging {
+    core::Instant sent;  ///< Start of the current send.
+    std::optional<SecondSend> second;
+    bool used = false;         ///< The request has had a second send.
+    bool closed = false;       ///< See CloseHedging.
+    bool denied = false;       ///< A denial was returned.
+    bool kept_second = false;  ///< The current send is the second one.
+  };
+  /// The delays of a review, by route and upstream.
+  using HedgeDelays =
+      std::map<std::pair<const schema::Route*, core::UpstreamId>,
+               std::optional<core::Duration>>;
+
   struct State {
     RequestContext context;
     std::vector<Hop> hops;
@@ -200,6 +248,7 @@
     bool probe = false;                   ///< Sent in spite of a quarantine.
     std::optional<core::HostId> partner;  ///< That has its current send.
     std::vector<core::HostId> partners_tried;
+    Hedging hedging;
   };
 
   /// Sends the request along a path, or holds it or gives it up if there is
@@ -236,6 +285,17 @@
   /// follows grants more within the interval of its polls.
   Decision HoldOrGiveUp(core::RequestId id, State& state,
                         const std::string& reason, core::Instant now);
+  /// Returns whether a second send is possible for such a request at all.
+  [[nodiscard]] static bool MayHedge(const State& state);
+  /// Returns whether an upstream has the request and its answer has not begun.
+  [[nodiscard]] static bool AwaitsAnswer(const State& state);
+  /// Decides on the second send of a request; nothing before its delay.
+  /// `waiting` tells whether requests of its service wait for a path.
+  std::optional<HedgeDecision> DecideHedge(State& state, bool waiting,
+                                           HedgeDelays& delays,
+                                           core::Instant now);
+  /// Replaces the current send by the second one.
+  static void KeepSecond(State& state);
   /// Returns whether a request of the route may run more than once.
   [[nodiscard]] static bool Repeatable(const schema::Route& route);
   /// Returns whether the caller has a part of a stream that a further send
@@ -255,6 +315,9 @@
   /// 502 if it may have run and with 503 if not.
   Decision GiveUp(core::RequestId id, const std::string& reason,
                   std::optional<core::Duration> retry_after, core::Instant now);
+  /// Records a lost send of the request along `hops`.
+  void RecordLoss(State& state, const std::vector<Hop>& hops, const Loss& loss,
+                  core::Instant now);
   /// Records a loss with the upstreams that may have caused it.
   void AttributeLoss(LossKind kind,
                      const std::optional<core::UpstreamId>& fault,
@@ -295,6 +358,8 @@
   bool leave_wanted_ = false;
   bool outdated_ = false;  ///< See SetOutdated.
   RetryBudget budget_;
+  HedgePolicy hedge_policy_;
+  std::size_t hosts_ = 1;  ///< That serve callers.
   std::mt19937_64 random_;
   std::map<core::RequestId, State> requests_;
   std::size_t held_ = 0;
--- a/src/foxquay/relay/retry_budget.cc
+++ b/src/foxquay/relay/retry_budget.cc
@@ -12,6 +12,9 @@
 /// Time after a start within which a host learns of all other hosts.
 constexpr core::Duration kDiscoveryTime = std::chrono::seconds(3);
 
+/// Fraction of the retries that may be used while no request has failed.
+constexpr double kSpareFraction = 0.5;
+
 /// Number of hosts assumed until SetHosts is called.
 constexpr std::size_t kAssumedHosts = 8;
 
@@ -105,6 +108,16 @@
   return static_cast<double>(counts.retries.size()) + 1 <= Limit(counts, now);
 }
 
+bool RetryBudget::TakeSpareRetry(const core::ServiceId& service,
+                                 core::Instant now) {
+  Counts& counts = services_[service];
+  DropExpired(counts, now);
+  const double limit = internal::kSpareFraction * Limit(counts, now);
+  if (static_cast<double>(counts.retries.size()) + 1 > limit) return false;
+  counts.retries.push_back(now);
+  return true;
+}
+
 bool RetryBudget::TakeRetry(const core::ServiceId& service, core::Instant now) {
   if (!CanRetry(service, now)) return false;
   services_[service].retries.push_back(now);
--- a/src/foxquay/relay/retry_budget.h
+++ b/src/foxquay/relay/retry_budget.h
@@ -72,6 +72,12 @@
   /// Returns the use of the budget of each service.
   [[nodiscard]] std::vector<schema::RetryUsage> Usage(core::Instant now);
 
+  /// Counts a retry that is not needed and returns true, or returns false if
+  /// half of the budget or more is used: the rest is left for requests that
+  /// have failed.
+  [[nodiscard]] bool TakeSpareRetry(const core::ServiceId& service,
+                                    core::Instant now);
+
   /// Counts a retry and returns true, or returns false if the budget is used
   /// up.
   [[nodiscard]] bool TakeRetry(const core::ServiceId& service,
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -43,6 +43,13 @@
   [[nodiscard]] bool Allows(const core::UpstreamId& upstream) const;
 };
 
+/// What a plain service can take, by what one host knows.
+struct ServiceRoom {
+  std::size_t upstreams = 0;  ///< Upstreams in use.
+  std::size_t accepting = 0;  ///< Of these, those that may take spare requests.
+  std::size_t slots = 0;      ///< Slots of those that accept.
+};
+
 /// Why no path was found.
 enum class NoPath : std::uint8_t {
   kNoUpstream,  ///< The service has no upstream in use.
@@ -87,6 +94,18 @@
                                             const FirstHops& first,
                                             core::Instant now, NoPath& reason);
 
+  /// Returns what a plain service can take.
+  [[nodiscard]] ServiceRoom Room(const core::ServiceId& service,
+                                 core::Instant now) const;
+  /// Returns the path to the upstream of a plain service with the lowest
+  /// expected latency, for a request that is not needed: one with a free slot
+  /// and a recent latency below `max_latency` that is not avoided, has turned
+  /// none away lately and has no limit. Empty if there is none.
+  [[nodiscard]] std::vector<Hop> ChooseSpare(const core::ServiceId& service,
+                                             const FirstHops& first,
+                                             core::Duration max_latency,
+                                             core::Instant now) const;
+
   /// Adds a request that is sent to the load of its hops, or removes it. Uses
   /// the leaves of hops that are limited.
   void Begin(const std::vector<Hop>& hops, const Work& work, core::Instant now);
@@ -135,6 +154,11 @@
   void RecordLatency(const core::UpstreamId& upstream, core::Duration time,
                      core::Instant now);
 
+  /// Records that a request was not answered within `time`, if that is more
+  /// than the recent latency of its upstream.
+  void RecordMinLatency(const core::UpstreamId& upstream, core::Duration time,
+                        core::Instant now);
+
   /// Returns the number of upstreams of a service that are in use.
   [[nodiscard]] std::size_t Count(const core::ServiceId& service) const;
   /// Returns whether every upstream of a service, or every first hop of its
@@ -235,6 +259,8 @@
   [[nodiscard]] static bool IsChain(const std::vector<Hop>& hops);
   /// Returns whether an upstream may be used if it has no limit.
   [[nodiscard]] bool Usable(const Entry& entry, core::Instant now) const;
+  /// Returns whether an upstream may take a request that is not needed.
+  [[nodiscard]] bool AcceptsSpare(const Entry& entry, core::Instant now) const;
   /// Returns whether the limit of an upstream, if it has one, allows a request.
   [[nodiscard]] bool WithinLimit(const Entry& entry, core::Instant now) const;
   [[nodiscard]] bool Limited(const Entry& entry) const;
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -76,6 +76,16 @@
                          const BudgetSettings&) = default;
 };
 
+/// Second sends of slow requests to plain services that may be repeated; each
+/// also counts as a retry (budget).
+struct HedgingSettings {
+  double ratio = 0;  ///< Second sends per such request, over all hosts, from 0
+                     ///< (off) to 0.2.
+
+  friend bool operator==(const HedgingSettings&,
+                         const HedgingSettings&) = default;
+};
+
 /// Another host of the cluster.
 struct PeerSettings {
   core::HostId id;                 ///< Name of the host.
@@ -153,6 +163,7 @@
   LogSettings log;            ///< Log output.
   JoinSettings join;          ///< Discovery of the other hosts.
   BudgetSettings budget;      ///< Limit on repeated sends.
+  HedgingSettings hedging;    ///< Second sends of slow requests.
 
   friend bool operator==(const Settings&, const Settings&) = default;
 };
--- a/src/foxquay/settings/difference_generated.cc
+++ b/src/foxquay/settings/difference_generated.cc
@@ -86,6 +86,14 @@
   }
 }
 
+void Compare(const schema::HedgingSettings& before,
+             const schema::HedgingSettings& after, const std::string& path,
+             Differences& differences) {
+  if (before.ratio != after.ratio) {
+    Add(differences, path + "ratio", false);
+  }
+}
+
 void Compare(const schema::SecuritySettings& before,
              const schema::SecuritySettings& after, const std::string& path,
              Differences& differences) {
@@ -155,6 +163,7 @@
   Compare(before.log, after.log, path + "log.", differences);
   Compare(before.join, after.join, path + "join.", differences);
   Compare(before.budget, after.budget, path + "budget.", differences);
+  Compare(before.hedging, after.hedging, path + "hedging.", differences);
 }
 
 }  // namespace
--- a/src/foxquay/settings/reader_generated.cc
+++ b/src/foxquay/settings/reader_generated.cc
@@ -94,6 +94,14 @@
                 [&](Reader& child) { child.ReadDuration(value.window); });
 }
 
+void Read(Reader& reader, schema::HedgingSettings& value) {
+  Section section(reader, {
+                              "ratio",
+                          });
+  section.Field("ratio", Presence::kOptional,
+                [&](Reader& child) { child.ReadReal(value.ratio); });
+}
+
 void Read(Reader& reader, schema::PeerSettings& value) {
   Section section(reader, {
                               "id",
@@ -195,6 +203,7 @@
                               "log",
                               "join",
                               "budget",
+                              "hedging",
                           });
   section.Field("host", Presence::kRequired,
                 [&](Reader& child) { Read(child, value.host); });
@@ -214,6 +223,8 @@
                 [&](Reader& child) { Read(child, value.join); });
   section.Field("budget", Presence::kOptional,
                 [&](Reader& child) { Read(child, value.budget); });
+  section.Field("hedging", Presence::kOptional,
+                [&](Reader& child) { Read(child, value.hedging); });
 }
 
 }  // namespace foxquay::settings::internal
--- a/src/foxquay/settings/settings.cc
+++ b/src/foxquay/settings/settings.cc
@@ -13,6 +13,10 @@
 namespace foxquay::settings {
 namespace internal {
 
+/// Largest number of second sends per request: beyond it they are load of their
+/// own rather than a remedy for slow answers.
+constexpr double kMaxHedgingRatio = 0.2;
+
 /// Returns the node at a path, or its closest existing ancestor.
 YAML::Node NearestNode(const YAML::Node& root,
                        std::initializer_list<const char*> path) {
@@ -38,6 +42,7 @@
     CheckSecurity();
     CheckPeers();
     CheckListeners();
+    CheckHedging();
     CheckLogLevel();
   }
 
@@ -121,6 +126,13 @@
     }
   }
 
+  void CheckHedging() {
+    const double ratio = loaded_.settings.hedging.ratio;
+    if (ratio >= 0 && ratio <= kMaxHedgingRatio) return;
+    Add(NearestNode(root_, {"hedging", "ratio"}), "hedging.ratio",
+        "expected a number from 0 to 0.2");
+  }
+
   void CheckLogLevel() {
     static const std::set<std::string> kLevels{"debug", "info", "warn",
                                                "error"};
--- a/tests/foxquay/settings/settings_test.cc
+++ b/tests/foxquay/settings/settings_test.cc
@@ -62,6 +62,14 @@
   CHECK(Has(loaded.findings, 18, "limits.color"));
 }
 
+// Guards against second sends that are most of the load.
+TEST_CASE("second sends are off by default and limited") {
+  CHECK(Parse(kValidSettings, "s.yaml").settings.hedging.ratio == 0);
+  const std::string text = std::string(kValidSettings) + "hedging:\n  ratio: ";
+  CHECK(Parse(text + "0.2\n", "s.yaml").findings.empty());
+  CHECK(Has(Parse(text + "0.21\n", "s.yaml").findings, 17, "hedging.ratio"));
+}
+
 // Guards against two hosts with the same id, which would share one vote.
 TEST_CASE("a peer may not repeat an id or an address") {
   const std::string peers = R"(peers:
