--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -163,7 +163,7 @@
 
   /// A second send of a request, beside the current one. What arrives is kept
   /// until the send is the only one left.
-  struct SecondSend {
+  struct Hedge {
     net::CallId call;
     core::Instant sent;
     std::optional<core::Instant> head_at;  ///< When the head arrived.
@@ -207,7 +207,7 @@
     std::string fault_address;
     net::Response response;  ///< Complete, or only the head of a stream.
     std::optional<relay::EventFilter> filter;
-    std::optional<SecondSend> second;
+    std::optional<Hedge> hedge;
   };
 
   /// A request that waits until the configuration is confirmed.
@@ -304,30 +304,29 @@
   void BeginAnswer(core::RequestId id, core::Instant now);
 
   /// Sends slow requests a second time, as the relay decides.
-  void SendSeconds(core::Instant now);
-  void SendSecond(core::RequestId id, const relay::Send& send);
+  void SendDueHedges(core::Instant now);
+  void SendHedge(core::RequestId id, const relay::Send& send);
   /// Returns whether a call is the second send of its request.
-  [[nodiscard]] bool IsSecond(net::CallId call) const;
-  void HandleSecondHead(net::CallId call, unsigned status,
-                        net::Fields&& fields);
-  void HandleSecondData(net::CallId call, const std::string& data);
-  void HandleSecondEnd(net::CallId call);
-  void HandleSecondFailure(net::CallId call, net::Failure failure);
+  [[nodiscard]] bool IsHedge(net::CallId call) const;
+  void HandleHedgeHead(net::CallId call, unsigned status, net::Fields&& fields);
+  void HandleHedgeData(net::CallId call, const std::string& data);
+  void HandleHedgeEnd(net::CallId call);
+  void HandleHedgeFailure(net::CallId call, net::Failure failure);
   /// Lets the second send answer the request and cancels the first one.
-  void WinSecond(core::RequestId id);
+  void WinHedge(core::RequestId id);
   /// Cancels the second send, if there is one: the first one is answered.
-  void DropSecond(core::RequestId id);
+  void DropHedge(core::RequestId id);
   /// Handles the loss of the second send; its call has ended.
-  void LoseSecond(core::RequestId id, const relay::Loss& loss,
-                  std::string_view connection);
+  void LoseHedge(core::RequestId id, const relay::Loss& loss,
+                 std::string_view connection);
   /// Handles the loss of the first send while the second one is under way.
-  void ContinueWithSecond(core::RequestId id, const relay::Loss& loss);
+  void ContinueWithHedge(core::RequestId id, const relay::Loss& loss);
   /// Makes the second send the current one and handles what has arrived.
-  void PromoteSecond(core::RequestId id);
+  void PromoteHedge(core::RequestId id);
   /// Records what became of a second send: `won` if it was answered first,
   /// `kept` if the first one was lost, `wasted` otherwise.
-  void RecordSecondEnd(const Job& job, std::string_view result,
-                       std::string_view reason);
+  void RecordHedgeEnd(const Job& job, std::string_view result,
+                      std::string_view reason);
 
   /// Returns whether the current send's response has not begun, or is a success
   /// that may have more to come.
--- a/src/foxquay/gateway/proxy_losses.cc
+++ b/src/foxquay/gateway/proxy_losses.cc
@@ -66,8 +66,8 @@
   if (job.head_at && !job.event_received) {
     registry_.Add("foxquay_losses_before_first_event_total", "");
   }
-  if (job.second) {
-    ContinueWithSecond(id, loss);
+  if (job.hedge) {
+    ContinueWithHedge(id, loss);
     return;
   }
   if (job.filter) job.filter->Restart();
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -170,10 +170,10 @@
     client_.Cancel(*job.call);
     by_call_.erase(*job.call);
   }
-  if (job.second) {
-    client_.Cancel(job.second->call);
-    by_call_.erase(job.second->call);
-    RecordSecondEnd(job, "wasted", "request-ended");
+  if (job.hedge) {
+    client_.Cancel(job.hedge->call);
+    by_call_.erase(job.hedge->call);
+    RecordHedgeEnd(job, "wasted", "request-ended");
   }
   by_exchange_.erase(job.exchange);
   return job;
@@ -226,8 +226,8 @@
 
 void Proxy::HandleHead(net::CallId call, unsigned status,
                        net::Fields&& fields) {
-  if (IsSecond(call)) {
-    HandleSecondHead(call, status, std::move(fields));
+  if (IsHedge(call)) {
+    HandleHedgeHead(call, status, std::move(fields));
     return;
   }
   relay_.CloseHedging(by_call_.at(call));
@@ -299,13 +299,13 @@
 }
 
 void Proxy::BeginAnswer(core::RequestId id, core::Instant now) {
-  DropSecond(id);
+  DropHedge(id);
   relay_.BeginAnswer(id, now);
 }
 
 void Proxy::HandleData(net::CallId call, const std::string& data) {
-  if (IsSecond(call)) {
-    HandleSecondData(call, data);
+  if (IsHedge(call)) {
+    HandleHedgeData(call, data);
     return;
   }
   const core::RequestId id = by_call_.at(call);
@@ -372,8 +372,8 @@
 }
 
 void Proxy::HandleEnd(net::CallId call) {
-  if (IsSecond(call)) {
-    HandleSecondEnd(call);
+  if (IsHedge(call)) {
+    HandleHedgeEnd(call);
     return;
   }
   const core::RequestId id = by_call_.at(call);
@@ -411,7 +411,7 @@
 }
 
 void Proxy::CompleteAnswer(core::RequestId id) {
-  DropSecond(id);
+  DropHedge(id);
   relay_.Complete(id, net::SteadyNow());
   const auto node = jobs_.extract(id);
   const net::ExchangeId exchange = node.mapped().exchange;
@@ -451,11 +451,11 @@
     HandleLoss(id, {relay::LossKind::kCut, job.fault_address, Unfinished(job)});
     return;
   }
-  if (job.second && job.status >= 500) {
+  if (job.hedge && job.status >= 500) {
     HandleLoss(id, {relay::LossKind::kError, job.fault_address, false});
     return;
   }
-  DropSecond(id);
+  DropHedge(id);
   const net::ExchangeId exchange = job.exchange;
   const net::Response response = std::move(job.response);
   if (relay_.ViaPartner(id) && response.status / 100 != 2) {
@@ -484,8 +484,8 @@
 }
 
 void Proxy::HandleFailure(net::CallId call, net::Failure failure) {
-  if (IsSecond(call)) {
-    HandleSecondFailure(call, failure);
+  if (IsHedge(call)) {
+    HandleHedgeFailure(call, failure);
     return;
   }
   const core::RequestId id = by_call_.at(call);
@@ -523,7 +523,7 @@
   }
   if (!pending_.empty()) ReviewPending(now);
   ReviewHeld(now);
-  SendSeconds(now);
+  SendDueHedges(now);
 }
 
 void Proxy::ReviewHeld(core::Instant now) {
--- a/src/foxquay/relay/hedge_policy.h
+++ b/src/foxquay/relay/hedge_policy.h
@@ -21,7 +21,7 @@
 };
 
 /// One of two sends of a request.
-enum class Copy : std::uint8_t { kFirst, kSecond };
+enum class Copy : std::uint8_t { kFirst, kHedge };
 
 /// Why a request that has waited for its delay gets no second send yet.
 enum class HedgeDenial : std::uint8_t {
--- a/src/foxquay/relay/relay.cc
+++ b/src/foxquay/relay/relay.cc
@@ -124,7 +124,7 @@
     upstreams_.Begin(state.hops, context.work, now);
     state.hedging.sent = now;
     state.hedging.closed = false;
-    state.hedging.kept_second = false;
+    state.hedging.kept_hedge = false;
     const bool reuse = Repeatable(*context.route);
     return Send{state.hops, state.sends + state.unsent + 1, reuse};
   }
@@ -386,7 +386,7 @@
   const core::UpstreamId& first = state.hops.front().upstream;
   upstreams_.RecordLatency(first, time, now);
   // Of second sends only the answers that come first are seen.
-  if (MayHedge(state) && !state.partner && !state.hedging.kept_second) {
+  if (MayHedge(state) && !state.partner && !state.hedging.kept_hedge) {
     hedge_policy_.RecordAnswer(state.context.service->id, first, time, now);
   }
 }
@@ -409,10 +409,10 @@
   state.partner.reset();
   upstreams_.End(state.hops, state.context.work);
   state.hops.clear();
-  if (state.hedging.second) {
-    upstreams_.End(state.hedging.second->hops, state.context.work);
+  if (state.hedging.hedge) {
+    upstreams_.End(state.hedging.hedge->hops, state.context.work);
   }
-  state.hedging.second.reset();
+  state.hedging.hedge.reset();
 }
 
 void Relay::End(core::RequestId id) {
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -166,13 +166,13 @@
   void CloseHedging(core::RequestId id);
   /// Returns the path of the second send of a request. Precondition: it is
   /// under way.
-  [[nodiscard]] const std::vector<Hop>& SecondPath(core::RequestId id) const;
+  [[nodiscard]] const std::vector<Hop>& HedgePath(core::RequestId id) const;
   /// Records that the second send of a request is answered: it becomes the only
   /// one. Precondition: it is under way.
-  void WinSecond(core::RequestId id, core::Instant now);
+  void WinHedge(core::RequestId id, core::Instant now);
   /// Records that the second send of a request was cancelled, as the first one
   /// is answered. Precondition: it is under way.
-  void DropSecond(core::RequestId id, core::Instant now);
+  void DropHedge(core::RequestId id, core::Instant now);
   /// Records the loss of one of the two sends of a request; the other becomes
   /// the only one. Returns the crash of an upstream that the loss may be a sign
   /// of, see SuspectCrash. Precondition: the second send is under way.
@@ -208,17 +208,17 @@
 
  private:
   /// A send beside the current one of the same request.
-  struct SecondSend {
+  struct Hedge {
     std::vector<Hop> hops;
     core::Instant sent;
   };
   struct Hedging {
     core::Instant sent;  ///< Start of the current send.
-    std::optional<SecondSend> second;
-    bool used = false;         ///< The request has had a second send.
-    bool closed = false;       ///< See CloseHedging.
-    bool denied = false;       ///< A denial was returned.
-    bool kept_second = false;  ///< The current send is the second one.
+    std::optional<Hedge> hedge;
+    bool used = false;        ///< The request has had a second send.
+    bool closed = false;      ///< See CloseHedging.
+    bool denied = false;      ///< A denial was returned.
+    bool kept_hedge = false;  ///< The current send is the second one.
   };
   /// The delays of a review, by route and upstream.
   using HedgeDelays =
@@ -295,7 +295,7 @@
                                            HedgeDelays& delays,
                                            core::Instant now);
   /// Replaces the current send by the second one.
-  static void KeepSecond(State& state);
+  static void KeepHedge(State& state);
   /// Returns whether a request of the route may run more than once.
   [[nodiscard]] static bool Repeatable(const schema::Route& route);
   /// Returns whether the caller has a part of a stream that a further send
--- a/src/foxquay/relay/relay_hedge.cc
+++ b/src/foxquay/relay/relay_hedge.cc
@@ -85,15 +85,15 @@
   hedge_policy_.Spend(service);
   upstreams_.Begin(hops, context.work, now);
   state.hedging.used = true;
-  state.hedging.second = SecondSend{std::move(hops), now};
-  return Send{state.hedging.second->hops, state.sends + state.unsent + 2, true};
+  state.hedging.hedge = Hedge{std::move(hops), now};
+  return Send{state.hedging.hedge->hops, state.sends + state.unsent + 2, true};
 }
 
-const std::vector<Hop>& Relay::SecondPath(core::RequestId id) const {
-  return requests_.at(id).hedging.second->hops;
+const std::vector<Hop>& Relay::HedgePath(core::RequestId id) const {
+  return requests_.at(id).hedging.hedge->hops;
 }
 
-void Relay::WinSecond(core::RequestId id, core::Instant now) {
+void Relay::WinHedge(core::RequestId id, core::Instant now) {
   State& state = requests_.at(id);
   const core::UpstreamId& first = state.hops.front().upstream;
   const core::Duration taken = now - state.hedging.sent;
@@ -102,37 +102,37 @@
   upstreams_.End(state.hops, state.context.work);
   state.may_have_run = true;
   ++state.sends;
-  KeepSecond(state);
+  KeepHedge(state);
 }
 
-void Relay::DropSecond(core::RequestId id, core::Instant now) {
+void Relay::DropHedge(core::RequestId id, core::Instant now) {
   State& state = requests_.at(id);
-  const SecondSend second = *std::exchange(state.hedging.second, std::nullopt);
-  upstreams_.RecordMinLatency(second.hops.front().upstream, now - second.sent,
+  const Hedge hedge = *std::exchange(state.hedging.hedge, std::nullopt);
+  upstreams_.RecordMinLatency(hedge.hops.front().upstream, now - hedge.sent,
                               now);
-  upstreams_.End(second.hops, state.context.work);
+  upstreams_.End(hedge.hops, state.context.work);
 }
 
 std::optional<Suspicion> Relay::LoseCopy(core::RequestId id, Copy lost,
                                          const Loss& loss, core::Instant now) {
   State& state = requests_.at(id);
-  if (lost == Copy::kSecond) std::swap(state.hops, state.hedging.second->hops);
+  if (lost == Copy::kHedge) std::swap(state.hops, state.hedging.hedge->hops);
   const auto suspicion = SuspectCrash(id, loss);
   upstreams_.End(state.hops, state.context.work);
   RecordLoss(state, state.hops, loss, now);
-  if (lost == Copy::kSecond) {
-    state.hops = std::exchange(state.hedging.second, std::nullopt)->hops;
+  if (lost == Copy::kHedge) {
+    state.hops = std::exchange(state.hedging.hedge, std::nullopt)->hops;
   } else {
-    KeepSecond(state);
+    KeepHedge(state);
   }
   return suspicion;
 }
 
-void Relay::KeepSecond(State& state) {
-  const SecondSend second = *std::exchange(state.hedging.second, std::nullopt);
-  state.hops = second.hops;
-  state.hedging.sent = second.sent;
-  state.hedging.kept_second = true;
+void Relay::KeepHedge(State& state) {
+  const Hedge hedge = *std::exchange(state.hedging.hedge, std::nullopt);
+  state.hops = hedge.hops;
+  state.hedging.sent = hedge.sent;
+  state.hedging.kept_hedge = true;
 }
 
 }  // namespace foxquay::relay
