--- a/src/foxquay/relay/latency_tracker.cc
+++ b/src/foxquay/relay/latency_tracker.cc
@@ -40,6 +40,15 @@
   recorded_at_ = now;
 }
 
+void LatencyTracker::RecordAtLeast(core::Duration bound, core::Instant now) {
+  if (!average_) {
+    Record(bound, now);
+  } else if (bound > RecentLatency(now)) {
+    recent_ = bound;
+    recorded_at_ = now;
+  }
+}
+
 core::Duration LatencyTracker::Slowdown(core::Instant now) const {
   if (!average_) return {};
   const core::Duration slowdown =
--- a/src/foxquay/relay/latency_tracker.h
+++ b/src/foxquay/relay/latency_tracker.h
@@ -19,6 +19,11 @@
   /// Adds one sample.
   void Record(core::Duration observed, core::Instant now);
 
+  /// Raises the mean of the recent samples to `bound` if it is lower: a request
+  /// has not been answered in that time, and how long it would have taken is
+  /// not known.
+  void RecordAtLeast(core::Duration bound, core::Instant now);
+
   /// Returns by how much the mean latency exceeds the best one beyond normal
   /// variation, with decay since the last sample; zero without samples.
   [[nodiscard]] core::Duration Slowdown(core::Instant now) const;
--- a/src/foxquay/relay/upstreams.h
+++ b/src/foxquay/relay/upstreams.h
@@ -154,8 +154,7 @@
   void RecordLatency(const core::UpstreamId& upstream, core::Duration time,
                      core::Instant now);
 
-  /// Records that a request was not answered within `time`, if that is more
-  /// than the recent latency of its upstream.
+  /// Records that a request was not answered within `time`.
   void RecordMinLatency(const core::UpstreamId& upstream, core::Duration time,
                         core::Instant now);
 
--- a/src/foxquay/relay/upstreams_spare.cc
+++ b/src/foxquay/relay/upstreams_spare.cc
@@ -52,9 +52,7 @@
 void Upstreams::RecordMinLatency(const core::UpstreamId& upstream,
                                  core::Duration time, core::Instant now) {
   const auto found = entries_.find(upstream);
-  if (found == entries_.end()) return;
-  LatencyTracker& latency = found->second.latency;
-  if (time > latency.RecentLatency(now)) latency.Record(time, now);
+  if (found != entries_.end()) found->second.latency.RecordAtLeast(time, now);
 }
 
 }  // namespace foxquay::relay
