Raise the latency of upstreams whose requests lose to hedges

Cause: a request that is given up when its hedge is answered is no sample of its upstream's time.

Change: the mean of recent latencies is raised to that time, and to twice as much with each further request given up until one is answered.

--- a/src/foxquay/relay/latency_tracker.cc
+++ b/src/foxquay/relay/latency_tracker.cc
@@ -18,6 +18,10 @@
 /// Fraction of the best latency that counts as normal variation.
 constexpr double kNormalVariation = 0.3;
 
+/// Maximum number of times that the time of requests given up is doubled. The
+/// estimate then takes about ten seconds to fade.
+constexpr int kMaxUnansweredDoublings = 3;
+
 /// Returns the part of an estimate that remains after a time without samples.
 double Remainder(core::Duration idle) {
   return std::exp(-(std::chrono::duration<double>(idle) / kDecay));
@@ -38,15 +42,20 @@
     recent_ = observed + core::Scale(recent_ - observed, former);
   }
   recorded_at_ = now;
+  unanswered_ = 0;
 }
 
 void LatencyTracker::RecordAtLeast(core::Duration bound, core::Instant now) {
-  if (!average_) {
-    Record(bound, now);
-  } else if (bound > RecentLatency(now)) {
-    recent_ = bound;
-    recorded_at_ = now;
+  if (bound <= RecentLatency(now)) return;
+  if (!average_) average_ = best_ = bound;
+  if (now - bound >= unanswered_at_) {
+    ++unanswered_;
+    unanswered_at_ = now;
   }
+  const int doublings =
+      std::clamp(unanswered_ - 1, 0, internal::kMaxUnansweredDoublings);
+  recent_ = bound * (1 << doublings);
+  recorded_at_ = now;
 }
 
 core::Duration LatencyTracker::Slowdown(core::Instant now) const {
--- a/src/foxquay/relay/latency_tracker.h
+++ b/src/foxquay/relay/latency_tracker.h
@@ -19,9 +19,11 @@
   /// Adds one sample.
   void Record(core::Duration observed, core::Instant now);
 
-  /// Raises the mean of the recent samples to `bound` if it is lower: a request
-  /// has not been answered in that time, and how long it would have taken is
-  /// not known.
+  /// Records that a request was given up after `bound` without an answer. If
+  /// the mean of the recent samples is lower, it is raised to `bound`, and to
+  /// twice as much with each further such request without a sample between, as
+  /// how long they would have taken is not known. Requests that were under way
+  /// together count as one.
   void RecordAtLeast(core::Duration bound, core::Instant now);
 
   /// Returns by how much the mean latency exceeds the best one beyond normal
@@ -37,6 +39,8 @@
   /// Moving average in which older samples weigh less the longer ago they are.
   core::Duration recent_{};
   core::Instant recorded_at_;
+  int unanswered_ = 0;  ///< Requests given up since the last sample.
+  core::Instant unanswered_at_;
 };
 
 }  // namespace foxquay::relay
--- a/tests/foxquay/relay/latency_tracker_test.cc
+++ b/tests/foxquay/relay/latency_tracker_test.cc
@@ -41,4 +41,27 @@
   CHECK(tracker.RecentLatency(At(10)) == core::Duration::zero());
 }
 
+// Guards against a slow upstream that is tried again and again, as none of its
+// requests is waited for.
+TEST_CASE("requests that are given up raise the latency more each time") {
+  using std::chrono::milliseconds;
+  const auto at = [](int ms) { return core::Instant(milliseconds(ms)); };
+  LatencyTracker tracker;
+  tracker.Record(milliseconds(20), at(0));
+  tracker.RecordAtLeast(milliseconds(10), at(10));
+  CHECK(tracker.RecentLatency(at(10)) < milliseconds(21));
+  tracker.RecordAtLeast(milliseconds(100), at(200));
+  tracker.RecordAtLeast(milliseconds(101), at(200));
+  CHECK(tracker.RecentLatency(at(200)) == milliseconds(101));
+  tracker.RecordAtLeast(milliseconds(100), at(5000));
+  CHECK(tracker.RecentLatency(at(5000)) == milliseconds(200));
+  for (int ms = 20'000; ms < 200'000; ms += 20'000) {
+    tracker.RecordAtLeast(milliseconds(100), at(ms));
+  }
+  CHECK(tracker.RecentLatency(at(180'000)) == milliseconds(800));
+  tracker.Record(milliseconds(20), at(200'000));
+  tracker.RecordAtLeast(milliseconds(100), at(200'200));
+  CHECK(tracker.RecentLatency(at(200'200)) == milliseconds(100));
+}
+
 }  // namespace foxquay::relay
