--- a/src/foxquay/gateway/proxy_hedges.cc
+++ b/src/foxquay/gateway/proxy_hedges.cc
@@ -27,9 +27,10 @@
   const relay::RequestContext& context = relay_.Context(id);
   const core::Instant now = net::SteadyNow();
   ++job.sends;
-  Hedge& hedge = job.hedge.emplace();
+  Hedge hedge;
   hedge.sent = now;
   hedge.call = StartCall(id, send);
+  job.hedge = std::move(hedge);
   registry_.Add("foxquay_sends_total",
                 "service=\"" + context.service->id.value() + "\"");
   registry_.Add("foxquay_hedges_total", "result=\"sent\"");
--- a/src/foxquay/relay/relay_hedge.cc
+++ b/src/foxquay/relay/relay_hedge.cc
@@ -117,7 +117,7 @@
                                          const Loss& loss, core::Instant now) {
   State& state = requests_.at(id);
   if (lost == Copy::kHedge) std::swap(state.hops, state.hedging.hedge->hops);
-  const auto suspicion = SuspectCrash(id, loss);
+  auto suspicion = SuspectCrash(id, loss);
   upstreams_.End(state.hops, state.context.work);
   RecordLoss(state, state.hops, loss, now);
   if (lost == Copy::kHedge) {
--- a/tests/foxquay/relay/hedged_fleet.cc
+++ b/tests/foxquay/relay/hedged_fleet.cc
@@ -76,8 +76,9 @@
     double next_arrival = gap(random_);
     for (int now = 0; now < kHedgeEnd + 5000; ++now) {
       if (scenario_.hosts_lost_at == now) LoseHosts();
-      for (; next_arrival <= now; next_arrival += gap(random_)) {
+      while (next_arrival <= now) {
         if (now < kHedgeEnd) Arrive(now);
+        next_arrival += gap(random_);
       }
       while (!events_.empty() && std::get<0>(events_.top()) <= now) {
         const auto [ms, id, copy] = events_.top();
--- a/tests/foxquay/relay/relay_hedge_test.cc
+++ b/tests/foxquay/relay/relay_hedge_test.cc
@@ -274,6 +274,22 @@
   CHECK(relay.upstreams().Born(second) == core::WallTime());
 }
 
+// Guards against a crash that is put down to the upstream of the other send.
+TEST_CASE("a crash is suspected at the upstream whose send was lost") {
+  Fixture fixture;
+  RequestContext context = fixture.MakeContext(kSent);
+  context.parts = quarantine::MakeParts({}, "digest");
+  const core::UpstreamId first = fixture.SendSlow(std::move(context));
+  const core::UpstreamId second = *fixture.Second();
+  const Copy lost = GENERATE(Copy::kFirst, Copy::kHedge);
+  const auto suspicion = fixture.relay.LoseCopy(
+      kSlow, lost, {LossKind::kUnanswered, "", true}, At(kDue));
+  REQUIRE(suspicion);
+  CHECK(suspicion->upstream == (lost == Copy::kFirst ? first : second));
+  CHECK(fixture.relay.Path(kSlow).front().upstream ==
+        (lost == Copy::kFirst ? second : first));
+}
+
 // Guards against a slow upstream that looks fast, as its slow answers are never
 // seen.
 TEST_CASE("a first send that is given up counts as slow") {
--- a/tests/foxquay/relay/retry_budget_test.cc
+++ b/tests/foxquay/relay/retry_budget_test.cc
@@ -83,4 +83,25 @@
   CHECK(budget.TakeRetry(service, At(10012)));
 }
 
+// Guards against hedges that use the retries of requests that have failed, with
+// an allowance and after the control host has fallen silent.
+TEST_CASE("retries that are not needed leave half of the limit") {
+  const core::ServiceId app("app");
+  RetryBudget budget({0, 10, std::chrono::seconds(10)});
+  budget.SetHosts(1, core::Instant());
+  budget.SetAllowance(app, 6, core::Instant());
+  const auto take = [&](core::Instant now) {
+    int taken = 0;
+    while (budget.TakeSpareRetry(app, now)) ++taken;
+    return taken;
+  };
+  CHECK(take(core::Instant()) == 3);
+  CHECK(budget.TakeRetry(app, core::Instant()));
+  CHECK(budget.TakeRetry(app, core::Instant()));
+  CHECK(budget.TakeRetry(app, core::Instant()));
+  CHECK_FALSE(budget.TakeRetry(app, core::Instant()));
+  // Without an allowance, 0.4 of 0.8 x 10.
+  CHECK(take(core::Instant(std::chrono::seconds(11))) == 1);
+}
+
 }  // namespace foxquay::relay
