--- a/tests/platform/scenarios/scenario.cc
+++ b/tests/platform/scenarios/scenario.cc
@@ -24,7 +24,8 @@
 Scenario::Scenario(Options options)
     : options_(std::move(options)),
       cluster_(context_, FOXQUAY_PLATFORM_BINARY,
-               options_.cuts_hosts ? FOXQUAY_CONNECT_FILTER : ""),
+               options_.cuts_hosts ? FOXQUAY_CONNECT_FILTER : "",
+               options_.machine),
       operator_(context_, checker_, cluster_.ProxyAddresses(true), 1),
       client_(context_) {
   for (std::size_t index = 0; index < options_.models + options_.apps;
@@ -152,6 +153,16 @@
        "/" + route + "/x?id=" + id, "", key, entry);
 }
 
+void Scenario::SendLarge(const std::string& route, std::size_t entry,
+                         std::size_t bytes) {
+  const std::string id =
+      std::to_string(entry) + "-" + std::to_string(next_id_++);
+  Send(id,
+       route == "read" ? soak::RequestKind::kRead : soak::RequestKind::kBook,
+       "/" + route + "/x?id=" + id, "", soak::kPermanentKey, entry,
+       std::string(bytes, 'x'));
+}
+
 void Scenario::Send(const std::string& id, soak::RequestKind kind,
                     const std::string& target, const std::string& parts,
                     const std::string& key, std::size_t entry,
--- a/tests/platform/scenarios/scenario.h
+++ b/tests/platform/scenarios/scenario.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -35,6 +36,7 @@
     std::size_t models = 10;  ///< Fake model upstreams.
     std::size_t apps = 0;     ///< Fake upstreams of the plain service.
     bool cuts_hosts = false;  ///< Hosts can be cut off from the upstreams.
+    std::optional<soak::Machine> machine = {};  ///< Of each host.
   };
 
   /// A request that reached a fake upstream.
@@ -60,6 +62,9 @@
   /// As SendPlain, with another API key than the permanent one.
   void SendPlainWithKey(const std::string& route, std::size_t entry,
                         const std::string& key);
+  /// As SendPlain, with a body of `bytes`.
+  void SendLarge(const std::string& route, std::size_t entry,
+                 std::size_t bytes);
   /// Sends a request with a target of its own, the same body and, for a stream,
   /// the same prompt each time, to a random entry host. Its id is new.
   void SendSame(soak::RequestKind kind, const std::string& target);
--- a/tests/platform/soak/cluster.cc
+++ b/tests/platform/soak/cluster.cc
@@ -20,8 +20,9 @@
 }  // namespace
 
 Cluster::Cluster(boost::asio::io_context& context, const std::string& binary,
-                 std::string connect_filter)
+                 std::string connect_filter, std::optional<Machine> machine)
     : connect_filter_(std::move(connect_filter)),
+      machine_(machine),
       peer_port_(PortOf(daemon::FreeAddress())),
       partner_port_(PortOf(daemon::FreeAddress())),
       port_(PortOf(daemon::FreeAddress())),
@@ -89,9 +90,18 @@
 void Cluster::Start(std::size_t host) {
   WriteSettings(host, !std::exchange(hosts_[host].started, true), "info");
   std::vector<std::string> command;
+  if (machine_) {
+    command = {"/bin/sh", "-c",
+               "ulimit -d " + std::to_string(machine_->memory_kib) +
+                   "; ulimit -n " + std::to_string(machine_->descriptors) +
+                   "; exec \"$0\" \"$@\""};
+  }
   if (!connect_filter_.empty()) {
-    command = {"/usr/bin/env", "LD_PRELOAD=" + connect_filter_,
-               "FOXQUAY_CUT_FILE=" + Path(host, ".cut")};
+    for (const std::string& word :
+         {std::string("/usr/bin/env"), "LD_PRELOAD=" + connect_filter_,
+          "FOXQUAY_CUT_FILE=" + Path(host, ".cut")}) {
+      command.push_back(word);
+    }
   }
   command.push_back(hosts_[host].binary);
   command.push_back(Path(host, ".yaml"));
--- a/tests/platform/soak/cluster.h
+++ b/tests/platform/soak/cluster.h
@@ -25,15 +25,23 @@
 inline constexpr core::Duration kGracePeriod = std::chrono::seconds(4);
 inline constexpr core::Duration kRecoveryBound = std::chrono::seconds(15);
 
+/// What the machine of a process has.
+struct Machine {
+  std::size_t memory_kib;   ///< For writable memory (RLIMIT_DATA).
+  std::size_t descriptors;  ///< File descriptors (RLIMIT_NOFILE).
+};
+
 /// The router processes of one cluster, each behind a proxy. Hosts below
 /// `kControlHosts` have the role control, the others the role entry. Not
 /// thread-safe.
 class Cluster {
  public:
-  /// Starts every host; `binary` is the program that they run, and
-  /// `connect_filter` the library for CutFromUpstreams, if it is used.
+  /// Starts every host; `binary` is the program that they run,
+  /// `connect_filter` the library for CutFromUpstreams, if it is used, and
+  /// `machine` limits each process.
   Cluster(boost::asio::io_context& context, const std::string& binary,
-          std::string connect_filter = "");
+          std::string connect_filter = "",
+          std::optional<Machine> machine = std::nullopt);
   Cluster(const Cluster&) = delete;
   Cluster& operator=(const Cluster&) = delete;
 
@@ -41,6 +49,21 @@
   /// the entry hosts.
   [[nodiscard]] std::vector<std::string> ProxyAddresses(bool control) const;
   [[nodiscard]] Proxy& proxy(std::size_t host) { return *hosts_[host].proxy; }
+  /// Returns the address of a host's listener for callers or upstreams, of the
+  /// one for requests that entry hosts pass on, and of the one for other hosts.
+  [[nodiscard]] std::string address(std::size_t host) const {
+    return hosts_[host].ip + port_;
+  }
+  [[nodiscard]] std::string partner_address(std::size_t host) const {
+    return hosts_[host].ip + partner_port_;
+  }
+  [[nodiscard]] std::string peer_address(std::size_t host) const {
+    return hosts_[host].ip + peer_port_;
+  }
+  /// Returns the process id of a host. Precondition: it is running.
+  [[nodiscard]] pid_t pid(std::size_t host) const {
+    return hosts_[host].process->pid();
+  }
   [[nodiscard]] bool running(std::size_t host) const {
     return hosts_[host].process.has_value();
   }
@@ -89,6 +112,7 @@
                                  const std::string& suffix) const;
 
   std::string connect_filter_;
+  std::optional<Machine> machine_;
   std::string folder_;
   // The same on every host, each with a leading colon.
   std::string peer_port_;
