Bound the memory and descriptors that all callers take together

What callers saw: a crowd of callers outside the limits, or of legal large requests that do not end, ended a process for want of memory; other callers' requests ended with it, or found no descriptor.

Cause: each connection was bounded by itself, if at all. Beast limits each part of a head, but no sum of them, no chunk line and no trailer; the buffer behind it grew until the request's timeout. Bodies of legal size had no bound together, string_body reserves a length that is only announced, pipelined requests went on behind answers that nobody read, the listener between hosts took a megabyte for each announced message, and a single timer served both listeners that found no descriptor.

Change: net::BufferBudget decides, without I/O, which connections are closed when all of them take more than a quarter of the memory or half of the descriptors: incomplete or unread ones, the largest first. What is complete is refused with 503 and Retry-After before it is passed on, never broken off. Heads, chunk lines and trailers are bounded by max_header_bytes (431).

--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "foxquay/daemon/clock.h"
+#include "foxquay/daemon/machine.h"
 #include "foxquay/log/log.h"
 
 namespace foxquay::daemon {
@@ -123,7 +124,9 @@
       work_(boost::asio::make_work_guard(context_)),
       timer_(context_),
       links_(
-          context_, {self_, incarnation, settings.listeners.peer},
+          context_,
+          {self_, incarnation, settings.listeners.peer,
+           MakePeerLimits(ReadMachine())},
           transport::MessageAuthenticator(settings.security.cluster,
                                           std::move(peer_key)),
           [this](schema::Envelope envelope) { Receive(std::move(envelope)); }),
--- a/src/foxquay/daemon/control_server.h
+++ b/src/foxquay/daemon/control_server.h
@@ -24,6 +24,9 @@
                 const gateway::ControlProtocol& protocol,
                 std::uint32_t max_body_bytes);
 
+  /// Counts what the connections use in a budget. Preconditions: `budget`
+  /// outlives the server, and Listen was not called.
+  void SetBufferBudget(net::BufferBudget& budget) { server_.SetBudget(budget); }
   /// Binds the listener to `address`, `IP:PORT`.
   [[nodiscard]] std::error_code Listen(const std::string& address);
   void Sweep(core::Instant now) { server_.Sweep(now); }
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -25,6 +25,7 @@
 #include "foxquay/daemon/clock.h"
 #include "foxquay/daemon/control_node.h"
 #include "foxquay/daemon/control_server.h"
+#include "foxquay/daemon/machine.h"
 #include "foxquay/daemon/settings_reloader.h"
 #include "foxquay/fleet/table.h"
 #include "foxquay/gateway/drain_plan.h"
@@ -47,6 +48,10 @@
 /// The rest allows for the rates of clocks and for requests on their way.
 constexpr double kCurrentFraction = 0.9;
 
+/// Minimum time between two reports on connections that were closed for lack of
+/// memory or descriptors.
+constexpr core::Duration kBufferReportInterval = std::chrono::seconds(1);
+
 /// Maximum size in bytes of the encoded fleet configuration.
 constexpr std::uint32_t kMaxFleetBytes = 600'000;
 
@@ -82,6 +87,7 @@
         has_control_role_(IsRoleEnabled(settings, schema::Role::kControl)),
         signals_(context_, SIGTERM, SIGINT, SIGHUP),
         timer_(context_),
+        buffers_(MakeCallerLimits(settings.limits, ReadMachine())),
         ready_server_(context_, MakeHandlers([this](const net::Request&) {
                         return ReadyPage();
                       })),
@@ -99,7 +105,12 @@
                   node_.HandleLayers(upstream, layers);
                 }),
         node_(settings, "foxquay", Incarnation(), Sink()),
-        control_server_(context_, node_, control, kMaxFleetBytes) {}
+        control_server_(context_, node_, control, kMaxFleetBytes) {
+    ready_server_.SetBudget(buffers_);
+    metrics_server_.SetBudget(buffers_);
+    proxy_.SetBufferBudget(buffers_);
+    control_server_.SetBufferBudget(buffers_);
+  }
 
   int Run() {
     proxy_.relay().SetHedging(MakeHedgeOptions(settings_));
@@ -150,6 +161,11 @@
     registry_.Set("foxquay_leads", leads_ ? 1 : 0);
     registry_.Set("foxquay_disk_full", node_.DiskFull() ? 1 : 0);
     registry_.Set("foxquay_upstreams", static_cast<double>(upstreams_));
+    registry_.Set("foxquay_buffer_bytes", static_cast<double>(buffers_.held()));
+    registry_.Set("foxquay_buffer_limit_bytes",
+                  static_cast<double>(buffers_.limits().bytes));
+    registry_.Set("foxquay_connections",
+                  static_cast<double>(buffers_.connections()));
     registry_.Set("foxquay_placement_requests", placer_.HeldRequests());
     return net::MakeResponse(200, "text/plain; version=0.0.4",
                              registry_.Expose());
@@ -204,7 +220,9 @@
                 {"entry", has_entry_role_},
                 {"control", has_control_role_},
                 {"seeds", settings_.join.seeds.size()},
-                {"bootstrap", settings_.join.bootstrap}});
+                {"bootstrap", settings_.join.bootstrap},
+                {"buffer_bytes", buffers_.limits().bytes},
+                {"max_connections", buffers_.limits().connections}});
     return started;
   }
 
@@ -436,6 +454,7 @@
       control_server_.Sweep(std::chrono::steady_clock::now());
       ready_server_.Sweep(std::chrono::steady_clock::now());
       metrics_server_.Sweep(std::chrono::steady_clock::now());
+      ReportBuffers(now);
       CheckDrain();
     }
     if (now >= next_settings_check_) {
@@ -455,6 +474,24 @@
     core::Instant at;
   };
 
+  /// Logs and counts connections that were closed, and requests that were
+  /// refused, for lack of memory or descriptors.
+  void ReportBuffers(core::Instant now) {
+    const std::uint64_t evicted = buffers_.evicted() - reported_evicted_;
+    const std::uint64_t refused = buffers_.refused() - reported_refused_;
+    if ((evicted == 0 && refused == 0) || now < next_buffer_report_) return;
+    next_buffer_report_ = now + kBufferReportInterval;
+    reported_evicted_ += evicted;
+    reported_refused_ += refused;
+    registry_.Add("foxquay_connections_closed_total", "", evicted);
+    registry_.Add("foxquay_requests_refused_for_memory_total", "", refused);
+    log::Write(log::Level::kWarn, "connections_closed",
+               {{"closed", evicted},
+                {"refused", refused},
+                {"held_bytes", buffers_.held()},
+                {"connections", buffers_.connections()}});
+  }
+
   void PublishLimitReport() {
     schema::LimitReport report = proxy_.relay().ReportLimits(net::SteadyNow());
     const bool empty = report.statements.empty() && report.needs.empty();
@@ -487,6 +524,7 @@
   boost::asio::signal_set signals_;
   boost::asio::steady_timer timer_;
   metrics::Registry registry_;
+  net::BufferBudget buffers_;
   net::Server ready_server_;
   net::Server metrics_server_;
   gateway::Proxy proxy_;
@@ -506,6 +544,9 @@
   std::optional<core::Instant> drain_started_;  ///< Of net::SteadyNow.
   std::size_t upstreams_ = 0;
   bool leads_ = false;
+  std::uint64_t reported_evicted_ = 0;
+  std::uint64_t reported_refused_ = 0;
+  core::Instant next_buffer_report_;
   core::Instant next_maintenance_;
   core::Instant next_settings_check_;
 };
--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -87,6 +87,9 @@
   /// Returns `IP:PORT` of that listener. Precondition: ListenForPartners
   /// succeeded.
   [[nodiscard]] std::string partner_address() const;
+  /// Counts what the connections of callers use in a budget. Preconditions:
+  /// `budget` outlives the proxy, and no listener was bound.
+  void SetBufferBudget(net::BufferBudget& budget) { server_.SetBudget(budget); }
 
   /// Returns `IP:PORT` of the listener. Precondition: Listen succeeded.
   [[nodiscard]] std::string address() const { return server_.address(); }
--- a/src/foxquay/net/server.cc
+++ b/src/foxquay/net/server.cc
@@ -25,10 +25,44 @@
 
 /// Number of bytes received while a request is being answered from which
 /// reading pauses.
-constexpr std::size_t kMaxReadAhead = 65536;
+constexpr std::size_t kMaxReadAhead = 16384;
+
+/// Number of unsent bytes of earlier responses from which a connection's next
+/// request waits.
+constexpr std::size_t kMaxUnreadBytes = 65536;
+
+/// Capacity that the buffers of a connection keep while they are empty.
+constexpr std::size_t kKeptCapacity = 4096;
+
+/// Memory that a connection takes without its buffers, and a header field
+/// without its text.
+constexpr std::size_t kConnectionBytes = 2048;
+constexpr std::size_t kFieldBytes = 96;
+
+/// Copies of a body while a request is answered: the one received and the one
+/// that is being sent to an upstream.
+constexpr std::size_t kBodyCopies = 2;
+
+/// Retry-After of requests that are refused for lack of memory: the time that
+/// callers have to complete a request they have begun is a few seconds.
+constexpr std::chrono::milliseconds kMemoryRetryAfter{1000};
+
+Response RefuseForMemory() {
+  return MakeRefusal(503, "too many requests are being received",
+                     kMemoryRetryAfter);
+}
+
+/// Releases the memory of an empty buffer that was large.
+void Shrink(std::string& buffer) {
+  if (buffer.empty() && buffer.capacity() > kKeptCapacity) {
+    std::string().swap(buffer);
+  }
+}
+
+constexpr unsigned kHeaderTooLarge = 431;
 
 unsigned StatusFor(const boost::beast::error_code& error) {
-  if (error == http::error::header_limit) return 431;
+  if (error == http::error::header_limit) return kHeaderTooLarge;
   if (error == http::error::body_limit) return 413;
   return 400;
 }
@@ -36,14 +70,18 @@
 }  // namespace internal
 
 Server::Server(boost::asio::io_context& context, ServerHandlers handlers)
-    : context_(context),
-      handlers_(std::move(handlers)),
-      accept_retry_timer_(context) {}
+    : context_(context), handlers_(std::move(handlers)) {}
+
+void Server::SetBudget(BufferBudget& budget) {
+  budget_ = &budget;
+  budget_owner_ = budget.AddOwner([this](SocketId id) { Evict(id); });
+}
 
 std::error_code Server::Listen(const std::string& address) {
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint) return endpoint.error();
-  Tcp::acceptor& acceptor = acceptors_.emplace_back(context_);
+  Listener& listener = listeners_.emplace_back(context_);
+  Tcp::acceptor& acceptor = listener.acceptor;
   boost::system::error_code error;
   acceptor.open(endpoint.value().protocol(), error);
   if (error) return error;
@@ -53,39 +91,40 @@
   if (error) return error;
   acceptor.listen(internal::kBacklog, error);
   if (error) return error;
-  Accept(acceptor, acceptors_.size() - 1);
+  Accept(listener, listeners_.size() - 1);
   return {};
 }
 
 std::string Server::address(std::size_t listener) const {
   const Tcp::endpoint local =
-      std::next(acceptors_.begin(), static_cast<std::ptrdiff_t>(listener))
-          ->local_endpoint();
+      std::next(listeners_.begin(), static_cast<std::ptrdiff_t>(listener))
+          ->acceptor.local_endpoint();
   return local.address().to_string() + ":" + std::to_string(local.port());
 }
 
-void Server::Accept(Tcp::acceptor& acceptor, std::size_t listener) {
-  acceptor.async_accept([this, &acceptor, listener](
-                            const boost::system::error_code& error,
-                            Tcp::socket socket) {
+void Server::Accept(Listener& listener, std::size_t index) {
+  listener.acceptor.async_accept([this, &listener, index](
+                                     const boost::system::error_code& error,
+                                     Tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
     if (error) {
       log::Write(log::Level::kWarn, "accept_failed",
                  {{"error", error.message()}});
-      accept_retry_timer_.expires_after(internal::kAcceptRetryDelay);
-      accept_retry_timer_.async_wait(
-          [this, &acceptor, listener](const boost::system::error_code& ended) {
-            if (!ended && acceptor.is_open()) Accept(acceptor, listener);
+      listener.retry_timer.expires_after(internal::kAcceptRetryDelay);
+      listener.retry_timer.async_wait(
+          [this, &listener, index](const boost::system::error_code& ended) {
+            if (!ended && listener.acceptor.is_open()) Accept(listener, index);
           });
       return;
     }
     SetSocketOptions(socket);
     const SocketId id(next_socket_++);
     Connection& connection =
-        connections_.try_emplace(id, std::move(socket), listener).first->second;
+        connections_.try_emplace(id, std::move(socket), index).first->second;
     connection.wait_start = SteadyNow();
+    Account(id);
     HandleReadable(id);
-    if (acceptor.is_open()) Accept(acceptor, listener);
+    if (listener.acceptor.is_open()) Accept(listener, index);
   });
 }
 
@@ -98,7 +137,19 @@
 void Server::WaitWrite(SocketId id) {
   AwaitReady(connections_, id, Tcp::socket::wait_write,
              &Connection::write_waiting,
-             [this](SocketId ready) { Flush(ready); });
+             [this](SocketId ready) { HandleWritable(ready); });
+}
+
+void Server::HandleWritable(SocketId id) {
+  Flush(id);
+  const auto found = connections_.find(id);
+  if (found == connections_.end() || !CanParse(found->second)) return;
+  // The next request may have waited until the caller reads.
+  if (found->second.in.empty()) {
+    WaitRead(id);
+  } else {
+    ParseLater(id);
+  }
 }
 
 void Server::HandleReadable(SocketId id) {
@@ -108,12 +159,29 @@
     Disconnect(id);
     return;
   }
-  if (result == IoResult::kDone && !connection.exchange) {
+  if (result == IoResult::kDone && CanParse(connection)) {
     Parse(id);
     if (!connections_.contains(id)) return;
   }
+  Account(id);
   const Connection& conn = connections_.at(id);
-  if (conn.in.size() < internal::kMaxReadAhead || !conn.exchange) WaitRead(id);
+  if (conn.in.size() < internal::kMaxReadAhead || CanParse(conn)) WaitRead(id);
+}
+
+bool Server::CanParse(const Connection& connection) {
+  return !connection.exchange &&
+         connection.out.size() <= internal::kMaxUnreadBytes;
+}
+
+void Server::ParseLater(SocketId id) {
+  boost::asio::post(context_, [this, id] {
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || !CanParse(found->second)) return;
+    Parse(id);
+    if (!connections_.contains(id)) return;
+    Account(id);
+    WaitRead(id);
+  });
 }
 
 void Server::Parse(SocketId id) {
@@ -121,30 +189,71 @@
   if (connection.close_when_sent) return;
   if (!connection.parser) {
     connection.parser.emplace();
-    connection.parser->eager(true);
     connection.parser->header_limit(limits_.max_header_bytes);
     connection.parser->body_limit(limits_.max_body_bytes);
+    connection.head_bytes = 0;
+    connection.head_lines = 0;
     connection.wait_start = SteadyNow();
   }
+  if (Feed(id) && connection.parser->is_done()) FinishRequest(id);
+}
+
+bool Server::Feed(SocketId id) {
+  Connection& connection = connections_.at(id);
   Parser& parser = *connection.parser;
   while (!connection.in.empty() && !parser.is_done()) {
+    const bool in_head = !parser.is_header_done();
+    // Parses no more than the head, so that its size is known.
+    parser.eager(!in_head);
     boost::beast::error_code error;
     const std::size_t used =
         parser.put(boost::asio::buffer(connection.in), error);
+    if (in_head) {
+      connection.head_bytes += used;
+      const auto begin = connection.in.cbegin();
+      connection.head_lines += static_cast<std::size_t>(
+          std::count(begin, begin + static_cast<std::ptrdiff_t>(used), '\n'));
+    }
     connection.in.erase(0, used);
-    if (error == internal::http::error::need_more) return;
-    if (error) {
+    const bool need_more =
+        error == internal::http::error::need_more || (!error && used == 0);
+    if (error && !need_more) {
       Reject(id, internal::StatusFor(error));
-      return;
+      return false;
     }
-    if (used == 0) return;
+    // The parser limits each part of a head that arrives, but not their sum,
+    // and neither the line before a chunk nor the trailer.
+    const std::size_t pending = need_more ? connection.in.size() : 0;
+    const std::size_t size =
+        in_head ? connection.head_bytes + pending : pending;
+    if (size > limits_.max_header_bytes) {
+      Reject(id, internal::kHeaderTooLarge);
+      return false;
+    }
+    if (need_more) return true;
   }
-  if (!parser.is_done()) return;
-  auto message = parser.release();
+  return true;
+}
+
+void Server::FinishRequest(SocketId id) {
+  Connection& connection = connections_.at(id);
+  auto message = connection.parser->release();
+  message.body().shrink_to_fit();
   connection.keep_alive = message.keep_alive();
   connection.parser.reset();
+  const std::size_t serving =
+      internal::kBodyCopies * message.body().capacity() +
+      connection.head_bytes + internal::kFieldBytes * connection.head_lines;
+  if (budget_ != nullptr && !budget_->Accept(serving)) {
+    connection.keep_alive = connection.keep_alive && !draining_;
+    connection.out +=
+        Serialize(internal::RefuseForMemory(), connection.keep_alive);
+    CompleteResponse(id);
+    return;
+  }
   const ExchangeId exchange(next_exchange_++);
   connection.exchange = exchange;
+  connection.serving = serving;
   exchanges_[exchange] = id;
   Request request;
   request.method = message.method_string().to_string();
@@ -214,8 +323,9 @@
 
 void Server::CompleteResponse(SocketId id) {
   Connection& connection = connections_.at(id);
-  exchanges_.erase(*connection.exchange);
+  if (connection.exchange) exchanges_.erase(*connection.exchange);
   connection.exchange.reset();
+  connection.serving = 0;
   connection.wait_start = SteadyNow();
   if (!connection.keep_alive) connection.close_when_sent = true;
   Flush(id);
@@ -223,12 +333,7 @@
   if (!connections_.at(id).in.empty()) {
     // The caller has pipelined its next request. Parsing it from the event loop
     // keeps many pipelined requests from growing the stack.
-    boost::asio::post(context_, [this, id] {
-      const auto found = connections_.find(id);
-      if (found == connections_.end() || found->second.exchange) return;
-      Parse(id);
-      if (connections_.contains(id)) WaitRead(id);
-    });
+    ParseLater(id);
   } else {
     WaitRead(id);
   }
@@ -241,11 +346,52 @@
     Disconnect(id);
     return;
   }
-  if (result == IoResult::kWouldBlock) {
-    WaitWrite(id);
-  } else if (connection.close_when_sent) {
+  if (result == IoResult::kDone && connection.close_when_sent) {
     Close(id);
+    return;
   }
+  Account(id);
+  if (result == IoResult::kWouldBlock) WaitWrite(id);
+}
+
+void Server::Account(SocketId id) {
+  Connection& connection = connections_.at(id);
+  internal::Shrink(connection.in);
+  internal::Shrink(connection.out);
+  if (budget_ == nullptr) return;
+  BufferUse use;
+  use.serving = connection.serving;
+  use.bytes = internal::kConnectionBytes + connection.in.capacity() +
+              connection.out.capacity() + connection.serving;
+  if (connection.parser) {
+    use.bytes += connection.parser->get().body().capacity() +
+                 connection.head_bytes +
+                 internal::kFieldBytes * connection.head_lines;
+  }
+  use.evictable = !connection.exchange || !connection.out.empty();
+  use.since = connection.wait_start;
+  if (use == connection.use) return;
+  connection.use = use;
+  budget_->Set(budget_owner_, id, use);
+  if (!budget_->exceeded() || enforcing_) return;
+  // Closing other connections from here would end exchanges that the caller of
+  // this function may be working on.
+  enforcing_ = true;
+  boost::asio::post(context_, [this] {
+    enforcing_ = false;
+    budget_->Enforce();
+  });
+}
+
+void Server::Evict(SocketId id) {
+  Connection& connection = connections_.at(id);
+  if (!connection.parser) {
+    Disconnect(id);
+    return;
+  }
+  connection.out += Serialize(internal::RefuseForMemory(), false);
+  (void)Write(connection.socket, connection.out);
+  Close(id);
 }
 
 void Server::Disconnect(SocketId id) {
@@ -257,6 +403,7 @@
 void Server::Close(SocketId id) {
   const auto found = connections_.find(id);
   if (found->second.exchange) exchanges_.erase(*found->second.exchange);
+  if (budget_ != nullptr) budget_->Remove(budget_owner_, id);
   boost::system::error_code ignored;
   found->second.socket.close(ignored);
   connections_.erase(found);
@@ -264,7 +411,7 @@
 
 void Server::StopAccepting() {
   boost::system::error_code ignored;
-  for (Tcp::acceptor& acceptor : acceptors_) acceptor.close(ignored);
+  for (Listener& listener : listeners_) listener.acceptor.close(ignored);
   std::vector<SocketId> idle;
   for (const auto& [id, connection] : connections_) {
     const bool idle_connection = !connection.exchange && !connection.parser &&
--- a/src/foxquay/net/server.h
+++ b/src/foxquay/net/server.h
@@ -4,7 +4,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -15,8 +14,10 @@
 #include <unordered_map>
 
 #include "foxquay/core/time.h"
+#include "foxquay/net/buffer_budget.h"
 #include "foxquay/net/fwd.h"
 #include "foxquay/net/message.h"
+#include "foxquay/net/part_body.h"
 #include "foxquay/net/socket.h"
 
 namespace foxquay::net {
@@ -63,6 +64,11 @@
   /// Precondition: that call of Listen succeeded.
   [[nodiscard]] std::string address(std::size_t listener = 0) const;
 
+  /// Counts what the connections use in a budget, which may close them; without
+  /// one they are bounded one by one only. Preconditions: `budget` outlives the
+  /// server, and Listen was not called.
+  void SetBudget(BufferBudget& budget);
+
   /// Sets the limits: sizes for requests that begin later, timeouts at once.
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
 
@@ -90,8 +96,14 @@
   [[nodiscard]] std::size_t open_requests() const;
 
  private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<PartBody>;
+
+  struct Listener {
+    explicit Listener(boost::asio::io_context& context)
+        : acceptor(context), retry_timer(context) {}
+    Tcp::acceptor acceptor;
+    boost::asio::steady_timer retry_timer;
+  };
 
   struct Connection {
     Connection(Tcp::socket accepted, std::size_t index)
@@ -101,7 +113,12 @@
     std::string in;
     std::string out;
     std::optional<Parser> parser;
+    std::size_t head_bytes = 0;  ///< Size of the request's head so far.
+    std::size_t head_lines = 0;  ///< Lines of it.
     std::optional<ExchangeId> exchange;
+    /// Memory that the request takes while it is answered.
+    std::size_t serving = 0;
+    BufferUse use;             ///< As last passed to the budget.
     core::Instant wait_start;  ///< Start of the idle time or of the request.
     bool keep_alive = true;
     bool read_waiting = false;
@@ -109,12 +126,25 @@
     bool close_when_sent = false;
   };
 
-  void Accept(Tcp::acceptor& acceptor, std::size_t listener);
+  void Accept(Listener& listener, std::size_t index);
   void WaitRead(SocketId id);
   void WaitWrite(SocketId id);
   void HandleReadable(SocketId id);
+  void HandleWritable(SocketId id);
   void Parse(SocketId id);
+  /// Parses what has been received of the next request, from the event loop.
+  void ParseLater(SocketId id);
+  /// Returns whether the next request on a connection may be parsed.
+  [[nodiscard]] static bool CanParse(const Connection& connection);
+  /// Passes the input to the parser; returns false if the request was rejected.
+  bool Feed(SocketId id);
+  /// Passes a complete request on, or refuses it for lack of memory.
+  void FinishRequest(SocketId id);
   void Reject(SocketId id, unsigned status);
+  /// Tells the budget what a connection uses.
+  void Account(SocketId id);
+  /// Closes a connection for the budget.
+  void Evict(SocketId id);
   void Flush(SocketId id);
   void CompleteResponse(SocketId id);
   void Close(SocketId id);
@@ -124,8 +154,10 @@
   boost::asio::io_context& context_;
   ServerHandlers handlers_;
   ServerLimits limits_;
-  std::list<Tcp::acceptor> acceptors_;
-  boost::asio::steady_timer accept_retry_timer_;
+  std::list<Listener> listeners_;
+  BufferBudget* budget_ = nullptr;
+  BufferOwnerId budget_owner_;
+  bool enforcing_ = false;  ///< A call of the budget's Enforce is due.
   std::unordered_map<SocketId, Connection> connections_;
   std::unordered_map<ExchangeId, SocketId> exchanges_;
   std::uint64_t next_socket_ = 1;
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -142,6 +142,16 @@
       0.9;  ///< Use of the memory and slots of a model's upstreams at which
             ///< entry hosts begin to refuse new requests, the least urgent ones
             ///< first; 0 refuses none.
+  std::uint64_t buffer_bytes =
+      0;  ///< Memory for all connections of callers, upstreams and operators
+          ///< together: what is being received, requests that are being
+          ///< answered and responses that were not read. 0 takes a quarter of
+          ///< the machine's memory, 16 MiB at least. Beyond it the connections
+          ///< that use the most are closed.
+  std::uint32_t max_connections =
+      0;  ///< Number of these connections; 0 takes half of the file
+          ///< descriptors. Beyond it the ones that have been idle or incomplete
+          ///< for longest are closed.
 
   friend bool operator==(const LimitSettings&, const LimitSettings&) = default;
 };
--- a/src/foxquay/settings/difference_generated.cc
+++ b/src/foxquay/settings/difference_generated.cc
@@ -141,6 +141,12 @@
   if (before.model_use != after.model_use) {
     Add(differences, path + "model_use", false);
   }
+  if (before.buffer_bytes != after.buffer_bytes) {
+    Add(differences, path + "buffer_bytes", false);
+  }
+  if (before.max_connections != after.max_connections) {
+    Add(differences, path + "max_connections", false);
+  }
 }
 
 void Compare(const schema::LogSettings& before,
--- a/src/foxquay/settings/reader_generated.cc
+++ b/src/foxquay/settings/reader_generated.cc
@@ -162,6 +162,8 @@
                               "upstream_heartbeat",
                               "grace",
                               "model_use",
+                              "buffer_bytes",
+                              "max_connections",
                           });
   section.Field("max_body_bytes", Presence::kOptional,
                 [&](Reader& child) { child.ReadNumber(value.max_body_bytes); });
@@ -183,6 +185,11 @@
                 [&](Reader& child) { child.ReadDuration(value.grace); });
   section.Field("model_use", Presence::kOptional,
                 [&](Reader& child) { child.ReadReal(value.model_use); });
+  section.Field("buffer_bytes", Presence::kOptional,
+                [&](Reader& child) { child.ReadNumber(value.buffer_bytes); });
+  section.Field("max_connections", Presence::kOptional, [&](Reader& child) {
+    child.ReadNumber(value.max_connections);
+  });
 }
 
 void Read(Reader& reader, schema::LogSettings& value) {
--- a/src/foxquay/transport/peer_transport.cc
+++ b/src/foxquay/transport/peer_transport.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -17,6 +18,12 @@
 /// Delay before accepting again after an error.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
 
+/// Minimum time between two log lines about closed connections.
+constexpr std::chrono::seconds kLogInterval{1};
+
+/// Number of bytes of a message that are read at once.
+constexpr std::size_t kReadBytes = 65536;
+
 using UserTimeout =
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -50,7 +57,10 @@
       acceptor_(context),
       accept_timer_(context),
       datagrams_(context),
-      datagram_buffer_(kMaxSignedBytes, '\0') {}
+      datagram_buffer_(kMaxSignedBytes, '\0'),
+      inbound_budget_(options_.inbound),
+      inbound_owner_(inbound_budget_.AddOwner(
+          [this](net::SocketId id) { CloseInbound(id.value()); })) {}
 
 std::error_code PeerTransport::Start() {
   const auto endpoint = net::ParseEndpoint(options_.address);
@@ -96,8 +106,9 @@
           return;
         }
         const std::uint64_t id = next_inbound_id_++;
-        inbound_.try_emplace(id, std::move(socket));
-        ReadSize(id);
+        inbound_.try_emplace(id, std::move(socket)).first->second.since =
+            net::SteadyNow();
+        if (Account(id)) ReadSize(id);
         Accept();
       });
 }
@@ -116,34 +127,74 @@
   boost::asio::async_read(
       inbound.socket, boost::asio::buffer(inbound.size),
       [this, id](const boost::system::error_code& error, std::size_t) {
-        if (stopped_) return;
-        const std::size_t size = internal::DecodeSize(inbound_.at(id).size);
+        const auto found = inbound_.find(id);
+        if (stopped_ || found == inbound_.end()) return;
+        const std::size_t size = internal::DecodeSize(found->second.size);
         const bool invalid_size = size < kMacBytes || size > kMaxSignedBytes;
         if (!error && invalid_size) ++counters_.rejected;
         if (error || invalid_size) {
-          inbound_.erase(id);
+          CloseInbound(id);
           return;
         }
-        inbound_.at(id).body.resize(size);
-        ReadBody(id);
+        ReadBody(id, size);
       });
 }
 
-void PeerTransport::ReadBody(std::uint64_t id) {
+void PeerTransport::ReadBody(std::uint64_t id, std::size_t size) {
   InboundConnection& inbound = inbound_.at(id);
+  // Takes no memory for what the peer has only announced.
+  const std::size_t part =
+      std::min(size - inbound.received, internal::kReadBytes);
+  inbound.body.resize(inbound.received + part);
+  if (!Account(id)) return;
   boost::asio::async_read(
-      inbound.socket, boost::asio::buffer(inbound.body),
-      [this, id](const boost::system::error_code& error, std::size_t) {
-        if (stopped_) return;
+      inbound.socket,
+      boost::asio::buffer(inbound.body.data() + inbound.received, part),
+      [this, id, size](const boost::system::error_code& error,
+                       std::size_t count) {
+        const auto found = inbound_.find(id);
+        if (stopped_ || found == inbound_.end()) return;
         if (error) {
-          inbound_.erase(id);
+          CloseInbound(id);
+          return;
+        }
+        found->second.received += count;
+        if (found->second.received < size) {
+          ReadBody(id, size);
           return;
         }
-        Receive(inbound_.at(id).body);
-        if (!stopped_) ReadSize(id);
+        const std::string message = std::exchange(found->second.body, {});
+        found->second.received = 0;
+        found->second.since = net::SteadyNow();
+        Receive(message);
+        if (!stopped_ && inbound_.contains(id) && Account(id)) ReadSize(id);
       });
 }
 
+void PeerTransport::CloseInbound(std::uint64_t id) {
+  inbound_budget_.Remove(inbound_owner_, net::SocketId(id));
+  inbound_.erase(id);
+}
+
+bool PeerTransport::Account(std::uint64_t id) {
+  const InboundConnection& inbound = inbound_.at(id);
+  net::BufferUse use;
+  use.bytes = sizeof(inbound) + inbound.body.capacity();
+  use.evictable = true;
+  use.since = inbound.since;
+  inbound_budget_.Set(inbound_owner_, net::SocketId(id), use);
+  if (!inbound_budget_.exceeded()) return true;
+  inbound_budget_.Enforce();
+  if (const core::Instant now = net::SteadyNow(); now >= next_inbound_log_) {
+    next_inbound_log_ = now + internal::kLogInterval;
+    log::Write(log::Level::kWarn, "peer_connections_closed",
+               {{"closed", inbound_budget_.evicted()},
+                {"open", inbound_.size()},
+                {"held_bytes", inbound_budget_.held()}});
+  }
+  return inbound_.contains(id);
+}
+
 void PeerTransport::ReadDatagram() {
   datagrams_.async_receive_from(
       boost::asio::buffer(datagram_buffer_), datagram_sender_,
--- a/src/foxquay/transport/peer_transport.h
+++ b/src/foxquay/transport/peer_transport.h
@@ -18,6 +18,7 @@
 #include "foxquay/core/error.h"
 #include "foxquay/core/id.h"
 #include "foxquay/core/time.h"
+#include "foxquay/net/buffer_budget.h"
 #include "foxquay/schema/transport.h"
 #include "foxquay/transport/fwd.h"
 #include "foxquay/transport/message_authenticator.h"
@@ -51,6 +52,9 @@
   core::HostId self;              ///< Sender of all messages.
   std::uint64_t incarnation = 0;  ///< Incarnation of this process.
   std::string address;            ///< `IP:PORT` to listen on, TCP and UDP.
+  /// What the connections from other hosts may use together; those that have
+  /// waited longest for the rest of a message, or for one, are closed first.
+  net::BufferLimits inbound = {std::size_t{64} << 20U, 4096};
 };
 
 /// A connection to another host that ended or could not be made.
@@ -160,6 +164,8 @@
     Tcp::socket socket;
     std::array<unsigned char, 4> size{};
     std::string body;
+    std::size_t received = 0;  ///< Bytes of the body.
+    core::Instant since;       ///< When the last message was complete.
   };
 
   void Accept();
@@ -167,7 +173,12 @@
   /// descriptors, does not pass at once.
   void RetryAccept(const std::error_code& error);
   void ReadSize(std::uint64_t id);
-  void ReadBody(std::uint64_t id);
+  /// Reads the next part of a message of `size` bytes.
+  void ReadBody(std::uint64_t id, std::size_t size);
+  void CloseInbound(std::uint64_t id);
+  /// Counts what a connection uses, which may close this or other ones; returns
+  /// whether it is open.
+  bool Account(std::uint64_t id);
   void ReadDatagram();
   void Receive(const std::string& signed_message);
   void Connect(const core::HostId& host);
@@ -203,6 +214,9 @@
   std::string datagram_buffer_;
   std::map<core::HostId, Peer> peers_;
   std::map<std::uint64_t, InboundConnection> inbound_;
+  net::BufferBudget inbound_budget_;
+  net::BufferOwnerId inbound_owner_;
+  core::Instant next_inbound_log_;  ///< When closed connections are logged.
   std::uint64_t next_inbound_id_ = 1;
   bool stopped_ = false;
   PeerTransportCounters counters_;
--- a/tests/foxquay/net/exchange_test.cc
+++ b/tests/foxquay/net/exchange_test.cc
@@ -1,4 +1,5 @@
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -502,4 +503,144 @@
   CHECK(requests == 0);
 }
 
+TEST_CASE("heads, chunk lines and trailers without end are rejected") {
+  struct Case {
+    const char* name;
+    std::string begin;
+    std::string piece;
+  };
+  const std::string chunked =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  // Each piece arrives by itself.
+  for (const Case& endless :
+       {Case{"fields", "GET / HTTP/1.1\r\n", "Name: 0123456789\r\n"},
+        Case{"field", "GET / HTTP/1.1\r\nName: ", "0123456789"},
+        Case{"chunk extension", chunked + "1;x=", "0123456789"},
+        Case{"chunk size", chunked, "0000000000"},
+        Case{"trailers", chunked + "1\r\na\r\n0\r\n", "Name: 01\r\n"}}) {
+    CAPTURE(endless.name);
+    boost::asio::io_context context{1};
+    Server server(context, {[](ExchangeId, Request&&) { FAIL(); },
+                            [](ExchangeId) { FAIL(); }});
+    ServerLimits limits;
+    limits.max_header_bytes = 400;
+    server.SetLimits(limits);
+    REQUIRE_FALSE(server.Listen("127.0.0.1:0"));
+    Tcp::socket socket(context);
+    socket.connect(ParseEndpoint(server.address()).value());
+    std::size_t sent = 0;
+    for (std::string piece = endless.begin; sent < 1000;
+         piece = endless.piece) {
+      boost::system::error_code closed;
+      sent += boost::asio::write(socket, boost::asio::buffer(piece), closed);
+      context.run_for(std::chrono::milliseconds(1));
+      if (closed || socket.available(closed) > 0) break;
+    }
+    CHECK(sent <= 400 + endless.begin.size() + endless.piece.size());
+    std::string answer(12, '\0');
+    boost::system::error_code closed;
+    boost::asio::read(socket, boost::asio::buffer(answer), closed);
+    CHECK(answer == "HTTP/1.1 431");
+  }
+}
+
+TEST_CASE("a head that arrives field by field without end fails the call") {
+  Fixture fixture;
+  Peer peer(fixture.context);
+  const CallId call =
+      fixture.client.Call(peer.address(), "GET / HTTP/1.1\r\n\r\n", {});
+  const auto end = SteadyNow() + kTimeout;
+  peer.responses = {"HTTP/1.1 200 OK\r\n"};
+  while (peer.received.empty() && SteadyNow() < end) {
+    fixture.context.run_one_for(std::chrono::milliseconds(20));
+  }
+  const std::string field = "Name: " + std::string(1000, 'x') + "\r\n";
+  for (int sent = 0; sent < 100 && !fixture.results[call].failure; ++sent) {
+    peer.Write(field);
+    fixture.context.run_for(std::chrono::milliseconds(2));
+  }
+  CHECK(fixture.results[call].failure == Failure::kMalformed);
+}
+
+TEST_CASE("the next request waits until the answers before it are read") {
+  boost::asio::io_context context{1};
+  std::size_t requests = 0;
+  const Response answer =
+      MakeResponse(200, "text/plain", std::string(32768, 'x'));
+  Server* responder = nullptr;
+  Server server(context, {[&](ExchangeId exchange, Request&&) {
+                            ++requests;
+                            responder->Respond(exchange, answer);
+                          },
+                          [](ExchangeId) { FAIL(); }});
+  responder = &server;
+  REQUIRE_FALSE(server.Listen("127.0.0.1:0"));
+  Tcp::socket socket(context);
+  socket.connect(ParseEndpoint(server.address()).value());
+  const std::size_t sent = 2000;
+  std::string pipelined;
+  for (std::size_t count = 0; count < sent; ++count) {
+    pipelined += "GET / HTTP/1.1\r\n\r\n";
+  }
+  bool written = false;
+  boost::asio::async_write(
+      socket, boost::asio::buffer(pipelined),
+      [&](const boost::system::error_code&, std::size_t) { written = true; });
+  context.run_for(std::chrono::milliseconds(300));
+  CHECK(requests < sent);
+  // All of them are answered once the caller reads.
+  std::string received(1U << 20U, '\0');
+  std::size_t bytes = 0;
+  const auto end = SteadyNow() + kTimeout;
+  while (bytes < sent * answer.body.size() || requests < sent) {
+    if (SteadyNow() >= end) break;
+    context.run_one_for(std::chrono::milliseconds(20));
+    boost::system::error_code error;
+    const std::size_t available = socket.available(error);
+    if (available == 0) continue;
+    bytes += socket.read_some(boost::asio::buffer(received), error);
+  }
+  CHECK(requests == sent);
+  CHECK(written);
+}
+
+TEST_CASE("unfinished requests make room for others with a true refusal") {
+  boost::asio::io_context context{1};
+  BufferBudget budget({100'000, 100});
+  std::size_t requests = 0;
+  Server server(
+      context, {[&](ExchangeId, Request&&) { ++requests; }, [](ExchangeId) {}});
+  server.SetBudget(budget);
+  REQUIRE_FALSE(server.Listen("127.0.0.1:0"));
+  std::vector<Tcp::socket> sockets;
+  for (int caller = 0; caller < 8; ++caller) {
+    Tcp::socket& socket = sockets.emplace_back(context);
+    socket.connect(ParseEndpoint(server.address()).value());
+    boost::asio::write(
+        socket,
+        boost::asio::buffer("POST / HTTP/1.1\r\nContent-Length: 20001\r\n\r\n" +
+                            std::string(20'000, 'x')));
+    context.run_for(std::chrono::milliseconds(20));
+  }
+  CHECK(budget.held() <= budget.limits().bytes);
+  CHECK(budget.evicted() > 0);
+  std::string answer(12, '\0');
+  std::size_t refused = 0;
+  for (Tcp::socket& socket : sockets) {
+    boost::system::error_code error;
+    if (socket.available(error) < answer.size()) continue;
+    boost::asio::read(socket, boost::asio::buffer(answer), error);
+    CHECK(answer == "HTTP/1.1 503");
+    ++refused;
+  }
+  CHECK(refused == budget.evicted());
+  CHECK(requests == 0);
+  Tcp::socket ordinary(context);
+  ordinary.connect(ParseEndpoint(server.address()).value());
+  boost::asio::write(ordinary,
+                     boost::asio::buffer("GET / HTTP/1.1\r\n\r\n", 18));
+  context.run_for(std::chrono::milliseconds(20));
+  CHECK(requests == 1);
+}
+
 }  // namespace foxquay::net
