--- a/src/foxquay/net/client.cc
+++ b/src/foxquay/net/client.cc
@@ -232,6 +232,7 @@
       connection.parser->eager(true);
       connection.parser->header_limit(internal::kMaxHeaderBytes);
       connection.parser->body_limit(internal::kMaxBodyBytes);
+      connection.head_bytes = 0;
     }
     Parser& parser = *connection.parser;
     boost::beast::error_code error;
@@ -247,8 +248,12 @@
       if (!HandleComplete(id)) return false;
       continue;
     }
+    // The parser limits each part of a head that arrives, but not their sum.
+    if (!parser.is_header_done()) connection.head_bytes += used;
+    const std::size_t head =
+        parser.is_header_done() ? 0 : connection.head_bytes;
     if (used > 0 && !error) continue;
-    if (connection.in.size() <= internal::kMaxHeaderBytes) return true;
+    if (head + connection.in.size() <= internal::kMaxHeaderBytes) return true;
     Fail(id, connection.head_reported ? Failure::kCut : Failure::kMalformed);
     return false;
   }
--- a/src/foxquay/net/client.h
+++ b/src/foxquay/net/client.h
@@ -99,6 +99,7 @@
     std::string in;
     std::string out;
     std::optional<Parser> parser;
+    std::size_t head_bytes = 0;  ///< Parsed bytes of an incomplete head.
     bool connected = false;
     bool head_reported = false;  ///< The head was passed to the handler.
     /// The response is an interim one or belongs to another request.
