--- a/tests/foxquay/relay/chain_mix_test.cc
+++ b/tests/foxquay/relay/chain_mix_test.cc
@@ -327,7 +327,9 @@
         host.SetOpenRequests(static_cast<double>(open.size()));
       }
     }
-    for (due += per_second * 0.05; due >= 1; --due) {
+    due += per_second * 0.05;
+    while (due >= 1) {
+      --due;
       const std::size_t index = next_host++ % hosts.size();
       NoPath reason{};
       const auto hops =
