--- a/src/foxquay/net/buffer_budget.cc
+++ b/src/foxquay/net/buffer_budget.cc
@@ -75,8 +75,9 @@
   if (uses_.size() <= limits_.connections) return;
   const std::size_t kept =
       limits_.connections - limits_.connections / internal::kEvictedPart;
-  while (uses_.size() > kept && !by_age_.empty())
+  while (uses_.size() > kept && !by_age_.empty()) {
     Evict(by_age_.begin()->second);
+  }
 }
 
 void BufferBudget::Evict(const Key& key) {
