--- a/tests/platform/crowds/crowd_test.cc
+++ b/tests/platform/crowds/crowd_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/crowds/endless_upstream.h"
 #include "platform/scenarios/scenario.h"
 
 namespace foxquay::platform::crowds {
@@ -277,6 +278,38 @@
   cluster.Check();
 }
 
+TEST_CASE("a process outlives upstreams that send without end") {
+  SmallCluster cluster;
+  scenarios::Scenario& scenario = cluster.scenario();
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string bytes = Block("x");
+  EndlessUpstream upstream(
+      scenario.context(),
+      {{"", bytes},
+       {ok + "Name: ", bytes},
+       {ok, "Name: " + std::string(1000, 'x') + "\r\n"},
+       {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+       {chunked + "1;x=", bytes},
+       {chunked, Block("1\r\nx\r\n")},
+       {chunked + "1\r\na\r\n0\r\n", Block("Name: x\r\n")},
+       {ok + "\r\n", bytes},
+       {"HTTP/1.1 503 Service Unavailable\r\n\r\n", bytes}});
+  scenario.KeepAnnouncing(
+      "endless",
+      R"({"service":"app","address":")" + upstream.address() +
+          R"(","zone":"east","version":"v1","slots":64,"state":"ready",)"
+          R"("cold_left_ms":0,"born":1000,"seq":SEQ})");
+  for (std::size_t caller = 0; caller < kCallers; ++caller) {
+    for (std::size_t entry = 0; entry < soak::kEntryHosts; ++entry) {
+      scenario.SendPlain("read", entry);
+    }
+    scenario.RunFor(std::chrono::milliseconds(20));
+  }
+  CHECK(upstream.begun() > 0);
+  cluster.Check();
+}
+
 TEST_CASE("a single request of the largest size is served in calm") {
   SmallCluster cluster;
   cluster.scenario().SendLarge("book", 0, kBodyBytes);
