--- a/review/common2/plain.py
+++ b/review/common2/plain.py
@@ -14,7 +14,9 @@
 class Scene:
     def __init__(self, folder, fronts=2):
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
-        self.file = open(os.path.join(folder, 'record.txt'), 'w')
+        path = os.path.join(folder, 'record.txt')
+        open(path, 'w').close()
+        self.file = open(path, 'a')
         self.begin = time.monotonic()
         self.cluster = cluster.Cluster(fronts)
         self.workers = []
