Tell no caller "not run" without the upstream's statement

What callers saw: an upstream ran a request that may run once, failed, and answered 503 or 429 without stating that it had not run it.

Cause: the status of a response was passed on as the upstream's word. What the relay had decided, 502, was dropped in favour of the upstream's own response, and a 429 or 408 counted as a complete answer. Other hosts' refusals were checked, those of upstreams were not.

Change: Judge has one more verdict, an unproven refusal: 408, 421, 429 or 503 to a request that may run once, without a statement that it has not run or with a signature beside it, from an upstream or passed on by another host. It is never passed on; the request counts as one that may have run, so that the caller gets 502 without a stamp and without Retry-After. send_lost states the verdict.

Why it works: the verdict is reached at the head, before any of the paths that pass a response on (whole, in pieces, through a partner) looks at the status.

The upstream of two existing tests answers 304 and 404; it signs these now, as the platform's workers do.

--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -367,7 +367,7 @@
   void ProbeAfterLoss(const core::UpstreamId& upstream,
                       const std::string& address, const Prober::Done& done);
   /// Passes on what another host has refused, unless it promises that a request
-  /// has not run which this host may have had run before.
+  /// has not run which may have run.
   void FinishPartnerRefusal(core::RequestId id, const net::Response& response);
   /// Handles the end of a response that is not a stream.
   void FinishResponse(core::RequestId id);
--- a/src/foxquay/gateway/proxy_hedges.cc
+++ b/src/foxquay/gateway/proxy_hedges.cc
@@ -61,7 +61,9 @@
   Hedge& hedge = *job.hedge;
   hedge.head_at = net::SteadyNow();
   hedge.status = status;
-  hedge.verdict = Judge(status, info, /*via_partner=*/false);
+  hedge.verdict = Judge(
+      status, info,
+      {relay_.MayRepeat(id), /*via_partner=*/false, relay_.MayHaveRun(id)});
   if (hedge.verdict == Verdict::kNoAnswer) {
     RecordNoAnswer(id, path, status, info);
     client_.Cancel(call);
@@ -158,6 +160,7 @@
               {"way", relay::FormatPath(path)},
               {"fault", loss.fault_address},
               {"status", job.hedge->status},
+              {"verdict", job.hedge->head_at ? Name(job.hedge->verdict) : ""},
               {"workspace", job.workspace},
               {"digest", job.digest},
               {"parts", quarantine::Format(job.caller.prompt_parts)},
--- a/src/foxquay/gateway/proxy_losses.cc
+++ b/src/foxquay/gateway/proxy_losses.cc
@@ -49,6 +49,7 @@
               {"way", relay::FormatPath(relay_.Path(id))},
               {"fault", loss.fault_address},
               {"status", job.status},
+              {"verdict", job.head_at ? Name(job.verdict) : ""},
               {"workspace", job.workspace},
               {"digest", job.digest},
               {"parts", quarantine::Format(job.caller.prompt_parts)},
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -19,6 +19,9 @@
 /// silence.
 constexpr core::Duration kSweepInterval = std::chrono::milliseconds(100);
 
+/// Status of a refusal that promises nothing: the request may have run.
+constexpr unsigned kMayHaveRun = 502;
+
 /// Status of a success that has no body.
 constexpr unsigned kNoContent = 204;
 
@@ -38,12 +41,6 @@
          request.method != "HEAD";
 }
 
-/// Returns whether a status tells callers that the request has not run and will
-/// not.
-bool PromisesNotRun(unsigned status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 bool IsEventStream(const net::Fields& fields) {
   const auto type = fields[boost::beast::http::field::content_type];
   return type.substr(0, 17) == "text/event-stream";
@@ -236,7 +233,8 @@
   Job& job = jobs_.at(id);
   const bool via_partner = relay_.ViaPartner(id);
   const ResponseInfo info = protocol_.read_response(status, fields);
-  job.verdict = Judge(status, info, via_partner);
+  job.verdict = Judge(
+      status, info, {relay_.MayRepeat(id), via_partner, relay_.MayHaveRun(id)});
   job.status = status;
   job.head_at = net::SteadyNow();
   const auto& hops = relay_.Path(id);
@@ -447,23 +445,17 @@
 
 void Proxy::FinishPartnerRefusal(core::RequestId id,
                                  const net::Response& response) {
-  // The other host cannot know that an earlier send of this one may have run.
-  const bool untrue =
-      internal::PromisesNotRun(response.status) && relay_.MayHaveRun(id);
+  const bool proven = jobs_.at(id).verdict == Verdict::kAnswer;
   // It is no evidence that an upstream has answered the request.
   relay_.Abandon(id);
-  const Job job = TakeJob(id);
-  if (!untrue) {
-    RecordEnd(job, response.status, "partner-refused", "");
-    server_.Respond(job.exchange, response);
+  if (!proven) {
+    Execute(id, relay::Refuse{internal::kMayHaveRun, std::nullopt,
+                              "refused by another host after it may have run"});
     return;
   }
-  constexpr unsigned kMayHaveRun = 502;
-  const std::string reason = "refused by another host after it may have run";
-  net::Response refusal = net::MakeRefusal(kMayHaveRun, reason, std::nullopt);
-  refusal.fields.set(protocol_.id_field, job.caller.id);
-  RecordEnd(job, kMayHaveRun, "unknown", reason);
-  server_.Respond(job.exchange, refusal);
+  const Job job = TakeJob(id);
+  RecordEnd(job, response.status, "partner-refused", "");
+  server_.Respond(job.exchange, response);
 }
 
 void Proxy::FinishResponse(core::RequestId id) {
@@ -476,14 +468,17 @@
     return;
   }
   const Verdict verdict = job.verdict;
-  if (job.hedge && verdict == Verdict::kFailure) {
+  const bool via_partner = relay_.ViaPartner(id);
+  // Its status would promise what the upstream has not stated.
+  const bool withheld = verdict == Verdict::kUnprovenRefusal && !via_partner;
+  if (withheld || (job.hedge && verdict == Verdict::kFailure)) {
     HandleLoss(id, {relay::LossKind::kError, job.fault_address, false});
     return;
   }
   DropHedge(id);
   const net::ExchangeId exchange = job.exchange;
   const net::Response response = std::move(job.response);
-  if (relay_.ViaPartner(id) && response.status / 100 != 2) {
+  if (via_partner && response.status / 100 != 2) {
     FinishPartnerRefusal(id, response);
     return;
   }
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -83,6 +83,11 @@
   [[nodiscard]] Decision EndForShutdown(core::RequestId id,
                                         core::Duration retry_after,
                                         core::Instant now);
+  /// Returns whether a request may run more than once. Precondition: the request
+  /// is known.
+  [[nodiscard]] bool MayRepeat(core::RequestId id) const {
+    return Repeatable(*requests_.at(id).context.route);
+  }
   /// Returns whether the current send of a request goes to another host.
   /// Precondition: the request is known.
   [[nodiscard]] bool ViaPartner(core::RequestId id) const;
--- a/tests/foxquay/gateway/early_end_test.cc
+++ b/tests/foxquay/gateway/early_end_test.cc
@@ -187,9 +187,9 @@
 // The status says it all, and no length is due.
 TEST_CASE("an empty answer without a length may be a failure or no content") {
   const unsigned status = GENERATE(204U, 304U, 404U);
-  EarlyEndFixture fixture(
-      Place::kUpstream,
-      {{"HTTP/1.1 " + std::to_string(status) + " X\r\nName: r1\r\n\r\n"}});
+  EarlyEndFixture fixture(Place::kUpstream,
+                          {{"HTTP/1.1 " + std::to_string(status) +
+                            " X\r\nName: r1\r\nStamp: s\r\n\r\n"}});
   CHECK(fixture.AwaitResponse(fixture.Send("/once/1")).status == status);
 }
 
--- a/tests/foxquay/gateway/proxy_fixture.h
+++ b/tests/foxquay/gateway/proxy_fixture.h
@@ -43,8 +43,8 @@
 };
 
 /// Returns a protocol with the plain fields Name, Key, Workspace, Expected,
-/// After, Parts, Not-Run, Leaving and Pause. Responses are signed unless they
-/// have the field Unsigned.
+/// After, Parts, Not-Run, Leaving and Pause. Successes are signed, and other
+/// responses with the field Stamp, but none with the field Unsigned.
 inline Protocol MakeProtocol() {
   Protocol protocol;
   protocol.id_field = "Name";
@@ -70,10 +70,12 @@
       fields.set("After", std::to_string(*forwarding.resume_after));
     }
   };
-  protocol.read_response = [](unsigned, const net::Fields& fields) {
+  protocol.read_response = [](unsigned status, const net::Fields& fields) {
     ResponseInfo info;
     info.not_run = fields.find("Not-Run") != fields.end();
-    info.is_signed = fields.find("Unsigned") == fields.end();
+    const bool stamped = fields.find("Stamp") != fields.end();
+    info.is_signed = (status / 100 == 2 || stamped) &&
+                     fields.find("Unsigned") == fields.end();
     info.is_encoded = fields.find("Content-Encoding") != fields.end();
     info.leaving = fields.find("Leaving") != fields.end();
     if (fields.find("Pause") != fields.end()) {
@@ -139,7 +141,9 @@
     fleet.services.push_back({core::ServiceId("app"), 10, std::nullopt});
     fleet.routes = {MakeRoute("/once/", schema::RequestKind::kAtMostOnce),
                     MakeRoute("/safe/", schema::RequestKind::kRepeatable),
-                    MakeRoute("/stream/", schema::RequestKind::kStream)};
+                    MakeRoute("/stream/", schema::RequestKind::kStream),
+                    MakeRoute("/live/", schema::RequestKind::kStream)};
+    fleet.routes.back().resumable = false;
     fleet.workspaces.push_back(
         {core::WorkspaceId("w"), {"secret"}, std::nullopt});
     table = std::make_shared<const fleet::Table>(fleet);
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -399,7 +399,7 @@
   const std::string second = GENERATE_COPY(
       "HTTP/1.1 500 Error\r\nName: r1\r\n" + length,
       "HTTP/1.1 503 Busy\r\nName: r1\r\nNot-Run: 1\r\n" + length,
-      "HTTP/1.1 404 Not Found\r\nName: r1\r\n" + length,
+      "HTTP/1.1 404 Not Found\r\nName: r1\r\nStamp: s\r\n" + length,
       "HTTP/1.1 200 OK\r\nName: r1\r\nContent-Type: text/plain\r\n" + length,
       "HTTP/1.1 500 Error\r\nName: r1\r\n\r\n" + text,
       // An error that claims to be a stream, in several forms.
