Take only what is a response of HTTP/1 for one

What callers saw: an upstream sent an answer with the status 000, and the caller got it as "HTTP/1.1 0 <unknown-status>" with its body.

Cause: that a parser succeeds was taken for the statement that the bytes are a response. Boost.Beast leaves the status, the codings and lists of lengths to its user; libcurl leaves names, values and trailers as well, and http::Transfer cut blanks off names and skipped lines without a colon.

A coding that was dropped together with the chunks gave the caller other bytes than the upstream had framed.

Why it works: both readers decide before a head is reported to any user, so that proxies, hedges, partners, inquiries, orders, legs, services and the command line are covered at once.

Malformed names, values and trailers were lost answers to net::Client already, which the tests now keep.

--- a/src/foxquay/http/transfer.cc
+++ b/src/foxquay/http/transfer.cc
@@ -8,55 +8,105 @@
 #include <cstddef>
 #include <memory>
 
+#include "foxquay/net/grammar.h"
+
 namespace foxquay::http {
 namespace internal {
 
+/// Removes spaces and tabs from both ends of a text.
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kSpace = " \t";
+  const std::size_t begin = text.find_first_not_of(kSpace);
+  if (begin == std::string_view::npos) return {};
+  const std::size_t end = text.find_last_not_of(kSpace);
+  return text.substr(begin, end - begin + 1);
+}
+
 /// Reads the head of a response line by line. libcurl reports success if the
-/// connection closes after the status line; the empty line shows that the head
-/// is whole.
+/// connection closes after the status line, and takes each status and each name
+/// of a field; a line that is no part of a response ends the call.
 class HeadReader {
  public:
-  void Put(std::string_view line) {
-    if (whole()) return;
-    while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
-      line.remove_suffix(1);
-    }
-    const std::size_t colon = line.find(':');
-    if (line.empty()) {
-      ended_ = true;
-    } else if (line.starts_with("HTTP/")) {
-      Begin(line);
-    } else if (colon != std::string_view::npos) {
-      head_.headers.emplace_back(Trim(line.substr(0, colon)),
-                                 Trim(line.substr(colon + 1)));
-    }
+  /// Reads the next line of a head, or of the trailer, which is not kept.
+  /// Returns false if it is malformed.
+  [[nodiscard]] bool Put(std::string_view line) {
+    if (line.ends_with('\n')) line.remove_suffix(1);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (whole()) return line.empty() || ReadField(line, trailer_);
+    if (!in_head_) return Begin(line);
+    if (!line.empty()) return ReadField(line, head_.headers);
+    in_head_ = false;
+    ended_ = true;
+    return IsFramed();
   }
 
   /// Returns whether the head has ended and is not that of an interim response.
   [[nodiscard]] bool whole() const noexcept {
-    return ended_ && head_.status / 100 > 1;
+    return ended_ && net::IsFinalStatus(head_.status);
   }
   [[nodiscard]] TransferHead& head() noexcept { return head_; }
 
  private:
-  void Begin(std::string_view status_line) {
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+
+  [[nodiscard]] bool Begin(std::string_view line) {
+    // HTTP/1.x, a space, three digits, and nothing or a space and the reason.
+    constexpr std::string_view kVersion = "HTTP/1.";
+    constexpr std::size_t kStatusAt = kVersion.size() + 2;
+    constexpr std::size_t kEnd = kStatusAt + 3;
     head_ = {};
+    in_head_ = true;
     ended_ = false;
-    const std::size_t space = status_line.find(' ');
-    if (space == std::string_view::npos) return;
-    const std::string_view status = status_line.substr(space + 1);
-    std::from_chars(status.data(), status.data() + status.size(), head_.status);
+    const bool whole_line = line.starts_with(kVersion) && line.size() >= kEnd &&
+                            line[kStatusAt - 1] == ' ' &&
+                            net::IsLength(line.substr(kStatusAt, 3)) &&
+                            (line.size() == kEnd || line[kEnd] == ' ');
+    if (!whole_line) return false;
+    std::from_chars(line.data() + kStatusAt, line.data() + kEnd, head_.status);
+    return net::IsFinalStatus(head_.status) ||
+           net::IsInterimStatus(head_.status);
+  }
+
+  [[nodiscard]] static bool ReadField(std::string_view line, Fields& fields) {
+    if (!net::IsFieldValue(line)) return false;
+    if (line.front() == ' ' || line.front() == '\t') {
+      // The line continues the value before it (RFC 9112, 5.2).
+      if (fields.empty()) return false;
+      fields.back().second += ' ';
+      fields.back().second += Trim(line);
+      return true;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) return false;
+    const std::string_view name = line.substr(0, colon);
+    if (!net::IsToken(name)) return false;
+    fields.emplace_back(name, Trim(line.substr(colon + 1)));
+    return true;
   }
 
-  static std::string Trim(std::string_view text) {
-    constexpr std::string_view kSpace = " \t";
-    const std::size_t begin = text.find_first_not_of(kSpace);
-    if (begin == std::string_view::npos) return {};
-    const std::size_t end = text.find_last_not_of(kSpace);
-    return std::string(text.substr(begin, end - begin + 1));
+  /// Returns whether the head states one framing at most: a length, chunks or
+  /// the end of the connection. Other codings would change the body.
+  [[nodiscard]] bool IsFramed() const {
+    std::size_t stated = 0;
+    for (const auto& [name, value] : head_.headers) {
+      const char* const text = value.c_str();
+      if (curl_strequal(name.c_str(), "Content-Length") != 0) {
+        ++stated;
+        if (!net::IsLength(value)) return false;
+      } else if (curl_strequal(name.c_str(), "Transfer-Encoding") != 0) {
+        ++stated;
+        if (curl_strequal(text, "chunked") == 0 &&
+            curl_strequal(text, "identity") == 0) {
+          return false;
+        }
+      }
+    }
+    return stated <= 1;
   }
 
   TransferHead head_;
+  Fields trailer_;
+  bool in_head_ = false;
   bool ended_ = false;
 };
 
@@ -80,8 +130,10 @@
 
 std::size_t ReadHeadLine(char* data, std::size_t size, std::size_t count,
                          void* reader) {
-  static_cast<HeadReader*>(reader)->Put({data, size * count});
-  return size * count;
+  // Any other number than that of the bytes ends the call.
+  const bool valid =
+      static_cast<HeadReader*>(reader)->Put({data, size * count});
+  return valid ? size * count : 0;
 }
 
 std::size_t ReadBody(char* data, std::size_t size, std::size_t count,
--- a/src/foxquay/http/transfer.h
+++ b/src/foxquay/http/transfer.h
@@ -30,7 +30,8 @@
 
 /// Sends a request on a new connection and blocks until it has ended. Returns
 /// the head of the response, or nothing unless the whole response arrived:
-/// also its head must have ended before the connection did. Thread-safe.
+/// also its head must have ended before the connection did, and each line of it
+/// and of the trailer must be one of HTTP/1. Thread-safe.
 ///
 /// @param on_bytes Takes parts of the body; returns false to end the call.
 [[nodiscard]] std::optional<TransferHead> Transfer(
--- a/src/foxquay/net/client.cc
+++ b/src/foxquay/net/client.cc
@@ -3,11 +3,14 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
 #include <charconv>
 #include <chrono>
+#include <iterator>
 #include <limits>
 #include <utility>
 
+#include "foxquay/net/grammar.h"
 #include "foxquay/net/parse.h"
 
 namespace foxquay::net {
@@ -54,6 +57,37 @@
   return std::chrono::milliseconds(500) * seconds;
 }
 
+/// Returns whether a head states one framing at most: a length, chunks or the
+/// end of the connection. Other codings, which no request has asked for, would
+/// change the body (RFC 9112, 6).
+bool IsFramed(const Fields& fields) {
+  const auto lengths = fields.equal_range(http::field::content_length);
+  const auto codings = fields.equal_range(http::field::transfer_encoding);
+  const auto stated = std::distance(lengths.first, lengths.second) +
+                      std::distance(codings.first, codings.second);
+  if (stated == 0) return true;
+  if (stated > 1) return false;
+  if (lengths.first != lengths.second) {
+    const auto length = lengths.first->value();
+    return IsLength({length.data(), length.size()});
+  }
+  const auto coding = codings.first->value();
+  return boost::beast::iequals(coding, "chunked") ||
+         boost::beast::iequals(coding, "identity");
+}
+
+/// Returns whether a parsed head is that of a response of HTTP/1.0 or HTTP/1.1.
+/// The parser has checked the names and values of its fields, but takes each
+/// number of three digits for a status.
+template <class Head>
+bool IsResponse(const Head& head) {
+  constexpr unsigned kMinVersion = 10;
+  constexpr unsigned kMaxVersion = 11;
+  const unsigned status = head.result_int();
+  return head.version() >= kMinVersion && head.version() <= kMaxVersion &&
+         (IsFinalStatus(status) || IsInterimStatus(status)) && IsFramed(head);
+}
+
 }  // namespace internal
 
 const char* Name(Failure failure) noexcept {
@@ -265,10 +299,14 @@
   const CallId call = *connection.call;
   auto& message = connection.parser->get();
   if (!connection.head_reported && !connection.discarding) {
+    if (!internal::IsResponse(message)) {
+      Fail(id, Failure::kMalformed);
+      return false;
+    }
     const CallOptions& options = connection.options;
     const auto echo = options.echo_field.empty() ? boost::beast::string_view()
                                                  : message[options.echo_field];
-    const bool interim = message.result_int() / 100 == 1;
+    const bool interim = IsInterimStatus(message.result_int());
     const bool other =
         !echo.empty() &&
         std::string_view(echo.data(), echo.size()) != options.echo_value;
--- a/tests/foxquay/http/client_test.cc
+++ b/tests/foxquay/http/client_test.cc
@@ -138,4 +138,61 @@
   }
 }
 
+// A name with a blank at its ends was passed on without it, and a line without
+// a colon was skipped.
+TEST_CASE("what cannot be a response of HTTP/1 is no reply") {
+  const std::string body = "Content-Length: 2\r\n\r\nok";
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
+  const std::string bytes = GENERATE_COPY(
+      "HTTP/1.1 000 X\r\n" + body, "HTTP/1.1 099 X\r\n" + body,
+      "HTTP/1.1 600 X\r\n" + body, "HTTP/1.1 20 X\r\n" + body,
+      "HTTP/1.1 2x0 X\r\n" + body, "HTTP/1.1 2000 X\r\n" + body,
+      "HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n" + ok + body,
+      "HTTP/1.1200 X\r\n" + body, ok + "A B: c\r\n" + body,
+      ok + "A\x01: c\r\n" + body, ok + "A\tB: c\r\n" + body,
+      ok + std::string("A\0: c\r\n", 7) + body, ok + "A\x7f: c\r\n" + body,
+      ok + "A\xc3\xa4: c\r\n" + body, ok + "A : c\r\n" + body,
+      ok + ": c\r\n" + body, ok + "no colon\r\n" + body,
+      ok + " A: c\r\n" + body, ok + "\tA: c\r\n" + body,
+      ok + "A: c\x01\r\n" + body, ok + "A: c\x7f\r\n" + body,
+      ok + "A: c\rd\r\n" + body, ok + "Content-Length: 3\r\n" + body,
+      ok + "Content-Length: +2\r\n\r\nok", ok + "Content-Length: -2\r\n\r\nok",
+      ok + "Content-Length: 2, 2\r\n\r\nok",
+      ok + "Content-Length: 2x\r\n\r\nok",
+      ok + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n" + chunks,
+      ok + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n" + chunks,
+      ok + "Transfer-Encoding: gzip, chunked\r\n" + chunks,
+      ok + "Transfer-Encoding: gzip\r\n\r\nok",
+      ok + "Transfer-Encoding: identity\r\n" + body,
+      ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA B: c\r\n\r\n",
+      ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA\r\n\r\n");
+  CAPTURE(bytes);
+  const RawServer server(bytes);
+  const ServiceResult result = Call(server);
+  CHECK(result.sent);
+  CHECK_FALSE(result.reply);
+  CHECK(Leg(server) == dispatch::LegEnd::kFailed);
+}
+
+TEST_CASE("unusual responses of HTTP/1 are replies") {
+  const std::string bytes =
+      GENERATE("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+               "HTTP/1.1 200 OK\r\nContent-Length:2 \r\n\r\nok",
+               "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: \xc3\xa4\tx\r\nA:\r\n"
+               "Content-Length: 2\r\n\r\nok",
+               "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 2\r\n\r\nok",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"
+               "2;x=y\r\nok\r\n0\r\nA: b\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nok",
+               "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+               "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  CAPTURE(bytes);
+  const RawServer server(bytes);
+  const ServiceResult result = Call(server);
+  REQUIRE(result.reply);
+  CHECK(result.reply->status == 200);
+  CHECK(result.reply->body == "ok");
+}
+
 }  // namespace foxquay::http
--- a/tests/foxquay/net/exchange_test.cc
+++ b/tests/foxquay/net/exchange_test.cc
@@ -274,6 +274,102 @@
   CHECK(fixture.Run(peer.address()).failure == Failure::kLost);
 }
 
+// A status of 000 was passed on as an answer, as were codings that the caller
+// could not know of.
+TEST_CASE("what cannot be a response of HTTP/1 fails the call") {
+  const std::string body = "Content-Length: 2\r\n\r\nok";
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
+  const std::string head = GENERATE_COPY(
+      "HTTP/1.1 000 X\r\n" + body, "HTTP/1.1 000\r\n" + body,
+      "HTTP/1.1 001 X\r\n" + body, "HTTP/1.1 099 X\r\n" + body,
+      "HTTP/1.1 600 X\r\n" + body, "HTTP/1.1 999 X\r\n" + body,
+      "HTTP/1.1 20 X\r\n" + body, "HTTP/1.1 2000 X\r\n" + body,
+      "HTTP/1.1 2x0 X\r\n" + body, "HTTP/1.1 -20 X\r\n" + body,
+      "HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n" + ok + body,
+      "HTTP/2.0 200 X\r\n" + body, "HTTP/0.9 200 X\r\n" + body,
+      "HTTP/1.1200 X\r\n" + body, "HTTP/1.1\r\n" + body,
+      // Names of fields.
+      ok + "A B: c\r\n" + body, ok + "A\x01: c\r\n" + body,
+      ok + "A\tB: c\r\n" + body, ok + std::string("A\0: c\r\n", 7) + body,
+      ok + "A\x7f: c\r\n" + body, ok + "A\xc3\xa4: c\r\n" + body,
+      ok + "A : c\r\n" + body, ok + ": c\r\n" + body, ok + "(A): c\r\n" + body,
+      ok + "no colon\r\n" + body, ok + " A: c\r\n" + body,
+      ok + "\tA: c\r\n" + body,
+      // Values of fields.
+      ok + "A: c\x01\r\n" + body, ok + std::string("A: \0\r\n", 6) + body,
+      ok + "A: c\x7f\r\n" + body, ok + "A: c\rd\r\n" + body,
+      // Lengths and codings.
+      ok + "Content-Length: 3\r\n" + body, ok + "Content-Length: +2\r\n\r\nok",
+      ok + "Content-Length: -2\r\n\r\nok",
+      ok + "Content-Length: 2, 2\r\n\r\nok",
+      ok + "Content-Length: 2x\r\n\r\nok", ok + "Content-Length:\r\n\r\nok",
+      ok + "Content-Length: 99999999999999999999\r\n\r\nok",
+      ok + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n" + chunks,
+      ok + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n" + chunks,
+      ok + "Transfer-Encoding: gzip\r\n" + body,
+      ok + "Transfer-Encoding: gzip\r\n\r\nok",
+      ok + "Transfer-Encoding: gzip, chunked\r\n" + chunks,
+      ok + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" + chunks,
+      ok + "Transfer-Encoding: chunked, identity\r\n\r\nok",
+      ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" +
+          chunks,
+      ok + "Transfer-Encoding: identity\r\n" + body,
+      ok + "Transfer-Encoding:\r\n\r\nok");
+  CAPTURE(head);
+  Fixture fixture;
+  Peer peer(fixture.context);
+  peer.close = true;
+  peer.responses = {head};
+  const CallResult result = fixture.Run(peer.address());
+  CHECK(result.failure == Failure::kMalformed);
+  CHECK(result.status == 0);
+  CHECK(result.body.empty());
+}
+
+// Fields of a trailer are not passed on, but show that the bytes before them
+// were not those of a response.
+TEST_CASE("a response with a malformed trailer is not complete") {
+  const std::string trailer =
+      GENERATE(std::string("A B: c"), std::string("A : c"), std::string(": c"),
+               std::string("A\x01: c"), std::string("no colon"),
+               std::string(" A: c"), std::string("A: c\x01"));
+  CAPTURE(trailer);
+  Fixture fixture;
+  Peer peer(fixture.context);
+  peer.close = true;
+  peer.responses = {
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nok\r\n0\r\n" +
+      trailer + "\r\n\r\n"};
+  const CallResult result = fixture.Run(peer.address());
+  CHECK(result.failure);
+  CHECK_FALSE(result.ended);
+}
+
+TEST_CASE("unusual responses of HTTP/1 are read") {
+  const std::string response =
+      GENERATE("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+               "HTTP/1.1 200 OK\r\nContent-Length:2 \r\n\r\nok",
+               "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: \xc3\xa4\tx\r\nA:\r\n"
+               "Content-Length: 2\r\n\r\nok",
+               "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 2\r\n\r\nok",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"
+               "2;x=y\r\nok\r\n0\r\nA: b\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nok",
+               "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+               "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  CAPTURE(response);
+  Fixture fixture;
+  Peer peer(fixture.context);
+  peer.close = true;
+  peer.responses = {response};
+  const CallResult result = fixture.Run(peer.address());
+  CHECK(result.status == 200);
+  CHECK(result.body == "ok");
+  CHECK(result.ended);
+}
+
 // Guards against callers that get an error while their upstream, which sends
 // the head first, still prepares the body.
 TEST_CASE("a response whose body comes after its head is not malformed") {
