Take a leg for refused only if its upstream states so

What callers could see: a request to a model ended as not-run although an upstream had executed a part of its leg and then failed with 4xx or 503.

Cause: each status of 4xx and 503 counted as a refusal before anything was executed; the outcome not-run rests on that.

Change: a refusal is a status from 400 on with X-Foxquay-Outcome: not-run, as foxquay's own answers state it.

--- a/src/foxquay/http/client.cc
+++ b/src/foxquay/http/client.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/beast/core/string.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <string_view>
@@ -17,6 +18,8 @@
 constexpr std::size_t kMaxLineBytes = 1048576;
 constexpr std::size_t kMaxReplyBytes = 16777216;
 constexpr std::chrono::seconds kCancelTimeout{2};
+/// Header in which an upstream states that it executed nothing of a leg.
+constexpr const char* kOutcomeHeader = "X-Foxquay-Outcome";
 
 /// Splits the response of a leg into lines and passes on its tokens.
 class LegReader {
@@ -114,10 +117,15 @@
   return body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-/// Returns whether a status means that the upstream refused a leg before
-/// executing any of it.
-bool IsRefusal(std::uint32_t status) {
-  return (status >= 400 && status < 500) || status == 503;
+/// Returns whether the upstream states that it refused a leg before executing
+/// any of it. The status alone does not: an upstream may fail with any.
+bool IsRefusal(const TransferHead& head) {
+  return head.status >= 400 &&
+         std::any_of(
+             head.headers.begin(), head.headers.end(), [](const auto& header) {
+               return boost::beast::iequals(header.first, kOutcomeHeader) &&
+                      header.second == "not-run";
+             });
 }
 
 }  // namespace internal
@@ -137,7 +145,7 @@
       [&reader](std::string_view bytes) { return reader.Append(bytes); });
   if (reader.result()) return *reader.result();
   LegResult result;
-  if (response && internal::IsRefusal(response->status)) {
+  if (response && internal::IsRefusal(*response)) {
     result.end = dispatch::LegEnd::kRefused;
   }
   result.culprit = head.upstream;
