Reject requests whose body has no known length

Cause: Boost.Beast takes such a request for one without a body, and net::Server handed on whatever the parser had completed.

Change: the framing is checked as soon as a head is complete, before anything behind it is read. RFC 9112, 6.3: a last coding other than chunked gets 400, and the connection is closed; so do chunked twice and a length beside a coding. 501 for a further coding before chunked (6.1), which would change the body.

Why it works: all listeners share the server, and no byte behind a rejected head is parsed.

Nine of the 19 heads of "a request whose body has no known length is rejected" fail before, none does now; the others are guards.

--- a/src/foxquay/net/server.cc
+++ b/src/foxquay/net/server.cc
@@ -3,8 +3,11 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <chrono>
 #include <iterator>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -78,6 +81,32 @@
   return 400;
 }
 
+/// Returns the status by which a request is rejected whose body has no length
+/// that this server can know (RFC 9112, 6.1 and 6.3); nothing if it has one.
+/// The bytes of such a body would be taken for the next request.
+template <class Head>
+std::optional<unsigned> FramingError(const Head& head) {
+  constexpr unsigned kBadRequest = 400;
+  constexpr unsigned kNotImplemented = 501;
+  const auto [first, end] = head.equal_range(http::field::transfer_encoding);
+  if (first == end) return std::nullopt;
+  std::size_t codings = 0;
+  std::size_t chunked = 0;
+  bool chunked_last = false;
+  for (auto field = first; field != end; ++field) {
+    for (const auto& coding : http::token_list(field->value())) {
+      chunked_last = boost::beast::iequals(coding, "chunked");
+      chunked += chunked_last ? 1 : 0;
+      ++codings;
+    }
+  }
+  const bool valid = chunked_last && chunked == 1 && head.version() > 10 &&
+                     head.find(http::field::content_length) == head.end();
+  if (!valid) return kBadRequest;
+  if (codings > 1) return kNotImplemented;
+  return std::nullopt;
+}
+
 }  // namespace internal
 
 Server::Server(boost::asio::io_context& context, ServerHandlers handlers)
@@ -235,6 +264,12 @@
       Reject(id, internal::StatusFor(error));
       return false;
     }
+    if (in_head && parser.is_header_done()) {
+      if (const auto status = internal::FramingError(parser.get())) {
+        Reject(id, *status);
+        return false;
+      }
+    }
     // The parser limits each part of a head that arrives, but not their sum,
     // and neither the line before a chunk nor the trailer.
     const std::size_t pending = need_more ? connection.in.size() : 0;
--- a/tests/foxquay/net/exchange_test.cc
+++ b/tests/foxquay/net/exchange_test.cc
@@ -599,6 +599,53 @@
   CHECK(requests == 0);
 }
 
+// review/10: such a request ran without its body, and the bytes of the body ran
+// as a request of their own.
+TEST_CASE("a request whose body has no known length is rejected") {
+  struct Case {
+    std::string fields;
+    unsigned status;
+  };
+  const std::string coding = "Transfer-Encoding: ";
+  const std::string length = "Content-Length: 4\r\n";
+  const Case request = GENERATE_COPY(
+      Case{coding + "identity\r\n", 400}, Case{coding + "gzip\r\n", 400},
+      Case{coding + "chunked, identity\r\n", 400},
+      Case{coding + "chunked, chunked\r\n", 400},
+      Case{coding + "chunked\r\n" + coding + "chunked\r\n", 400},
+      Case{coding + "chunked\r\n" + coding + "gzip\r\n", 400},
+      Case{coding + "\r\n", 400}, Case{coding + "xchunked\r\n", 400},
+      Case{coding + "identity\r\n" + length, 400},
+      Case{length + coding + "identity\r\n", 400},
+      Case{coding + "chunked\r\n" + length, 400},
+      Case{length + coding + "chunked\r\n", 400},
+      Case{coding + "gzip, chunked\r\n", 501},
+      Case{coding + "gzip\r\n" + coding + "chunked\r\n", 501},
+      // A name that another reader may take for that of a framing field.
+      Case{"Transfer-Encoding : chunked\r\n", 400},
+      Case{"Content-Length : 4\r\n", 400},
+      Case{"Content-Length: 4\r\nContent-Length: 5\r\n", 400},
+      Case{"Content-Length: +4\r\n", 400}, Case{"A B: c\r\n", 400});
+  CAPTURE(request.fields);
+  Fixture fixture;
+  int requests = 0;
+  Server server(fixture.context, {[&](ExchangeId, Request&&) { ++requests; },
+                                  [](ExchangeId) {}});
+  REQUIRE_FALSE(server.Listen("127.0.0.1:0"));
+  const std::string inner = "GET /inner HTTP/1.1\r\nHost: h\r\n\r\n";
+  const CallId id = fixture.client.Call(
+      server.address(),
+      "POST / HTTP/1.1\r\nHost: h\r\n" + request.fields + "\r\n" + inner, {});
+  const auto end = SteadyNow() + kTimeout;
+  while (!fixture.results[id].ended && !fixture.results[id].failure &&
+         SteadyNow() < end) {
+    fixture.context.run_one_for(std::chrono::milliseconds(20));
+  }
+  CHECK(fixture.results[id].status == request.status);
+  fixture.context.run_for(std::chrono::milliseconds(20));
+  CHECK(requests == 0);
+}
+
 TEST_CASE("heads, chunk lines and trailers without end are rejected") {
   struct Case {
     const char* name;
