Refuse heartbeats in which any stated member is missing or odd

Cause: only the members that the program uses were read. PROTOCOL says that an entry with fields missing or of another type names no worker to use; a member that is not used still tells who wrote it.

Change: version, cold_left_ms and born have to be there and of their type; stage, kind, models and layers have to be of theirs if they are stated.

Why it works: a heartbeat with any finding is refused before it reaches the roster, so that nothing of it is used or outranks another entry.

Two test cases fail before (24 checks). The odd heartbeats of the scenario tests are odd in one way each again, and its sound ones state what PROTOCOL lists. All 29 scenario and crowd tests pass.

--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -159,8 +159,8 @@
   CHECK_FALSE(
       FindingsOf(Replace(kHeartbeat, "\"seq\":4", "\"seq\":\"4\"")).empty());
   CHECK_FALSE(FindingsOf(Replace(kHeartbeat, "1700000000000", "1.5")).empty());
-  for (const char* field :
-       {"service", "address", "zone", "slots", "state", "seq"}) {
+  for (const char* field : {"service", "address", "zone", "version", "slots",
+                            "state", "cold_left_ms", "born", "seq"}) {
     const std::string quoted = std::string("\"") + field + "\"";
     CHECK_FALSE(FindingsOf(Replace(kHeartbeat, quoted, "\"other\"")).empty());
     Json wrong = Json::parse(kHeartbeat);
@@ -169,6 +169,49 @@
   }
 }
 
+// review/6: a web server was used as an upstream, as the members of its
+// heartbeat that are not used were not read.
+TEST_CASE("a member of another type shows a heartbeat of another writer") {
+  const auto with = [](const char* name, const char* value) {
+    Json heartbeat = Json::parse(kHeartbeat);
+    heartbeat[name] = Json::parse(value);
+    return heartbeat.dump();
+  };
+  for (const char* odd : {"7", "null", "true", "[\"v1\"]", "{}"}) {
+    CAPTURE(odd);
+    CHECK_FALSE(FindingsOf(with("version", odd)).empty());
+  }
+  for (const char* odd :
+       {"\"unknown\"", "null", "false", "[0]", "-5", "1e300"}) {
+    CAPTURE(odd);
+    CHECK_FALSE(FindingsOf(with("cold_left_ms", odd)).empty());
+  }
+  for (const char* odd : {"\"1700000000000\"", "null", "1.5e12", "-1", "[]"}) {
+    CAPTURE(odd);
+    CHECK_FALSE(FindingsOf(with("born", odd)).empty());
+  }
+  for (const char* odd : {"1", "[]", "{}", "true"}) {
+    CAPTURE(odd);
+    CHECK_FALSE(FindingsOf(with("stage", odd)).empty());
+    CHECK_FALSE(FindingsOf(with("kind", odd)).empty());
+  }
+  for (const char* odd : {"\"m\"", "{}", "3", "[\"m\"]", "[{\"name\":3}]",
+                          R"([{"name":"m","version":1},{"version":"2"}])"}) {
+    CAPTURE(odd);
+    CHECK_FALSE(FindingsOf(with("models", odd)).empty());
+  }
+  // As sound upstreams of plain services and of models state them.
+  CHECK(FindingsOf(kHeartbeat).empty());
+  CHECK(FindingsOf(with("cold_left_ms", "812.5")).empty());
+  CHECK(FindingsOf(with("stage", "\"both\"")).empty());
+  CHECK(FindingsOf(with("note", "[{}]")).empty());
+  Json plain = Json::parse(kHeartbeat);
+  for (const char* name : {"kind", "models", "layers"}) plain.erase(name);
+  CHECK(FindingsOf(plain.dump()).empty());
+  core::Findings findings;
+  CHECK(ReadHeartbeat("u", plain.dump(), findings).kind == "service");
+}
+
 // Guards against entries of another writer that outrank what the upstream says,
 // or that end the processes that read them.
 TEST_CASE("a heartbeat with a number out of range has findings") {
--- a/tests/platform/scenarios/leaving_upstream_test.cc
+++ b/tests/platform/scenarios/leaving_upstream_test.cc
@@ -25,7 +25,8 @@
   core::Duration Announce(const std::string& state) {
     return Call(
         "PUT", R"({"service":"app","address":"127.0.6.9:8080","zone":"east",)"
-               R"("slots":4,"born":1000,"state":")" +
+               R"("version":"v1","cold_left_ms":0,"slots":4,"born":1000,)"
+               R"("state":")" +
                    state + R"(","seq":)" + std::to_string(++heartbeats_) + "}");
   }
   core::Duration Withdraw() { return Call("DELETE", ""); }
--- a/tests/platform/scenarios/odd_entry_test.cc
+++ b/tests/platform/scenarios/odd_entry_test.cc
@@ -18,7 +18,8 @@
   const auto entry = [](const std::string& where, const std::string& born,
                         const std::string& more) {
     return R"({"service":"app","address":")" + where +
-           R"(","zone":"east","slots":6,"state":"ready","seq":5,"born":)" +
+           R"(","zone":"east","version":"v1","slots":6,"state":"ready",)"
+           R"("cold_left_ms":0,"seq":5,"born":)" +
            born + more + "}";
   };
   const std::string past = "1700000000000";
@@ -30,6 +31,8 @@
           entry("127.0.0.1:0", past, ""),
           entry("127.0.0.1", past, ""),
           entry(address, past, R"(,"kind":")" + std::string(500, 'k') + "\""),
+          entry(address, past, R"(,"stage":1)"),
+          entry(address, past, R"(,"models":"m")"),
           entry(address, past, R"(,"layers":)" + deep),
           entry(address, past, R"(,"note":)" + deep),
           deep,
@@ -42,7 +45,8 @@
   const auto now = std::chrono::duration_cast<milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
   return R"({"service":"unknown","address":")" + address +
-         R"(","zone":"east","slots":6,"state":"ready","seq":1,"born":)" +
+         R"(","zone":"east","version":"v1","slots":6,"state":"ready",)"
+         R"("cold_left_ms":0,"seq":1,"born":)" +
          std::to_string(now.count()) + "}";
 }
 
