Ask whether the upstream runs before an answer ends with its connection

Cause: the kernel closes the connections of a killed process in order, mostly between two events. The end of a connection was taken for the end of the answer.

If it has crashed, the stream goes on after its last event, or is broken off if it may not; if the next upstream has nothing more, nothing was missing. Plain answers are treated alike, also while they are passed on.

Why it works: a process that has ended refuses connections, one that runs accepts them; that is the difference that the connection itself does not show.

--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -203,6 +203,12 @@
     /// A loss that is handled when it is known whether the upstream has
     /// crashed.
     std::optional<UncheckedLoss> unchecked_loss;
+    /// Until when the end of a stream that has neither a length nor chunks
+    /// waits for the result of a probe.
+    std::optional<core::Instant> unchecked_end;
+    /// The stream ended between two events at an upstream that had then
+    /// crashed.
+    bool ended_between_events = false;
     /// A response that is not a stream is passed on as it arrives.
     bool passing_body = false;
     /// On the head of the current send's response.
@@ -304,6 +310,10 @@
                       unsigned status, const ResponseInfo& info);
   /// Buffers data of a response that is not a stream, or passes it on.
   void HandleBody(net::CallId call, const std::string& data);
+  /// Ends an answer that is complete: passes it on, or the end of it.
+  void FinishAnswer(core::RequestId id);
+  /// Breaks an answer off of which parts have been passed on.
+  void BreakOff(core::RequestId id);
   /// Ends a response of which parts have been passed on.
   void CompleteAnswer(core::RequestId id);
   /// Cancels a send that cannot be completed, and handles its loss.
@@ -347,7 +357,16 @@
   /// Handles the loss of a send whose upstream was probed, or could not be
   /// probed in time; nothing if the request has ended or was sent again.
   void FinishCheck(core::RequestId id, unsigned sends, bool crashed);
-  /// Handles losses that have waited too long for the result of a probe.
+  /// Returns whether the end of a plain answer is only that of its connection.
+  [[nodiscard]] bool EndIsUnproven(core::RequestId id) const;
+  /// Finds out whether the upstream of an answer whose end is that of its
+  /// connection still runs, and then completes it or handles its loss.
+  void CheckEnd(core::RequestId id);
+  /// Handles such an end once its upstream was probed, or could not be probed
+  /// in time; nothing if the request has ended or was sent again.
+  void FinishEndCheck(core::RequestId id, unsigned sends, bool crashed);
+  /// Handles losses and ends that have waited too long for the result of a
+  /// probe.
   void ExpireChecks(core::Instant now);
   /// Sends the inquiries that find out whether this host is cut off.
   void Inquire();
--- a/src/foxquay/gateway/proxy_losses.cc
+++ b/src/foxquay/gateway/proxy_losses.cc
@@ -185,6 +185,52 @@
     }
   }
   for (const auto& [id, sends] : expired) FinishCheck(id, sends, false);
+  expired.clear();
+  for (const auto& [id, job] : jobs_) {
+    if (job.unchecked_end && now >= *job.unchecked_end) {
+      expired.emplace_back(id, job.sends);
+    }
+  }
+  for (const auto& [id, sends] : expired) FinishEndCheck(id, sends, false);
+}
+
+void Proxy::CheckEnd(core::RequestId id) {
+  Job& job = jobs_.at(id);
+  const relay::Hop& hop = relay_.Path(id).front();
+  job.unchecked_end = net::SteadyNow() + internal::kMaxCheckTime;
+  registry_.Add("foxquay_ends_checked_total", "");
+  const auto finish = [this, id, upstream = hop.upstream, sends = job.sends,
+                       request = job.caller.id](ProbeResult result) {
+    log::Write(log::Level::kInfo, "end_checked",
+               {{"request", request},
+                {"upstream", upstream},
+                {"result", Name(result)}});
+    RecordInquiry(upstream, result);
+    FinishEndCheck(id, sends,
+                   result == ProbeResult::kUnreachable ||
+                       result == ProbeResult::kReplaced);
+  };
+  ProbeAfterLoss(hop.upstream, hop.address, finish);
+}
+
+void Proxy::FinishEndCheck(core::RequestId id, unsigned sends, bool crashed) {
+  ReviewOutdated();
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  Job& job = found->second;
+  if (job.sends != sends || !job.unchecked_end) return;
+  job.unchecked_end.reset();
+  // A host that is cut off cannot tell whether an upstream still runs.
+  if (!crashed || relay_.CutOff(relay_.Context(id).service->id)) {
+    FinishAnswer(id);
+    return;
+  }
+  if (job.passing_body) {
+    BreakOff(id);
+    return;
+  }
+  job.ended_between_events = job.streaming;
+  HandleLoss(id, {relay::LossKind::kCut, job.fault_address, Unfinished(job)});
 }
 
 void Proxy::ProbeAfterLoss(const core::UpstreamId& upstream,
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -347,6 +347,7 @@
     BeginAnswer(id, now);
   }
   job.event_received = true;
+  job.ended_between_events = false;
   job.last_event = now;
   const net::ExchangeId exchange = job.exchange;
   if (!job.head_sent) {
@@ -406,10 +407,28 @@
     HandleLoss(id, {relay::LossKind::kNotRun, job.fault_address, false});
   } else if (job.streaming) {
     FinishStream(id);
-  } else if (job.passing_body) {
-    CompleteAnswer(id);
-  } else if (job.head_sent) {
+  } else if (job.head_sent && !job.passing_body) {
     HandleLoss(id, {relay::LossKind::kError, job.fault_address, false});
+  } else if (EndIsUnproven(id)) {
+    DropHedge(id);
+    CheckEnd(id);
+  } else {
+    FinishAnswer(id);
+  }
+}
+
+bool Proxy::EndIsUnproven(core::RequestId id) const {
+  // The connections of a process that crashes end in order, too.
+  const Job& job = jobs_.at(id);
+  const bool has_body = job.passing_body || !job.response.body.empty();
+  return job.ends_with_connection && job.verdict == Verdict::kAnswer &&
+         job.status / 100 == 2 && has_body && !relay_.ViaPartner(id);
+}
+
+void Proxy::FinishAnswer(core::RequestId id) {
+  const Job& job = jobs_.at(id);
+  if (job.streaming || job.passing_body) {
+    CompleteAnswer(id);
   } else {
     FinishResponse(id);
   }
@@ -418,17 +437,22 @@
 void Proxy::FinishStream(core::RequestId id) {
   Job& job = jobs_.at(id);
   // A stream that goes on at another upstream is complete only if that one has
-  // sent an event of it: an answer without any may be that of an upstream that
-  // failed. One that ends with its connection is not told from an upstream that
-  // ended before the first event.
+  // sent an event of it, or nothing was missing: an answer without any may be
+  // that of an upstream that failed. One that ends with its connection is not
+  // told from an upstream that ended before the first event.
   const bool goes_on = job.filter->passed() > 0;
   const bool empty =
       !job.event_received &&
-      (goes_on || (job.ends_with_connection && !job.caller.resume_after));
+      (goes_on ? !job.ended_between_events
+               : job.ends_with_connection && !job.caller.resume_after);
   if (empty || !job.filter->between_events()) {
     HandleLoss(id, {relay::LossKind::kCut, job.fault_address, Unfinished(job)});
     return;
   }
+  if (job.ends_with_connection && !relay_.ViaPartner(id)) {
+    CheckEnd(id);
+    return;
+  }
   CompleteAnswer(id);
 }
 
@@ -514,12 +538,7 @@
   job.call.reset();
   job.failure = failure;
   if (job.passing_body) {
-    const relay::Loss loss{relay::LossKind::kCut, job.fault_address,
-                           Unfinished(job)};
-    const auto suspicion = relay_.SuspectCrash(id, loss);
-    relay_.Abandon(id);
-    Execute(id, relay::Abort{"the answer broke off while it was passed on"});
-    if (suspicion) CheckCrash(id, *suspicion, 0);
+    BreakOff(id);
     return;
   }
   const relay::LossKind kind = job.verdict == Verdict::kNotRun
@@ -528,6 +547,16 @@
   HandleLoss(id, {kind, job.fault_address, Unfinished(job)});
 }
 
+void Proxy::BreakOff(core::RequestId id) {
+  const Job& job = jobs_.at(id);
+  const relay::Loss loss{relay::LossKind::kCut, job.fault_address,
+                         Unfinished(job)};
+  const auto suspicion = relay_.SuspectCrash(id, loss);
+  relay_.Abandon(id);
+  Execute(id, relay::Abort{"the answer broke off while it was passed on"});
+  if (suspicion) CheckCrash(id, *suspicion, 0);
+}
+
 void Proxy::Review() {
   const core::Instant now = net::SteadyNow();
   ReviewOutdated();
--- a/src/foxquay/relay/relay.h
+++ b/src/foxquay/relay/relay.h
@@ -83,8 +83,8 @@
   [[nodiscard]] Decision EndForShutdown(core::RequestId id,
                                         core::Duration retry_after,
                                         core::Instant now);
-  /// Returns whether a request may run more than once. Precondition: the request
-  /// is known.
+  /// Returns whether a request may run more than once. Precondition: the
+  /// request is known.
   [[nodiscard]] bool MayRepeat(core::RequestId id) const {
     return Repeatable(*requests_.at(id).context.route);
   }
--- a/tests/foxquay/gateway/raw_upstream.h
+++ b/tests/foxquay/gateway/raw_upstream.h
@@ -23,6 +23,8 @@
     bool reset = false;  ///< Ends with a reset instead of in order.
     /// Sent after `bytes` again and again until the other side closes.
     std::string repeated = {};
+    /// No further connection is accepted, as of a process that has ended.
+    bool crash = false;
   };
   /// Receives the request as text.
   using Handler = std::function<Answer(const std::string& request)>;
@@ -60,7 +62,10 @@
         [this, socket, buffer](const boost::system::error_code& error,
                                std::size_t size) {
           if (error) return;
-          Respond(socket, handler_(buffer->substr(0, size)));
+          Answer answer = handler_(buffer->substr(0, size));
+          boost::system::error_code ignored;
+          if (answer.crash) acceptor_.close(ignored);
+          Respond(socket, std::move(answer));
         });
   }
 
