End responses to HEAD with their head

What callers saw: a HEAD request ended with 502, and after a refusal of one came bytes that belonged to no response.

Cause: net::Client did not know which method a response answers, and waited for the body whose length the head states; net::Server wrote the body of each response.

Change: CallOptions::head_only ends a response with its head, which the proxy sets for HEAD; the server leaves bodies out for such requests.

Evidence: without the proxy's line "the answer to HEAD has no body" fails (502); without the server's "a response to HEAD is written without its body" fails.

--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -203,7 +203,7 @@
     /// A loss that is handled when it is known whether the upstream has
     /// crashed.
     std::optional<UncheckedLoss> unchecked_loss;
-    /// Until when the end of a stream that has neither a length nor chunks
+    /// Until when the end of an answer that has neither a length nor chunks
     /// waits for the result of a probe.
     std::optional<core::Instant> unchecked_end;
     /// The stream ended between two events at an upstream that had then
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -119,6 +119,7 @@
   options.reuse = send.reuse_connection;
   options.echo_field = protocol_.id_field;
   options.echo_value = jobs_.at(id).caller.id;
+  options.head_only = jobs_.at(id).request.method == "HEAD";
   const net::CallId call =
       client_.Call(send.hops.front().address,
                    net::Serialize(MakeRequest(id, send)), options);
--- a/src/foxquay/net/client.cc
+++ b/src/foxquay/net/client.cc
@@ -266,6 +266,7 @@
     if (!connection.parser) {
       connection.parser.emplace();
       connection.parser->eager(true);
+      connection.parser->skip(connection.options.head_only);
       connection.parser->header_limit(internal::kMaxHeaderBytes);
       connection.parser->body_limit(internal::kMaxBodyBytes);
       connection.head_bytes = 0;
--- a/src/foxquay/net/client.h
+++ b/src/foxquay/net/client.h
@@ -48,6 +48,9 @@
   /// than `echo_value` belongs to an earlier request and is discarded.
   std::string echo_field;
   std::string echo_value;
+  /// Whether the response ends with its head, whatever length it states, as
+  /// that to HEAD does (RFC 9112, 6.3).
+  bool head_only = false;
   /// Whether the connection may be reused afterwards. Without an echo, a
   /// response that is written once more would be taken for that of a later
   /// call.
--- a/src/foxquay/net/server.cc
+++ b/src/foxquay/net/server.cc
@@ -289,14 +289,14 @@
   auto message = connection.parser->release();
   message.body().shrink_to_fit();
   connection.keep_alive = message.keep_alive();
+  connection.head_only = message.method() == internal::http::verb::head;
   connection.parser.reset();
   const std::size_t serving =
       internal::kBodyCopies * message.body().capacity() +
       internal::FieldsBytes(message.base());
   if (budget_ != nullptr && !budget_->Admit(serving)) {
     connection.keep_alive = connection.keep_alive && !draining_;
-    connection.out +=
-        Serialize(RefuseForMemory(message.base()), connection.keep_alive);
+    WriteResponse(connection, RefuseForMemory(message.base()));
     CompleteResponse(id);
     return;
   }
@@ -348,10 +348,16 @@
   Connection* connection = Find(exchange, id);
   if (connection == nullptr) return;
   connection->keep_alive = connection->keep_alive && !draining_;
-  connection->out += Serialize(response, connection->keep_alive);
+  WriteResponse(*connection, response);
   CompleteResponse(id);
 }
 
+void Server::WriteResponse(Connection& connection, const Response& response) {
+  connection.out += Serialize(response, connection.keep_alive);
+  if (!connection.head_only) return;
+  connection.out.resize(connection.out.size() - response.body.size());
+}
+
 void Server::Start(ExchangeId exchange, const Response& head) {
   SocketId id;
   Connection* connection = Find(exchange, id);
@@ -364,7 +370,7 @@
 void Server::Send(ExchangeId exchange, const std::string& data) {
   SocketId id;
   Connection* connection = Find(exchange, id);
-  if (connection == nullptr || data.empty()) return;
+  if (connection == nullptr || data.empty() || connection->head_only) return;
   connection->out += SerializeChunk(data);
   Flush(id);
 }
@@ -373,7 +379,7 @@
   SocketId id;
   Connection* connection = Find(exchange, id);
   if (connection == nullptr) return;
-  connection->out += "0\r\n\r\n";
+  if (!connection->head_only) connection->out += "0\r\n\r\n";
   CompleteResponse(id);
 }
 
--- a/src/foxquay/net/server.h
+++ b/src/foxquay/net/server.h
@@ -126,6 +126,7 @@
     /// Since when there is output that the caller has not read.
     std::optional<core::Instant> unread_since;
     bool keep_alive = true;
+    bool head_only = false;  ///< The request is a HEAD: no body is written.
     bool read_waiting = false;
     bool write_waiting = false;
     bool close_when_sent = false;
@@ -156,6 +157,8 @@
   /// Closes a connection for the budget.
   void Evict(SocketId id);
   void Flush(SocketId id);
+  /// Writes a complete response to the current request of a connection.
+  static void WriteResponse(Connection& connection, const Response& response);
   void CompleteResponse(SocketId id);
   void Close(SocketId id);
   void Disconnect(SocketId id);
--- a/tests/foxquay/gateway/proxy_fixture.h
+++ b/tests/foxquay/gateway/proxy_fixture.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -256,6 +257,22 @@
   return net::MakeResponse(200, "text/event-stream", "");
 }
 
+/// Returns the requests of callers that an upstream has received.
+inline std::ptrdiff_t Received(const FakeUpstream& upstream) {
+  return std::count_if(
+      upstream.requests.begin(), upstream.requests.end(),
+      [](const auto& item) { return item.second.target != "/report"; });
+}
+
+/// Checks that a caller was told neither that its request has run nor that it
+/// has not.
+inline void CheckUnknown(const CallResult& result) {
+  CHECK(result.status == 502);
+  CHECK(result.fields.find("Stamp") == result.fields.end());
+  CHECK(result.fields.find("Retry-After") == result.fields.end());
+  CHECK(result.body.find("xxx") == std::string::npos);
+}
+
 }  // namespace foxquay::gateway
 
 #endif  // FOXQUAY_TESTS_FOXQUAY_GATEWAY_PROXY_FIXTURE_H_
--- a/tests/foxquay/gateway/proxy_test.cc
+++ b/tests/foxquay/gateway/proxy_test.cc
@@ -432,6 +432,21 @@
   CHECK(result.body.empty());
 }
 
+TEST_CASE("the answer to HEAD has no body") {
+  RawFixture fixture(
+      {{"HTTP/1.1 200 OK\r\nName: r1\r\nContent-Length: 9\r\n"
+        "\r\n"}});
+  net::CallOptions options;
+  options.head_only = true;
+  const net::CallId call = fixture.caller.Call(
+      fixture.proxy.address(),
+      "HEAD /once/1 HTTP/1.1\r\nHost: h\r\nName: r1\r\nKey: secret\r\n\r\n",
+      options);
+  const CallResult& result = fixture.AwaitResponse(call);
+  CHECK(result.status == 200);
+  CHECK(result.ended);
+}
+
 TEST_CASE("a large answer is passed on while it arrives") {
   const std::string body(std::size_t{3} << 20U, 'x');
   RawFixture fixture({{kPlainHead + body}});
--- a/tests/foxquay/gateway/unproven_refusal_test.cc
+++ b/tests/foxquay/gateway/unproven_refusal_test.cc
@@ -1,5 +1,4 @@
 // Statuses that promise callers that a request has not run.
-#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstddef>
 #include <string>
@@ -18,22 +17,6 @@
   return response;
 }
 
-/// Returns the requests of callers that an upstream has received.
-std::ptrdiff_t Received(const FakeUpstream& upstream) {
-  return std::count_if(
-      upstream.requests.begin(), upstream.requests.end(),
-      [](const auto& item) { return item.second.target != "/report"; });
-}
-
-/// Checks that a caller was told neither that its request has run nor that it
-/// has not.
-void CheckUnknown(const CallResult& result) {
-  CHECK(result.status == 502);
-  CHECK(result.fields.find("Stamp") == result.fields.end());
-  CHECK(result.fields.find("Retry-After") == result.fields.end());
-  CHECK(result.body.find("xxx") == std::string::npos);
-}
-
 /// A proxy that reaches no upstream, and another host, `a`, whose responses the
 /// test sends.
 struct PartnerHostFixture : ProxyFixture {
--- a/tests/foxquay/gateway/unsigned_response_test.cc
+++ b/tests/foxquay/gateway/unsigned_response_test.cc
@@ -1,8 +1,8 @@
 // Responses that look like a success and are not the upstream's answer.
-#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstddef>
 #include <string>
+#include <utility>
 
 #include "proxy_fixture.h"
 
@@ -34,22 +34,6 @@
 
 net::Response Success() { return net::MakeResponse(200, "text/plain", "ok"); }
 
-/// Returns the requests of callers that an upstream has received.
-std::ptrdiff_t Received(const FakeUpstream& upstream) {
-  return std::count_if(
-      upstream.requests.begin(), upstream.requests.end(),
-      [](const auto& item) { return item.second.target != "/report"; });
-}
-
-/// Checks that a caller was told neither that its request has run nor that it
-/// has not.
-void CheckUnknown(const CallResult& result) {
-  CHECK(result.status == 502);
-  CHECK(result.fields.find("Stamp") == result.fields.end());
-  CHECK(result.fields.find("Retry-After") == result.fields.end());
-  CHECK(result.body.find("xxx") == std::string::npos);
-}
-
 /// A proxy that reaches no upstream, and another host whose responses the test
 /// sends.
 struct PartnerHostFixture : ProxyFixture {
--- a/tests/foxquay/net/exchange_test.cc
+++ b/tests/foxquay/net/exchange_test.cc
@@ -11,6 +11,7 @@
 
 #include "foxquay/net/client.h"
 #include "foxquay/net/server.h"
+#include "foxquay/net/socket.h"
 
 namespace foxquay::net {
 namespace {
@@ -646,6 +647,62 @@
   CHECK(requests == 0);
 }
 
+// Refusals of HEAD were followed by bytes that belonged to no response.
+TEST_CASE("a response to HEAD is written without its body") {
+  boost::asio::io_context context;
+  Server* answering = nullptr;
+  Server server(context, {[&](ExchangeId id, Request&& request) {
+                            const Response response =
+                                MakeResponse(200, "text/plain", "payload");
+                            if (request.target == "/whole") {
+                              answering->Respond(id, response);
+                              return;
+                            }
+                            answering->Start(id, response);
+                            answering->Send(id, "payload");
+                            answering->End(id);
+                          },
+                          [](ExchangeId) {}});
+  answering = &server;
+  REQUIRE_FALSE(server.Listen("127.0.0.1:0"));
+  Tcp::socket socket(context);
+  socket.connect(ParseEndpoint(server.address()).value());
+  const std::string rest = " HTTP/1.1\r\nHost: h\r\n";
+  boost::asio::write(
+      socket, boost::asio::buffer("HEAD /whole" + rest + "\r\nHEAD /parts" +
+                                  rest + "Connection: close\r\n\r\n"));
+  std::string received;
+  bool ended = false;
+  boost::asio::async_read(socket, boost::asio::dynamic_buffer(received),
+                          [&](const auto&, std::size_t) { ended = true; });
+  const auto end = SteadyNow() + kTimeout;
+  while (!ended && SteadyNow() < end) {
+    context.run_one_for(std::chrono::milliseconds(20));
+  }
+  REQUIRE(ended);
+  CHECK(received.find("payload") == std::string::npos);
+  CHECK(received.find("HTTP/1.1 200 OK", 1) != std::string::npos);
+  CHECK(received.ends_with("\r\n\r\n"));
+  CHECK(received.find("\r\n0\r\n") == std::string::npos);
+}
+
+TEST_CASE("a response to HEAD ends with its head") {
+  Fixture fixture;
+  Peer peer(fixture.context);
+  CallOptions options;
+  options.head_only = true;
+  peer.responses = {kKeepAliveHead + "Content-Length: 9\r\n\r\n",
+                    kKeepAliveHead + "Transfer-Encoding: chunked\r\n\r\n",
+                    kKeepAliveHead + "\r\n"};
+  for (int count = 0; count < 3; ++count) {
+    const CallResult result = fixture.Run(peer.address(), options);
+    CHECK(result.status == 200);
+    CHECK(result.ended);
+    CHECK(result.body.empty());
+  }
+  CHECK(peer.connections == 1);
+}
+
 TEST_CASE("heads, chunk lines and trailers without end are rejected") {
   struct Case {
     const char* name;
