Bound the heads and trailers that foxquayd's client reads

What could happen: an upstream that sends fields without end made the process that called it grow until the call's timeout; the check of trailers kept them as well.

Change: http::Transfer ends a call whose heads and trailer take more than 64 KiB together, as net::Client does, and keeps no field of a trailer.

Evidence: with a bound a thousand times as high the new test fails in one of its two responses (a head and a trailer of 1 MiB each; which one was not looked at); all 12 cases of test_http pass with the bound.

--- a/src/foxquay/http/transfer.cc
+++ b/src/foxquay/http/transfer.cc
@@ -13,6 +13,10 @@
 namespace foxquay::http {
 namespace internal {
 
+/// Maximum size in bytes of the heads and the trailer of a response, as of
+/// net::Client.
+constexpr std::size_t kMaxHeadBytes = 65536;
+
 /// Removes spaces and tabs from both ends of a text.
 std::string_view Trim(std::string_view text) {
   constexpr std::string_view kSpace = " \t";
@@ -28,11 +32,13 @@
 class HeadReader {
  public:
   /// Reads the next line of a head, or of the trailer, which is not kept.
-  /// Returns false if it is malformed.
+  /// Returns false if it is malformed, or if all lines together are too long.
   [[nodiscard]] bool Put(std::string_view line) {
+    bytes_ += line.size();
+    if (bytes_ > kMaxHeadBytes) return false;
     if (line.ends_with('\n')) line.remove_suffix(1);
     if (line.ends_with('\r')) line.remove_suffix(1);
-    if (whole()) return line.empty() || ReadField(line, trailer_);
+    if (whole()) return line.empty() || ReadTrailer(line);
     if (!in_head_) return Begin(line);
     if (!line.empty()) return ReadField(line, head_.headers);
     in_head_ = false;
@@ -84,6 +90,13 @@
     return true;
   }
 
+  [[nodiscard]] bool ReadTrailer(std::string_view line) {
+    if (!ReadField(line, trailer_)) return false;
+    // One field is left for a line that continues it.
+    trailer_.assign(1, {});
+    return true;
+  }
+
   /// Returns whether the head states one framing at most: a length, chunks or
   /// the end of the connection. Other codings would change the body.
   [[nodiscard]] bool IsFramed() const {
@@ -106,6 +119,7 @@
 
   TransferHead head_;
   Fields trailer_;
+  std::size_t bytes_ = 0;  ///< Of all heads and the trailer.
   bool in_head_ = false;
   bool ended_ = false;
 };
--- a/tests/foxquay/http/client_test.cc
+++ b/tests/foxquay/http/client_test.cc
@@ -191,6 +191,18 @@
   CHECK(Leg(server) == dispatch::LegEnd::kFailed);
 }
 
+// Guards against clients that run out of memory.
+TEST_CASE("a head or trailer of any length is no reply") {
+  std::string fields;
+  while (fields.size() < std::size_t{1} << 20U) fields += "A: b\r\n";
+  const std::string bytes = GENERATE_COPY(
+      "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 2\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" +
+          fields + "\r\n");
+  const RawServer server(bytes);
+  CHECK_FALSE(Call(server).reply);
+}
+
 TEST_CASE("unusual responses of HTTP/1 are replies") {
   const std::string bytes =
       GENERATE("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
