Ask no upstream about the end of an answer in its pause

Found by reading the change again.

One predicate serves streams and plain answers now.

Evidence: the new test fails before for a stream and a plain answer (one probe each) and passes, as do the other cases of answer_end_test.cc.

--- a/src/foxquay/gateway/proxy.h
+++ b/src/foxquay/gateway/proxy.h
@@ -357,8 +357,9 @@
   /// Handles the loss of a send whose upstream was probed, or could not be
   /// probed in time; nothing if the request has ended or was sent again.
   void FinishCheck(core::RequestId id, unsigned sends, bool crashed);
-  /// Returns whether the end of a plain answer is only that of its connection.
-  [[nodiscard]] bool EndIsUnproven(core::RequestId id) const;
+  /// Returns whether the end of an answer is only that of its connection, and
+  /// its upstream may be asked whether it still runs.
+  [[nodiscard]] bool EndIsUnproven(core::RequestId id);
   /// Finds out whether the upstream of an answer whose end is that of its
   /// connection still runs, and then completes it or handles its loss.
   void CheckEnd(core::RequestId id);
--- a/src/foxquay/gateway/proxy_responses.cc
+++ b/src/foxquay/gateway/proxy_responses.cc
@@ -418,12 +418,17 @@
   }
 }
 
-bool Proxy::EndIsUnproven(core::RequestId id) const {
+bool Proxy::EndIsUnproven(core::RequestId id) {
   // The connections of a process that crashes end in order, too.
   const Job& job = jobs_.at(id);
-  const bool has_body = job.passing_body || !job.response.body.empty();
-  return job.ends_with_connection && job.verdict == Verdict::kAnswer &&
-         job.status / 100 == 2 && has_body && !relay_.ViaPartner(id);
+  const bool has_body =
+      job.streaming || job.passing_body || !job.response.body.empty();
+  const bool unproven = job.ends_with_connection && has_body &&
+                        job.verdict == Verdict::kAnswer &&
+                        job.status / 100 == 2 && !relay_.ViaPartner(id);
+  // One that has asked for a pause gets no inquiry either.
+  return unproven && !relay_.upstreams().hold_offs().Active(
+                         relay_.Path(id).front().upstream, net::SteadyNow());
 }
 
 void Proxy::FinishAnswer(core::RequestId id) {
@@ -450,7 +455,7 @@
     HandleLoss(id, {relay::LossKind::kCut, job.fault_address, Unfinished(job)});
     return;
   }
-  if (job.ends_with_connection && !relay_.ViaPartner(id)) {
+  if (EndIsUnproven(id)) {
     CheckEnd(id);
     return;
   }
--- a/tests/foxquay/gateway/answer_end_test.cc
+++ b/tests/foxquay/gateway/answer_end_test.cc
@@ -117,6 +117,19 @@
   CHECK(fixture.requests.size() == 1);
 }
 
+// An inquiry would be a request in the pause that the upstream has asked for.
+TEST_CASE("an upstream that pauses is not asked about the end of an answer") {
+  const std::string plain = "HTTP/1.1 200 OK\r\nName: r1\r\n";
+  const std::string pause = "Pause: 1\r\n\r\n";
+  const bool stream = GENERATE(true, false);
+  AnswerEndFixture fixture({{(stream ? kHead : plain) + pause + Event(1)}});
+  const CallResult& result =
+      fixture.AwaitResponse(fixture.Send(stream ? "/stream/1" : "/safe/1"));
+  CHECK(result.ended);
+  CHECK(result.body == Event(1));
+  CHECK(fixture.probes == 0);
+}
+
 TEST_CASE("the end of a stream in chunks is not asked for") {
   AnswerEndFixture fixture({{kHead + "Transfer-Encoding: chunked\r\n\r\nf\r\n" +
                              Event(1) + "\r\n0\r\n\r\n"}});
