--- a/review/common3/bed.py
+++ b/review/common3/bed.py
@@ -82,7 +82,6 @@
             self.ports[name] = self.unused_port(every)
         self.processes = {}
         self.workers = {}
-        self.relays = {}
         self.bootstrapped = set()
         self.version = 0
 
@@ -192,24 +191,6 @@
 
     # Workers.
 
-    def start_relay(self, name):
-        """Starts a relay before a worker; returns the addresses at which it
-        listens and at which the worker is to listen."""
-        ip = self.worker_net + str(len(self.workers) + 1)
-        outer, inner = f"{ip}:{free_port([ip])}", f"{ip}:{free_port([ip])}"
-        while inner == outer:
-            inner = f"{ip}:{free_port([ip])}"
-        self.relays[name] = subprocess.Popen(
-            [sys.executable, os.path.join(HERE, "relay.py"), "--listen", outer,
-             "--target", inner], stdin=subprocess.PIPE, text=True)
-        self.record(f"start relay {outer} before worker {name} at {inner}")
-        return outer, inner
-
-    def command_relay(self, name, command):
-        self.record(f"{command} between the fronts and worker {name}")
-        self.relays[name].stdin.write(command + "\n")
-        self.relays[name].stdin.flush()
-
     def start_worker(self, name, service="app", address=None, identity=None,
                      **options):
         identity = identity or name
@@ -384,10 +365,6 @@
                 worker["process"].send_signal(signal.SIGCONT)
                 worker["process"].kill()
                 worker["process"].wait()
-        for relay in self.relays.values():
-            if relay.poll() is None:
-                relay.kill()
-            relay.wait()
         for event in self.worker_log():
             self.record("worker log: " + json.dumps(event))
         self.record_file.close()
--- a/review/common3/worker.py
+++ b/review/common3/worker.py
@@ -27,10 +27,6 @@
     parser.add_argument("--piece-ms", type=int, default=60)
     parser.add_argument("--framing", default="length",
                         choices=["length", "chunked", "close"])
-    parser.add_argument("--listen", default="",
-                        help="where it listens, if not at its address")
-    parser.add_argument("--quiet-s", type=float, default=0,
-                        help="time before its first heartbeat")
     # Events of a stream, and the pause before each; 0: answers are no streams.
     parser.add_argument("--events", type=int, default=0)
     parser.add_argument("--event-ms", type=int, default=200)
@@ -67,7 +63,6 @@
                 "seq": self.beats}
 
     async def announce(self):
-        await asyncio.sleep(self.options.quiet_s)
         targets = self.options.control.split(",")
         at = 0
         while True:
@@ -243,7 +238,7 @@
 async def main():
     options = parse_arguments()
     worker = Worker(options)
-    ip, port = (options.listen or options.address).split(":")
+    ip, port = options.address.split(":")
     server = await asyncio.start_server(worker.serve, ip, int(port),
                                         backlog=256)
     async with server:
