--- a/review/common3/bed.py
+++ b/review/common3/bed.py
@@ -15,12 +15,14 @@
 import tempfile
 import threading
 import time
+import traceback
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(HERE))
 HOST = "review.example"
 KEY = "key-of-the-tenant"
 CANNOT_RUN = 2
+TIME_LIMIT_S = 112
 
 
 class CannotRun(Exception):
@@ -374,21 +376,43 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+class Interrupted(BaseException):
+    """The time limit or SIGTERM; no handler of a case catches it."""
+
+
+def interrupt(number, frame):
+    raise Interrupted(signal.Signals(number).name)
+
+
 def run_case(folder, case, **options):
     """Runs case(bed, trouble) -> list of breaks; exits as the issue says."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    bed = Bed(folder, **options)
     status = CANNOT_RUN
+    bed = None
+    signal.signal(signal.SIGALRM, interrupt)
+    signal.signal(signal.SIGTERM, interrupt)
+    signal.alarm(TIME_LIMIT_S)
     try:
+        bed = Bed(folder, **options)
         breaks = case(bed, trouble)
         for text in breaks:
             bed.record("RULE BROKEN: " + text)
             print("RULE BROKEN:", text)
+        bed.record(f"exit {1 if breaks else 0}, trouble {trouble}")
         status = 1 if breaks else 0
-        bed.record(f"exit {status}, trouble {trouble}")
     except CannotRun as reason:
-        bed.record(f"could not run: {reason}")
         print("could not run:", reason)
+    except (Exception, Interrupted):
+        # An exit code of 1 is kept for a broken rule.
+        traceback.print_exc()
     finally:
-        bed.close()
+        signal.alarm(0)
+        if bed is not None:
+            if status == CANNOT_RUN:
+                bed.record("could not run")
+            try:
+                bed.close()
+            except Exception:
+                traceback.print_exc()
+                status = CANNOT_RUN
     sys.exit(status)
