Move the votes of control hosts that stop before they are gone

Cause: a host that was stopped said nothing to the group, and its vote stayed with it for replace_after, a constant of 5 s; the next loss has to be borne after catch_up_s (4 to 6 s), which is told to each process and reached no timer.

Change: a process that stops asks the leader to give its vote to a learner that has caught up (Retire, LeaveRequest), ends once that is committed or no learner is ready, and asks for the vote back when it has restarted (ReturnRequest). A silent voter is replaced after half of join.catch_up; silence counts from the sending of the last message that was answered, and for a former leader from its last contact. MaxReplacementTime is the sum of all timers. A vote moves only through a committed joint configuration. Builds before this one drop the new messages; the new setting comes from the environment, as they refuse unknown keys.

--- a/src/foxquay/consensus/election.cc
+++ b/src/foxquay/consensus/election.cc
@@ -98,7 +98,12 @@
     if (voter == options_.self) continue;
     internal::Progress& progress = progress_[voter];
     progress.next = log_.last() + 1;
-    progress.last_reply_at = now_;
+    progress.alive_at = now_;
+    // The silence of a former leader began before its successor was elected.
+    if (voter == last_leader_) {
+      progress.alive_at =
+          std::max(last_contact_, now_ - options_.timing.max_election);
+    }
   }
   AppendEntry(schema::EntryKind::kNoop, "", {});
   term_start_ = log_.last();
--- a/src/foxquay/consensus/event.h
+++ b/src/foxquay/consensus/event.h
@@ -37,7 +37,12 @@
   std::string data;  ///< Serialized state.
 };
 
-using Event = std::variant<Received, Tick, Propose, Persisted, SnapshotTaken>;
+/// The process of this replica is about to stop: its vote is to move to a
+/// caught-up learner, if there is one, before it does.
+struct Retire {};
+
+using Event =
+    std::variant<Received, Tick, Propose, Persisted, SnapshotTaken, Retire>;
 
 }  // namespace foxquay::consensus
 
--- a/src/foxquay/consensus/join.cc
+++ b/src/foxquay/consensus/join.cc
@@ -43,7 +43,7 @@
   });
   internal::Progress& progress = progress_[joiner];
   progress.next = log_.last() + 1;
-  progress.last_reply_at = now_;
+  progress.alive_at = now_;
   progress.joined_at = now_;
   progress.needs_snapshot = request.fresh;
   Replicate(joiner, progress, false);
--- a/src/foxquay/consensus/log.cc
+++ b/src/foxquay/consensus/log.cc
@@ -1,12 +1,12 @@
 #include "foxquay/consensus/log.h"
 
+#include <algorithm>
 #include <cassert>
 #include <iterator>
 
 #include "foxquay/schema/codec.h"
 
 namespace foxquay::consensus::internal {
-
 Log::Log(const schema::SnapshotMeta& base,
          std::vector<schema::LogEntry> entries)
     : base_(base.index), base_term_(base.term), base_wall_(base.wall) {
@@ -69,6 +69,40 @@
   return configurations_[position].second;
 }
 
+std::vector<core::HostId> Log::HomeHosts() const {
+  // A replica takes over the position of the one that it replaces.
+  const schema::Configuration& first = configurations_.front().second;
+  const auto& voters = first.previous.empty() ? first.voters : first.previous;
+  std::vector<core::HostId> home;
+  for (const schema::ReplicaId& voter : voters) home.push_back(voter.host);
+  for (const auto& [index, configuration] : configurations_) {
+    for (std::size_t i = home.size(); i < configuration.voters.size(); ++i) {
+      home.push_back(configuration.voters[i].host);
+    }
+  }
+  return home;
+}
+
+std::optional<schema::ReplicaId> Log::StandInOf(
+    const core::HostId& host) const {
+  const std::vector<core::HostId> home = HomeHosts();
+  const auto& voters = configuration().voters;
+  const auto own = std::find(home.begin(), home.end(), host);
+  const bool votes = std::any_of(
+      voters.begin(), voters.end(),
+      [&host](const schema::ReplicaId& voter) { return voter.host == host; });
+  if (own == home.end() || votes) return std::nullopt;
+  const auto is_away = [&home](const schema::ReplicaId& voter) {
+    return std::find(home.begin(), home.end(), voter.host) == home.end();
+  };
+  const auto position = static_cast<std::size_t>(own - home.begin());
+  if (position < voters.size() && is_away(voters[position])) {
+    return voters[position];
+  }
+  const auto away = std::find_if(voters.begin(), voters.end(), is_away);
+  return away == voters.end() ? std::nullopt : std::optional(*away);
+}
+
 void Log::RecordConfiguration(Index index, const schema::LogEntry& entry) {
   if (entry.kind != schema::EntryKind::kConfiguration) return;
   auto decoded = schema::Decode<schema::Configuration>(entry.payload);
--- a/src/foxquay/consensus/log.h
+++ b/src/foxquay/consensus/log.h
@@ -58,8 +58,17 @@
   }
   /// Returns the configuration that applies as of the entry at `index`.
   [[nodiscard]] const schema::Configuration& ConfigurationAt(Index index) const;
+  /// Returns the voter that stands in for a host that had a vote before: one on
+  /// a host that had none when the kept part of the log began and that has got
+  /// it from another one since. Returns nullopt if there is none, or if the
+  /// host has a vote.
+  [[nodiscard]] std::optional<schema::ReplicaId> StandInOf(
+      const core::HostId& host) const;
 
  private:
+  /// Returns the hosts of the voters at the base and of those that were added
+  /// since, not in exchange for others; by position in the configuration.
+  [[nodiscard]] std::vector<core::HostId> HomeHosts() const;
   void RecordConfiguration(Index index, const schema::LogEntry& entry);
 
   Index base_ = 0;
--- a/src/foxquay/consensus/progress.h
+++ b/src/foxquay/consensus/progress.h
@@ -39,13 +39,26 @@
   std::uint64_t transfer_offset = 0;  ///< Bytes of it received there.
   /// Send time, on the leader's clock, of the latest message that it answered.
   std::optional<core::Instant> acked_send_time;
-  core::Instant last_reply_at{};  ///< Arrival time of its latest reply.
+  /// Latest time at which it is known to have been alive: when the latest
+  /// message that it has answered was sent. A reply may arrive long after the
+  /// process that sent it has ended.
+  core::Instant alive_at{};
   /// When it asked this leader to join; the epoch if it was a voter before.
   core::Instant joined_at{};
   /// Identifies the process that sent the latest reply; `stamp` is comparable
   /// only within one process.
   std::uint64_t session = 0;
   core::Duration stamp{};  ///< Its clock reading in the latest reply.
+  /// Session of the process that has asked to leave, if any.
+  std::optional<std::uint64_t> leaving_session;
+  /// Voter that took over its vote while its process was down, if any.
+  std::optional<schema::ReplicaId> stand_in;
+
+  /// Returns whether its process is about to stop, or has stopped after it
+  /// asked to leave. A process that was started since has not asked.
+  [[nodiscard]] bool IsLeaving() const {
+    return leaving_session && (session == 0 || session == *leaving_session);
+  }
 
   /// Records whether a reply answers the message in flight; if so, none is.
   bool TakeAnswer(std::uint64_t sequence) {
--- a/src/foxquay/consensus/replica.cc
+++ b/src/foxquay/consensus/replica.cc
@@ -24,6 +24,7 @@
 core::Instant Replica::NextDeadline() const noexcept {
   return state_->NextDeadline();
 }
+bool Replica::MayStop() const { return state_->MayStop(); }
 Role Replica::role() const noexcept { return state_->role(); }
 Term Replica::term() const noexcept { return state_->term(); }
 std::optional<schema::ReplicaId> Replica::leader() const {
@@ -59,8 +60,16 @@
       role_(RoleFromConfiguration()),
       // A voter may have acknowledged a lease just before it restarted, so it
       // counts as in contact and ignores vote requests for min_election.
-      last_contact_(now) {
+      last_contact_(now),
+      started_at_(now) {
   ResetElectionDeadline();
+  FindStandIn();
+}
+
+core::Instant Replica::State::NextDeadline() const noexcept {
+  const core::Instant deadline =
+      role_ == Role::kLeader ? heartbeat_deadline_ : election_deadline_;
+  return retiring_ ? std::min(deadline, next_leave_request_) : deadline;
 }
 
 std::vector<Action> Replica::State::Handle(const Event& event,
@@ -69,6 +78,7 @@
   std::visit([this](const auto& typed) { On(typed); }, event);
   CheckTimers();
   AdvanceCommit();
+  CompleteChange();
   ApplyCommitted();
   AdvanceFreshness();
   PersistChanges();
@@ -144,6 +154,7 @@
 }
 
 void Replica::State::CheckTimers() {
+  RequestLeave();
   if (role_ == Role::kLeader) {
     const core::Instant acked =
         std::max(QuorumAckTime(now_).value_or(leading_since_), leading_since_);
@@ -256,6 +267,7 @@
   if (log_.configuration() != reported_members_) {
     reported_members_ = log_.configuration();
     actions_.emplace_back(MembersChanged{reported_members_});
+    FindStandIn();
     if (role_ == Role::kLearner || role_ == Role::kFollower) {
       role_ = RoleFromConfiguration();
     }
--- a/src/foxquay/consensus/replica.h
+++ b/src/foxquay/consensus/replica.h
@@ -36,10 +36,21 @@
   /// Shorter than min_election by the rate error of two clocks, 1 % each.
   core::Duration lease = std::chrono::milliseconds(485);
   /// Time without a reply after which a voter counts as lost and a caught-up
-  /// learner replaces it.
-  core::Duration replace_after = std::chrono::seconds(5);
+  /// learner replaces it; longer than max_election.
+  core::Duration replace_after = std::chrono::seconds(2);
 };
 
+/// Returns the default timing, with replace_after chosen such that a voter that
+/// falls silent is replaced within `catch_up` (MaxReplacementTime), the time
+/// after which the loss of another one has to be borne.
+[[nodiscard]] Timing MakeTiming(core::Duration catch_up);
+
+/// Returns the longest time from the end of a voter's process until a caught-up
+/// learner has its vote, on a network and disks that answer within a heartbeat
+/// interval: the sum of the timers of the protocol. The voter may have been the
+/// leader.
+[[nodiscard]] core::Duration MaxReplacementTime(const Timing& timing);
+
 /// Limits on the size of proposals, messages, snapshots and the log.
 struct Limits {
   std::size_t max_payload_bytes = 1U << 20U;     ///< Per proposal.
@@ -138,6 +149,11 @@
   /// for clock rate errors. The age of a read is `now` minus this instant.
   [[nodiscard]] std::optional<core::Instant> FreshAsOf() const noexcept;
 
+  /// Returns whether the process may end after Retire without a loss to the
+  /// group that waiting could prevent: the vote has moved to another replica,
+  /// or the leader knows none that could take it over. False before Retire.
+  [[nodiscard]] bool MayStop() const;
+
  private:
   class State;
   std::unique_ptr<State> state_;
--- a/src/foxquay/consensus/replication.cc
+++ b/src/foxquay/consensus/replication.cc
@@ -146,7 +146,9 @@
   if (header.term < term_) return false;
   StepDown(header.term, header.from);
   last_contact_ = now_;
+  last_leader_ = header.from;
   ResetElectionDeadline();
+  RequestReturn();
   return true;
 }
 
@@ -244,7 +246,7 @@
   const core::Instant sent_at(sent);
   progress.acked_send_time =
       std::max(progress.acked_send_time.value_or(sent_at), sent_at);
-  progress.last_reply_at = now_;
+  progress.alive_at = std::max(progress.alive_at, sent_at);
   return &progress;
 }
 
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -21,17 +21,16 @@
 namespace foxquay::consensus {
 
 /// State and transitions of a Replica. The definitions are grouped by concern
-/// in replica.cc, election.cc, replication.cc, transfer.cc, members.cc and
-/// join.cc.
+/// in replica.cc, election.cc, replication.cc, transfer.cc, members.cc,
+/// leave.cc and join.cc.
 class Replica::State {
  public:
   State(Options options, PersistentState persistent_state, core::Instant now);
 
   std::vector<Action> Handle(const Event& event, core::Instant now);
-  [[nodiscard]] core::Instant NextDeadline() const noexcept {
-    return role_ == Role::kLeader ? heartbeat_deadline_ : election_deadline_;
-  }
+  [[nodiscard]] core::Instant NextDeadline() const noexcept;
   [[nodiscard]] bool HoldsLease(core::Instant now) const;
+  [[nodiscard]] bool MayStop() const;
 
   [[nodiscard]] Role role() const noexcept { return role_; }
   [[nodiscard]] Term term() const noexcept { return term_; }
@@ -69,6 +68,7 @@
   void On(const Propose& event);
   void On(const Persisted& event);
   void On(const SnapshotTaken& event);
+  void On(const Retire& event);
   void CheckTimers();
   void AppendEntry(schema::EntryKind kind, std::string payload,
                    core::WallTime wall);
@@ -156,9 +156,26 @@
       Index index) const;
 
   // members.cc
+  /// Starts or continues a change of the voters if one is due.
   void UpdateMembership();
-  [[nodiscard]] core::Duration TimeSinceLastReply(
-      const schema::ReplicaId& voter) const;
+  /// Completes a joint configuration as soon as it is committed.
+  void CompleteChange();
+  /// Appends a joint configuration in which `to` replaces the voter `from`.
+  void ReplaceVoter(const schema::ReplicaId& from, const schema::ReplicaId& to);
+  [[nodiscard]] bool ReplaceLostVoter();
+  [[nodiscard]] bool ReplaceLeavingVoter();
+  /// Gives a vote back to a replica that has asked for it (ReturnRequest).
+  void ReturnVote();
+  /// Returns whether a vote may move from a voter that answers.
+  [[nodiscard]] bool MayMoveVotes() const;
+  /// Returns whether a change of the voters is under way.
+  [[nodiscard]] bool IsChangingVoters() const;
+  /// Returns whether the process of a replica is about to stop in order.
+  [[nodiscard]] bool IsLeaving(const schema::ReplicaId& id) const;
+  /// Returns whether the leader may yet move the vote of a leaving voter.
+  [[nodiscard]] bool IsMovePending(const schema::ReplicaId& voter) const;
+  /// Returns the time since a voter was known to be alive.
+  [[nodiscard]] core::Duration Silence(const schema::ReplicaId& voter) const;
   [[nodiscard]] bool IsCaughtUp(const internal::Progress& progress) const;
   /// Returns a learner that may become a voter, on `host` if given.
   [[nodiscard]] std::optional<schema::ReplicaId> FindCaughtUpLearner(
@@ -171,6 +188,17 @@
       const schema::ReplicaId& voter) const;
   void AppendConfiguration(const schema::Configuration& configuration);
 
+  // leave.cc
+  /// Asks the leader to move this replica's vote, repeatedly.
+  void RequestLeave();
+  void On(const schema::LeaveRequest& request);
+  void On(const schema::LeaveReply& reply);
+  /// Determines whether another replica has taken over this one's vote.
+  void FindStandIn();
+  /// Asks the leader to give this replica its vote back.
+  void RequestReturn();
+  void On(const schema::ReturnRequest& request);
+
   // join.cc
   void RequestJoin();
   /// Passes the request of a replica that knows only this host on to the
@@ -200,6 +228,9 @@
   Role role_ = Role::kLearner;
   std::optional<schema::ReplicaId> leader_;  ///< Of `term_`, if known.
   core::Instant last_contact_;  ///< With a leader; initially the start time.
+  core::Instant started_at_;
+  /// Leader of the last contact; unset before the first one.
+  std::optional<schema::ReplicaId> last_leader_;
   core::Instant election_deadline_;
   std::set<schema::ReplicaId, internal::ReplicaLess> votes_;
 
@@ -221,6 +252,13 @@
   std::map<core::HostId, schema::ReplicaId> join_responders_;
   bool group_exists_ = false;  ///< One of them has a configuration.
 
+  bool retiring_ = false;  ///< The process is about to stop.
+  core::Instant next_leave_request_;
+  bool vote_stays_ = false;  ///< The leader knows no replica to take it over.
+  /// Voter that took over this replica's vote while the process was down.
+  std::optional<schema::ReplicaId> stand_in_;
+  core::Instant next_return_request_;
+
   // Values in the latest LeaderChanged and MembersChanged.
   std::optional<schema::ReplicaId> reported_leader_;
   Term reported_term_ = 0;
--- a/src/foxquay/consensus/transfer.cc
+++ b/src/foxquay/consensus/transfer.cc
@@ -32,7 +32,7 @@
         return progress.transfer_index == snapshot_.meta.index &&
                progress.transfer_offset > 0 &&
                progress.match < snapshot_.meta.index &&
-               now_ - progress.last_reply_at < options_.timing.max_election;
+               now_ - progress.alive_at < options_.timing.max_election;
       });
 }
 
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -207,6 +207,24 @@
   }
 }
 
+void ControlNode::Retire() {
+  boost::asio::post(context_, [this] {
+    if (replica_) replica_->Handle(consensus::Retire{}, Now());
+    UpdateMayStop();
+  });
+}
+
+void ControlNode::UpdateMayStop() {
+  may_stop_ = !replica_ || replica_->replica().MayStop();
+}
+
+void ControlNode::AwaitRetirement() {
+  const core::Instant deadline = Now() + kMaxRetireTime;
+  while (Now() < deadline && !MayStop()) {
+    std::this_thread::sleep_for(internal::kFlushPollInterval);
+  }
+}
+
 void ControlNode::Stop() {
   if (stopping_.exchange(true)) return;
   if (thread_.joinable()) {
@@ -232,6 +250,7 @@
                        ? 0
                        : 2 * settings_.join.tolerated_losses + 1;
   options.seed = std::random_device()();
+  options.timing = consensus::MakeTiming(settings_.join.catch_up);
   ControlReplica::Output output;
   output.send = [this](const core::HostId& to,
                        const schema::ConsensusMessage& message) {
@@ -263,6 +282,7 @@
   roster_.SetHostSilence(polls_.Behind(now) ? roster::kBehindHostSilence
                                             : roster::kHostSilence);
   if (replica_) replica_->Handle(consensus::Tick{}, now);
+  UpdateMayStop();
   proposer_.Tick(now);
   ExpireInForceChecks(now);
   AnswerFleetReads(now);
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -65,6 +65,11 @@
 inline constexpr core::Duration kGossipInterval =
     std::chrono::milliseconds(500);
 
+/// Longest time that a process waits at its end for its vote to move. A change
+/// of voters takes two writes of a quorum; a leader of a build without such
+/// changes does not answer.
+inline constexpr core::Duration kMaxRetireTime = std::chrono::seconds(2);
+
 /// Time after which a protected request is rejected if its claim is undecided.
 inline constexpr core::Duration kClaimTimeout = std::chrono::milliseconds(2000);
 
@@ -170,6 +175,15 @@
   /// Waits until no proposal is open, such as the outcome of a claim, or until
   /// `timeout` has passed.
   void Flush(core::Duration timeout);
+  /// Hands this host's vote to another replica that is ready for it, as the
+  /// process is about to stop. Does not block; MayStop tells when it is done.
+  void Retire();
+  /// Returns whether nothing is gained by a further wait after Retire: the vote
+  /// has moved, no replica can take it over, or this host has none. Does not
+  /// block.
+  [[nodiscard]] bool MayStop() const noexcept { return may_stop_; }
+  /// Waits for MayStop, at most for kMaxRetireTime.
+  void AwaitRetirement();
   /// Stops the control thread. Not thread-safe.
   void Stop();
 
@@ -351,6 +365,7 @@
   void AnswerPropose(const core::HostId& to,
                      const schema::ProposeRequest& request);
   void StartReplica(consensus::PersistentState durable);
+  void UpdateMayStop();
   void SyncObserver();
   /// Returns the reply to a configuration poll, or nothing if this host cannot
   /// confirm a configuration.
@@ -578,6 +593,7 @@
   std::atomic<std::shared_ptr<const Shared>> shared_;
   std::atomic<bool> accepts_announcements_{true};
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> may_stop_{false};  ///< See MayStop.
   std::thread thread_;
 };
 
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -409,6 +409,7 @@
     log::Write(log::Level::kInfo, "drain_started",
                {{"open", proxy_.open_requests()}});
     node_.StartDrain();
+    node_.Retire();
     proxy_.StartDrain(MakeDrainPlan());
   }
 
@@ -416,11 +417,13 @@
     return {*drain_started_, grace_};
   }
 
-  /// Ends the process once its requests are answered. Answers that are not
-  /// written yet count as open.
+  /// Ends the process once its requests are answered and its vote has moved.
+  /// Answers that are not written yet count as open.
   void CheckDrain() {
     if (!drain_started_) return;
     const core::Instant now = net::SteadyNow();
+    const core::Duration retire_time = std::min(kMaxRetireTime, grace_ / 2);
+    if (!node_.MayStop() && now < *drain_started_ + retire_time) return;
     if (!has_entry_role_) {
       if (now >= *drain_started_ + kControlShutdownDelay) context_.stop();
       return;
--- a/src/foxquay/daemon/serve.cc
+++ b/src/foxquay/daemon/serve.cc
@@ -225,6 +225,8 @@
   internal::DrainOnSignal(host, *control, reloader, signals);
   admin.Stop();
   control->Flush(internal::kFlushTimeout);
+  control->Retire();
+  control->AwaitRetirement();
   control->Stop();
   // Canceled legs to an unresponsive upstream may still block their threads in
   // the HTTP client, which offers no way to interrupt them. Exit without
--- a/src/foxquay/schema/consensus.h
+++ b/src/foxquay/schema/consensus.h
@@ -306,10 +306,57 @@
   }
 };
 
+/// Sent to the leader by a replica whose process is about to stop. Ignored by
+/// builds without it.
+struct LeaveRequest {
+  MessageHeader header;  ///< Sender and term.
+  std::uint64_t session =
+      0;  ///< Session of the sender; the request ends with it.
+
+  friend bool operator==(const LeaveRequest&, const LeaveRequest&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(header);
+    archive(session);
+  }
+};
+
+/// Answers a LeaveRequest.
+struct LeaveReply {
+  MessageHeader header;  ///< Sender and term.
+  bool pending = false;  ///< Whether the receiver is a voter whose vote another
+                         ///< replica may soon take over.
+
+  friend bool operator==(const LeaveReply&, const LeaveReply&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(header);
+    archive(pending);
+  }
+};
+
+/// Sent to the leader by a replica that has restarted and whose vote another
+/// one took over meanwhile. Ignored by builds without it.
+struct ReturnRequest {
+  MessageHeader header;  ///< Sender and term.
+  ReplicaId stand_in;    ///< Replica that took over the vote.
+
+  friend bool operator==(const ReturnRequest&, const ReturnRequest&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(header);
+    archive(stand_in);
+  }
+};
+
 /// Any message between replicas.
 using ConsensusMessage =
     std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
-                 SnapshotChunk, SnapshotReply, JoinRequest, JoinReply>;
+                 SnapshotChunk, SnapshotReply, JoinRequest, JoinReply,
+                 LeaveRequest, LeaveReply, ReturnRequest>;
 
 }  // namespace foxquay::schema
 
--- a/src/foxquay/schema/settings.h
+++ b/src/foxquay/schema/settings.h
@@ -59,6 +59,11 @@
       0;  ///< Number of hosts with the role control that may be lost at the
           ///< same time; for n, the group grows to 2n + 1 voters if there are
           ///< enough hosts.
+  core::Duration catch_up = std::chrono::seconds(
+      4);  ///< Time after the loss of a host with the role control after which
+           ///< the loss of another one has to be borne; a host that falls
+           ///< silent gives up its vote within it. FOXQUAY_CATCH_UP in the
+           ///< environment, in seconds, takes precedence.
   bool bootstrap = false;  ///< Whether the seeds may form a new replica group;
                            ///< set only for the first start of a cluster.
 
--- a/src/foxquay/settings/difference_generated.cc
+++ b/src/foxquay/settings/difference_generated.cc
@@ -67,6 +67,9 @@
   if (before.tolerated_losses != after.tolerated_losses) {
     Add(differences, path + "tolerated_losses", false);
   }
+  if (before.catch_up != after.catch_up) {
+    Add(differences, path + "catch_up", false);
+  }
   if (before.bootstrap != after.bootstrap) {
     Add(differences, path + "bootstrap", false);
   }
--- a/src/foxquay/settings/reader_generated.cc
+++ b/src/foxquay/settings/reader_generated.cc
@@ -66,6 +66,7 @@
   Section section(reader, {
                               "seeds",
                               "tolerated_losses",
+                              "catch_up",
                               "bootstrap",
                           });
   section.Field("seeds", Presence::kOptional, [&](Reader& child) {
@@ -76,6 +77,8 @@
   section.Field("tolerated_losses", Presence::kOptional, [&](Reader& child) {
     child.ReadNumber(value.tolerated_losses);
   });
+  section.Field("catch_up", Presence::kOptional,
+                [&](Reader& child) { child.ReadDuration(value.catch_up); });
   section.Field("bootstrap", Presence::kOptional,
                 [&](Reader& child) { Read(child, value.bootstrap); });
 }
--- a/src/foxquay/settings/settings.cc
+++ b/src/foxquay/settings/settings.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <fstream>
 #include <initializer_list>
 #include <set>
@@ -176,6 +177,14 @@
   return loaded;
 }
 
+void ReadEnvironment(Loaded& loaded) {
+  const char* catch_up = std::getenv(kCatchUpVariable);
+  if (catch_up == nullptr || *catch_up == '\0') return;
+  internal::Reader reader(YAML::Node(std::string(catch_up) + "s"),
+                          "environment", kCatchUpVariable, loaded.findings);
+  reader.ReadDuration(loaded.settings.join.catch_up);
+}
+
 Loaded Load(const std::string& file) {
   std::ifstream in(file);
   if (!in) {
@@ -185,7 +194,9 @@
   }
   std::ostringstream text;
   text << in.rdbuf();
-  return Parse(text.str(), file);
+  Loaded loaded = Parse(text.str(), file);
+  ReadEnvironment(loaded);
+  return loaded;
 }
 
 }  // namespace foxquay::settings
--- a/src/foxquay/settings/settings.h
+++ b/src/foxquay/settings/settings.h
@@ -15,7 +15,17 @@
   core::Findings findings;    ///< All errors in the file, ordered by line.
 };
 
-/// Loads and validates a settings file. Thread-safe.
+/// Variable of the environment that holds join.catch_up, a number of seconds. A
+/// settings file with that key cannot be read by builds that do not know it.
+inline constexpr const char* kCatchUpVariable = "FOXQUAY_CATCH_UP";
+
+/// Replaces settings by what the environment holds; adds a finding for each
+/// variable that cannot be read. Not thread-safe with changes of the
+/// environment.
+void ReadEnvironment(Loaded& loaded);
+
+/// Loads and validates a settings file and the environment (ReadEnvironment).
+/// Thread-safe.
 ///
 /// A file that cannot be opened or is not valid YAML yields one finding.
 [[nodiscard]] Loaded Load(const std::string& file);
--- a/tests/foxquay/consensus/simulated_cluster.cc
+++ b/tests/foxquay/consensus/simulated_cluster.cc
@@ -31,10 +31,11 @@
 
 SimulatedCluster::SimulatedCluster(std::size_t founders, std::size_t standbys,
                                    core::Duration max_election,
-                                   std::size_t voters) {
+                                   std::size_t voters,
+                                   std::size_t snapshot_entries) {
   options_.voters = voters;
   options_.timing.max_election = max_election;
-  options_.limits.snapshot_entries = 12;
+  options_.limits.snapshot_entries = snapshot_entries;
   options_.limits.trailing_entries = 4;
   options_.limits.max_chunk_bytes = 9;
   options_.limits.max_append_entries = 5;
@@ -131,12 +132,32 @@
   Node& node = nodes_[index];
   if (!MayLoseDisk(node)) return;
   last_disk_loss_ = real_time_;
+  EraseDisk(index);
+}
+
+void SimulatedCluster::EraseDisk(std::size_t index) {
+  Node& node = nodes_[index];
   Crash(node, 0);
   node.disk = {};
   node.id.incarnation = ++serial_;
   Start(index);
 }
 
+void SimulatedCluster::Retire(std::size_t index) {
+  Handle(index, consensus::Retire{});
+}
+
+void SimulatedCluster::Remove(std::size_t index) {
+  Crash(nodes_[index], 0);
+  nodes_[index].removed = true;
+}
+
+bool SimulatedCluster::Votes(std::size_t index) const {
+  const auto& replica = nodes_[leader()].replica;
+  return replica &&
+         internal::ContainsVoter(replica->configuration(), nodes_[index].id);
+}
+
 std::size_t SimulatedCluster::Target(const Fault& fault) const {
   std::size_t target = fault.replica % nodes_.size();
   if (fault.replica < Fault::kLeader) return target;
@@ -204,7 +225,7 @@
   random_.seed(seed);
   for (std::size_t index = 0; index < nodes_.size(); ++index) {
     Node& node = nodes_[index];
-    if (!node.replica && Chance(percent)) Start(index);
+    if (!node.replica && !node.removed && Chance(percent)) Start(index);
     if (Chance(percent)) node.paused = false;
     if (Chance(percent)) node.syncs_stalled = false;
   }
@@ -407,10 +428,12 @@
   std::size_t voters = 0;
   const Node* leader = nullptr;
   for (const Node& node : nodes_) {
+    if (node.removed) continue;
     if (node.replica->role() == Role::kLeader) leader = &node;
   }
   if (leader == nullptr) return false;
   for (const Node& node : nodes_) {
+    if (node.removed) continue;
     if (node.replica->configuration() != leader->replica->configuration()) {
       return false;
     }
--- a/tests/foxquay/consensus/simulated_cluster.h
+++ b/tests/foxquay/consensus/simulated_cluster.h
@@ -48,9 +48,11 @@
 /// and the network between them.
 class SimulatedCluster {
  public:
-  /// The group grows to `voters` voters if that is more than `founders`.
+  /// The group grows to `voters` voters if that is more than `founders`, and
+  /// compacts its log each `snapshot_entries` entries.
   SimulatedCluster(std::size_t founders, std::size_t standbys,
-                   core::Duration max_election, std::size_t voters = 0);
+                   core::Duration max_election, std::size_t voters = 0,
+                   std::size_t snapshot_entries = 12);
 
   /// Injects a fault; it lasts until Recover ends it.
   void Inject(const Fault& fault);
@@ -60,6 +62,27 @@
   /// Advances the time by `span`. Messages are delivered late, twice, out of
   /// order or never.
   void Run(std::chrono::milliseconds span, std::uint32_t seed);
+  /// Starts the planned stop of a replica.
+  void Retire(std::size_t index);
+  /// Returns whether a replica that is retiring may end.
+  [[nodiscard]] bool MayStop(std::size_t index) const {
+    return nodes_[index].replica->MayStop();
+  }
+  /// Ends the process of a replica for good, with its disk.
+  void Remove(std::size_t index);
+  /// Erases the disk of a replica and starts it again, whether the group can
+  /// survive that or not.
+  void EraseDisk(std::size_t index);
+  [[nodiscard]] bool IsRunning(std::size_t index) const {
+    return nodes_[index].replica.has_value();
+  }
+  /// Returns whether the leader's configuration has this replica as a voter.
+  [[nodiscard]] bool Votes(std::size_t index) const;
+  /// Returns the replica that leads the latest term; the first one if none
+  /// does.
+  [[nodiscard]] std::size_t leader() const {
+    return Target({FaultKind::kNone, Fault::kLeader, 0});
+  }
   /// Ends all faults and checks that within 30 s the group commits again, has
   /// all its voters and has the same state on all replicas.
   void CheckRecovery();
@@ -83,6 +106,7 @@
     PersistentState disk;
     std::vector<Write> unsynced;     ///< Not on disk yet, in order.
     std::optional<Replica> replica;  ///< Unset while it is not running.
+    bool removed = false;            ///< Never starts again.
     bool paused = false;
     bool syncs_stalled = false;
     bool wants_snapshot = false;
--- a/tests/foxquay/settings/settings_test.cc
+++ b/tests/foxquay/settings/settings_test.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdlib>
 #include <string>
 
 namespace foxquay::settings {
@@ -147,4 +149,21 @@
   CHECK(loaded.settings.limits.grace < std::chrono::milliseconds(1334));
 }
 
+// Guards against a setting that can be told only by a file that builds before
+// it refuse.
+TEST_CASE("the environment replaces the time to catch up") {
+  Loaded loaded = Parse(kValidSettings, "settings.yaml");
+  setenv(kCatchUpVariable, "5.5", 1);
+  ReadEnvironment(loaded);
+  CHECK(loaded.findings.empty());
+  CHECK(loaded.settings.join.catch_up == std::chrono::milliseconds(5500));
+  setenv(kCatchUpVariable, "", 1);
+  ReadEnvironment(loaded);
+  CHECK(loaded.findings.empty());
+  setenv(kCatchUpVariable, "soon", 1);
+  ReadEnvironment(loaded);
+  CHECK(loaded.findings.size() == 1);
+  unsetenv(kCatchUpVariable);
+}
+
 }  // namespace foxquay::settings
