Wait for the learners of a new leader before a planned stop

Cause: a new leader knows no learner until one asks it to join, which takes up to an election timeout, and told the process that stops that no replica was ready. A leader that succeeds a dead one also gave it another second.

Change: a stop is pending while the leader is new or a learner is alive; requests to join that a voter could not grant are kept and granted when it is elected; a former leader has min_election to answer. A process waits for 3 s.

--- a/src/foxquay/consensus/election.cc
+++ b/src/foxquay/consensus/election.cc
@@ -101,12 +101,14 @@
     progress.alive_at = now_;
     // The silence of a former leader began before its successor was elected.
     if (voter == last_leader_) {
-      progress.alive_at =
-          std::max(last_contact_, now_ - options_.timing.max_election);
+      const Timing& timing = options_.timing;
+      progress.alive_at = std::max(
+          last_contact_, now_ - (timing.replace_after - timing.min_election));
     }
   }
   AppendEntry(schema::EntryKind::kNoop, "", {});
   term_start_ = log_.last();
+  AdmitJoiners();
   ReplicateToAll(true);
 }
 
--- a/src/foxquay/consensus/join.cc
+++ b/src/foxquay/consensus/join.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// Upper bound on the replicas that a leader tracks, higher than any group
-/// needs; join requests beyond it are ignored.
+/// needs. Join requests beyond it are ignored.
 constexpr std::size_t kMaxReplicas = 32;
 
 /// Smallest quorum of a group whose voters are no longer its founders.
@@ -35,8 +35,32 @@
   reply.header = Header(joiner);
   reply.fresh = IsNew();
   SendAfterWrite(reply, writes_.latest_write());
-  if (role_ != Role::kLeader) ForwardToLeader(request);
-  if (role_ != Role::kLeader || progress_.contains(joiner)) return;
+  if (role_ != Role::kLeader) {
+    ForwardToLeader(request);
+    RememberJoiner(request);
+    return;
+  }
+  if (!progress_.contains(joiner)) Admit(joiner, request.fresh);
+}
+
+void Replica::State::RememberJoiner(const schema::JoinRequest& request) {
+  const schema::ReplicaId& joiner = request.header.from;
+  if (joiners_.size() >= kMaxReplicas && !joiners_.contains(joiner.host)) {
+    return;
+  }
+  joiners_[joiner.host] = {joiner, request.fresh, now_};
+}
+
+void Replica::State::AdmitJoiners() {
+  for (const auto& [host, joiner] : std::exchange(joiners_, {})) {
+    const bool recent = now_ - joiner.at <= 2 * options_.timing.max_election;
+    if (recent && !progress_.contains(joiner.id)) {
+      Admit(joiner.id, joiner.fresh);
+    }
+  }
+}
+
+void Replica::State::Admit(const schema::ReplicaId& joiner, bool fresh) {
   if (progress_.size() >= kMaxReplicas) return;
   std::erase_if(progress_, [&](const auto& item) {
     return item.first.host == joiner.host && !IsVoter(item.first);
@@ -45,7 +69,7 @@
   progress.next = log_.last() + 1;
   progress.alive_at = now_;
   progress.joined_at = now_;
-  progress.needs_snapshot = request.fresh;
+  progress.needs_snapshot = fresh;
   Replicate(joiner, progress, false);
 }
 
--- a/src/foxquay/consensus/log.cc
+++ b/src/foxquay/consensus/log.cc
@@ -74,6 +74,7 @@
   const schema::Configuration& first = configurations_.front().second;
   const auto& voters = first.previous.empty() ? first.voters : first.previous;
   std::vector<core::HostId> home;
+  home.reserve(voters.size());
   for (const schema::ReplicaId& voter : voters) home.push_back(voter.host);
   for (const auto& [index, configuration] : configurations_) {
     for (std::size_t i = home.size(); i < configuration.voters.size(); ++i) {
--- a/src/foxquay/consensus/members.cc
+++ b/src/foxquay/consensus/members.cc
@@ -22,18 +22,17 @@
 }
 
 core::Duration MaxReplacementTime(const Timing& timing) {
-  // If the voter led, the others notice after an election timeout, vote, and
-  // the learners ask the new leader to join after another one. The new leader
-  // counts the silence from its last contact with the former one, but grants it
-  // replace_after less max_election after its own election.
+  // If the voter led, the others notice after an election timeout and vote; the
+  // learners notice at the same time and are admitted by the new leader, or ask
+  // it after another timeout. It counts the silence from its last contact with
+  // the former one, but waits for min_election after its own election.
   const core::Duration elected = timing.max_election + 2 * timing.heartbeat;
   const core::Duration joined =
       elected + timing.max_election + 2 * timing.heartbeat;
-  const core::Duration silent =
-      elected + timing.replace_after - timing.max_election;
   // The change starts with the next heartbeat; each of its two entries is
   // written by a quorum.
-  return std::max({joined, silent, timing.replace_after}) +
+  return std::max(
+             {joined, elected + timing.min_election, timing.replace_after}) +
          3 * timing.heartbeat;
 }
 
@@ -131,7 +130,14 @@
 bool Replica::State::IsMovePending(const schema::ReplicaId& voter) const {
   if (IsChangingVoters()) return true;
   if (!IsVoter(voter) || !MayMoveVotes()) return false;
-  return !HasCommittedInTerm() || FindCaughtUpLearner(std::nullopt).has_value();
+  // Learners ask a new leader to join within an election timeout.
+  const core::Duration settling = 2 * options_.timing.max_election;
+  if (!HasCommittedInTerm() || now_ < leading_since_ + settling) return true;
+  return std::any_of(
+      progress_.begin(), progress_.end(), [this](const auto& item) {
+        const auto& [id, progress] = item;
+        return !IsVoter(id) && !progress.IsLeaving() && IsAlive(progress);
+      });
 }
 
 std::optional<schema::ReplicaId> Replica::State::FindReplacement(
@@ -169,10 +175,13 @@
   return now_ - found->second.alive_at;
 }
 
+bool Replica::State::IsAlive(const internal::Progress& progress) const {
+  return now_ - progress.alive_at <= options_.timing.max_election;
+}
+
 bool Replica::State::IsCaughtUp(const internal::Progress& progress) const {
   constexpr Index kMaxLag = 64;
-  return !progress.needs_snapshot &&
-         now_ - progress.alive_at <= options_.timing.max_election &&
+  return !progress.needs_snapshot && IsAlive(progress) &&
          progress.match >= log_.configuration_index() &&
          progress.match + kMaxLag >= log_.last();
 }
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -194,6 +194,7 @@
   void On(const schema::LeaveRequest& request);
   void On(const schema::LeaveReply& reply);
   /// Determines whether another replica has taken over this one's vote.
+  [[nodiscard]] bool IsAlive(const internal::Progress& progress) const;
   void FindStandIn();
   /// Asks the leader to give this replica its vote back.
   void RequestReturn();
@@ -219,6 +220,12 @@
 
   Term term_ = 0;
   std::optional<schema::ReplicaId> vote_;
+  /// Starts to replicate the log to a replica as a learner.
+  void Admit(const schema::ReplicaId& joiner, bool fresh);
+  /// Keeps a request to join for the case that this replica becomes the leader.
+  void RememberJoiner(const schema::JoinRequest& request);
+  /// Admits those that have asked lately.
+  void AdmitJoiners();
   Snapshot snapshot_;
   internal::Log log_;
   internal::WriteTracker writes_;
@@ -270,3 +277,10 @@
 }  // namespace foxquay::consensus
 
 #endif  // FOXQUAY_CONSENSUS_STATE_H_
+  /// A request to join that this replica could not grant.
+  struct Joiner {
+    schema::ReplicaId id;
+    bool fresh = false;
+    core::Instant at;
+  };
+  std::map<core::HostId, Joiner> joiners_;  ///< The latest of each host.
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -65,10 +65,10 @@
 inline constexpr core::Duration kGossipInterval =
     std::chrono::milliseconds(500);
 
-/// Longest time that a process waits at its end for its vote to move. A change
-/// of voters takes two writes of a quorum; a leader of a build without such
-/// changes does not answer.
-inline constexpr core::Duration kMaxRetireTime = std::chrono::seconds(2);
+/// Longest time that a process waits at its end for its vote to move. A new
+/// leader may have to be elected and to be joined by the replica that takes
+/// over; a leader of a build without such changes does not answer.
+inline constexpr core::Duration kMaxRetireTime = std::chrono::seconds(3);
 
 /// Time after which a protected request is rejected if its claim is undecided.
 inline constexpr core::Duration kClaimTimeout = std::chrono::milliseconds(2000);
--- a/tests/foxquay/consensus/simulated_cluster.cc
+++ b/tests/foxquay/consensus/simulated_cluster.cc
@@ -455,6 +455,11 @@
     for (const auto& voter : node.replica->configuration().voters) {
       out << " " << voter.host << "/" << voter.incarnation;
     }
+    const auto& previous = node.replica->configuration().previous;
+    if (!previous.empty()) out << " previous";
+    for (const auto& voter : previous) {
+      out << " " << voter.host << "/" << voter.incarnation;
+    }
   }
   return out.str();
 }
--- a/tests/foxquay/consensus/simulated_cluster.h
+++ b/tests/foxquay/consensus/simulated_cluster.h
@@ -96,7 +96,8 @@
   }
   /// Returns the number of proposals that were reported as committed.
   [[nodiscard]] std::size_t decided() const { return decided_; }
-  /// Returns role, term, commit index and voters of each replica.
+  /// Returns role, term, commit index and voters of each replica, and the
+  /// previous ones during a change.
   [[nodiscard]] std::string Describe() const;
 
  private:
