Admit successors after many replacements

Cause: a leader tracks 32 replicas and forgot one only if its host joined again.

Change: a learner that is silent makes room for a new one.

Evidence: the test admits 40 in turn; with the former rule it would stop at the bound, which was read, not run.

--- a/src/foxquay/consensus/join.cc
+++ b/src/foxquay/consensus/join.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// Upper bound on the replicas that a leader tracks, higher than any group
-/// needs. Join requests beyond it are ignored.
+/// needs. Beyond it a learner that is silent makes room for a new one.
 constexpr std::size_t kMaxReplicas = 32;
 
 /// Smallest quorum of a group whose voters are no longer its founders.
@@ -61,7 +61,7 @@
 }
 
 void Replica::State::Admit(const schema::ReplicaId& joiner, bool fresh) {
-  if (progress_.size() >= kMaxReplicas) return;
+  if (progress_.size() >= kMaxReplicas && !ForgetLearner()) return;
   std::erase_if(progress_, [&](const auto& item) {
     return item.first.host == joiner.host && !IsVoter(item.first);
   });
@@ -73,6 +73,21 @@
   Replicate(joiner, progress, false);
 }
 
+bool Replica::State::ForgetLearner() {
+  auto oldest = progress_.end();
+  for (auto item = progress_.begin(); item != progress_.end(); ++item) {
+    if (IsVoter(item->first)) continue;
+    const bool older = oldest == progress_.end() ||
+                       item->second.alive_at < oldest->second.alive_at;
+    if (older) oldest = item;
+  }
+  const bool silent =
+      oldest != progress_.end() &&
+      now_ - oldest->second.alive_at > options_.timing.max_election;
+  if (silent) progress_.erase(oldest);
+  return silent;
+}
+
 void Replica::State::ForwardToLeader(schema::JoinRequest request) {
   // A request that names an incarnation has been forwarded.
   const bool forwarded = request.header.to.incarnation != 0;
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -222,6 +222,9 @@
   std::optional<schema::ReplicaId> vote_;
   /// Starts to replicate the log to a replica as a learner.
   void Admit(const schema::ReplicaId& joiner, bool fresh);
+  /// Forgets the learner that has been silent for longest, such as one on a
+  /// host that is gone; returns whether there is one.
+  bool ForgetLearner();
   /// Keeps a request to join for the case that this replica becomes the leader.
   void RememberJoiner(const schema::JoinRequest& request);
   /// Admits those that have asked lately.
--- a/tests/foxquay/consensus/join_test.cc
+++ b/tests/foxquay/consensus/join_test.cc
@@ -134,4 +134,22 @@
   CHECK(group.Voters("late") == 3);
 }
 
+// A leader kept a place for each learner that had ever joined, so that after
+// some thirty replacements a successor was not admitted.
+TEST_CASE("a successor is admitted after many others have come and gone") {
+  SeededGroup group;
+  group.Add("seed");
+  group.Add("other");
+  group.Add("third");
+  group.Run(std::chrono::seconds(5));
+  std::set<std::string> gone;
+  for (int number = 0; number < 40; ++number) {
+    const std::string name = "late" + std::to_string(number);
+    group.Add(name);
+    group.Run(std::chrono::seconds(2), gone);
+    REQUIRE(group.Voters(name) == 3);
+    gone.insert(name);
+  }
+}
+
 }  // namespace foxquay::consensus
