--- a/src/foxquay/consensus/progress.h
+++ b/src/foxquay/consensus/progress.h
@@ -49,6 +49,9 @@
   /// only within one process.
   std::uint64_t session = 0;
   core::Duration stamp{};  ///< Its clock reading in the latest reply.
+  /// Largest entry that it reads, and the session that told.
+  std::optional<std::size_t> max_payload;
+  std::uint64_t limit_session = 0;
   /// Session of the process that has asked to leave, if any.
   std::optional<std::uint64_t> leaving_session;
   /// Voter that took over its vote while its process was down, if any.
--- a/src/foxquay/consensus/replica.cc
+++ b/src/foxquay/consensus/replica.cc
@@ -9,6 +9,13 @@
 #include "foxquay/consensus/state.h"
 
 namespace foxquay::consensus {
+namespace {
+
+/// Election timeouts for which a leader that holds an entry that the others
+/// cannot read is no candidate.
+constexpr int kAbstainElections = 5;
+
+}  // namespace
 
 Replica::Replica(Options options, PersistentState persistent_state,
                  core::Instant now)
@@ -24,6 +31,9 @@
 core::Instant Replica::NextDeadline() const noexcept {
   return state_->NextDeadline();
 }
+std::size_t Replica::MaxCommandBytes() const {
+  return state_->MaxCommandBytes();
+}
 bool Replica::MayStop() const { return state_->MayStop(); }
 Role Replica::role() const noexcept { return state_->role(); }
 Term Replica::term() const noexcept { return state_->term(); }
@@ -107,7 +117,7 @@
   std::error_code error;
   if (role_ != Role::kLeader) {
     error = Error::kNotLeader;
-  } else if (event.payload.size() > options_.limits.max_payload_bytes) {
+  } else if (event.payload.size() > MaxCommandBytes()) {
     error = Error::kTooLarge;
   } else if (open_proposals_.size() >= options_.limits.max_open_proposals) {
     error = Error::kBusy;
@@ -150,6 +160,7 @@
   snapshot_ = {std::move(meta), event.data};
   snapshot_requested_ = false;
   applied_bytes_ = 0;
+  largest_applied_ = 0;
   SaveCurrentSnapshot(true);
 }
 
@@ -160,6 +171,13 @@
         std::max(QuorumAckTime(now_).value_or(leading_since_), leading_since_);
     if (now_ - acked > options_.timing.max_election) {
       StepDown(term_, std::nullopt);
+    } else if (!retiring_ && !IsVoter(options_.self) && !IsChangingVoters()) {
+      // Its process has restarted while its vote was moving.
+      StepDown(term_, std::nullopt);
+    } else if (HoldsUnreadableEntry()) {
+      // The others elect one of them, whose log replaces the entry.
+      abstain_until_ = now_ + kAbstainElections * options_.timing.max_election;
+      StepDown(term_, std::nullopt);
     } else if (now_ >= heartbeat_deadline_) {
       heartbeat_deadline_ = now_ + options_.timing.heartbeat;
       UpdateMembership();
@@ -169,7 +187,7 @@
   }
   if (now_ < election_deadline_) return;
   ResetElectionDeadline();
-  if (role_ != Role::kLearner) Campaign(true);
+  if (role_ != Role::kLearner && now_ >= abstain_until_) Campaign(true);
   // A voter without a leader may have been replaced during a network
   // partition, so it asks to join as well.
   RequestJoin();
@@ -188,18 +206,23 @@
     if (writes_.durable_index() < meta.index) return;
     applied_ = meta.index;
     applied_bytes_ = 0;
+    largest_applied_ = 0;
     actions_.emplace_back(Restore{meta.index, meta.wall, snapshot_.data});
   }
   // A quorum has these entries on disk; this replica's own write may be slow.
   while (applied_ < commit_) {
     ++applied_;
-    applied_bytes_ += log_.At(applied_).payload.size();
+    const std::size_t bytes = log_.At(applied_).payload.size();
+    applied_bytes_ += bytes;
+    largest_applied_ = std::max(largest_applied_, bytes);
     ApplyEntry(log_.At(applied_));
   }
   const Index entries_since_snapshot =
       applied_ - std::min(applied_, meta.index);
+  // Builds that cannot read a large entry can read the snapshot that holds it.
+  const bool large = largest_applied_ > options_.limits.basic_payload_bytes;
   const bool due =
-      entries_since_snapshot >= options_.limits.snapshot_entries ||
+      large || entries_since_snapshot >= options_.limits.snapshot_entries ||
       applied_bytes_ >= (TransfersSnapshot() ? options_.limits.transfer_bytes
                                              : options_.limits.snapshot_bytes);
   if (due && !snapshot_requested_) {
--- a/src/foxquay/consensus/replica.h
+++ b/src/foxquay/consensus/replica.h
@@ -13,6 +13,7 @@
 #include "foxquay/consensus/fwd.h"
 #include "foxquay/core/time.h"
 #include "foxquay/schema/consensus.h"
+#include "foxquay/schema/sizes.h"
 
 namespace foxquay::consensus {
 
@@ -51,9 +52,17 @@
 /// leader.
 [[nodiscard]] core::Duration MaxReplacementTime(const Timing& timing);
 
+/// Largest number of voters: a configuration names them and, during a change,
+/// one more.
+inline constexpr std::size_t kMaxVoters = schema::Configuration::kMaxVoters - 1;
+
 /// Limits on the size of proposals, messages, snapshots and the log.
 struct Limits {
-  std::size_t max_payload_bytes = 1U << 20U;     ///< Per proposal.
+  std::size_t max_payload_bytes = schema::kMaxCommandBytes;  ///< Per proposal.
+  /// Per entry that this replica reads.
+  std::size_t max_readable_bytes = schema::LogEntry::kMaxPayload;
+  /// Per entry that a replica reads which has not told (schema::EntryLimit).
+  std::size_t basic_payload_bytes = schema::kBasicCommandBytes;
   std::size_t max_open_proposals = 4096;         ///< Per leader.
   std::size_t max_append_bytes = 256U << 10U;    ///< Per AppendRequest.
   std::size_t max_append_entries = 1024;         ///< Per AppendRequest.
@@ -149,6 +158,10 @@
   /// for clock rate errors. The age of a read is `now` minus this instant.
   [[nodiscard]] std::optional<core::Instant> FreshAsOf() const noexcept;
 
+  /// Returns the largest command that the leader takes, as far as this replica
+  /// knows: the leader and a quorum have told that they read it.
+  [[nodiscard]] std::size_t MaxCommandBytes() const;
+
   /// Returns whether the process may end after Retire without a loss to the
   /// group that waiting could prevent: the vote has moved to another replica,
   /// or the leader knows none that could take it over. False before Retire.
--- a/src/foxquay/consensus/replication.cc
+++ b/src/foxquay/consensus/replication.cc
@@ -48,10 +48,13 @@
     progress.copies.push_back(*progress.in_flight);
     progress.in_flight.reset();
   }
-  if (!awaiting_reply &&
-      (progress.needs_snapshot || progress.next <= log_.base())) {
+  const bool unreadable = LacksUnreadableEntry(progress);
+  const bool by_snapshot =
+      progress.needs_snapshot || progress.next <= log_.base() ||
+      (unreadable && progress.next <= snapshot_.meta.index);
+  if (!awaiting_reply && by_snapshot) {
     SendSnapshotChunk(id, progress);
-  } else if (!awaiting_reply && has_entries_to_send) {
+  } else if (!awaiting_reply && has_entries_to_send && !unreadable) {
     SendEntries(id, progress);
     return;
   }
@@ -83,6 +86,7 @@
     bytes += entry.payload.size();
     const bool full =
         bytes > options_.limits.max_append_bytes ||
+        entry.payload.size() > ReadableBytes(progress) ||
         request.entries.size() >= options_.limits.max_append_entries;
     if (full && !request.entries.empty()) break;
     request.entries.push_back(entry);
@@ -120,6 +124,7 @@
           .value_or(0);
   if (index <= commit_ || log_.TermAt(index) != term_) return;
   commit_ = index;
+  committed_at_ = now_;
   if (commit_ == log_.last()) {
     for (auto& [id, progress] : progress_) {
       if (progress.match == commit_) SendHeartbeat(id, progress);
@@ -149,6 +154,11 @@
   last_leader_ = header.from;
   ResetElectionDeadline();
   RequestReturn();
+  if (now_ >= next_entry_limit_ || entry_limit_term_ != term_) {
+    next_entry_limit_ = now_ + options_.timing.max_election;
+    entry_limit_term_ = term_;
+    SendEntryLimit(header.from);
+  }
   return true;
 }
 
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -31,6 +31,7 @@
   [[nodiscard]] core::Instant NextDeadline() const noexcept;
   [[nodiscard]] bool HoldsLease(core::Instant now) const;
   [[nodiscard]] bool MayStop() const;
+  [[nodiscard]] std::size_t MaxCommandBytes() const;
 
   [[nodiscard]] Role role() const noexcept { return role_; }
   [[nodiscard]] Term term() const noexcept { return term_; }
@@ -143,6 +144,23 @@
   internal::Progress* RecordReply(const schema::MessageHeader& header,
                                   Term request_term, core::Duration sent);
 
+  // entry_limit.cc
+  /// Tells a replica which entries this one reads.
+  void SendEntryLimit(const schema::ReplicaId& to);
+  void On(const schema::EntryLimit& limit);
+  /// Returns the largest entry that a replica reads, as far as it has told.
+  [[nodiscard]] std::size_t ReadableBytes(
+      const internal::Progress& progress) const;
+  /// Returns the largest entry that a quorum reads.
+  [[nodiscard]] std::size_t QuorumReadableBytes() const;
+  /// Returns whether a replica cannot read the next entry that it lacks. It
+  /// gets the snapshot that holds it instead.
+  [[nodiscard]] bool LacksUnreadableEntry(
+      const internal::Progress& progress) const;
+  /// Returns whether the next entry to be committed has not been for long and
+  /// cannot be, as no quorum reads it: an earlier leader has accepted it.
+  [[nodiscard]] bool HoldsUnreadableEntry() const;
+
   // transfer.cc
   void SendSnapshotChunk(const schema::ReplicaId& id,
                          internal::Progress& progress);
@@ -176,6 +194,7 @@
   [[nodiscard]] bool IsMovePending(const schema::ReplicaId& voter) const;
   /// Returns the time since a voter was known to be alive.
   [[nodiscard]] core::Duration Silence(const schema::ReplicaId& voter) const;
+  [[nodiscard]] bool IsAlive(const internal::Progress& progress) const;
   [[nodiscard]] bool IsCaughtUp(const internal::Progress& progress) const;
   /// Returns a learner that may become a voter, on `host` if given.
   [[nodiscard]] std::optional<schema::ReplicaId> FindCaughtUpLearner(
@@ -194,7 +213,6 @@
   void On(const schema::LeaveRequest& request);
   void On(const schema::LeaveReply& reply);
   /// Determines whether another replica has taken over this one's vote.
-  [[nodiscard]] bool IsAlive(const internal::Progress& progress) const;
   void FindStandIn();
   /// Asks the leader to give this replica its vote back.
   void RequestReturn();
@@ -202,6 +220,15 @@
 
   // join.cc
   void RequestJoin();
+  /// Starts to replicate the log to a replica as a learner.
+  void Admit(const schema::ReplicaId& joiner, bool fresh);
+  /// Forgets the learner that has been silent for longest, such as one on a
+  /// host that is gone; returns whether there is one.
+  bool ForgetLearner();
+  /// Keeps a request to join for the case that this replica becomes the leader.
+  void RememberJoiner(const schema::JoinRequest& request);
+  /// Admits those that have asked lately.
+  void AdmitJoiners();
   /// Passes the request of a replica that knows only this host on to the
   /// leader.
   void ForwardToLeader(schema::JoinRequest request);
@@ -220,15 +247,6 @@
 
   Term term_ = 0;
   std::optional<schema::ReplicaId> vote_;
-  /// Starts to replicate the log to a replica as a learner.
-  void Admit(const schema::ReplicaId& joiner, bool fresh);
-  /// Forgets the learner that has been silent for longest, such as one on a
-  /// host that is gone; returns whether there is one.
-  bool ForgetLearner();
-  /// Keeps a request to join for the case that this replica becomes the leader.
-  void RememberJoiner(const schema::JoinRequest& request);
-  /// Admits those that have asked lately.
-  void AdmitJoiners();
   Snapshot snapshot_;
   internal::Log log_;
   internal::WriteTracker writes_;
@@ -237,6 +255,8 @@
 
   Role role_ = Role::kLearner;
   std::optional<schema::ReplicaId> leader_;  ///< Of `term_`, if known.
+  core::Instant committed_at_;               ///< When commit_ has last changed.
+  core::Instant abstain_until_;              ///< No candidacy before.
   core::Instant last_contact_;  ///< With a leader; initially the start time.
   core::Instant started_at_;
   /// Leader of the last contact; unset before the first one.
@@ -253,15 +273,29 @@
 
   std::optional<Transfer> transfer_;
   bool snapshot_requested_ = false;
-  std::size_t applied_bytes_ = 0;  ///< Of entries after the snapshot.
+  std::size_t applied_bytes_ = 0;    ///< Of entries after the snapshot.
+  std::size_t largest_applied_ = 0;  ///< Of these, in bytes.
   /// Points whose `commit` has not been applied yet, in order of arrival.
   std::deque<FreshnessPoint> freshness_;
   std::optional<core::Instant> fresh_as_of_;
 
   /// Replicas that answered a JoinRequest of this replica, by host.
   std::map<core::HostId, schema::ReplicaId> join_responders_;
+  /// A request to join that this replica could not grant.
+  struct Joiner {
+    schema::ReplicaId id;
+    bool fresh = false;
+    core::Instant at;
+  };
+  std::map<core::HostId, Joiner> joiners_;  ///< The latest of each host.
   bool group_exists_ = false;  ///< One of them has a configuration.
 
+  core::Instant next_entry_limit_;  ///< To the leader.
+  Term entry_limit_term_ = 0;       ///< In which one was sent last.
+  /// Leader that has told the largest entry it reads, and that size.
+  std::optional<schema::ReplicaId> limit_leader_;
+  std::size_t leader_max_payload_ = 0;
+
   bool retiring_ = false;  ///< The process is about to stop.
   core::Instant next_leave_request_;
   bool vote_stays_ = false;  ///< The leader knows no replica to take it over.
@@ -280,10 +314,3 @@
 }  // namespace foxquay::consensus
 
 #endif  // FOXQUAY_CONSENSUS_STATE_H_
-  /// A request to join that this replica could not grant.
-  struct Joiner {
-    schema::ReplicaId id;
-    bool fresh = false;
-    core::Instant at;
-  };
-  std::map<core::HostId, Joiner> joiners_;  ///< The latest of each host.
--- a/src/foxquay/daemon/announcement_check.cc
+++ b/src/foxquay/daemon/announcement_check.cc
@@ -16,9 +16,7 @@
   if (announcement.born > now + kMaxClockLead) {
     findings.push_back({"", 0, "born", "lies in the future"});
   }
-  const auto decoded =
-      schema::Decode<schema::Announcement>(schema::Encode(announcement));
-  if (!decoded) {
+  if (!schema::TryEncode(announcement)) {
     findings.push_back({"", 0, "", "a field exceeds its largest size"});
   }
   return findings;
--- a/src/foxquay/daemon/control_follow.cc
+++ b/src/foxquay/daemon/control_follow.cc
@@ -7,6 +7,8 @@
 #include "foxquay/daemon/clock.h"
 #include "foxquay/daemon/control_node.h"
 #include "foxquay/log/log.h"
+#include "foxquay/schema/codec.h"
+#include "foxquay/schema/sizes.h"
 
 namespace foxquay::daemon {
 namespace internal {
@@ -15,6 +17,22 @@
 /// refuses announcements. Longer than an election.
 constexpr core::Duration kCutOffTime = std::chrono::milliseconds(2000);
 
+/// Returns whether a reply is short enough for every build. What goes with the
+/// content of a configuration is small but for the feeds of a host that has
+/// just started.
+bool FitsMessage(const schema::FollowerReply& reply) {
+  constexpr std::size_t kMostItemBytes = 1024;
+  std::size_t items = reply.limits.size() + reply.leaves.size();
+  for (const schema::FeedUpdate& feed : reply.roster.feeds) {
+    items += feed.changes.size() + feed.hosts.size();
+  }
+  const std::size_t estimate =
+      reply.config->fleet.size() + items * kMostItemBytes;
+  if (estimate < schema::kBasicMessageBytes / 2) return true;
+  const auto encoded = schema::TryEncode(schema::PeerMessage(reply));
+  return encoded && encoded.value().size() <= schema::kBasicMessageBytes;
+}
+
 }  // namespace internal
 
 schema::HostAddress ControlNode::OwnAddress() const {
@@ -210,8 +228,13 @@
   reply.retries = retry_pool_.Grant({from.sender, from.incarnation},
                                     poll.retries, entry_hosts_, now);
   AnswerLimits(from.sender, poll, now, reply);
+  std::size_t content = reply.config ? reply.config->fleet.size() : 0;
+  if (content > 0 && !internal::FitsMessage(reply)) {
+    // The feeds come once; the content goes with the reply to the next poll.
+    reply.config = AnswerConfig(from.sender, poll.config, 0, now);
+    content = 0;
+  }
   const std::uint64_t version = reply.config ? reply.config->fleet_version : 0;
-  const std::size_t content = reply.config ? reply.config->fleet.size() : 0;
   Send(from.sender, std::move(reply));
   RecordContent(from.sender, version, content, now);
   message_stats_.RecordTime(MessageKind<schema::FollowerPoll>(), Now() - now);
--- a/src/foxquay/daemon/control_node.cc
+++ b/src/foxquay/daemon/control_node.cc
@@ -246,9 +246,11 @@
   options.standbys = settings_.join.seeds.empty()
                          ? internal::Standbys(settings_)
                          : internal::ControlHosts(settings_);
-  options.voters = settings_.join.tolerated_losses == 0
-                       ? 0
-                       : 2 * settings_.join.tolerated_losses + 1;
+  options.voters =
+      settings_.join.tolerated_losses == 0
+          ? 0
+          : std::min<std::size_t>(2 * settings_.join.tolerated_losses + 1,
+                                  consensus::kMaxVoters);
   options.seed = std::random_device()();
   options.timing = consensus::MakeTiming(settings_.join.catch_up);
   ControlReplica::Output output;
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -361,6 +361,7 @@
   bool SetLink(const core::HostId& host);
   void ContactUnknownSender(const core::HostId& sender);
   void Send(const core::HostId& to, const schema::PeerMessage& message);
+  void RecordOversize(const core::HostId& to, std::size_t kind);
   void SendPropose(const core::HostId& to, schema::ProposeRequest request);
   void AnswerPropose(const core::HostId& to,
                      const schema::ProposeRequest& request);
@@ -593,6 +594,7 @@
   std::atomic<std::shared_ptr<const Shared>> shared_;
   std::atomic<bool> accepts_announcements_{true};
   std::atomic<bool> stopping_{false};
+  core::Instant next_oversize_log_;
   std::atomic<bool> may_stop_{false};  ///< See MayStop.
   std::thread thread_;
 };
--- a/src/foxquay/daemon/control_proposer.cc
+++ b/src/foxquay/daemon/control_proposer.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "foxquay/schema/codec.h"
+#include "foxquay/schema/sizes.h"
 
 namespace foxquay::daemon {
 
@@ -22,11 +23,16 @@
     done(make_error_code(core::Error::kUnavailable));
     return;
   }
+  core::Result<std::string> encoded = schema::TryEncode(command);
+  if (!encoded || encoded.value().size() > schema::kMaxCommandBytes) {
+    done(make_error_code(core::Error::kTooLarge));
+    return;
+  }
   const std::uint64_t number = next_number_++;
   OpenProposal& open =
       open_
-          .emplace(number, OpenProposal{schema::Encode(command), deadline, now,
-                                        std::move(done)})
+          .emplace(number, OpenProposal{std::move(encoded).value(), deadline,
+                                        now, std::move(done)})
           .first->second;
   Attempt(number, open, now);
 }
--- a/src/foxquay/daemon/control_publish.cc
+++ b/src/foxquay/daemon/control_publish.cc
@@ -87,11 +87,11 @@
                       report.admitting, false},
                      now);
   }
-  const std::string encoded = schema::Encode(schema::PeerMessage(report));
+  const auto encoded = schema::TryEncode(schema::PeerMessage(report));
   ShareQuarantineReports(now);
   ShareLimits(now);
   for (const core::HostId& peer : peers_) {
-    links_.SendDatagram(peer, encoded);
+    if (encoded) links_.SendDatagram(peer, encoded.value());
     const auto poll = roster_.PollIfAnswered(peer, now);
     if (poll) Send(peer, *poll);
   }
--- a/src/foxquay/daemon/control_receive.cc
+++ b/src/foxquay/daemon/control_receive.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <chrono>
 #include <utility>
 #include <variant>
 
@@ -7,20 +8,44 @@
 #include "foxquay/daemon/control_node.h"
 #include "foxquay/log/log.h"
 #include "foxquay/schema/codec.h"
+#include "foxquay/schema/sizes.h"
 
 namespace foxquay::daemon {
+namespace internal {
+
+/// Minimum time between two log lines about messages that are too large.
+constexpr core::Duration kOversizeLogInterval = std::chrono::seconds(1);
+
+}  // namespace internal
 
 void ControlNode::Send(const core::HostId& to,
                        const schema::PeerMessage& message) {
-  std::string payload = schema::Encode(message);
-  message_stats_.RecordSent(message.index(), payload.size());
-  links_.Send(to, std::move(payload));
+  core::Result<std::string> payload = schema::TryEncode(message);
+  if (!payload) {
+    RecordOversize(to, message.index());
+    return;
+  }
+  message_stats_.RecordSent(message.index(), payload.value().size());
+  links_.Send(to, std::move(payload).value());
+}
+
+/// Reports a message that no host could read.
+void ControlNode::RecordOversize(const core::HostId& to, std::size_t kind) {
+  Count("foxquay_peer_messages_oversize_total", "");
+  const core::Instant now = Now();
+  if (now < next_oversize_log_) return;
+  next_oversize_log_ = now + internal::kOversizeLogInterval;
+  log::Write(log::Level::kError, "peer_message_oversize",
+             {{"to", to}, {"kind", std::string(MessageKindName(kind))}});
 }
 
 void ControlNode::SendPropose(const core::HostId& to,
                               schema::ProposeRequest request) {
   if (to != self_) {
-    Send(to, std::move(request));
+    // A leader that cannot read the command would close the connection.
+    const std::size_t limit = replica_ ? replica_->replica().MaxCommandBytes()
+                                       : schema::kBasicCommandBytes;
+    if (request.command.size() <= limit) Send(to, std::move(request));
     return;
   }
   boost::asio::post(context_, [this, request = std::move(request)] {
@@ -58,8 +83,9 @@
 void ControlNode::Receive(schema::Envelope envelope) {
   auto message = schema::Decode<schema::PeerMessage>(envelope.payload);
   if (!message) {
+    Count("foxquay_peer_messages_malformed_total", "");
     log::Write(log::Level::kWarn, "peer_message_malformed",
-               {{"host", envelope.sender}});
+               {{"host", envelope.sender}, {"bytes", envelope.payload.size()}});
     return;
   }
   const bool follows =
--- a/src/foxquay/daemon/control_replica.cc
+++ b/src/foxquay/daemon/control_replica.cc
@@ -164,6 +164,8 @@
     result = last_result_;
   } else if (action.error == consensus::Error::kNotLeader) {
     result = make_error_code(core::Error::kNotLeader);
+  } else if (action.error == consensus::Error::kTooLarge) {
+    result = make_error_code(core::Error::kTooLarge);
   }
   for (const Done& done : waiting) done(result);
 }
--- a/src/foxquay/daemon/control_replica.h
+++ b/src/foxquay/daemon/control_replica.h
@@ -49,8 +49,9 @@
   void Handle(const consensus::Event& event, core::Instant now);
 
   /// Proposes an encoded command, to be applied with the wall-clock time
-  /// `wall`; `done` gets kNotLeader if another replica leads, kUnavailable if
-  /// the result is unknown. A large command that is already open is not
+  /// `wall`; `done` gets kNotLeader if another replica leads, kTooLarge if the
+  /// command exceeds schema::kMaxCommandBytes, kUnavailable if the result is
+  /// unknown. A large command that is already open is not
   /// proposed again: both get its result.
   void Propose(std::string command, core::WallTime wall, core::Instant now,
                Done done);
--- a/src/foxquay/daemon/control_server.cc
+++ b/src/foxquay/daemon/control_server.cc
@@ -7,6 +7,7 @@
 #include "foxquay/core/finding.h"
 #include "foxquay/daemon/announcement_check.h"
 #include "foxquay/daemon/clock.h"
+#include "foxquay/fleet/sizes.h"
 #include "foxquay/fleet/validate.h"
 #include "foxquay/log/log.h"
 
@@ -22,6 +23,8 @@
 constexpr const char* kCutOff = "this host is cut off from the others";
 constexpr const char* kNotKnown = "the upstream is not known to this host";
 
+constexpr unsigned kTooLarge = 413;
+
 net::Response Empty() {
   return net::MakeResponse(200, "application/json", "{}");
 }
@@ -116,6 +119,11 @@
     Handle(exchange, gateway::InvalidCall{400, findings});
     return;
   }
+  const core::Findings oversize = fleet::CheckSize(command);
+  if (!oversize.empty()) {
+    Handle(exchange, gateway::InvalidCall{internal::kTooLarge, oversize});
+    return;
+  }
   node_.PutFleet(
       std::move(command), internal::kCallTimeout,
       [this, exchange](const core::Result<schema::FleetResult>& put) {
--- a/src/foxquay/daemon/gateway_serve.cc
+++ b/src/foxquay/daemon/gateway_serve.cc
@@ -35,6 +35,7 @@
 #include "foxquay/metrics/registry.h"
 #include "foxquay/net/clock.h"
 #include "foxquay/schema/codec.h"
+#include "foxquay/schema/sizes.h"
 
 namespace foxquay::daemon {
 namespace internal {
@@ -52,9 +53,6 @@
 /// memory or descriptors.
 constexpr core::Duration kBufferReportInterval = std::chrono::seconds(1);
 
-/// Maximum size in bytes of the encoded fleet configuration.
-constexpr std::uint32_t kMaxFleetBytes = 600'000;
-
 bool IsRoleEnabled(const schema::Settings& settings, schema::Role role) {
   const auto& roles = settings.host.roles;
   return std::find(roles.begin(), roles.end(), role) != roles.end();
@@ -105,7 +103,7 @@
                   node_.HandleLayers(upstream, layers);
                 }),
         node_(settings, "foxquay", Incarnation(), Sink()),
-        control_server_(context_, node_, control, kMaxFleetBytes) {
+        control_server_(context_, node_, control, schema::kMaxFleetBytes) {
     ready_server_.SetBudget(buffers_);
     metrics_server_.SetBudget(buffers_);
     proxy_.SetBufferBudget(buffers_);
--- a/src/foxquay/fleet/validate.cc
+++ b/src/foxquay/fleet/validate.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "foxquay/fleet/sizes.h"
 #include "foxquay/schema/codec.h"
 
 namespace foxquay::fleet {
@@ -95,14 +96,17 @@
   for (core::Finding& finding : Validate(fleet)) {
     findings.push_back(std::move(finding));
   }
-  schema::PutFleet command{fleet.version, schema::Encode(fleet),
-                           std::move(source)};
   // What no host could read must not be acknowledged.
-  if (!schema::Decode<schema::Fleet>(command.fleet) ||
-      !schema::Decode<schema::PutFleet>(schema::Encode(command))) {
-    findings.push_back({"", 0, "", "a field exceeds its largest size"});
+  core::Findings oversizes = FindOversizes(fleet);
+  core::Result<std::string> encoded = schema::TryEncode(fleet);
+  if (!encoded && oversizes.empty()) {
+    oversizes.push_back({"", 0, "", "a field exceeds its largest size"});
   }
-  return command;
+  for (core::Finding& finding : oversizes) {
+    findings.push_back(std::move(finding));
+  }
+  return {fleet.version, encoded ? std::move(encoded).value() : std::string(),
+          std::move(source)};
 }
 
 }  // namespace foxquay::fleet
--- a/src/foxquay/fleet/validate.h
+++ b/src/foxquay/fleet/validate.h
@@ -19,9 +19,9 @@
 
 /// Returns the command that stores a fleet configuration.
 ///
-/// Adds to `findings` what Validate returns, and whether the configuration has
-/// a field that exceeds its largest size in the messages between hosts. The
-/// command must not be sent if `findings` is not empty then. Thread-safe.
+/// Adds to `findings` what Validate and FindOversizes return. The command must
+/// not be sent if `findings` is not empty then, or if CheckSize has a finding
+/// on it. Thread-safe.
 ///
 /// @param source The configuration as the operator sent it.
 [[nodiscard]] schema::PutFleet MakePutCommand(const schema::Fleet& fleet,
--- a/src/foxquay/net/server.cc
+++ b/src/foxquay/net/server.cc
@@ -74,10 +74,11 @@
 }
 
 constexpr unsigned kHeaderTooLarge = 431;
+constexpr unsigned kBodyTooLarge = 413;
 
 unsigned StatusFor(const boost::beast::error_code& error) {
   if (error == http::error::header_limit) return kHeaderTooLarge;
-  if (error == http::error::body_limit) return 413;
+  if (error == http::error::body_limit) return kBodyTooLarge;
   return 400;
 }
 
@@ -330,8 +331,13 @@
   Connection& connection = connections_.at(id);
   connection.parser.reset();
   connection.in.clear();
-  connection.out += Serialize(
-      MakeResponse(status, "text/plain", "malformed request\n"), false);
+  std::string reason = "malformed request\n";
+  if (status == internal::kBodyTooLarge) {
+    reason = "the body exceeds " + std::to_string(limits_.max_body_bytes) +
+             " bytes\n";
+  }
+  connection.out +=
+      Serialize(MakeResponse(status, "text/plain", reason), false);
   connection.close_when_sent = true;
   Flush(id);
 }
--- a/src/foxquay/schema/announcement.h
+++ b/src/foxquay/schema/announcement.h
@@ -6,6 +6,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -35,6 +36,12 @@
 
 /// State of an upstream as announced by itself.
 struct Announcement {
+  static constexpr std::size_t kMaxAddress = 64;
+  static constexpr std::size_t kMaxKind = 16;
+  static constexpr std::size_t kMaxAccelerator = 64;
+  static constexpr std::size_t kMaxAdapters = 256;
+  static constexpr std::size_t kMaxVersions = 64;
+
   core::UpstreamId id;  ///< Name of the upstream.
   std::uint64_t sequence =
       0;                ///< Increases with every announcement of this upstream.
@@ -67,16 +74,16 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(id);
     archive(sequence);
-    archive(Bound(address, 64));
+    archive(Bound(address, kMaxAddress));
     archive(data_centre);
-    archive(Bound(kind, 16));
+    archive(Bound(kind, kMaxKind));
     archive(service);
-    archive(Bound(accelerator, 64));
+    archive(Bound(accelerator, kMaxAccelerator));
     archive(model);
     archive(layers);
     archive(model_layers);
-    archive(Bound(adapters, 256));
-    archive(Bound(versions, 64));
+    archive(Bound(adapters, kMaxAdapters));
+    archive(Bound(versions, kMaxVersions));
     archive(slots);
     archive(checks_fencing);
     archive(load);
--- a/src/foxquay/schema/bounded.h
+++ b/src/foxquay/schema/bounded.h
@@ -16,8 +16,8 @@
 /// Longest identifier in a message, in bytes.
 inline constexpr std::size_t kMaxIdBytes = 128;
 
-/// Reference to a string or vector whose size is checked before it is allocated
-/// for decoding.
+/// Reference to a string or vector whose size is checked when it is encoded,
+/// and before it is allocated for decoding.
 template <class T>
 struct Bounded {
   T& value;
@@ -32,11 +32,15 @@
 
 namespace internal {
 
+inline void CheckSize(std::size_t size, std::size_t max) {
+  if (size > max) throw cereal::Exception("size exceeds its bound");
+}
+
 template <class Archive>
 std::size_t LoadSize(Archive& archive, std::size_t max) {
   cereal::size_type size = 0;
   archive(cereal::make_size_tag(size));
-  if (size > max) throw cereal::Exception("size exceeds its bound");
+  CheckSize(static_cast<std::size_t>(size), max);
   return static_cast<std::size_t>(size);
 }
 
@@ -53,6 +57,7 @@
 
 template <class Archive>
 void save(Archive& archive, const Bounded<std::string>& bounded) {
+  internal::CheckSize(bounded.value.size(), bounded.max);
   archive(cereal::make_size_tag(
       static_cast<cereal::size_type>(bounded.value.size())));
   archive(cereal::binary_data(bounded.value.data(), bounded.value.size()));
@@ -66,6 +71,7 @@
 
 template <class Archive, class T>
 void save(Archive& archive, const Bounded<std::vector<T>>& bounded) {
+  internal::CheckSize(bounded.value.size(), bounded.max);
   archive(cereal::make_size_tag(
       static_cast<cereal::size_type>(bounded.value.size())));
   for (T& element : bounded.value) {
--- a/src/foxquay/schema/consensus.h
+++ b/src/foxquay/schema/consensus.h
@@ -6,6 +6,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -44,6 +45,9 @@
 /// Voters of the replica group; a majority elects the leader and commits
 /// entries.
 struct Configuration {
+  static constexpr std::size_t kMaxVoters = 16;
+  static constexpr std::size_t kMaxPrevious = 16;
+
   std::vector<ReplicaId>
       voters;  ///< Current voters; empty if no group has been formed.
   std::vector<ReplicaId>
@@ -54,13 +58,15 @@
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(voters, 16));
-    archive(Bound(previous, 16));
+    archive(Bound(voters, kMaxVoters));
+    archive(Bound(previous, kMaxPrevious));
   }
 };
 
 /// One entry of the log; its index is its position.
 struct LogEntry {
+  static constexpr std::size_t kMaxPayload = 4000000;
+
   std::uint64_t term = 0;  ///< Term of the leader that wrote it.
   EntryKind kind = {};     ///< Type of the payload.
   core::WallTime wall =
@@ -74,12 +80,14 @@
     archive(term);
     archive(kind);
     archive(wall);
-    archive(Bound(payload, 1048576));
+    archive(Bound(payload, kMaxPayload));
   }
 };
 
 /// One durable change of a replica, written to disk as a unit.
 struct LogRecord {
+  static constexpr std::size_t kMaxEntries = 4096;
+
   std::uint64_t term = 0;         ///< Latest term seen.
   std::optional<ReplicaId> vote;  ///< Replica voted for in this term.
   std::uint64_t first = 0;  ///< Index of the first entry; the log is truncated
@@ -93,7 +101,7 @@
     archive(term);
     archive(vote);
     archive(first);
-    archive(Bound(entries, 4096));
+    archive(Bound(entries, kMaxEntries));
   }
 };
 
@@ -171,6 +179,8 @@
 
 /// Replicates entries of the leader; a heartbeat if it has none.
 struct AppendRequest {
+  static constexpr std::size_t kMaxEntries = 4096;
+
   MessageHeader header;  ///< Leader and term.
   std::uint64_t previous_index =
       0;  ///< Index of the entry before the first one sent.
@@ -201,7 +211,7 @@
     archive(echo_session);
     archive(echo);
     archive(age);
-    archive(Bound(entries, 4096));
+    archive(Bound(entries, kMaxEntries));
   }
 };
 
@@ -237,6 +247,8 @@
 
 /// One part of a snapshot.
 struct SnapshotChunk {
+  static constexpr std::size_t kMaxData = 65536;
+
   MessageHeader header;      ///< Leader and term.
   SnapshotMeta meta;         ///< Part of the log that the snapshot replaces.
   std::uint64_t offset = 0;  ///< Position of the data in the state.
@@ -252,7 +264,7 @@
     archive(header);
     archive(meta);
     archive(offset);
-    archive(Bound(data, 65536));
+    archive(Bound(data, kMaxData));
     archive(sent);
     archive(sequence);
   }
@@ -352,11 +364,30 @@
   }
 };
 
+/// Sent to each other by a leader and its followers. Ignored by builds without
+/// it, which read kBasicCommandBytes.
+struct EntryLimit {
+  MessageHeader header;  ///< Sender and term.
+  std::uint64_t session =
+      0;  ///< Session of the sender; the limit holds for it.
+  std::uint64_t max_payload =
+      0;  ///< Largest payload of an entry that the sender reads.
+
+  friend bool operator==(const EntryLimit&, const EntryLimit&) = default;
+
+  template <class Archive>
+  void serialize([[maybe_unused]] Archive& archive) {
+    archive(header);
+    archive(session);
+    archive(max_payload);
+  }
+};
+
 /// Any message between replicas.
 using ConsensusMessage =
     std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
                  SnapshotChunk, SnapshotReply, JoinRequest, JoinReply,
-                 LeaveRequest, LeaveReply, ReturnRequest>;
+                 LeaveRequest, LeaveReply, ReturnRequest, EntryLimit>;
 
 }  // namespace foxquay::schema
 
--- a/src/foxquay/schema/control.h
+++ b/src/foxquay/schema/control.h
@@ -6,6 +6,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -89,6 +90,9 @@
 
 /// Common fields of operators' changes.
 struct ChangeHeader {
+  static constexpr std::size_t kMaxChange = 64;
+  static constexpr std::size_t kMaxAuthor = 64;
+
   std::string change;  ///< Change id chosen by the operator's tool; the same
                        ///< when the change is sent again.
   std::uint64_t expected_revision =
@@ -99,14 +103,16 @@
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(change, 64));
+    archive(Bound(change, kMaxChange));
     archive(expected_revision);
-    archive(Bound(author, 64));
+    archive(Bound(author, kMaxAuthor));
   }
 };
 
 /// Sets the default of a policy key.
 struct SetDefault {
+  static constexpr std::size_t kMaxKey = 64;
+
   ChangeHeader header;     ///< Change id
   std::string key;         ///< Name of the policy key.
   std::int64_t value = 0;  ///< New value.
@@ -116,13 +122,17 @@
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
     archive(header);
-    archive(Bound(key, 64));
+    archive(Bound(key, kMaxKey));
     archive(value);
   }
 };
 
 /// Overrides a policy key for one object.
 struct AddException {
+  static constexpr std::size_t kMaxKey = 64;
+  static constexpr std::size_t kMaxObject = 128;
+  static constexpr std::size_t kMaxReason = 256;
+
   ChangeHeader header;        ///< Change id
   std::string key;            ///< Name of the policy key.
   ExceptionScope scope = {};  ///< Kind of the object.
@@ -135,16 +145,18 @@
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
     archive(header);
-    archive(Bound(key, 64));
+    archive(Bound(key, kMaxKey));
     archive(scope);
-    archive(Bound(object, 128));
+    archive(Bound(object, kMaxObject));
     archive(value);
-    archive(Bound(reason, 256));
+    archive(Bound(reason, kMaxReason));
   }
 };
 
 /// Removes an exception.
 struct RemoveException {
+  static constexpr std::size_t kMaxReason = 256;
+
   ChangeHeader header;          ///< Change id
   std::uint64_t exception = 0;  ///< Id of the exception.
   std::string reason;           ///< Reason; not empty.
@@ -156,7 +168,7 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(header);
     archive(exception);
-    archive(Bound(reason, 256));
+    archive(Bound(reason, kMaxReason));
   }
 };
 
@@ -224,6 +236,9 @@
 
 /// Claims an idempotency key before the first dispatch.
 struct Claim {
+  static constexpr std::size_t kMaxKey = 128;
+  static constexpr std::size_t kMaxDigest = 64;
+
   ClaimOwner owner;             ///< Attempt that claims the key.
   core::WorkspaceId workspace;  ///< Workspace that the key belongs to.
   std::string key;              ///< "<expiry, unix seconds>.<unique>".
@@ -235,13 +250,15 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(owner);
     archive(workspace);
-    archive(Bound(key, 128));
-    archive(Bound(digest, 64));
+    archive(Bound(key, kMaxKey));
+    archive(Bound(digest, kMaxDigest));
   }
 };
 
 /// Releases a key; nothing was dispatched under it and nothing will be.
 struct ReleaseClaim {
+  static constexpr std::size_t kMaxKey = 128;
+
   ClaimOwner owner;             ///< Attempt that claimed the key.
   core::WorkspaceId workspace;  ///< Workspace that the key belongs to.
   std::string key;              ///< The claimed key.
@@ -252,12 +269,16 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(owner);
     archive(workspace);
-    archive(Bound(key, 128));
+    archive(Bound(key, kMaxKey));
   }
 };
 
 /// Records how a claimed request ended.
 struct RecordClaim {
+  static constexpr std::size_t kMaxKey = 128;
+  static constexpr std::size_t kMaxBody = 4096;
+  static constexpr std::size_t kMaxBodyDigest = 64;
+
   ClaimOwner owner;             ///< Attempt that claimed the key.
   core::WorkspaceId workspace;  ///< Workspace that the key belongs to.
   std::string key;              ///< The claimed key.
@@ -273,17 +294,20 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(owner);
     archive(workspace);
-    archive(Bound(key, 128));
+    archive(Bound(key, kMaxKey));
     archive(complete);
     archive(status);
-    archive(Bound(body, 4096));
-    archive(Bound(body_digest, 64));
+    archive(Bound(body, kMaxBody));
+    archive(Bound(body_digest, kMaxBodyDigest));
   }
 };
 
 /// Replaces the configuration of the fleet if its version is higher than the
 /// current one.
 struct PutFleet {
+  static constexpr std::size_t kMaxFleet = 1900000;
+  static constexpr std::size_t kMaxSource = 1900000;
+
   std::uint64_t version = 0;  ///< Version of the configuration.
   std::string fleet;          ///< An encoded Fleet that has passed validation.
   std::string source;         ///< The configuration as the operator sent it.
@@ -293,8 +317,8 @@
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
     archive(version);
-    archive(Bound(fleet, 700000));
-    archive(Bound(source, 700000));
+    archive(Bound(fleet, kMaxFleet));
+    archive(Bound(source, kMaxSource));
   }
 };
 
@@ -318,6 +342,9 @@
 
 /// One error in a change.
 struct ControlFinding {
+  static constexpr std::size_t kMaxPath = 64;
+  static constexpr std::size_t kMaxMessage = 256;
+
   std::string path;     ///< Field of the change, e.g. value.
   std::string message;  ///< What is wrong and what is expected.
 
@@ -326,13 +353,18 @@
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(path, 64));
-    archive(Bound(message, 256));
+    archive(Bound(path, kMaxPath));
+    archive(Bound(message, kMaxMessage));
   }
 };
 
 /// Result of an operator's change.
 struct ChangeResult {
+  static constexpr std::size_t kMaxChange = 64;
+  static constexpr std::size_t kMaxWinner = 64;
+  static constexpr std::size_t kMaxWinnerAuthor = 64;
+  static constexpr std::size_t kMaxFindings = 16;
+
   std::string change;        ///< Change id.
   ChangeStatus status = {};  ///< Whether the change was accepted.
   std::uint64_t revision =
@@ -348,13 +380,13 @@
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(change, 64));
+    archive(Bound(change, kMaxChange));
     archive(status);
     archive(revision);
     archive(sequence);
-    archive(Bound(winner, 64));
-    archive(Bound(winner_author, 64));
-    archive(Bound(findings, 16));
+    archive(Bound(winner, kMaxWinner));
+    archive(Bound(winner_author, kMaxWinnerAuthor));
+    archive(Bound(findings, kMaxFindings));
   }
 };
 
@@ -374,6 +406,9 @@
 
 /// Result of Claim, ReleaseClaim or RecordClaim.
 struct ClaimResult {
+  static constexpr std::size_t kMaxBody = 4096;
+  static constexpr std::size_t kMaxBodyDigest = 64;
+
   ClaimStatus status = {};          ///< Result of the command.
   std::uint32_t answer_status = 0;  ///< HTTP status of the recorded response.
   std::string body;                 ///< Recorded body.
@@ -385,8 +420,8 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(status);
     archive(answer_status);
-    archive(Bound(body, 4096));
-    archive(Bound(body_digest, 64));
+    archive(Bound(body, kMaxBody));
+    archive(Bound(body_digest, kMaxBodyDigest));
   }
 };
 
@@ -457,6 +492,10 @@
 
 /// An exception in force.
 struct ConfigException {
+  static constexpr std::size_t kMaxObject = 128;
+  static constexpr std::size_t kMaxReason = 256;
+  static constexpr std::size_t kMaxAuthor = 64;
+
   std::uint64_t id = 0;       ///< Revision that added it.
   std::uint8_t key = 0;       ///< Index of the policy key.
   ExceptionScope scope = {};  ///< Kind of the object.
@@ -474,10 +513,10 @@
     archive(id);
     archive(key);
     archive(scope);
-    archive(Bound(object, 128));
+    archive(Bound(object, kMaxObject));
     archive(value);
-    archive(Bound(reason, 256));
-    archive(Bound(author, 64));
+    archive(Bound(reason, kMaxReason));
+    archive(Bound(author, kMaxAuthor));
     archive(time);
   }
 };
@@ -503,6 +542,14 @@
 /// One step of the configuration feed; states its effects, so that it can be
 /// applied without the history.
 struct ConfigEntry {
+  static constexpr std::size_t kMaxChange = 64;
+  static constexpr std::size_t kMaxAuthor = 64;
+  static constexpr std::size_t kMaxReason = 256;
+  static constexpr std::size_t kMaxDefaults = 64;
+  static constexpr std::size_t kMaxAdded = 512;
+  static constexpr std::size_t kMaxRemoved = 512;
+  static constexpr std::size_t kMaxHosts = 1;
+
   std::uint64_t sequence = 0;  ///< Sequence number of the step.
   std::uint64_t revision =
       0;  ///< Revision after the step; operators' changes increase it.
@@ -524,19 +571,23 @@
     archive(sequence);
     archive(revision);
     archive(kind);
-    archive(Bound(change, 64));
-    archive(Bound(author, 64));
-    archive(Bound(reason, 256));
+    archive(Bound(change, kMaxChange));
+    archive(Bound(author, kMaxAuthor));
+    archive(Bound(reason, kMaxReason));
     archive(time);
-    archive(Bound(defaults, 64));
-    archive(Bound(added, 512));
-    archive(Bound(removed, 512));
-    archive(Bound(hosts, 1));
+    archive(Bound(defaults, kMaxDefaults));
+    archive(Bound(added, kMaxAdded));
+    archive(Bound(removed, kMaxRemoved));
+    archive(Bound(hosts, kMaxHosts));
   }
 };
 
 /// The complete configuration at one sequence number.
 struct ConfigSnapshot {
+  static constexpr std::size_t kMaxDefaults = 64;
+  static constexpr std::size_t kMaxExceptions = 512;
+  static constexpr std::size_t kMaxHosts = 2048;
+
   std::uint64_t sequence = 0;          ///< Sequence number of the last step.
   std::uint64_t revision = 0;          ///< Revision after that step.
   std::vector<std::int64_t> defaults;  ///< Defaults by index of the policy key.
@@ -550,9 +601,9 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(sequence);
     archive(revision);
-    archive(Bound(defaults, 64));
-    archive(Bound(exceptions, 512));
-    archive(Bound(hosts, 2048));
+    archive(Bound(defaults, kMaxDefaults));
+    archive(Bound(exceptions, kMaxExceptions));
+    archive(Bound(hosts, kMaxHosts));
   }
 };
 
@@ -582,6 +633,9 @@
 
 /// Answer to a ConfigPoll.
 struct ConfigReply {
+  static constexpr std::size_t kMaxEntries = 256;
+  static constexpr std::size_t kMaxFleet = 1900000;
+
   std::uint64_t incarnation = 0;  ///< Incarnation of the asking host.
   std::uint64_t poll = 0;         ///< Number of the poll.
   std::uint64_t sequence = 0;     ///< Sequence that the sender has applied.
@@ -619,10 +673,10 @@
     archive(poll);
     archive(sequence);
     archive(age);
-    archive(Bound(entries, 256));
+    archive(Bound(entries, kMaxEntries));
     archive(snapshot);
     archive(fleet_version);
-    archive(Bound(fleet, 700000));
+    archive(Bound(fleet, kMaxFleet));
     archive(fleet_base);
     archive(fleet_begin);
     archive(fleet_prefix);
@@ -651,6 +705,11 @@
 
 /// A claim as stored in the snapshot.
 struct StoredClaim {
+  static constexpr std::size_t kMaxKey = 128;
+  static constexpr std::size_t kMaxDigest = 64;
+  static constexpr std::size_t kMaxBody = 4096;
+  static constexpr std::size_t kMaxBodyDigest = 64;
+
   core::WorkspaceId workspace;  ///< Workspace of the key.
   std::string key;              ///< The claimed key.
   ClaimOwner owner;             ///< Attempt that claimed the key.
@@ -665,13 +724,13 @@
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
     archive(workspace);
-    archive(Bound(key, 128));
+    archive(Bound(key, kMaxKey));
     archive(owner);
-    archive(Bound(digest, 64));
+    archive(Bound(digest, kMaxDigest));
     archive(state);
     archive(status);
-    archive(Bound(body, 4096));
-    archive(Bound(body_digest, 64));
+    archive(Bound(body, kMaxBody));
+    archive(Bound(body_digest, kMaxBodyDigest));
   }
 };
 
@@ -708,6 +767,12 @@
 
 /// The complete control state.
 struct ControlSnapshot {
+  static constexpr std::size_t kMaxHosts = 2048;
+  static constexpr std::size_t kMaxHistory = 200000;
+  static constexpr std::size_t kMaxResults = 200000;
+  static constexpr std::size_t kMaxClaims = 1000000;
+  static constexpr std::size_t kMaxGrants = 100000;
+
   std::uint64_t index = 0;     ///< Last log entry applied.
   core::WallTime time = {};    ///< Latest wall time of an entry.
   std::uint64_t sequence = 0;  ///< Feed sequence.
@@ -732,11 +797,11 @@
     archive(time);
     archive(sequence);
     archive(base);
-    archive(Bound(hosts, 2048));
-    archive(Bound(history, 200000));
-    archive(Bound(results, 200000));
-    archive(Bound(claims, 1000000));
-    archive(Bound(grants, 100000));
+    archive(Bound(hosts, kMaxHosts));
+    archive(Bound(history, kMaxHistory));
+    archive(Bound(results, kMaxResults));
+    archive(Bound(claims, kMaxClaims));
+    archive(Bound(grants, kMaxGrants));
     archive(fleet);
     archive(quarantines);
   }
--- a/src/foxquay/schema/fleet.h
+++ b/src/foxquay/schema/fleet.h
@@ -5,6 +5,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -44,6 +45,11 @@
 
 /// Destination and treatment of the requests for one host name and path prefix.
 struct Route {
+  static constexpr std::size_t kMaxName = 128;
+  static constexpr std::size_t kMaxHost = 255;
+  static constexpr std::size_t kMaxPathPrefix = 1024;
+  static constexpr std::size_t kMaxServices = 64;
+
   std::string name;  ///< Name of the route.
   std::string host;  ///< Host name in the request.
   std::string
@@ -69,15 +75,15 @@
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(name, 128));
-    archive(Bound(host, 255));
-    archive(Bound(path_prefix, 1024));
+    archive(Bound(name, kMaxName));
+    archive(Bound(host, kMaxHost));
+    archive(Bound(path_prefix, kMaxPathPrefix));
     archive(kind);
     archive(timeout);
     archive(target_latency);
     archive(target_gap);
     archive(priority);
-    archive(Bound(services, 64));
+    archive(Bound(services, kMaxServices));
     archive(max_attempts);
     archive(open);
     archive(model);
@@ -87,6 +93,8 @@
 
 /// Memory and speed of a kind of accelerator.
 struct Accelerator {
+  static constexpr std::size_t kMaxKind = 64;
+
   std::string kind;        ///< Name of the kind.
   double memory_mb = 0;    ///< Memory for layers and requests
   double pace = 0;         ///< Factor on the duration of a token step.
@@ -96,7 +104,7 @@
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(kind, 64));
+    archive(Bound(kind, kMaxKind));
     archive(memory_mb);
     archive(pace);
     archive(read_factor);
@@ -106,6 +114,8 @@
 /// Performance model of the upstreams of a service; times apply to the
 /// reference accelerator.
 struct Engine {
+  static constexpr std::size_t kMaxAccelerators = 64;
+
   std::uint32_t slots = 0;  ///< Requests that one upstream serves concurrently.
   double token_memory_mb = 0;  ///< Memory of one token in all layers, in MB.
   std::uint32_t stride = 0;    ///< Number of token steps in one pass.
@@ -149,7 +159,7 @@
     archive(pipe_mbps);
     archive(usual_prompt);
     archive(usual_answer);
-    archive(Bound(accelerators, 64));
+    archive(Bound(accelerators, kMaxAccelerators));
   }
 };
 
@@ -173,6 +183,8 @@
 
 /// The workspace of a customer and its API keys.
 struct Workspace {
+  static constexpr std::size_t kMaxApiKeys = 4096;
+
   core::WorkspaceId id;               ///< Name of the workspace.
   std::vector<std::string> api_keys;  ///< API keys that its callers present.
   std::optional<std::uint32_t>
@@ -183,7 +195,7 @@
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
     archive(id);
-    archive(Bound(api_keys, 256));
+    archive(Bound(api_keys, kMaxApiKeys));
     archive(priority);
   }
 };
@@ -208,6 +220,10 @@
 
 /// The complete configuration of the fleet; the highest version is in force.
 struct Fleet {
+  static constexpr std::size_t kMaxRoutes = 8192;
+  static constexpr std::size_t kMaxServices = 1024;
+  static constexpr std::size_t kMaxWorkspaces = 8192;
+
   std::uint64_t version = 0;  ///< Version chosen by the operator; 0 if there is
                               ///< no configuration yet.
   std::vector<Route> routes;  ///< Routes.
@@ -222,9 +238,9 @@
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
     archive(version);
-    archive(Bound(routes, 8192));
-    archive(Bound(services, 1024));
-    archive(Bound(workspaces, 8192));
+    archive(Bound(routes, kMaxRoutes));
+    archive(Bound(services, kMaxServices));
+    archive(Bound(workspaces, kMaxWorkspaces));
     archive(limits);
   }
 };
--- a/src/foxquay/schema/limits.h
+++ b/src/foxquay/schema/limits.h
@@ -5,6 +5,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -60,6 +61,9 @@
 /// Statements that a host has received, and what it could send. Sent at once
 /// when a request waits for a leave.
 struct LimitReport {
+  static constexpr std::size_t kMaxStatements = 1024;
+  static constexpr std::size_t kMaxNeeds = 256;
+
   std::vector<LimitStatement> statements;  ///< The statements.
   std::vector<LimitNeed> needs;            ///< Empty between control hosts.
 
@@ -67,8 +71,8 @@
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(statements, 1024));
-    archive(Bound(needs, 256));
+    archive(Bound(statements, kMaxStatements));
+    archive(Bound(needs, kMaxNeeds));
   }
 };
 
@@ -91,6 +95,8 @@
 
 /// Answers a LimitReport of a host that follows the sender.
 struct LimitGrant {
+  static constexpr std::size_t kMaxLeaves = 1024;
+
   std::vector<LimitLeave>
       leaves;  ///< What the receiver may send; empty if nothing is left.
 
@@ -98,7 +104,7 @@
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(leaves, 1024));
+    archive(Bound(leaves, kMaxLeaves));
   }
 };
 
--- a/src/foxquay/schema/peer.h
+++ b/src/foxquay/schema/peer.h
@@ -5,6 +5,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,6 +25,8 @@
 
 /// Asks the leader to commit a command.
 struct ProposeRequest {
+  static constexpr std::size_t kMaxCommand = 4000000;
+
   std::uint64_t incarnation = 0;  ///< Incarnation of the asking host.
   std::uint64_t number = 0;       ///< Matches the reply.
   std::string command;            ///< An encoded ControlCommand.
@@ -35,7 +38,7 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(incarnation);
     archive(number);
-    archive(Bound(command, 1000000));
+    archive(Bound(command, kMaxCommand));
   }
 };
 
@@ -78,6 +81,9 @@
 
 /// Answers an InForceRequest.
 struct InForceReply {
+  static constexpr std::size_t kMaxWaiting = 1024;
+  static constexpr std::size_t kMaxExpired = 1024;
+
   std::uint64_t incarnation = 0;  ///< Incarnation in the request.
   std::uint64_t number = 0;       ///< Number of the request.
   bool known =
@@ -95,21 +101,23 @@
     archive(number);
     archive(known);
     archive(in_force);
-    archive(Bound(waiting, 1024));
-    archive(Bound(expired, 1024));
+    archive(Bound(waiting, kMaxWaiting));
+    archive(Bound(expired, kMaxExpired));
   }
 };
 
 /// Hosts that the sender has heard from recently, itself first; lets hosts join
 /// that are not in the settings of others.
 struct HostList {
+  static constexpr std::size_t kMaxHosts = 1024;
+
   std::vector<HostAddress> hosts;  ///< The hosts.
 
   friend bool operator==(const HostList&, const HostList&) = default;
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(hosts, 1024));
+    archive(Bound(hosts, kMaxHosts));
   }
 };
 
@@ -144,6 +152,8 @@
 /// Upstreams suspected because a request that passes through them stalls; the
 /// leader determines which of them are lost.
 struct UpstreamDoubts {
+  static constexpr std::size_t kMaxUpstreams = 256;
+
   std::vector<core::UpstreamId> upstreams;  ///< Suspected upstreams.
 
   friend bool operator==(const UpstreamDoubts&,
@@ -151,7 +161,7 @@
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(upstreams, 256));
+    archive(Bound(upstreams, kMaxUpstreams));
   }
 };
 
@@ -192,6 +202,8 @@
 /// Sent by a host to the control host that it follows; reports its state and
 /// requests everything that it needs to serve callers.
 struct FollowerPoll {
+  static constexpr std::size_t kMaxRetries = 1024;
+
   HostAddress address;       ///< Addresses of the sender.
   HostReport report;         ///< State of the sender.
   std::uint64_t number = 0;  ///< Number of the report within the incarnation.
@@ -214,7 +226,7 @@
     archive(number);
     archive(config);
     archive(roster);
-    archive(Bound(retries, 1024));
+    archive(Bound(retries, kMaxRetries));
     archive(quarantine);
     archive(limits_version);
     archive(limits);
@@ -223,6 +235,11 @@
 
 /// Answers a FollowerPoll.
 struct FollowerReply {
+  static constexpr std::size_t kMaxRetries = 1024;
+  static constexpr std::size_t kMaxWatched = 512;
+  static constexpr std::size_t kMaxLimits = 1024;
+  static constexpr std::size_t kMaxLeaves = 1024;
+
   std::optional<ConfigReply>
       config;  ///< Not set if the sender cannot confirm its configuration.
   RosterReply roster;  ///< The feeds.
@@ -245,11 +262,11 @@
     archive(config);
     archive(roster);
     archive(open_requests);
-    archive(Bound(retries, 1024));
-    archive(Bound(watched, 512));
+    archive(Bound(retries, kMaxRetries));
+    archive(Bound(watched, kMaxWatched));
     archive(limits_version);
-    archive(Bound(limits, 1024));
-    archive(Bound(leaves, 1024));
+    archive(Bound(limits, kMaxLimits));
+    archive(Bound(leaves, kMaxLeaves));
   }
 };
 
--- a/src/foxquay/schema/quarantine.h
+++ b/src/foxquay/schema/quarantine.h
@@ -6,6 +6,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,6 +23,9 @@
 /// Parts of a prompt of which one crashes upstreams; a request that has all of
 /// them is refused.
 struct Quarantine {
+  static constexpr std::size_t kMaxParts = 8;
+  static constexpr std::size_t kMaxWorkspaces = 8;
+
   core::ServiceId service;  ///< Service whose upstreams crash.
   std::vector<core::PromptPartId>
       parts;  ///< The parts, ordered; several if it is not known which one is
@@ -41,8 +45,8 @@
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
     archive(service);
-    archive(Bound(parts, 8));
-    archive(Bound(workspaces, 8));
+    archive(Bound(parts, kMaxParts));
+    archive(Bound(workspaces, kMaxWorkspaces));
     archive(generation);
     archive(crashes);
     archive(probes);
@@ -53,6 +57,8 @@
 
 /// All quarantines in force.
 struct QuarantineTable {
+  static constexpr std::size_t kMaxEntries = 256;
+
   std::uint64_t version = 0;        ///< Increases with each change.
   std::vector<Quarantine> entries;  ///< The quarantines.
 
@@ -62,7 +68,7 @@
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
     archive(version);
-    archive(Bound(entries, 256));
+    archive(Bound(entries, kMaxEntries));
   }
 };
 
@@ -80,6 +86,8 @@
 
 /// Removes a quarantine if it still has this generation.
 struct ReleaseQuarantine {
+  static constexpr std::size_t kMaxParts = 8;
+
   core::ServiceId service;                ///< Its service.
   std::vector<core::PromptPartId> parts;  ///< Its parts.
   std::uint64_t generation = 0;           ///< Its generation.
@@ -90,7 +98,7 @@
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
     archive(service);
-    archive(Bound(parts, 8));
+    archive(Bound(parts, kMaxParts));
     archive(generation);
   }
 };
@@ -112,6 +120,8 @@
 
 /// End of an upstream while it answered a request.
 struct UpstreamCrash {
+  static constexpr std::size_t kMaxParts = 32;
+
   std::uint64_t number =
       0;  ///< Number within the incarnation of the host that saw it; the
           ///< highest bit is set if a part of the answer had arrived.
@@ -132,7 +142,7 @@
     archive(workspace);
     archive(upstream);
     archive(born);
-    archive(Bound(parts, 32));
+    archive(Bound(parts, kMaxParts));
     archive(age);
   }
 };
@@ -170,6 +180,8 @@
 
 /// A quarantine under which a host has refused a request.
 struct RefusedParts {
+  static constexpr std::size_t kMaxParts = 8;
+
   core::ServiceId service;                ///< Service of the quarantine.
   std::vector<core::PromptPartId> parts;  ///< Its parts.
   core::HostId host;                      ///< Host that refused.
@@ -180,7 +192,7 @@
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
     archive(service);
-    archive(Bound(parts, 8));
+    archive(Bound(parts, kMaxParts));
     archive(host);
     archive(incarnation);
   }
@@ -223,6 +235,11 @@
 /// Evidence that a host has seen itself or, between control hosts, received
 /// from its followers.
 struct QuarantineReport {
+  static constexpr std::size_t kMaxCrashes = 64;
+  static constexpr std::size_t kMaxAnswered = 512;
+  static constexpr std::size_t kMaxRefused = 64;
+  static constexpr std::size_t kMaxReached = 64;
+
   std::vector<ReportedCrash> crashes;  ///< Crashes within the last seconds.
   std::vector<AnsweredPart>
       answered;  ///< Of the parts that control hosts watch, those answered
@@ -237,10 +254,10 @@
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(crashes, 64));
-    archive(Bound(answered, 512));
-    archive(Bound(refused, 64));
-    archive(Bound(reached, 64));
+    archive(Bound(crashes, kMaxCrashes));
+    archive(Bound(answered, kMaxAnswered));
+    archive(Bound(refused, kMaxRefused));
+    archive(Bound(reached, kMaxReached));
   }
 };
 
--- a/src/foxquay/schema/roster.h
+++ b/src/foxquay/schema/roster.h
@@ -5,6 +5,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -38,6 +39,10 @@
 
 /// Addresses and location of a host as stated by itself.
 struct HostAddress {
+  static constexpr std::size_t kMaxPeer = 64;
+  static constexpr std::size_t kMaxCaller = 64;
+  static constexpr std::size_t kMaxPartner = 64;
+
   core::HostId id;  ///< Name of the host.
   std::uint64_t incarnation =
       0;  ///< Incarnation that stated it; 0 if it comes from settings.
@@ -55,12 +60,12 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(id);
     archive(incarnation);
-    archive(Bound(peer, 64));
-    archive(Bound(caller, 64));
+    archive(Bound(peer, kMaxPeer));
+    archive(Bound(caller, kMaxCaller));
     archive(data_centre);
     archive(region);
     archive(control);
-    archive(Bound(partner, 64));
+    archive(Bound(partner, kMaxPartner));
   }
 };
 
@@ -89,6 +94,9 @@
 
 /// Changes of one feed.
 struct FeedUpdate {
+  static constexpr std::size_t kMaxChanges = 4096;
+  static constexpr std::size_t kMaxHosts = 4096;
+
   core::HostId host;  ///< Host that receives the announcements of this feed.
   std::uint64_t incarnation = 0;  ///< Incarnation of that host.
   std::uint64_t version = 0;      ///< Version after these changes.
@@ -108,13 +116,15 @@
     archive(version);
     archive(age);
     archive(complete);
-    archive(Bound(changes, 4096));
-    archive(Bound(hosts, 4096));
+    archive(Bound(changes, kMaxChanges));
+    archive(Bound(hosts, kMaxHosts));
   }
 };
 
 /// Requests the feeds that a host has.
 struct RosterPoll {
+  static constexpr std::size_t kMaxKnown = 1024;
+
   std::uint64_t incarnation =
       0;  ///< Incarnation of the asking host; a restarted host must not accept
           ///< replies to its previous incarnation.
@@ -127,12 +137,14 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(incarnation);
     archive(number);
-    archive(Bound(known, 1024));
+    archive(Bound(known, kMaxKnown));
   }
 };
 
 /// Answers a RosterPoll.
 struct RosterReply {
+  static constexpr std::size_t kMaxFeeds = 1024;
+
   std::uint64_t incarnation = 0;  ///< Incarnation in the poll.
   std::uint64_t number = 0;       ///< Number of the poll.
   std::vector<FeedUpdate> feeds;  ///< All feeds that the sender has.
@@ -143,7 +155,7 @@
   void serialize([[maybe_unused]] Archive& archive) {
     archive(incarnation);
     archive(number);
-    archive(Bound(feeds, 1024));
+    archive(Bound(feeds, kMaxFeeds));
   }
 };
 
@@ -168,13 +180,15 @@
 /// state stays in the feeds of others. Sent between control hosts several times
 /// a second, also if there are none.
 struct HeardHosts {
+  static constexpr std::size_t kMaxHosts = 4096;
+
   std::vector<HeardHost> hosts;  ///< The hosts.
 
   friend bool operator==(const HeardHosts&, const HeardHosts&) = default;
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(hosts, 4096));
+    archive(Bound(hosts, kMaxHosts));
   }
 };
 
--- a/src/foxquay/schema/storage.h
+++ b/src/foxquay/schema/storage.h
@@ -6,6 +6,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
--- a/src/foxquay/schema/transport.h
+++ b/src/foxquay/schema/transport.h
@@ -6,6 +6,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/variant.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,6 +22,9 @@
 
 /// Message from one host to another.
 struct Envelope {
+  static constexpr std::size_t kMaxCluster = 64;
+  static constexpr std::size_t kMaxPayload = 4194304;
+
   std::string cluster;            ///< Cluster that the sender belongs to.
   core::HostId sender;            ///< Host that sent it.
   std::uint64_t incarnation = 0;  ///< Incarnation of the sender.
@@ -30,10 +34,10 @@
 
   template <class Archive>
   void serialize([[maybe_unused]] Archive& archive) {
-    archive(Bound(cluster, 64));
+    archive(Bound(cluster, kMaxCluster));
     archive(sender);
     archive(incarnation);
-    archive(Bound(payload, 1048576));
+    archive(Bound(payload, kMaxPayload));
   }
 };
 
--- a/src/foxquay/transport/message_authenticator.cc
+++ b/src/foxquay/transport/message_authenticator.cc
@@ -25,13 +25,14 @@
   return mac;
 }
 
-std::string MessageAuthenticator::Sign(const core::HostId& sender,
-                                       std::uint64_t incarnation,
-                                       std::string payload) const {
-  std::string signed_message = schema::Encode(
+core::Result<std::string> MessageAuthenticator::Sign(
+    const core::HostId& sender, std::uint64_t incarnation,
+    std::string payload) const {
+  core::Result<std::string> envelope = schema::TryEncode(
       schema::Envelope{cluster_, sender, incarnation, std::move(payload)});
-  signed_message += Mac(signed_message);
-  return signed_message;
+  if (!envelope) return envelope.error();
+  const std::string mac = Mac(envelope.value());
+  return std::move(envelope).value() + mac;
 }
 
 core::Result<schema::Envelope> MessageAuthenticator::Verify(
--- a/src/foxquay/transport/message_authenticator.h
+++ b/src/foxquay/transport/message_authenticator.h
@@ -15,8 +15,9 @@
 /// Size of the HMAC-SHA256 at the end of each signed message, in bytes.
 inline constexpr std::size_t kMacBytes = 32;
 
-/// Largest signed message, in bytes.
-inline constexpr std::size_t kMaxSignedBytes = (std::size_t{1} << 20U) + 1024;
+/// Largest signed message, in bytes: an envelope and its MAC.
+inline constexpr std::size_t kMaxSignedBytes =
+    schema::Envelope::kMaxPayload + 1024;
 
 /// Wraps payloads in an envelope with a keyed MAC and verifies both.
 ///
@@ -28,9 +29,11 @@
   MessageAuthenticator(std::string cluster, std::string key);
 
   /// Returns the encoded envelope of a payload, followed by its MAC.
-  [[nodiscard]] std::string Sign(const core::HostId& sender,
-                                 std::uint64_t incarnation,
-                                 std::string payload) const;
+  ///
+  /// Errors: kTooLarge if the payload does not fit an envelope.
+  [[nodiscard]] core::Result<std::string> Sign(const core::HostId& sender,
+                                               std::uint64_t incarnation,
+                                               std::string payload) const;
 
   /// Returns the envelope of a signed message. Checks size and MAC before it
   /// decodes anything.
--- a/src/foxquay/transport/peer_transport.cc
+++ b/src/foxquay/transport/peer_transport.cc
@@ -28,6 +28,9 @@
 /// smaller.
 constexpr std::size_t kReadBytes = 65536;
 
+/// Largest datagram that UDP carries.
+constexpr std::size_t kMaxDatagramBytes = 65536;
+
 using UserTimeout =
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -61,7 +64,7 @@
       acceptor_(context),
       accept_timer_(context),
       datagrams_(context),
-      datagram_buffer_(kMaxSignedBytes, '\0'),
+      datagram_buffer_(internal::kMaxDatagramBytes, '\0'),
       inbound_budget_(options_.inbound),
       inbound_owner_(inbound_budget_.AddOwner(
           [this](net::SocketId id) { CloseInbound(id.value()); })) {}
@@ -253,10 +256,15 @@
 
 void PeerTransport::Send(const core::HostId& host, std::string payload) {
   const auto found = peers_.find(host);
-  std::string frame = internal::EncodeFrame(authenticator_.Sign(
-      options_.self, options_.incarnation, std::move(payload)));
+  const auto signed_message = authenticator_.Sign(
+      options_.self, options_.incarnation, std::move(payload));
   const bool known = !stopped_ && found != peers_.end();
-  if (!known || found->second.queued_bytes + frame.size() > kMaxQueuedBytes) {
+  if (!known || !signed_message) {
+    ++counters_.dropped;
+    return;
+  }
+  std::string frame = internal::EncodeFrame(signed_message.value());
+  if (found->second.queued_bytes + frame.size() > kMaxQueuedBytes) {
     ++counters_.dropped;
     return;
   }
@@ -276,18 +284,23 @@
     ++counters_.dropped;
     return;
   }
-  const std::string signed_message = authenticator_.Sign(
+  const auto signed_message = authenticator_.Sign(
       options_.self, options_.incarnation, std::move(payload));
+  if (!signed_message) {
+    ++counters_.dropped;
+    return;
+  }
   const Udp::endpoint endpoint(found->second.endpoint.address(),
                                found->second.endpoint.port());
   boost::system::error_code error;
-  datagrams_.send_to(boost::asio::buffer(signed_message), endpoint, 0, error);
+  datagrams_.send_to(boost::asio::buffer(signed_message.value()), endpoint, 0,
+                     error);
   if (error) {
     ++counters_.dropped;
     return;
   }
   ++counters_.sent_messages;
-  counters_.sent_bytes += signed_message.size();
+  counters_.sent_bytes += signed_message.value().size();
 }
 
 bool PeerTransport::IsCurrent(const core::HostId& host,
--- a/tests/foxquay/consensus/member.h
+++ b/tests/foxquay/consensus/member.h
@@ -17,6 +17,9 @@
  public:
   explicit Member(Options options, std::size_t state_bytes = 0)
       : state_bytes_(state_bytes), replica_(std::move(options), {}, {}) {}
+  /// Continues from what the disk holds.
+  Member(Options options, PersistentState durable)
+      : state_bytes_(0), replica_(std::move(options), std::move(durable), {}) {}
 
   void Handle(const Event& event, core::Instant now) {
     std::deque<Event> events = {event};
--- a/tests/foxquay/schema/codec_test.cc
+++ b/tests/foxquay/schema/codec_test.cc
@@ -36,8 +36,20 @@
 // Guards against a size field that makes the decoder allocate without bound.
 TEST_CASE("a size above its bound is rejected") {
   Announcement announcement = Sample();
-  announcement.address = std::string(65, '1');
-  CHECK_FALSE(Decode<Announcement>(Encode(announcement)));
+  announcement.address = std::string(Announcement::kMaxAddress, '1');
+  std::string bytes = Encode(announcement);
+  REQUIRE(Decode<Announcement>(bytes));
+  // The size is the number before the string; one more byte exceeds the bound.
+  const std::size_t begin = bytes.find(announcement.address);
+  constexpr std::size_t kSizeBytes = 8;
+  REQUIRE(bytes[begin - kSizeBytes] ==
+          static_cast<char>(Announcement::kMaxAddress));
+  ++bytes[begin - kSizeBytes];
+  bytes.insert(begin, 1, '1');
+  CHECK_FALSE(Decode<Announcement>(bytes));
+  announcement.address += '1';
+  CHECK(TryEncode(announcement).error() ==
+        make_error_code(core::Error::kTooLarge));
 }
 
 }  // namespace foxquay::schema
--- a/tests/platform/soak/clients.cc
+++ b/tests/platform/soak/clients.cc
@@ -216,6 +216,17 @@
                });
 }
 
+void Operator::PutDocument(const std::string& document, std::size_t control,
+                           BufferingClient::Callback callback) {
+  net::Request request;
+  request.method = "PUT";
+  request.target = "/v1/config";
+  request.fields.set("Host", "control");
+  request.body = document;
+  client_.Send(control_addresses_[control % control_addresses_.size()], request,
+               std::move(callback));
+}
+
 void Operator::ReadConfiguration(std::size_t control) {
   net::Request request;
   request.method = "GET";
--- a/tests/platform/soak/clients.h
+++ b/tests/platform/soak/clients.h
@@ -65,6 +65,13 @@
   /// Reads the configuration from one control host and checks that it is a
   /// version that was sent and not older than allowed.
   void ReadConfiguration(std::size_t control);
+  /// Sends a document to one control host, once.
+  void PutDocument(const std::string& document, std::size_t control,
+                   BufferingClient::Callback callback);
+  /// Returns the configuration of the newest version sent.
+  [[nodiscard]] const std::string& document() const {
+    return sent_versions_.at(version_);
+  }
   /// Returns an API key in force and the key revoked last; both are the
   /// permanent key while there is no other.
   [[nodiscard]] const std::string& key() const { return key_; }
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -58,7 +58,7 @@
         initializer = cpp_default(kind, field["default"])
     bounded = kind.startswith("list<") or kind in ("string", "bytes")
     return {**field, "cpp": cpp, "initializer": initializer, "bounded": bounded,
-            "max": field.get("max", DEFAULT_LIMIT), "doc": field.get("doc", "").strip()}
+            "max": field.get("max", DEFAULT_LIMIT), "stated": "max" in field, "doc": field.get("doc", "").strip()}
 
 
 def cpp_default(kind, value):
