--- a/src/foxquay/consensus/replica.cc
+++ b/src/foxquay/consensus/replica.cc
@@ -169,10 +169,10 @@
   if (role_ == Role::kLeader) {
     const core::Instant acked =
         std::max(QuorumAckTime(now_).value_or(leading_since_), leading_since_);
-    if (now_ - acked > options_.timing.max_election) {
-      StepDown(term_, std::nullopt);
-    } else if (!retiring_ && !IsVoter(options_.self) && !IsChangingVoters()) {
-      // Its process has restarted while its vote was moving.
+    // Without a vote if its process has restarted while the vote was moving.
+    const bool voteless =
+        !retiring_ && !IsVoter(options_.self) && !IsChangingVoters();
+    if (voteless || now_ - acked > options_.timing.max_election) {
       StepDown(term_, std::nullopt);
     } else if (HoldsUnreadableEntry()) {
       // The others elect one of them, whose log replaces the entry.
--- a/tests/foxquay/consensus/unreadable_entry_test.cc
+++ b/tests/foxquay/consensus/unreadable_entry_test.cc
@@ -103,10 +103,9 @@
   /// Returns whether the receiver drops a message that it cannot read.
   bool IsDropped(const core::HostId& from, const Send& send) const {
     const bool tells = std::holds_alternative<schema::EntryLimit>(send.message);
-    if (basic_)
-      return (tells && from == *basic_) ||
-             (send.to == *basic_ && (tells || IsLarge(send)));
-    return IsLarge(send);
+    if (!basic_) return IsLarge(send);
+    const bool to_basic = send.to == *basic_ && (tells || IsLarge(send));
+    return to_basic || (tells && from == *basic_);
   }
   static bool IsLarge(const Send& send) {
     const auto* append = std::get_if<schema::AppendRequest>(&send.message);
