--- a/src/foxquay/consensus/entry_limit.cc
+++ b/src/foxquay/consensus/entry_limit.cc
@@ -1,6 +1,7 @@
 // Entries that not every build reads.
 //
-// A leader takes a command only if it and a quorum have told that they read it.
+// A leader takes a command only if it and a quorum have stated that they read
+// it.
 // Other replicas get the snapshot that holds the command, whose parts are
 // within the bounds of every build; one is taken as soon as such a command is
 // applied.
--- a/src/foxquay/consensus/progress.h
+++ b/src/foxquay/consensus/progress.h
@@ -49,16 +49,16 @@
   /// only within one process.
   std::uint64_t session = 0;
   core::Duration stamp{};  ///< Its clock reading in the latest reply.
-  /// Largest entry that it reads, and the session that told.
+  /// Largest entry that it reads, and the session that has stated it.
   std::optional<std::size_t> max_payload;
   std::uint64_t limit_session = 0;
-  /// Session of the process that has asked to leave, if any.
+  /// Session of the process that has sent a LeaveRequest, if any.
   std::optional<std::uint64_t> leaving_session;
   /// Voter that took over its vote while its process was down, if any.
   std::optional<schema::ReplicaId> stand_in;
 
-  /// Returns whether its process is about to stop, or has stopped after it
-  /// asked to leave. A process that was started since has not asked.
+  /// Returns whether its process is about to stop or has stopped in order. The
+  /// request of a process does not concern one that was started after it.
   [[nodiscard]] bool IsLeaving() const {
     return leaving_session && (session == 0 || session == *leaving_session);
   }
--- a/src/foxquay/consensus/replica.h
+++ b/src/foxquay/consensus/replica.h
@@ -61,7 +61,7 @@
   std::size_t max_payload_bytes = schema::kMaxCommandBytes;  ///< Per proposal.
   /// Per entry that this replica reads.
   std::size_t max_readable_bytes = schema::LogEntry::kMaxPayload;
-  /// Per entry that a replica reads which has not told (schema::EntryLimit).
+  /// Per entry that a replica reads which has sent no schema::EntryLimit.
   std::size_t basic_payload_bytes = schema::kBasicCommandBytes;
   std::size_t max_open_proposals = 4096;         ///< Per leader.
   std::size_t max_append_bytes = 256U << 10U;    ///< Per AppendRequest.
@@ -159,7 +159,7 @@
   [[nodiscard]] std::optional<core::Instant> FreshAsOf() const noexcept;
 
   /// Returns the largest command that the leader takes, as far as this replica
-  /// knows: the leader and a quorum have told that they read it.
+  /// knows: the leader and a quorum have stated that they read it.
   [[nodiscard]] std::size_t MaxCommandBytes() const;
 
   /// Returns whether the process may end after Retire without a loss to the
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -148,7 +148,7 @@
   /// Tells a replica which entries this one reads.
   void SendEntryLimit(const schema::ReplicaId& to);
   void On(const schema::EntryLimit& limit);
-  /// Returns the largest entry that a replica reads, as far as it has told.
+  /// Returns the largest entry that a replica reads, as far as it has stated it.
   [[nodiscard]] std::size_t ReadableBytes(
       const internal::Progress& progress) const;
   /// Returns the largest entry that a quorum reads.
@@ -182,7 +182,7 @@
   void ReplaceVoter(const schema::ReplicaId& from, const schema::ReplicaId& to);
   [[nodiscard]] bool ReplaceLostVoter();
   [[nodiscard]] bool ReplaceLeavingVoter();
-  /// Gives a vote back to a replica that has asked for it (ReturnRequest).
+  /// Gives a vote back to a replica that has sent a ReturnRequest.
   void ReturnVote();
   /// Returns whether a vote may move from a voter that answers.
   [[nodiscard]] bool MayMoveVotes() const;
@@ -223,11 +223,11 @@
   /// Starts to replicate the log to a replica as a learner.
   void Admit(const schema::ReplicaId& joiner, bool fresh);
   /// Forgets the learner that has been silent for longest, such as one on a
-  /// host that is gone; returns whether there is one.
+  /// removed host; returns whether there is one.
   bool ForgetLearner();
   /// Keeps a request to join for the case that this replica becomes the leader.
   void RememberJoiner(const schema::JoinRequest& request);
-  /// Admits those that have asked lately.
+  /// Admits the senders of recent requests.
   void AdmitJoiners();
   /// Passes the request of a replica that knows only this host on to the
   /// leader.
@@ -292,7 +292,7 @@
 
   core::Instant next_entry_limit_;  ///< To the leader.
   Term entry_limit_term_ = 0;       ///< In which one was sent last.
-  /// Leader that has told the largest entry it reads, and that size.
+  /// Leader that has stated the largest entry it reads, and that size.
   std::optional<schema::ReplicaId> limit_leader_;
   std::size_t leader_max_payload_ = 0;
 
--- a/src/foxquay/daemon/control_node.h
+++ b/src/foxquay/daemon/control_node.h
@@ -176,7 +176,7 @@
   /// `timeout` has passed.
   void Flush(core::Duration timeout);
   /// Hands this host's vote to another replica that is ready for it, as the
-  /// process is about to stop. Does not block; MayStop tells when it is done.
+  /// process is about to stop. Does not block; see MayStop.
   void Retire();
   /// Returns whether nothing is gained by a further wait after Retire: the vote
   /// has moved, no replica can take it over, or this host has none. Does not
--- a/tests/foxquay/consensus/unreadable_entry_test.cc
+++ b/tests/foxquay/consensus/unreadable_entry_test.cc
@@ -19,7 +19,7 @@
 /// drop, as builds with a lower limit on messages do.
 class JammedGroup {
  public:
-  /// With `readable` above kLimit, replicas tell that they read more.
+  /// With `readable` above kLimit, replicas state that they read more.
   explicit JammedGroup(std::size_t voters, std::size_t readable = kLimit,
                        bool jammed = true) {
     schema::SnapshotMeta meta;
@@ -57,7 +57,7 @@
     }
   }
 
-  /// Makes the last replica one of a build that tells no limit.
+  /// Makes the last replica one of a build that states no limit.
   void MakeLastBasic() { basic_ = members_.rbegin()->first; }
 
   /// Proposes a command of `bytes` to the leader.
