--- a/src/foxquay/consensus/leave.cc
+++ b/src/foxquay/consensus/leave.cc
@@ -1,8 +1,8 @@
 // Planned stops: a replica hands its vote to a caught-up learner before its
 // process ends, and asks for it back when it has restarted.
 //
-// A stop looks like a removal until the process starts again. A vote that stayed
-// with a removed host would cost the group its quorum at the next loss.
+// A stop looks like a removal until the process starts again. A vote that
+// stayed with a removed host would cost the group its quorum at the next loss.
 #include <chrono>
 
 #include "foxquay/consensus/state.h"
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -148,7 +148,8 @@
   /// Tells a replica which entries this one reads.
   void SendEntryLimit(const schema::ReplicaId& to);
   void On(const schema::EntryLimit& limit);
-  /// Returns the largest entry that a replica reads, as far as it has stated it.
+  /// Returns the largest entry that a replica reads, as far as it has stated
+  /// it.
   [[nodiscard]] std::size_t ReadableBytes(
       const internal::Progress& progress) const;
   /// Returns the largest entry that a quorum reads.
--- a/tests/foxquay/settings/settings_test.cc
+++ b/tests/foxquay/settings/settings_test.cc
@@ -149,8 +149,8 @@
   CHECK(loaded.settings.limits.grace < std::chrono::milliseconds(1334));
 }
 
-// Guards against a setting that can be told only by a file that builds before
-// it refuse.
+// Guards against a setting that only a file can hold, which builds before it
+// refuse then.
 TEST_CASE("the environment replaces the time to catch up") {
   Loaded loaded = Parse(kValidSettings, "settings.yaml");
   setenv(kCatchUpVariable, "5.5", 1);
