Let only agreed bounds grow beside the build in production

tools/check_schema.py refused the tree: bounds of messages had been raised, some only so that a later build may write more. Those are back to what production reads (PutFleet, ConfigReply, Workspace). Entries, proposals and envelopes may be larger than before, as a leader sends them only to hosts that have stated that they read them (EntryLimit). The check was wrong in one point: it allowed no way for a bound to grow. It is as strict otherwise; a field may grow only if it is of bytes and names a message of a variant by which hosts agree (agreed_by), and a test checks that a host that has sent none gets no larger entry.

--- a/src/foxquay/fleet/sizes.cc
+++ b/src/foxquay/fleet/sizes.cc
@@ -82,7 +82,8 @@
   };
   check.Bytes(workspace.id.value(), schema::kMaxIdBytes, path("id"));
   const auto list = path("api_keys");
-  check.Entries(workspace.api_keys.size(), kMaxWorkspaceKeys, list);
+  check.Entries(workspace.api_keys.size(), schema::Workspace::kMaxApiKeys,
+                list);
   for (std::size_t entry = 0; entry < workspace.api_keys.size(); ++entry) {
     check.Bytes(workspace.api_keys[entry], schema::kMaxIdBytes,
                 [&] { return Element(list(), entry); });
--- a/src/foxquay/fleet/sizes.h
+++ b/src/foxquay/fleet/sizes.h
@@ -1,18 +1,12 @@
 #ifndef FOXQUAY_FLEET_SIZES_H_
 #define FOXQUAY_FLEET_SIZES_H_
 
-#include <cstddef>
-
 #include "foxquay/core/finding.h"
 #include "foxquay/schema/control.h"
 #include "foxquay/schema/fleet.h"
 
 namespace foxquay::fleet {
 
-/// Largest number of API keys of one workspace. Builds before this one read no
-/// more; this build reads schema::Workspace::kMaxApiKeys.
-inline constexpr std::size_t kMaxWorkspaceKeys = 256;
-
 /// Returns a finding for each list and name of a configuration that is larger
 /// than the messages between hosts allow; it states the size and the limit.
 /// Thread-safe.
--- a/src/foxquay/schema/control.h
+++ b/src/foxquay/schema/control.h
@@ -305,8 +305,8 @@
 /// Replaces the configuration of the fleet if its version is higher than the
 /// current one.
 struct PutFleet {
-  static constexpr std::size_t kMaxFleet = 1900000;
-  static constexpr std::size_t kMaxSource = 1900000;
+  static constexpr std::size_t kMaxFleet = 700000;
+  static constexpr std::size_t kMaxSource = 700000;
 
   std::uint64_t version = 0;  ///< Version of the configuration.
   std::string fleet;          ///< An encoded Fleet that has passed validation.
@@ -634,7 +634,7 @@
 /// Answer to a ConfigPoll.
 struct ConfigReply {
   static constexpr std::size_t kMaxEntries = 256;
-  static constexpr std::size_t kMaxFleet = 1900000;
+  static constexpr std::size_t kMaxFleet = 700000;
 
   std::uint64_t incarnation = 0;  ///< Incarnation of the asking host.
   std::uint64_t poll = 0;         ///< Number of the poll.
--- a/src/foxquay/schema/fleet.h
+++ b/src/foxquay/schema/fleet.h
@@ -183,7 +183,7 @@
 
 /// The workspace of a customer and its API keys.
 struct Workspace {
-  static constexpr std::size_t kMaxApiKeys = 4096;
+  static constexpr std::size_t kMaxApiKeys = 256;
 
   core::WorkspaceId id;               ///< Name of the workspace.
   std::vector<std::string> api_keys;  ///< API keys that its callers present.
--- a/src/foxquay/schema/sizes.h
+++ b/src/foxquay/schema/sizes.h
@@ -12,10 +12,8 @@
 
 /// Largest configuration of the fleet, in bytes: of the document that the
 /// operator sends, and of its encoded form. All other limits on its way follow
-/// from this one. Builds before this one read no larger ones from a snapshot or
-/// a reply; this build does (PutFleet, ConfigReply), so that the next one may
-/// raise the limit.
-inline constexpr std::size_t kMaxFleetBytes = 700'000;
+/// from this one.
+inline constexpr std::size_t kMaxFleetBytes = PutFleet::kMaxFleet;
 
 /// Upper bound on what a message adds to the command or the content in it: ids
 /// of replicas, numbers and sizes.
@@ -31,8 +29,7 @@
 /// Largest payload of a message that such builds read, in bytes.
 inline constexpr std::size_t kBasicMessageBytes = std::size_t{1} << 20U;
 
-static_assert(PutFleet::kMaxFleet >= kMaxFleetBytes &&
-                  PutFleet::kMaxSource >= kMaxFleetBytes,
+static_assert(PutFleet::kMaxSource == kMaxFleetBytes,
               "a command holds the largest configuration");
 static_assert(ProposeRequest::kMaxCommand >= kMaxCommandBytes,
               "a forwarded proposal carries the largest command");
--- a/tests/foxquay/consensus/unreadable_entry_test.cc
+++ b/tests/foxquay/consensus/unreadable_entry_test.cc
@@ -50,6 +50,7 @@
       for (auto& [name, member] : members_) member.Handle(Tick{}, now_);
       for (auto& [name, member] : members_) {
         for (Send& send : std::exchange(member.sent, {})) {
+          if (basic_ && send.to == *basic_ && IsLarge(send)) ++sent_to_basic_;
           if (IsDropped(name, send)) continue;
           members_.at(send.to).Handle(Received{std::move(send.message)}, now_);
         }
@@ -68,6 +69,8 @@
           consensus::Propose{ProposalId(1), std::string(bytes, 'x'), {}}, now_);
     }
   }
+  /// Returns the messages with large entries that were sent to it.
+  [[nodiscard]] int sent_to_basic() const { return sent_to_basic_; }
   [[nodiscard]] Index applied(std::size_t index) const {
     return members_.at(Name(index)).replica().applied();
   }
@@ -118,6 +121,7 @@
 
   std::map<core::HostId, Member> members_;
   std::optional<core::HostId> basic_;
+  int sent_to_basic_ = 0;
   core::Instant now_ = core::Instant(std::chrono::seconds(1));
 };
 
@@ -139,6 +143,7 @@
   group.Run(std::chrono::seconds(5));
   group.Propose(2 * JammedGroup::kLimit);
   group.Run(std::chrono::seconds(3));
+  CHECK(group.sent_to_basic() == 0);
   const Index commit = group.commit();
   for (std::size_t index = 0; index < 3; ++index) {
     CHECK(group.applied(index) == commit);
--- a/tools/check_schema.py
+++ b/tools/check_schema.py
@@ -2,8 +2,10 @@
 """Checks that the build in production bears this build's messages, settings template and state.
 
 Messages are encoded by position, and the log and snapshots in the same way, so that a message may
-not change at all; new messages may be added, and appended to a variant, as a host passes over a
-kind that it does not know. The revision is the one that `production` in deploy/system.toml names.
+not change at all, but for one thing: a field may take more bytes than before if it names the message
+(`agreed_by`) by which a host states that it reads them; hosts that do not send it get no more than
+before. New messages may be added, and appended to a variant, as a host passes over a kind that it
+does not know. The revision is the one that `production` in deploy/system.toml names.
 """
 
 import pathlib
@@ -42,7 +44,8 @@
     for text in texts:
         schema = yaml.safe_load(text)
         for message in schema.get("messages", []):
-            fields = [(field["type"], field.get("max")) for field in message.get("fields", [])]
+            fields = [(field["type"], field.get("max"), field.get("agreed_by"))
+                      for field in message.get("fields", [])]
             known["messages"][message["name"]] = fields
         for variant in schema.get("variants", []):
             known["variants"][variant["name"]] = variant["types"]
@@ -51,10 +54,24 @@
     return known
 
 
+def bears(before, after, agreements):
+    """Returns whether a field may become another one."""
+    kind, bound, _ = before
+    new_kind, new_bound, agreed_by = after
+    if (kind, bound) == (new_kind, new_bound):
+        return True
+    grows = kind == new_kind == "bytes" and bound is not None and new_bound > bound
+    return grows and agreed_by in agreements
+
+
 def compare(before, after):
     """Yields what a build with the schemas `before` cannot bear of `after`."""
+    agreements = {kind for items in after["variants"].values() for kind in items}
     for name, fields in before["messages"].items():
-        if after["messages"].get(name) != fields:
+        now = after["messages"].get(name, [])
+        same = len(now) == len(fields) and all(
+            bears(old, new, agreements) for old, new in zip(fields, now))
+        if not same:
             yield f"message {name}: its fields, their order or bounds differ"
     for kind in ("variants", "enums"):
         for name, items in before[kind].items():
