Let a learner that stops wait until the leader knows

Cause: a replica without a vote could end before the leader had its LeaveRequest, and the leader gave it the next vote that was handed over.

--- a/src/foxquay/consensus/leave.cc
+++ b/src/foxquay/consensus/leave.cc
@@ -50,14 +50,15 @@
 }
 
 void Replica::State::On(const schema::LeaveReply& reply) {
-  if (reply.header.term == term_) vote_stays_ = !reply.pending;
+  if (reply.header.term == term_) leave_settled_ = !reply.pending;
 }
 
 bool Replica::State::MayStop() const {
   if (!retiring_) return false;
-  if (role_ == Role::kLeader && !IsMovePending(options_.self)) return true;
-  const bool committed = log_.configuration_index() <= commit_;
-  return vote_stays_ || (!IsVoter(options_.self) && committed);
+  // A leader that does not know of the stop may choose this replica to take
+  // over another vote, also if it has none.
+  return role_ == Role::kLeader ? !IsMovePending(options_.self)
+                                : leave_settled_;
 }
 
 void Replica::State::FindStandIn() {
--- a/src/foxquay/consensus/state.h
+++ b/src/foxquay/consensus/state.h
@@ -299,7 +299,8 @@
 
   bool retiring_ = false;  ///< The process is about to stop.
   core::Instant next_leave_request_;
-  bool vote_stays_ = false;  ///< The leader knows no replica to take it over.
+  /// The leader knows of the stop and has no vote to move for it.
+  bool leave_settled_ = false;
   /// Voter that took over this replica's vote while the process was down.
   std::optional<schema::ReplicaId> stand_in_;
   core::Instant next_return_request_;
